--- /dev/null
+++ b/src/drill/drill.cpp
@@ -0,0 +1,116 @@
+#include "drill/drill.h"
+
+#include <rapidjson/error/en.h>
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "drill/wire.h"
+
+namespace shorelead::drill {
+namespace {
+
+struct Instance {
+  Policy policy;
+  BackendNames names;
+};
+
+class Host {
+ public:
+  explicit Host(std::ostream& out) : out_(out) {}
+
+  bool in_batch() const { return now_.has_value(); }
+
+  void line(std::string& text) {
+    // The parsed tree lives in a pool that is emptied, not freed, for each line.
+    pool_.Clear();
+    stack_.Clear();
+    Document document(&pool_, 1024, &stack_);
+    document.ParseInsitu(text.data());
+    if (document.HasParseError()) {
+      throw WireError(std::string("broken JSON: ") + rapidjson::GetParseError_En(document.GetParseError()));
+    }
+    if (!document.IsObject()) throw WireError("not a JSON object");
+    const std::string_view message = text_field(document, "msg");
+    if (message == "Clock") return clock(document);
+    if (!now_) throw WireError("\"" + std::string(message) + "\" before \"Clock\"");
+    if (message == "End") return end();
+    const std::string id(text_field(document, "NodeId"));
+    if (message == "Init") return init(id, document);
+    const auto it = instances_.find(id);
+    if (it == instances_.end()) throw WireError("unknown instance \"" + id + "\"");
+    if (message == "Stop") {
+      instances_.erase(it);
+      return;
+    }
+    deliver(id, it->second, parse_event(message, document, it->second.names));
+  }
+
+ private:
+  using Pool = rapidjson::MemoryPoolAllocator<>;
+  using Document = rapidjson::GenericDocument<rapidjson::UTF8<>, Pool, Pool>;
+
+  void clock(const Json& line) {
+    if (now_) throw WireError("\"Clock\" inside a batch");
+    now_ = number_field(line, "Now");
+  }
+
+  void end() {
+    reply_.next();
+    out_ << reply_.text() << std::flush;
+    reply_.clear();
+    now_.reset();
+  }
+
+  void init(const std::string& id, const Json& line) {
+    const Settings settings = parse_settings(line);
+    instances_.erase(id);
+    const auto it = instances_.emplace(id, Instance{Policy(settings, parse_seed(line)), {}}).first;
+    deliver(id, it->second, Started{});
+  }
+
+  // A failure inside the module is reported for its instance and ends nothing else.
+  void deliver(const std::string& id, Instance& instance, const Event& event) {
+    actions_.clear();
+    try {
+      instance.policy.handle(event, *now_, actions_);
+    } catch (const std::exception& error) {
+      reply_.internal_error(id, error.what());
+      return;
+    }
+    for (const Action& action : actions_) reply_.action(id, action, instance.names);
+  }
+
+  std::ostream& out_;
+  std::optional<Millis> now_;
+  std::map<std::string, Instance> instances_;
+  std::vector<Action> actions_;
+  ReplyWriter reply_;
+  Pool pool_;
+  Pool stack_;
+};
+
+}  // namespace
+
+int run(std::istream& in, std::ostream& out, std::ostream& errors) {
+  Host host(out);
+  std::string text;
+  std::size_t number = 0;
+  while (std::getline(in, text)) {
+    ++number;
+    try {
+      host.line(text);
+    } catch (const WireError& error) {
+      errors << "line " << number << ": " << error.what() << std::endl;
+      return 1;
+    }
+  }
+  if (host.in_batch()) {
+    errors << "line " << number + 1 << ": input ended inside a batch" << std::endl;
+    return 1;
+  }
+  return 0;
+}
+
+}  // namespace shorelead::drill
--- /dev/null
+++ b/src/policy/policy.cpp
@@ -0,0 +1,533 @@
+// shorelead's decisions, all of them. The interface (settings, events, actions) is in policy/policy.h.
+//
+// The ordinary path is ALBL (Kontogiannis et al., see docs/design.md): probe every ready backend each period,
+// turn the timings into shares, and send along a weighted rotation that is reshuffled each period.
+#include "policy/policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <unordered_map>
+
+namespace shorelead {
+namespace {
+
+// --- ALBL's open parameters ---
+constexpr Millis kPeriod = 1000;          // probes and shares are renewed this often
+constexpr Millis kProbeTimeout = 250;     // a probe unanswered by then drops the backend for the period
+constexpr Millis kThreshold = 150;        // above ordinary probe times, so Equation 5 applies when quiet
+constexpr int kResponsePeriods = 5;       // response time = mean probe time over this many periods
+constexpr int kDelayPeriods = 10;         // network delay = lowest response time in this many periods
+constexpr double kDifferenceFloor = 0.5;  // of the median of (response - delay), Equation 6
+constexpr double kShareCap = 1.5;         // no share above this multiple of the mean
+constexpr int kNewPeriods = 3;            // a new or returned backend gets at most the mean share for these
+constexpr Millis kTiniestTime = 0.01;     // probe times are at least this, so no share is infinite
+
+// --- the rules ---
+constexpr double kColdSafety = 0.5;       // of the budget of a cold backend, for what a node cannot see
+constexpr Millis kListRetryMin = 200;     // first wait before asking for the list again; doubles, with jitter
+constexpr Millis kListRetryMax = 5000;    // longest such wait
+constexpr double kFirstWorkGuess = 0.25;  // of the shortest aim: service time before any was seen
+constexpr double kSmoothing = 0.05;       // weight of a new service time in its mean
+
+// SplitMix64: small, and the same on every platform, unlike the standard distributions.
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t next() {
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15ULL);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31);
+  }
+  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+  std::size_t below(std::size_t n) { return static_cast<std::size_t>(next() % n); }
+
+ private:
+  std::uint64_t state_;
+};
+
+double median(std::vector<double> values) {
+  if (values.empty()) return 0;
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+struct Backend {
+  BackendState state = BackendState::kGone;
+  int zone = 0;
+  int cell = 0;
+  Millis started = 0;
+  double size = 1;
+  // ALBL
+  bool probe_out = false;
+  bool answered = false;               // this period's probe was served
+  bool dropped = false;                // gets nothing this period
+  std::vector<Millis> probe_times;     // last kResponsePeriods, oldest first
+  std::vector<Millis> response_times;  // last kDelayPeriods, oldest first
+  int periods = 0;                     // since it was new or returned
+  double share = 0;
+  double credit = 0;
+  // own traffic
+  int outstanding = 0;
+  std::vector<Millis> cold_sends;  // while cold: sends within the last fall span
+};
+
+struct Attempt {
+  BackendId backend = 0;
+  Millis sent = 0;
+  bool out = true;
+  bool may_have_run = true;  // until an outcome proves that it never ran
+};
+
+struct Request {
+  int request_class = 0;
+  int tenant = 0;
+  Millis arrived = 0;
+  Millis due = 0;
+  bool streaming = false;
+  std::vector<Attempt> attempts;
+};
+
+// What a timer was set for; the low bits of its cookie.
+enum TimerKind : std::uint64_t { kPeriodTimer, kProbeTimer, kListTimer };
+
+}  // namespace
+
+class Policy::Impl {
+ public:
+  Impl(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {
+    Millis shortest = 0;
+    for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
+    service_ = std::max(1.0, kFirstWorkGuess * shortest);
+  }
+
+  void handle(const Event& event, Millis now, std::vector<Action>& actions) {
+    now_ = now;
+    out_ = &actions;
+    std::visit([this](const auto& e) { on(e); }, event);
+  }
+
+ private:
+  // ---- lists ----
+
+  void on(const Started&) {
+    if (s_.list_on_request) ask_for_list();
+    // The first period starts at a random moment, so that nodes started together do not probe in step.
+    timer(kPeriodTimer, now_ + random_.unit() * kPeriod);
+  }
+
+  void ask_for_list() { act(SubscribeList{}); }
+
+  void on(const ListUpdate& update) {
+    if (update.kind == ListKind::kFailed) {
+      // A refused or broken subscription: ask again, ever later and never in step with other nodes.
+      list_wait_ = std::clamp(list_wait_ * 2, kListRetryMin, kListRetryMax);
+      timer(kListTimer, now_ + list_wait_ * (0.5 + random_.unit()));
+      return;
+    }
+    if (update.kind != ListKind::kStored) list_wait_ = 0;
+    std::vector<char> named(backends_.size(), 0);
+    for (const BackendEntry& entry : update.entries) {
+      if (entry.backend >= backends_.size()) backends_.resize(entry.backend + 1);
+      if (entry.backend >= named.size()) named.resize(entry.backend + 1);
+      named[entry.backend] = 1;
+      Backend& b = backends_[entry.backend];
+      const bool returned = entry.state == BackendState::kReady &&
+                            (b.state != BackendState::kReady || b.started != entry.started);
+      b.state = entry.state;
+      b.zone = entry.zone;
+      b.cell = entry.cell;
+      b.started = entry.started;
+      b.size = entry.size > 0 ? entry.size : 1;
+      if (returned) welcome(b);
+      if (b.state != BackendState::kReady) b.share = b.credit = 0;
+    }
+    if (update.kind != ListKind::kDelta) {
+      for (std::size_t i = 0; i < backends_.size(); ++i) {
+        if (!named[i]) backends_[i].state = BackendState::kGone;
+      }
+    }
+    if (update.kind == ListKind::kStored) set_shares();
+  }
+
+  // A new or returned backend starts over: what was measured before says nothing of it.
+  void welcome(Backend& b) {
+    b.probe_times.clear();
+    b.response_times.clear();
+    b.dropped = false;
+    b.periods = 0;
+    b.credit = 0;
+    b.cold_sends.clear();
+    int ready = 0;
+    double sum = 0;
+    for (const Backend& other : backends_) {
+      if (&other != &b && other.state == BackendState::kReady) sum += other.share, ++ready;
+    }
+    b.share = ready > 0 && sum > 0 ? sum / ready : 1;
+  }
+
+  // ---- ALBL: probes, shares, rotation ----
+
+  void on(const TimerFired& fired) {
+    switch (fired.cookie) {
+      case kPeriodTimer:
+        timer(kPeriodTimer, now_ + kPeriod);
+        if (s_.probing) {
+          for (BackendId i = 0; i < backends_.size(); ++i) {
+            Backend& b = backends_[i];
+            b.answered = false;
+            if (b.state != BackendState::kReady || b.probe_out) continue;
+            b.probe_out = true;
+            act(SendProbe{i});
+          }
+          timer(kProbeTimer, now_ + kProbeTimeout);
+        }
+        break;
+      case kProbeTimer:
+        set_shares();
+        break;
+      case kListTimer:
+        ask_for_list();
+        break;
+    }
+  }
+
+  void on(const ProbeEnded& ended) {
+    Backend& b = at(ended.backend);
+    b.probe_out = false;
+    if (ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
+    b.answered = true;
+    push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
+    double sum = 0;
+    for (const Millis t : b.probe_times) sum += t;
+    push(b.response_times, sum / static_cast<double>(b.probe_times.size()), kDelayPeriods);
+  }
+
+  static void push(std::vector<Millis>& window, Millis value, std::size_t length) {
+    if (window.size() == length) window.erase(window.begin());
+    window.push_back(value);
+  }
+
+  // Closes the period: drops who did not answer, weighs the others by Equation 5 or 6, starts a rotation.
+  void set_shares() {
+    std::vector<BackendId> ready;
+    std::size_t missed = 0;
+    for (BackendId i = 0; i < backends_.size(); ++i) {
+      if (backends_[i].state != BackendState::kReady) continue;
+      ready.push_back(i);
+      if (!backends_[i].answered) ++missed;
+    }
+    if (s_.probing && missed * 2 > ready.size()) {
+      // Over half unanswered says more of this node or its paths than of the backends: keep the last shares.
+      for (const BackendId i : ready) backends_[i].dropped = false;
+    } else {
+      weigh(ready);
+    }
+    reshuffle();
+  }
+
+  void weigh(const std::vector<BackendId>& ready) {
+    std::vector<BackendId> in;
+    std::vector<double> differences;
+    bool quiet = false;
+    for (const BackendId i : ready) {
+      Backend& b = backends_[i];
+      b.dropped = s_.probing && !b.answered;
+      if (b.dropped) continue;
+      in.push_back(i);
+      if (b.response_times.empty()) continue;
+      quiet = quiet || b.response_times.back() < kThreshold;
+      differences.push_back(b.response_times.back() - delay(b));
+    }
+    const double floor = std::max(kTiniestTime, kDifferenceFloor * median(differences));
+    double sum = 0;
+    int measured = 0;
+    for (const BackendId i : in) {
+      Backend& b = backends_[i];
+      b.share = 0;
+      if (b.response_times.empty()) continue;
+      const Millis response = b.response_times.back();
+      const double cost = quiet ? response * delay(b) : delay(b) * std::max(response - delay(b), floor);
+      b.share = b.size / cost;
+      sum += b.share;
+      ++measured;
+    }
+    const double mean_measured = measured > 0 ? sum / measured : 1;
+    for (const BackendId i : in) {
+      Backend& b = backends_[i];
+      if (b.response_times.empty()) b.share = mean_measured;
+      ++b.periods;
+    }
+    limit(in);
+  }
+
+  static Millis delay(const Backend& b) {
+    return *std::min_element(b.response_times.begin(), b.response_times.end());
+  }
+
+  // Scales the shares to sum 1 with none above its bound; what a bound cuts goes to the others in proportion.
+  void limit(const std::vector<BackendId>& in) {
+    if (in.empty()) return;
+    const double mean = 1.0 / static_cast<double>(in.size());
+    double free = 1;
+    std::vector<BackendId> open = in;
+    while (!open.empty()) {
+      double sum = 0;
+      for (const BackendId i : open) sum += backends_[i].share;
+      std::vector<BackendId> still;
+      double cut = 0;
+      for (const BackendId i : open) {
+        Backend& b = backends_[i];
+        const double bound = mean * (b.periods <= kNewPeriods ? 1.0 : kShareCap);
+        if (b.share / sum * free >= bound) {
+          b.share = bound;
+          cut += bound;
+        } else {
+          still.push_back(i);
+        }
+      }
+      if (still.size() == open.size()) {
+        for (const BackendId i : open) backends_[i].share *= free / sum;
+        return;
+      }
+      free = std::max(0.0, free - cut);
+      open.swap(still);
+    }
+  }
+
+  // Unsent turns go back to the credits, so that rounding and reshuffling lose nothing.
+  void reshuffle() {
+    for (const BackendId i : rotation_) backends_[i].credit += 1;
+    rotation_.clear();
+    deal();
+  }
+
+  // Adds one round to the rotation: each backend earns its share of as many turns as there are backends.
+  void deal() {
+    const std::size_t old = rotation_.size();
+    std::size_t count = 0;
+    for (const Backend& b : backends_) count += usable(b) ? 1 : 0;
+    for (BackendId i = 0; i < backends_.size(); ++i) {
+      Backend& b = backends_[i];
+      if (!usable(b)) {
+        b.credit = 0;
+        continue;
+      }
+      // A backend passed over for long does not save up turns beyond one round's worth.
+      b.credit = std::min(b.credit + b.share * static_cast<double>(count), 1.0 + kShareCap);
+      for (; b.credit >= 1; b.credit -= 1) rotation_.push_back(i);
+    }
+    for (std::size_t n = rotation_.size() - old; n > 1; --n) {
+      std::swap(rotation_[old + n - 1], rotation_[old + random_.below(n)]);
+    }
+  }
+
+  static bool usable(const Backend& b) { return b.state == BackendState::kReady && !b.dropped; }
+
+  // ---- choosing a backend ----
+
+  // The next backend in the rotation that the rules allow for this request; none if there is no such.
+  std::optional<BackendId> choose(const Request& r) {
+    for (int round = 0; round < 3; ++round) {
+      for (std::size_t n = 0; n < rotation_.size(); ++n) {
+        const BackendId i = rotation_[n];
+        if (!usable(backends_[i])) {
+          rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(n--));
+          continue;
+        }
+        if (!allowed(r, i)) continue;
+        rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(n));
+        return i;
+      }
+      deal();
+    }
+    // The rotation has nobody for it: any ready backend that the rules allow, dropped or not.
+    const std::size_t start = backends_.empty() ? 0 : random_.below(backends_.size());
+    for (std::size_t n = 0; n < backends_.size(); ++n) {
+      const BackendId i = static_cast<BackendId>((start + n) % backends_.size());
+      if (backends_[i].state == BackendState::kReady && allowed(r, i)) return i;
+    }
+    return std::nullopt;
+  }
+
+  bool allowed(const Request& r, BackendId i) {
+    for (const Attempt& a : r.attempts) {
+      if (a.backend == i) return false;
+    }
+    return in_group(r, i) && cold_room(backends_[i]);
+  }
+
+  // Rule "no effect twice", for keyed requests: after an attempt that may have run, only its group will do,
+  // and only within the window.
+  bool in_group(const Request& r, BackendId i) const {
+    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    if (c.effect != Effect::kKeyed) return true;
+    for (const Attempt& a : r.attempts) {
+      if (!a.may_have_run) continue;
+      if (now_ - a.sent >= c.dedup_window) return false;
+      const Backend& there = backends_[a.backend];
+      const Backend& here = backends_[i];
+      if (c.group == DedupGroup::kZone && here.zone != there.zone) return false;
+      if (c.group == DedupGroup::kCell && (here.cell != there.cell || here.zone != there.zone)) return false;
+    }
+    return true;
+  }
+
+  // ---- cold backends ----
+
+  bool cold(const Backend& b) const { return b.started > 0 && now_ - b.started < s_.warm_up; }
+
+  // The least share of its capacity that a backend has by now: it warms no slower than evenly.
+  double warmth(const Backend& b) const {
+    if (!cold(b) || s_.warm_up <= 0) return 1;
+    return s_.cold_share + (1 - s_.cold_share) * std::clamp((now_ - b.started) / s_.warm_up, 0.0, 1.0);
+  }
+
+  // Rule "a cold backend is not pushed over": within any fall span this node sends a cold backend no more
+  // than its part of what the span allows, since it cannot know what the other nodes send.
+  bool cold_room(Backend& b) {
+    if (!cold(b)) return true;
+    std::erase_if(b.cold_sends, [this](Millis t) { return now_ - t >= s_.fall_span; });
+    const double capacity = b.size / mean_size() * s_.fall_span / service_;
+    const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / std::max(1, s_.instances);
+    return static_cast<double>(b.cold_sends.size()) + 1 <= budget;
+  }
+
+  double mean_size() const {
+    double sum = 0;
+    int n = 0;
+    for (const Backend& b : backends_) {
+      if (b.state == BackendState::kReady) sum += b.size, ++n;
+    }
+    return n > 0 ? sum / n : 1;
+  }
+
+  // ---- requests ----
+
+  void on(const RequestArrived& e) {
+    if (e.request_class < 0 || static_cast<std::size_t>(e.request_class) >= s_.classes.size()) {
+      throw std::out_of_range("request of an unknown class");
+    }
+    Request r;
+    r.request_class = e.request_class;
+    r.tenant = e.tenant;
+    r.arrived = now_;
+    r.due = e.due;
+    const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
+    proceed(it);
+  }
+
+  using Held = std::unordered_map<RequestId, Request>::iterator;
+
+  // Sends the request's next attempt, or gives its final answer at once.
+  void proceed(Held it) {
+    Request& r = it->second;
+    if (may_send(r)) {
+      if (const std::optional<BackendId> i = choose(r)) return send(it, *i);
+    }
+    finish(it);
+  }
+
+  bool may_send(const Request& r) const {
+    if (now_ >= r.due || static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
+    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    return c.effect != Effect::kUnsafe || !may_have_run(r);
+  }
+
+  static bool may_have_run(const Request& r) {
+    return std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+  }
+
+  static bool any_out(const Request& r) {
+    return std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.out; });
+  }
+
+  void send(Held it, BackendId i) {
+    Backend& b = backends_[i];
+    if (cold(b)) b.cold_sends.push_back(now_);
+    ++b.outstanding;
+    it->second.attempts.push_back({i, now_, true, true});
+    act(SendAttempt{it->first, i, 0});
+  }
+
+  // The final answer of a request that will not be served: a refusal where that is harmless, else a failure.
+  void finish(Held it) {
+    const Request& r = it->second;
+    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
+                          (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
+    if (harmless) {
+      act(Refuse{it->first, 0});
+    } else {
+      act(Fail{it->first});
+    }
+    drop(it);
+  }
+
+  // Forgets a request that is over; copies still out are called off.
+  void drop(Held it) {
+    const Request& r = it->second;
+    for (std::size_t n = 0; n < r.attempts.size(); ++n) {
+      if (r.attempts[n].out && !r.streaming && s_.cancelling) {
+        act(CancelAttempt{it->first, static_cast<int>(n)});
+      }
+    }
+    requests_.erase(it);
+  }
+
+  void on(const AttemptEnded& e) {
+    Backend& b = at(e.backend);
+    if (b.outstanding > 0) --b.outstanding;
+    if (e.outcome == Outcome::kServed) service_ += kSmoothing * (e.elapsed / (1 + b.outstanding) - service_);
+    const Held it = requests_.find(e.request);
+    if (it == requests_.end()) return;
+    Request& r = it->second;
+    Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
+    a.out = false;
+    a.may_have_run = !(e.outcome == Outcome::kTurnedAway || e.outcome == Outcome::kNoConnection ||
+                       e.outcome == Outcome::kNotSent);
+    if (e.request_over) return drop(it);
+    if (!any_out(r)) proceed(it);
+  }
+
+  void on(const StreamStarted& e) {
+    const Held it = requests_.find(e.request);
+    if (it == requests_.end()) return;
+    it->second.streaming = true;
+  }
+
+  void on(const RequestGone& e) {
+    const Held it = requests_.find(e.request);
+    if (it != requests_.end()) drop(it);
+  }
+
+  // ---- small things ----
+
+  Backend& at(BackendId i) { return backends_.at(i); }
+  void act(Action action) { out_->push_back(std::move(action)); }
+  void timer(TimerKind kind, Millis at) { act(SetTimer{at, kind}); }
+
+  const Settings s_;
+  Random random_;
+  Millis now_ = 0;
+  std::vector<Action>* out_ = nullptr;
+  std::vector<Backend> backends_;
+  std::vector<BackendId> rotation_;
+  std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
+  Millis service_ = 1;                               // mean time a backend spends on one request
+  Millis list_wait_ = 0;
+};
+
+Policy::Policy(const Settings& settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(settings, seed)) {}
+Policy::~Policy() = default;
+Policy::Policy(Policy&&) noexcept = default;
+Policy& Policy::operator=(Policy&&) noexcept = default;
+
+void Policy::handle(const Event& event, Millis now, std::vector<Action>& actions) {
+  impl_->handle(event, now, actions);
+}
+
+}  // namespace shorelead
--- /dev/null
+++ b/src/policy/policy.h
@@ -0,0 +1,185 @@
+// The interface of shorelead's decision module: what a node is told (settings, events) and what it may
+// do (actions). Times are milliseconds on the host's clock. The module does no I/O, keeps no clock, starts
+// no threads and has no globals; a host (the drill today, the node later) feeds it events and carries out
+// its actions in the order written.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace shorelead {
+
+using Millis = double;
+using RequestId = std::uint32_t;
+// Dense index that the host gives each backend when a list first names it; it stays with that address.
+using BackendId = std::uint32_t;
+
+enum class Effect { kSafe, kKeyed, kUnsafe };
+enum class DedupGroup { kAll, kZone, kCell };
+
+struct RequestClass {
+  Effect effect = Effect::kUnsafe;
+  DedupGroup group = DedupGroup::kAll;  // keyed only: which backends drop repeats
+  Millis dedup_window = 0;              // keyed only: for how long after the first send that may have run
+  Millis aim = 0;                       // answers within this earn full worth
+  Millis deadline = 0;                  // the client's whole wait, over all its tries
+  double aim_stretch = 0;               // the aim grows by this multiple of the request's own work
+  double worth = 1;
+  double late_value = 0;  // share of the worth an answer between aim and deadline still earns
+  bool streamed = false;
+};
+
+struct Tenant {
+  double quota_rps = 0;  // over all nodes; 0 = no quota
+};
+
+struct Settings {
+  int instances = 1;
+  int instance = 0;
+  int zone = 0;
+  std::vector<RequestClass> classes;
+  std::vector<Tenant> tenants;
+  double over_share_worth = 1;
+  bool list_on_request = false;  // the list must be asked for
+  bool probing = true;
+  bool cancelling = true;
+  bool parallel_attempts = false;
+  bool advise_wait = false;  // refusals may say when to come back
+  Millis max_wait_advice = 0;
+  int max_attempts = 1;
+  Millis ask_every = 0;  // without a subscription, a list older than this counts as told anew
+  Millis connect_timeout = 0;
+  Millis warm_up = 0;  // a started backend is warm no later than this
+  double cold_share = 1;
+  double fall_multiple = 1;   // a cold backend sent more than this multiple of its present capacity
+  Millis fall_span = 0;       // for this long falls over
+  bool sizes_listed = false;  // list entries carry comparable sizes
+  double probe_price = 0;     // taken off the result for each probe per request
+};
+
+// A backend's own load figures; a negative value was not reported.
+struct LoadReport {
+  double in_hand = -1;
+  double waiting = -1;
+  double busy = -1;  // share of its cores in use
+  double rate = -1;  // requests served per second
+  double latency = -1;
+  double error_rate = -1;
+};
+
+enum class Outcome {
+  kServed,
+  kError,
+  kTurnedAway,
+  kNoAnswer,
+  kNoConnection,
+  kConnectionLost,
+  kCalledOff,
+  kNotSent
+};
+
+enum class BackendState { kReady, kDraining, kGone };
+
+struct BackendEntry {
+  BackendId backend = 0;
+  BackendState state = BackendState::kReady;
+  int zone = 0;
+  int cell = 0;
+  Millis started = 0;  // 0 = long past
+  double size = 1;
+};
+
+enum class ListKind { kDelta, kFull, kStored, kFailed };
+
+struct Started {};
+struct ListUpdate {
+  ListKind kind = ListKind::kFull;
+  std::vector<BackendEntry> entries;
+};
+struct RequestArrived {
+  RequestId request = 0;
+  int request_class = 0;
+  int tenant = 0;
+  Millis due = 0;             // the client gives this try up then
+  double expected_work = -1;  // on a standard core; negative = unknown
+  bool client_retry = false;
+};
+struct StreamStarted {
+  RequestId request = 0;
+  int attempt = 0;
+};
+struct AttemptEnded {
+  RequestId request = 0;
+  BackendId backend = 0;
+  int attempt = 0;
+  Outcome outcome = Outcome::kServed;
+  Millis elapsed = 0;
+  bool request_over = false;
+  bool has_report = false;
+  LoadReport report;
+};
+struct RequestGone {
+  RequestId request = 0;
+};
+struct ProbeEnded {
+  BackendId backend = 0;
+  Outcome outcome = Outcome::kServed;
+  Millis elapsed = 0;
+  bool has_report = false;
+  LoadReport report;
+};
+struct TimerFired {
+  std::uint64_t cookie = 0;
+};
+using Event = std::variant<Started, ListUpdate, RequestArrived, StreamStarted, AttemptEnded, RequestGone,
+                           ProbeEnded, TimerFired>;
+
+struct SendAttempt {
+  RequestId request = 0;
+  BackendId backend = 0;
+  Millis stop_at = 0;  // 0 = when the client gives up
+};
+struct CancelAttempt {
+  RequestId request = 0;
+  int attempt = 0;
+};
+struct Refuse {
+  RequestId request = 0;
+  Millis wait = 0;  // 0 = no advice
+};
+struct Fail {
+  RequestId request = 0;
+};
+struct SendProbe {
+  BackendId backend = 0;
+};
+struct SubscribeList {};
+struct SetTimer {
+  Millis at = 0;
+  std::uint64_t cookie = 0;
+};
+struct Note {
+  std::string text;
+};
+using Action =
+    std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer, Note>;
+
+class Policy {
+ public:
+  Policy(const Settings& settings, std::uint64_t seed);
+  ~Policy();
+  Policy(Policy&&) noexcept;
+  Policy& operator=(Policy&&) noexcept;
+
+  // Takes one event at time `now` and appends what is to be done about it. The first event is `Started`.
+  void handle(const Event& event, Millis now, std::vector<Action>& actions);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace shorelead
