--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -28,7 +28,14 @@
 constexpr Millis kListRetryMin = 200;     // first wait before asking for the list again; doubles, with jitter
 constexpr Millis kListRetryMax = 5000;    // longest such wait
 constexpr double kFirstWorkGuess = 0.25;  // of the shortest aim: service time before any was seen
-constexpr double kSmoothing = 0.05;       // weight of a new service time in its mean
+
+// --- exceptions to the rotation (each is described in docs/design.md) ---
+constexpr double kSkipShare =
+    0.6;                           // of the time left to the aim: a pick expected to need more is passed over
+constexpr double kReportLife = 2;  // service times in which a load report loses most of its meaning
+constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
+constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
+constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 
 // SplitMix64: small, and the same on every platform, unlike the standard distributions.
 class Random {
@@ -72,11 +79,19 @@
   // own traffic
   int outstanding = 0;
   std::vector<Millis> cold_sends;  // while cold: sends within the last fall span
+  // what its reports and our own outcomes say
+  double reported = -1;  // requests in hand at its last report; negative = never reported
+  Millis reported_at = 0;
+  int sent_since = 0;        // own attempts since that report
+  double lanes = 1;          // requests it works on at once without slowing
+  double service_ratio = 1;  // its service time over the fleet's
 };
 
 struct Attempt {
   BackendId backend = 0;
   Millis sent = 0;
+  double crowd = 1;   // the backend's expected load when it was sent, in service times
+  double warmth = 1;  // and its share of full speed
   bool out = true;
   bool may_have_run = true;  // until an outcome proves that it never ran
 };
@@ -86,6 +101,7 @@
   int tenant = 0;
   Millis arrived = 0;
   Millis due = 0;
+  Millis aim_at = 0;  // an answer after this is worth less or nothing
   bool streaming = false;
   std::vector<Attempt> attempts;
 };
@@ -101,6 +117,7 @@
     Millis shortest = 0;
     for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
+    class_ratio_.assign(s_.classes.size(), 1.0);
   }
 
   void handle(const Event& event, Millis now, std::vector<Action>& actions) {
@@ -160,6 +177,8 @@
     b.periods = 0;
     b.credit = 0;
     b.cold_sends.clear();
+    b.reported = -1;
+    b.service_ratio = 1;
     int ready = 0;
     double sum = 0;
     for (const Backend& other : backends_) {
@@ -197,6 +216,7 @@
   void on(const ProbeEnded& ended) {
     Backend& b = at(ended.backend);
     b.probe_out = false;
+    if (ended.has_report) learn_report(b, ended.report);
     if (ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
     b.answered = true;
     push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
@@ -328,9 +348,13 @@
 
   // ---- choosing a backend ----
 
-  // The next backend in the rotation that the rules allow for this request; none if there is no such.
+  // The next backend in the rotation that the rules allow for this request and that is not known to be unable
+  // to answer in time (exception "skip"). If all are, the one expected to be soonest.
   std::optional<BackendId> choose(const Request& r) {
-    for (int round = 0; round < 3; ++round) {
+    const Millis patience = kSkipShare * (r.aim_at - now_);
+    std::optional<BackendId> soonest;
+    Millis least = 0;
+    for (int round = 0; round < 2; ++round) {
       for (std::size_t n = 0; n < rotation_.size(); ++n) {
         const BackendId i = rotation_[n];
         if (!usable(backends_[i])) {
@@ -338,10 +362,18 @@
           continue;
         }
         if (!allowed(r, i)) continue;
-        rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(n));
-        return i;
+        const Millis wait = expected_answer(r, backends_[i]);
+        if (wait <= patience) {
+          rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(n));
+          return i;
+        }
+        if (!soonest || wait < least) soonest = i, least = wait;
       }
-      deal();
+      if (round == 0) deal();
+    }
+    if (soonest) {
+      rotation_.erase(std::find(rotation_.begin(), rotation_.end(), *soonest));
+      return soonest;
     }
     // The rotation has nobody for it: any ready backend that the rules allow, dropped or not.
     const std::size_t start = backends_.empty() ? 0 : random_.below(backends_.size());
@@ -352,6 +384,47 @@
     return std::nullopt;
   }
 
+  // ---- what is known of a backend ----
+
+  // Requests in its hands, as far as this node can tell: the last report, which with age says ever less and
+  // falls back to the fleet's mean, and what this node sent it since. Without reports, every other node is
+  // taken to have as many out there as this one.
+  double in_hand(const Backend& b) const {
+    if (b.reported < 0) return static_cast<double>(b.outstanding * std::max(1, s_.instances));
+    const double fresh = std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
+    const double estimate = mean_in_hand_ + (b.reported - mean_in_hand_) * fresh + b.sent_since;
+    return std::max(estimate, static_cast<double>(b.outstanding));
+  }
+
+  Millis expected_answer(const Request& r, const Backend& b) const {
+    const double crowd = std::max(1.0, (in_hand(b) + 1) / b.lanes);
+    return service_ * class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio * crowd /
+           warmth(b);
+  }
+
+  void learn_report(Backend& b, const LoadReport& report) {
+    if (report.in_hand >= 0) {
+      b.reported = report.in_hand;
+      b.reported_at = now_;
+      b.sent_since = 0;
+      mean_in_hand_ += kFleetGain * (report.in_hand - mean_in_hand_);
+      if (report.waiting > 0.5) b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
+    } else if (report.rate > 0 && report.busy >= kLeastBusyShare) {
+      b.lanes = std::max(1.0, report.rate / report.busy * service_ * b.service_ratio / 1000);
+    }
+  }
+
+  // A served answer tells the backend's speed once the crowd that it met is taken out.
+  void learn_service(const Request& r, const Attempt& a, Millis elapsed) {
+    Backend& b = backends_[a.backend];
+    double& class_ratio = class_ratio_[static_cast<std::size_t>(r.request_class)];
+    const Millis alone = elapsed / a.crowd * a.warmth;
+    b.service_ratio +=
+        kServiceGain * (std::clamp(alone / (service_ * class_ratio), 0.1, 10.0) - b.service_ratio);
+    class_ratio += kFleetGain * (alone / (service_ * b.service_ratio) - class_ratio);
+    service_ += kFleetGain * (alone / (class_ratio * b.service_ratio) - service_);
+  }
+
   bool allowed(const Request& r, BackendId i) {
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
@@ -415,6 +488,7 @@
     r.tenant = e.tenant;
     r.arrived = now_;
     r.due = e.due;
+    r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
     proceed(it);
   }
@@ -447,8 +521,10 @@
   void send(Held it, BackendId i) {
     Backend& b = backends_[i];
     if (cold(b)) b.cold_sends.push_back(now_);
+    const double crowd = std::max(1.0, (in_hand(b) + 1) / b.lanes);
     ++b.outstanding;
-    it->second.attempts.push_back({i, now_, true, true});
+    ++b.sent_since;
+    it->second.attempts.push_back({i, now_, crowd, warmth(b), true, true});
     act(SendAttempt{it->first, i, 0});
   }
 
@@ -480,12 +556,13 @@
   void on(const AttemptEnded& e) {
     Backend& b = at(e.backend);
     if (b.outstanding > 0) --b.outstanding;
-    if (e.outcome == Outcome::kServed) service_ += kSmoothing * (e.elapsed / (1 + b.outstanding) - service_);
+    if (e.has_report) learn_report(b, e.report);
     const Held it = requests_.find(e.request);
     if (it == requests_.end()) return;
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
+    if (e.outcome == Outcome::kServed) learn_service(r, a, e.elapsed);
     a.may_have_run = !(e.outcome == Outcome::kTurnedAway || e.outcome == Outcome::kNoConnection ||
                        e.outcome == Outcome::kNotSent);
     if (e.request_over) return drop(it);
@@ -517,6 +594,8 @@
   std::vector<BackendId> rotation_;
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis service_ = 1;                               // mean time a backend spends on one request
+  std::vector<double> class_ratio_;                  // each class's service time over that mean
+  double mean_in_hand_ = 0;                          // over all reports
   Millis list_wait_ = 0;
 };
 
