--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -37,6 +37,11 @@
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 
+constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request (retry budget)
+constexpr double kMostResends = 10;         // and saved up at most
+constexpr int kMostAttempts = 3;            // for one request
+constexpr double kFullRest = 0.5;  // service times for which a backend that turned work away is left alone
+
 // SplitMix64: small, and the same on every platform, unlike the standard distributions.
 class Random {
  public:
@@ -83,6 +88,7 @@
   double reported = -1;  // requests in hand at its last report; negative = never reported
   Millis reported_at = 0;
   int sent_since = 0;        // own attempts since that report
+  Millis full_until = 0;     // it turned work away: nothing more until then
   double lanes = 1;          // requests it works on at once without slowing
   double service_ratio = 1;  // its service time over the fleet's
 };
@@ -369,7 +375,8 @@
         }
         if (!soonest || wait < least) soonest = i, least = wait;
       }
-      if (round == 0) deal();
+      // One round always lies ahead; more than two would only pile up turns of backends that are passed over.
+      if (round == 0 && rotation_.size() < 2 * backends_.size()) deal();
     }
     if (soonest) {
       rotation_.erase(std::find(rotation_.begin(), rotation_.end(), *soonest));
@@ -429,6 +436,7 @@
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
     }
+    if (now_ < backends_[i].full_until) return false;
     return in_group(r, i) && cold_room(backends_[i]);
   }
 
@@ -489,6 +497,7 @@
     r.arrived = now_;
     r.due = e.due;
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
+    resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
     proceed(it);
   }
@@ -505,11 +514,19 @@
   }
 
   bool may_send(const Request& r) const {
-    if (now_ >= r.due || static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
+    if (static_cast<int>(r.attempts.size()) >= std::min(s_.max_attempts, kMostAttempts)) return false;
     const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    if (now_ >= stop_at(r)) return false;
+    if (!r.attempts.empty() && resends_ < 1) return false;
     return c.effect != Effect::kUnsafe || !may_have_run(r);
   }
 
+  // Work on an answer that has lost all its worth only delays the others, so attempts end at the aim then.
+  Millis stop_at(const Request& r) const {
+    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    return c.late_value > 0 || c.streamed ? r.due : std::min(r.due, r.aim_at);
+  }
+
   static bool may_have_run(const Request& r) {
     return std::any_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
   }
@@ -525,7 +542,8 @@
     ++b.outstanding;
     ++b.sent_since;
     it->second.attempts.push_back({i, now_, crowd, warmth(b), true, true});
-    act(SendAttempt{it->first, i, 0});
+    if (it->second.attempts.size() > 1) resends_ -= 1;
+    act(SendAttempt{it->first, i, stop_at(it->second)});
   }
 
   // The final answer of a request that will not be served: a refusal where that is harmless, else a failure.
@@ -557,6 +575,7 @@
     Backend& b = at(e.backend);
     if (b.outstanding > 0) --b.outstanding;
     if (e.has_report) learn_report(b, e.report);
+    if (e.outcome == Outcome::kTurnedAway) b.full_until = now_ + kFullRest * service_;
     const Held it = requests_.find(e.request);
     if (it == requests_.end()) return;
     Request& r = it->second;
@@ -596,6 +615,7 @@
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double mean_in_hand_ = 0;                          // over all reports
+  double resends_ = kMostResends;                    // left in the retry budget
   Millis list_wait_ = 0;
 };
 
