--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -41,6 +41,12 @@
 constexpr double kMostResends = 10;         // and saved up at most
 constexpr int kMostAttempts = 3;            // for one request
 constexpr double kFullRest = 0.5;  // service times for which a backend that turned work away is left alone
+constexpr int kReportPeriods = 3;  // a busy figure older than this many periods is not counted
+constexpr double kBusyTarget =
+    0.7;  // share of the backends' cores; above it tenants are held nearer their quota
+constexpr double kMostAllowance = 16;    // multiple of its quota a tenant may send while there is room
+constexpr double kAllowanceRise = 1.25;  // most that the allowance grows in a period
+constexpr double kQuotaBurst = 1;        // seconds of its allowance that a tenant may send at once
 
 // SplitMix64: small, and the same on every platform, unlike the standard distributions.
 class Random {
@@ -89,6 +95,7 @@
   Millis reported_at = 0;
   int sent_since = 0;        // own attempts since that report
   Millis full_until = 0;     // it turned work away: nothing more until then
+  double busy = -1;          // share of its cores in use at its last report; negative = never reported
   double lanes = 1;          // requests it works on at once without slowing
   double service_ratio = 1;  // its service time over the fleet's
 };
@@ -112,6 +119,11 @@
   std::vector<Attempt> attempts;
 };
 
+struct Purse {
+  double tokens = 0;
+  Millis at = 0;
+};
+
 // What a timer was set for; the low bits of its cookie.
 enum TimerKind : std::uint64_t { kPeriodTimer, kProbeTimer, kListTimer };
 
@@ -124,6 +136,7 @@
     for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
     class_ratio_.assign(s_.classes.size(), 1.0);
+    purses_.resize(s_.tenants.size());
   }
 
   void handle(const Event& event, Millis now, std::vector<Action>& actions) {
@@ -183,7 +196,7 @@
     b.periods = 0;
     b.credit = 0;
     b.cold_sends.clear();
-    b.reported = -1;
+    b.reported = b.busy = -1;
     b.service_ratio = 1;
     int ready = 0;
     double sum = 0;
@@ -212,6 +225,7 @@
         break;
       case kProbeTimer:
         set_shares();
+        set_allowance();
         break;
       case kListTimer:
         ask_for_list();
@@ -410,9 +424,10 @@
   }
 
   void learn_report(Backend& b, const LoadReport& report) {
+    b.busy = report.busy;
+    b.reported_at = now_;
     if (report.in_hand >= 0) {
       b.reported = report.in_hand;
-      b.reported_at = now_;
       b.sent_since = 0;
       mean_in_hand_ += kFleetGain * (report.in_hand - mean_in_hand_);
       if (report.waiting > 0.5) b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
@@ -485,6 +500,37 @@
     return n > 0 ? sum / n : 1;
   }
 
+  // ---- tenants ----
+
+  // While the backends are busier than they should be, each tenant's allowance shrinks towards its quota, so
+  // that what goes is the traffic beyond it, which is worth little; with room it grows back.
+  void set_allowance() {
+    double sum = 0;
+    double n = 0;
+    for (const Backend& b : backends_) {
+      if (!usable(b) || b.busy < 0 || now_ - b.reported_at > kReportPeriods * kPeriod) continue;
+      sum += b.busy * b.lanes;
+      n += b.lanes;
+    }
+    const double busy = n > 0 ? sum / n : 1;
+    allowance_ = std::clamp(allowance_ * std::clamp(kBusyTarget / std::max(busy, 0.01), 0.5, kAllowanceRise),
+                            1.0, kMostAllowance);
+  }
+
+  // Whether the tenant's request is within this node's part of its allowance (a token bucket).
+  bool within_allowance(int tenant) {
+    if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
+    const double quota = s_.tenants[static_cast<std::size_t>(tenant)].quota_rps;
+    if (quota <= 0) return true;
+    const double rate = allowance_ * quota / std::max(1, s_.instances);
+    Purse& p = purses_[static_cast<std::size_t>(tenant)];
+    p.tokens = std::min(std::max(1.0, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
+    p.at = now_;
+    if (p.tokens < 1) return false;
+    p.tokens -= 1;
+    return true;
+  }
+
   // ---- requests ----
 
   void on(const RequestArrived& e) {
@@ -499,6 +545,7 @@
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
+    if (!within_allowance(e.tenant)) return finish(it);
     proceed(it);
   }
 
@@ -553,7 +600,7 @@
     const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
                           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
     if (harmless) {
-      act(Refuse{it->first, 0});
+      act(Refuse{it->first, s_.advise_wait ? s_.max_wait_advice : 0});
     } else {
       act(Fail{it->first});
     }
@@ -615,6 +662,8 @@
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double mean_in_hand_ = 0;                          // over all reports
+  std::vector<Purse> purses_;                        // of each tenant
+  double allowance_ = 1;                             // multiple of its quota that each tenant may send
   double resends_ = kMostResends;                    // left in the retry budget
   Millis list_wait_ = 0;
 };
