--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -35,8 +35,11 @@
 constexpr double kReportLife = 2;  // service times in which a load report loses most of its meaning
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
+constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 
+constexpr double kForgetting =
+    0.1;  // part of a backend's odd service time forgotten in a period without answers
 constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request (retry budget)
 constexpr double kMostResends = 10;         // and saved up at most
 constexpr int kMostAttempts = 3;            // for one request
@@ -97,6 +100,7 @@
   Millis full_until = 0;     // it turned work away: nothing more until then
   double busy = -1;          // share of its cores in use at its last report; negative = never reported
   double lanes = 1;          // requests it works on at once without slowing
+  bool heard = false;        // an answer, or a time-out, told of its speed this period
   double service_ratio = 1;  // its service time over the fleet's
 };
 
@@ -226,6 +230,7 @@
       case kProbeTimer:
         set_shares();
         set_allowance();
+        forget();
         break;
       case kListTimer:
         ask_for_list();
@@ -436,17 +441,30 @@
     }
   }
 
-  // A served answer tells the backend's speed once the crowd that it met is taken out.
-  void learn_service(const Request& r, const Attempt& a, Millis elapsed) {
+  // A served answer tells the backend's speed once the crowd that it met is taken out. An attempt that got no
+  // answer says that it is slower than so, and counts only then: else a backend that answers nobody in time
+  // would teach nothing. The fleet's mean is learned from answers that met no crowd.
+  void learn_service(const Request& r, const Attempt& a, Millis elapsed, bool served) {
     Backend& b = backends_[a.backend];
     double& class_ratio = class_ratio_[static_cast<std::size_t>(r.request_class)];
     const Millis alone = elapsed / a.crowd * a.warmth;
-    b.service_ratio +=
-        kServiceGain * (std::clamp(alone / (service_ * class_ratio), 0.1, 10.0) - b.service_ratio);
+    const double ratio = std::clamp(alone / (service_ * class_ratio), 0.1, 10.0);
+    if (!served && ratio <= b.service_ratio) return;
+    b.heard = true;
+    b.service_ratio += kServiceGain * (ratio - b.service_ratio);
+    if (!served || a.crowd > 1 || b.busy > kCrowdedShare) return;
     class_ratio += kFleetGain * (alone / (service_ * b.service_ratio) - class_ratio);
     service_ += kFleetGain * (alone / (class_ratio * b.service_ratio) - service_);
   }
 
+  // A backend passed over for being slow gets no answers that could clear it, so its record fades.
+  void forget() {
+    for (Backend& b : backends_) {
+      if (!b.heard) b.service_ratio = std::pow(b.service_ratio, 1 - kForgetting);
+      b.heard = false;
+    }
+  }
+
   bool allowed(const Request& r, BackendId i) {
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
@@ -628,7 +646,9 @@
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
-    if (e.outcome == Outcome::kServed) learn_service(r, a, e.elapsed);
+    if (e.outcome == Outcome::kServed || e.outcome == Outcome::kNoAnswer) {
+      learn_service(r, a, e.elapsed, e.outcome == Outcome::kServed);
+    }
     a.may_have_run = !(e.outcome == Outcome::kTurnedAway || e.outcome == Outcome::kNoConnection ||
                        e.outcome == Outcome::kNotSent);
     if (e.request_over) return drop(it);
