--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -31,7 +31,9 @@
 
 // --- exceptions to the rotation (each is described in docs/design.md) ---
 constexpr double kSkipShare =
-    0.6;                           // of the time left to the aim: a pick expected to need more is passed over
+    0.6;  // of the time left to the aim: a pick expected to need more is passed over
+constexpr double kRefuseShare =
+    1.0;                           // of that time: if every backend is expected to need more, it is refused
 constexpr double kReportLife = 2;  // service times in which a load report loses most of its meaning
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
@@ -397,6 +399,8 @@
       // One round always lies ahead; more than two would only pile up turns of backends that are passed over.
       if (round == 0 && rotation_.size() < 2 * backends_.size()) deal();
     }
+    // Exception "admission": nobody is expected to answer in time, and trying would only slow the others.
+    if (soonest && least > kRefuseShare * (r.aim_at - now_)) return std::nullopt;
     if (soonest) {
       rotation_.erase(std::find(rotation_.begin(), rotation_.end(), *soonest));
       return soonest;
