Skip at 0.35 of the time left to the aim; probe every 500 ms

Cause: at 0.6 a backend with one request in hand still passed, though its answer often came late. Believing reports for 4 or 1 service times instead of 2: no gain.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 // --- ALBL's open parameters ---
-constexpr Millis kPeriod = 1000;          // probes and shares are renewed this often
-constexpr Millis kProbeTimeout = 250;     // a probe unanswered by then drops the backend for the period
+constexpr Millis kPeriod = 500;           // probes and shares are renewed this often
+constexpr Millis kProbeTimeout = 200;     // a probe unanswered by then drops the backend for the period
 constexpr Millis kThreshold = 150;        // above ordinary probe times, so Equation 5 applies when quiet
 constexpr int kResponsePeriods = 5;       // response time = mean probe time over this many periods
 constexpr int kDelayPeriods = 10;         // network delay = lowest response time in this many periods
@@ -24,33 +24,32 @@
 constexpr Millis kTiniestTime = 0.01;     // probe times are at least this, so no share is infinite
 
 // --- the rules ---
-constexpr double kColdSafety = 0.5;       // of the budget of a cold backend, for what a node cannot see
+constexpr double kColdSafety = 0.5;       // of a cold backend's budget, for what a node cannot see
 constexpr Millis kListRetryMin = 200;     // first wait before asking for the list again; doubles, with jitter
 constexpr Millis kListRetryMax = 5000;    // longest such wait
 constexpr double kFirstWorkGuess = 0.25;  // of the shortest aim: service time before any was seen
 
 // --- exceptions to the rotation (each is described in docs/design.md) ---
-constexpr double kSkipShare =
-    0.6;  // of the time left to the aim: a pick expected to need more is passed over
-constexpr double kRefuseShare =
-    1.0;                           // of that time: if every backend is expected to need more, it is refused
-constexpr double kReportLife = 2;  // service times in which a load report loses most of its meaning
+// Skip: a pick expected to need more than this part of the time left to the aim is passed over.
+constexpr double kSkipShare = 0.35;
+// Admission: if every backend is expected to need more than this part of it, the request is refused.
+constexpr double kRefuseShare = 1.0;
+constexpr double kReportLife = 2;        // service times in which a load report loses most of its meaning
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
-
-constexpr double kForgetting =
-    0.1;  // part of a backend's odd service time forgotten in a period without answers
-constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request (retry budget)
+constexpr double kForgetting = 0.05;     // of a backend's odd service time, in a period without answers
+// Attempts: a retry budget over all requests, and a bound for each.
+constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request
 constexpr double kMostResends = 10;         // and saved up at most
 constexpr int kMostAttempts = 3;            // for one request
 constexpr double kFullRest = 0.5;  // service times for which a backend that turned work away is left alone
-constexpr int kReportPeriods = 3;  // a busy figure older than this many periods is not counted
-constexpr double kBusyTarget =
-    0.7;  // share of the backends' cores; above it tenants are held nearer their quota
-constexpr double kMostAllowance = 16;    // multiple of its quota a tenant may send while there is room
-constexpr double kAllowanceRise = 1.25;  // most that the allowance grows in a period
+// Tenants: the allowance is a multiple of a tenant's quota; it moves with how busy the backends are.
+constexpr int kReportPeriods = 3;        // a busy figure older than this many periods is not counted
+constexpr double kBusyTarget = 0.7;      // of the backends' cores: above it the allowances shrink
+constexpr double kMostAllowance = 16;    // while there is room
+constexpr double kAllowanceRise = 1.12;  // most that the allowance grows in a period
 constexpr double kQuotaBurst = 1;        // seconds of its allowance that a tenant may send at once
 
 // SplitMix64: small, and the same on every platform, unlike the standard distributions.
