--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,607 @@
+// The decision module, fed events by hand. Each failure found on the way has its case here.
+#include "policy/policy.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace shorelead {
+namespace {
+
+constexpr Millis kTestPeriod = 500;        // the module's period
+constexpr Millis kTestProbeTimeout = 200;  // and its probe time-out
+
+RequestClass make_class(Effect effect, DedupGroup group = DedupGroup::kAll) {
+  RequestClass c;
+  c.effect = effect;
+  c.group = group;
+  c.dedup_window = 800;
+  c.aim = 400;
+  c.deadline = 1000;
+  return c;
+}
+
+Settings plain_settings() {
+  Settings s;
+  s.instances = 1;
+  s.classes = {make_class(Effect::kSafe), make_class(Effect::kUnsafe), make_class(Effect::kKeyed),
+               make_class(Effect::kKeyed, DedupGroup::kZone)};
+  s.max_attempts = 5;
+  s.parallel_attempts = true;
+  s.max_wait_advice = 500;
+  s.advise_wait = true;
+  s.warm_up = 10000;
+  s.cold_share = 0.3;
+  s.fall_multiple = 3;
+  s.fall_span = 1000;
+  return s;
+}
+
+// Drives one module the way a host does: keeps the clock and delivers timers when they are due.
+class Node {
+ public:
+  explicit Node(const Settings& settings = plain_settings(), std::uint64_t seed = 1)
+      : policy_(settings, seed) {
+    feed(Started{});
+  }
+
+  std::vector<Action> feed(const Event& event) {
+    std::vector<Action> actions;
+    policy_.handle(event, now, actions);
+    for (const Action& a : actions) {
+      if (const auto* timer = std::get_if<SetTimer>(&a)) timers_.insert({timer->at, timer->cookie});
+      log.push_back(a);
+    }
+    return actions;
+  }
+
+  // Moves the clock on and fires what comes due; probes are answered with `probe_time`, where given.
+  void run_to(Millis until) {
+    while (!timers_.empty() && timers_.begin()->first <= until) {
+      const auto [at, cookie] = *timers_.begin();
+      timers_.erase(timers_.begin());
+      now = std::max(now, at);
+      for (const Action& a : feed(TimerFired{cookie})) {
+        const auto* probe = std::get_if<SendProbe>(&a);
+        if (probe == nullptr) continue;
+        ++probes[probe->backend];
+        const auto it = probe_time.find(probe->backend);
+        if (it == probe_time.end()) continue;
+        ProbeEnded ended;
+        ended.backend = probe->backend;
+        ended.elapsed = it->second;
+        if (load.count(probe->backend) != 0) ended.has_report = true, ended.report = load[probe->backend];
+        feed(ended);
+      }
+    }
+    now = until;
+  }
+
+  void list(std::vector<BackendEntry> entries, ListKind kind = ListKind::kFull) {
+    feed(ListUpdate{kind, std::move(entries)});
+  }
+
+  std::vector<Action> arrive(RequestId id, int request_class = 0, int tenant = 0, Millis wait = 1000) {
+    RequestArrived e;
+    e.request = id;
+    e.request_class = request_class;
+    e.tenant = tenant;
+    e.due = now + wait;
+    return feed(e);
+  }
+
+  std::vector<Action> end(RequestId id, BackendId backend, Outcome outcome, int attempt = 0,
+                          Millis elapsed = 5) {
+    AttemptEnded e;
+    e.request = id;
+    e.backend = backend;
+    e.attempt = attempt;
+    e.outcome = outcome;
+    e.elapsed = elapsed;
+    e.request_over = outcome == Outcome::kServed;
+    return feed(e);
+  }
+
+  Millis now = 1000;
+  std::map<BackendId, Millis> probe_time;
+  std::map<BackendId, LoadReport> load;
+  std::map<BackendId, int> probes;
+  std::vector<Action> log;
+
+ private:
+  Policy policy_;
+  std::multimap<Millis, std::uint64_t> timers_;
+};
+
+std::vector<BackendEntry> entries(int count) {
+  std::vector<BackendEntry> list;
+  for (int i = 0; i < count; ++i) {
+    BackendEntry e;
+    e.backend = static_cast<BackendId>(i);
+    list.push_back(e);
+  }
+  return list;
+}
+
+template <typename T>
+const T* only(const std::vector<Action>& actions) {
+  const T* found = nullptr;
+  for (const Action& a : actions) {
+    if (const auto* x = std::get_if<T>(&a)) {
+      EXPECT_EQ(found, nullptr) << "more than one";
+      found = x;
+    }
+  }
+  return found;
+}
+
+template <typename T>
+bool none(const std::vector<Action>& actions) {
+  return std::none_of(actions.begin(), actions.end(),
+                      [](const Action& a) { return std::holds_alternative<T>(a); });
+}
+
+// Sends `count` requests that are served at once, and counts who got them.
+std::map<BackendId, int> spread(Node& node, int count) {
+  std::map<BackendId, int> got;
+  static RequestId next = 100000;
+  for (int i = 0; i < count; ++i) {
+    const RequestId id = next++;
+    const auto* sent = only<SendAttempt>(node.arrive(id));
+    if (sent == nullptr) {
+      ADD_FAILURE() << "not sent";
+      break;
+    }
+    ++got[sent->backend];
+    node.end(id, sent->backend, Outcome::kServed);
+  }
+  return got;
+}
+
+// ---- ALBL ----
+
+TEST(Albl, ProbesEveryReadyBackendEachPeriod) {
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) node.probe_time[i] = 10;
+  node.run_to(node.now + 10 * kTestPeriod);
+  for (BackendId i = 0; i < 4; ++i) EXPECT_NEAR(node.probes[i], 10, 1);
+}
+
+TEST(Albl, EquationFiveByHand) {
+  // Constant probe times: response = delay = t, so shares go as 1/t^2. Times 10, 10, 10, 10 and 12 ms:
+  // weights 1, 1, 1, 1 and 0.694, sum 4.694; nobody reaches the cap of 0.3.
+  Node node;
+  node.list(entries(5));
+  for (BackendId i = 0; i < 4; ++i) node.probe_time[i] = 10;
+  node.probe_time[4] = 12;
+  node.run_to(node.now + 6 * kTestPeriod);
+  const auto got = spread(node, 4694);
+  for (BackendId i = 0; i < 4; ++i) EXPECT_NEAR(got.at(i), 1000, 25);
+  EXPECT_NEAR(got.at(4), 694, 25);
+}
+
+TEST(Albl, EquationSixByHandWithItsFloor) {
+  // All above the threshold, constant: every difference is 0 and meets the same floor, so shares go as
+  // 1/delay: 160, 160, 160 and 192 ms give 1, 1, 1 and 0.8333 of 3.8333.
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 3; ++i) node.probe_time[i] = 160;
+  node.probe_time[3] = 192;
+  node.run_to(node.now + 6 * kTestPeriod);
+  const auto got = spread(node, 3833);
+  for (BackendId i = 0; i < 3; ++i) EXPECT_NEAR(got.at(i), 1000, 25);
+  EXPECT_NEAR(got.at(3), 833, 25);
+}
+
+TEST(Albl, OneBackendUnderTheThresholdSwitchesToEquationFive) {
+  // With one at 140 ms Equation 5 applies to all: 1/t^2. Equation 6 would have given the 192 ms backend
+  // 0.729 of the first one's share; Equation 5 gives it 0.532.
+  Node node;
+  node.list(entries(4));
+  node.probe_time = {{0, 140}, {1, 140}, {2, 140}, {3, 192}};
+  node.run_to(node.now + 6 * kTestPeriod);
+  const auto got = spread(node, 3532);
+  EXPECT_NEAR(got.at(0), 1000, 25);
+  EXPECT_NEAR(got.at(3), 532, 25);
+}
+
+TEST(Albl, NoShareAboveOneAndAHalfTimesTheMean) {
+  Node node;
+  node.list(entries(4));
+  node.probe_time = {{0, 1}, {1, 20}, {2, 20}, {3, 20}};
+  node.run_to(node.now + 8 * kTestPeriod);
+  const auto got = spread(node, 4000);
+  EXPECT_NEAR(got.at(0), 1500, 30);
+  for (BackendId i = 1; i < 4; ++i) EXPECT_NEAR(got.at(i), 833, 30);
+}
+
+TEST(Albl, AnUnansweredProbeDropsTheBackendForThePeriod) {
+  Node node;
+  node.list(entries(4));
+  node.probe_time = {{0, 10}, {1, 10}, {2, 10}};  // backend 3 never answers
+  node.run_to(node.now + 4 * kTestPeriod);
+  EXPECT_EQ(spread(node, 100).count(3), 0U);
+  Node late;
+  late.list(entries(4));
+  late.probe_time = {{0, 10}, {1, 10}, {2, 10}, {3, kTestProbeTimeout + 1}};
+  late.run_to(late.now + 4 * kTestPeriod);
+  EXPECT_EQ(spread(late, 100).count(3), 0U);
+}
+
+TEST(Albl, WhenOverHalfWouldDropAllKeepTheirShares) {
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) node.probe_time[i] = 10;
+  node.run_to(node.now + 6 * kTestPeriod);
+  node.probe_time = {{0, 10}};
+  node.run_to(node.now + 3 * kTestPeriod);
+  const auto got = spread(node, 400);
+  for (BackendId i = 0; i < 4; ++i) EXPECT_NEAR(got.at(i), 100, 10);
+}
+
+TEST(Albl, ANewBackendGetsAtMostTheMeanShareAtFirst) {
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 5; ++i) node.probe_time[i] = i == 4 ? 1 : 10;
+  node.run_to(node.now + 6 * kTestPeriod);
+  BackendEntry fresh;
+  fresh.backend = 4;
+  node.list({fresh}, ListKind::kDelta);
+  node.run_to(node.now + 2 * kTestPeriod);
+  EXPECT_NEAR(spread(node, 500).at(4), 100, 12);
+  node.run_to(node.now + 4 * kTestPeriod);
+  EXPECT_NEAR(spread(node, 500).at(4), 150, 12);  // then the cap
+}
+
+TEST(Albl, TheOrderIsReshuffled) {
+  Node node;
+  node.list(entries(6));
+  for (BackendId i = 0; i < 6; ++i) node.probe_time[i] = 10;
+  node.run_to(node.now + 6 * kTestPeriod);
+  std::set<std::vector<BackendId>> orders;
+  for (int round = 0; round < 8; ++round) {
+    std::vector<BackendId> order;
+    for (RequestId i = 0; i < 6; ++i) {
+      const RequestId id = 1000 + static_cast<RequestId>(round) * 10 + i;
+      const auto* sent = only<SendAttempt>(node.arrive(id));
+      ASSERT_NE(sent, nullptr);
+      order.push_back(sent->backend);
+      node.end(id, sent->backend, Outcome::kServed);
+    }
+    EXPECT_EQ(std::set<BackendId>(order.begin(), order.end()).size(), 6U) << "equal shares: one turn each";
+    orders.insert(order);
+    node.run_to(node.now + kTestPeriod);
+  }
+  EXPECT_GT(orders.size(), 4U);
+}
+
+TEST(Albl, SameEventsSameActions) {
+  const auto play = [](std::uint64_t seed) {
+    Node node(plain_settings(), seed);
+    node.list(entries(6));
+    for (BackendId i = 0; i < 6; ++i) node.probe_time[i] = 10 + i;
+    std::vector<BackendId> picks;
+    for (RequestId i = 0; i < 50; ++i) {
+      node.run_to(node.now + 100);
+      const auto* sent = only<SendAttempt>(node.arrive(i));
+      if (sent != nullptr) picks.push_back(sent->backend);
+    }
+    return picks;
+  };
+  EXPECT_EQ(play(7), play(7));
+  EXPECT_NE(play(7), play(8));
+}
+
+// ---- rule: one final answer in time ----
+
+TEST(FinalAnswer, NoBackendMeansARefusalAtOnce) {
+  Node node;
+  const auto actions = node.arrive(1);
+  EXPECT_NE(only<Refuse>(actions), nullptr);
+  EXPECT_TRUE(none<SendAttempt>(actions));
+}
+
+TEST(FinalAnswer, NothingMoreForARequestThatIsOver) {
+  Node node;
+  node.list(entries(3));
+  const BackendId b = only<SendAttempt>(node.arrive(1))->backend;
+  EXPECT_EQ(node.end(1, b, Outcome::kServed).size(), 0U);
+  EXPECT_TRUE(none<SendAttempt>(node.end(1, b, Outcome::kError, 1)));
+}
+
+TEST(FinalAnswer, TheClientLeavingCallsTheAttemptOff) {
+  Node node;
+  node.list(entries(3));
+  const BackendId b = only<SendAttempt>(node.arrive(1))->backend;
+  EXPECT_NE(only<CancelAttempt>(node.feed(RequestGone{1})), nullptr);
+  const auto after = node.end(1, b, Outcome::kCalledOff);
+  EXPECT_TRUE(none<SendAttempt>(after) && none<Fail>(after) && none<Refuse>(after));
+}
+
+TEST(FinalAnswer, LateNameOfAnEndedRequestIsIgnored) {
+  Node node;
+  node.list(entries(3));
+  EXPECT_EQ(node.feed(RequestGone{77}).size(), 0U);
+}
+
+TEST(FinalAnswer, AtTheDeadlineAnUnansweredRequestIsClosedAtOnce) {
+  for (const int c : {0, 1, 2, 3}) {
+    Node node;
+    node.list(entries(3));
+    const BackendId b = only<SendAttempt>(node.arrive(1, c, 0, 300))->backend;
+    node.now += 300;
+    const auto actions = node.end(1, b, Outcome::kNoAnswer, 0, 300);
+    EXPECT_TRUE(none<SendAttempt>(actions));
+    const bool harmless = c == 0 || c == 2;
+    EXPECT_EQ(none<Refuse>(actions), !harmless) << c;
+    EXPECT_EQ(none<Fail>(actions), harmless) << c;
+  }
+}
+
+TEST(FinalAnswer, AttemptsEndAtTheAimWhereLateIsWorthless) {
+  Settings s = plain_settings();
+  Node node(s);
+  node.list(entries(3));
+  EXPECT_DOUBLE_EQ(only<SendAttempt>(node.arrive(1))->stop_at, node.now + 400);
+  EXPECT_DOUBLE_EQ(only<SendAttempt>(node.arrive(2, 0, 0, 300))->stop_at, node.now + 300);
+  s.classes[0].late_value = 0.25;
+  Node patient(s);
+  patient.list(entries(3));
+  EXPECT_DOUBLE_EQ(only<SendAttempt>(patient.arrive(1))->stop_at, patient.now + 1000);
+}
+
+// ---- rule: no effect twice ----
+
+TEST(NoEffectTwice, UnsafeIsResentOnlyAfterProofThatItNeverRan) {
+  for (const Outcome proof : {Outcome::kTurnedAway, Outcome::kNoConnection, Outcome::kNotSent}) {
+    Node node;
+    node.list(entries(3));
+    const BackendId b = only<SendAttempt>(node.arrive(1, 1))->backend;
+    const auto* again = only<SendAttempt>(node.end(1, b, proof));
+    ASSERT_NE(again, nullptr);
+    EXPECT_NE(again->backend, b);
+  }
+  for (const Outcome doubt :
+       {Outcome::kError, Outcome::kNoAnswer, Outcome::kConnectionLost, Outcome::kCalledOff}) {
+    Node node;
+    node.list(entries(3));
+    const BackendId b = only<SendAttempt>(node.arrive(1, 1))->backend;
+    const auto actions = node.end(1, b, doubt);
+    EXPECT_TRUE(none<SendAttempt>(actions) && none<Refuse>(actions));
+    EXPECT_NE(only<Fail>(actions), nullptr);
+  }
+}
+
+TEST(NoEffectTwice, KeyedGoesOnlyToItsGroup) {
+  Node node;
+  auto list = entries(6);
+  for (std::size_t i = 0; i < 6; ++i) list[i].zone = static_cast<int>(i % 3);
+  node.list(list);
+  for (RequestId id = 0; id < 30; ++id) {
+    const BackendId first = only<SendAttempt>(node.arrive(id, 3))->backend;
+    const auto actions = node.end(id, first, Outcome::kError);
+    EXPECT_TRUE(none<Refuse>(actions));
+    if (const auto* again = only<SendAttempt>(actions)) {
+      EXPECT_EQ(again->backend % 3, first % 3);
+      node.end(id, again->backend, Outcome::kServed, 1);
+    }
+  }
+}
+
+TEST(NoEffectTwice, KeyedIsNotResentAfterItsWindow) {
+  Settings s = plain_settings();
+  s.classes[3].dedup_window = 50;
+  s.classes[2].dedup_window = 50;
+  Node node(s);
+  node.list(entries(4));
+  BackendId b = only<SendAttempt>(node.arrive(1, 3))->backend;
+  node.now += 60;
+  EXPECT_NE(only<Fail>(node.end(1, b, Outcome::kError)), nullptr);
+  b = only<SendAttempt>(node.arrive(2, 2))->backend;
+  node.now += 60;
+  EXPECT_NE(only<Refuse>(node.end(2, b, Outcome::kError)), nullptr);  // group all: a refusal does no harm
+}
+
+// ---- rule: drains ----
+
+TEST(Drains, NothingNewOnceToldOfADrainOrAnEnd) {
+  for (const BackendState state : {BackendState::kDraining, BackendState::kGone}) {
+    Node node;
+    node.list(entries(3));
+    BackendEntry leaving;
+    leaving.backend = 1;
+    leaving.state = state;
+    node.list({leaving}, ListKind::kDelta);
+    EXPECT_EQ(spread(node, 60).count(1), 0U);
+  }
+}
+
+TEST(Drains, ABackendAbsentFromAFullListIsGone) {
+  Node node;
+  node.list(entries(3));
+  node.list(entries(2));
+  EXPECT_EQ(spread(node, 60).count(2), 0U);
+}
+
+TEST(Drains, AlsoForFurtherAttempts) {
+  Node node;
+  node.list(entries(2));
+  const BackendId b = only<SendAttempt>(node.arrive(1))->backend;
+  BackendEntry leaving;
+  leaving.backend = 1 - b;
+  leaving.state = BackendState::kDraining;
+  node.list({leaving}, ListKind::kDelta);
+  EXPECT_TRUE(none<SendAttempt>(node.end(1, b, Outcome::kTurnedAway)));
+}
+
+TEST(Lists, SubscribesAtStartWhereTheListMustBeAskedFor) {
+  Settings s = plain_settings();
+  s.list_on_request = true;
+  Node node(s);
+  EXPECT_NE(only<SubscribeList>(node.log), nullptr);
+  Node pushed;
+  EXPECT_TRUE(none<SubscribeList>(pushed.log));
+}
+
+TEST(Lists, AsksAgainAfterAFailureLaterAndLater) {
+  Settings s = plain_settings();
+  s.list_on_request = true;
+  Node node(s);
+  node.list(entries(3), ListKind::kStored);
+  std::vector<Millis> waits;
+  for (int i = 0; i < 8; ++i) {
+    const Millis failed = node.now;
+    node.list({}, ListKind::kFailed);
+    node.log.clear();
+    while (none<SubscribeList>(node.log) && node.now < failed + 20000) node.run_to(node.now + 10);
+    waits.push_back(node.now - failed);
+  }
+  EXPECT_GT(waits[3], waits[0]);
+  EXPECT_LE(*std::max_element(waits.begin(), waits.end()), 7600);
+  EXPECT_GE(spread(node, 30).size(), 3U) << "the old list stands";
+}
+
+// ---- rule: cold backends ----
+
+TEST(Cold, ABackendJustStartedIsSentWithinItsBudget) {
+  // Alone and cold it would get everything. The budget for one node: half of 3 x 0.3 of its capacity, which
+  // at the first guess of its service time (100 ms) is 10 requests a second: 4.5 in any second.
+  Node node;
+  auto list = entries(1);
+  list[0].started = node.now;
+  node.list(list);
+  int sent = 0;
+  for (RequestId i = 0; i < 50; ++i) {
+    const auto actions = node.arrive(i);
+    if (only<SendAttempt>(actions) != nullptr) ++sent;
+    if (only<SendAttempt>(actions) != nullptr) node.end(i, 0, Outcome::kTurnedAway);
+    node.now += 10;
+  }
+  EXPECT_LE(sent, 4);
+}
+
+TEST(Cold, TheBudgetIsSharedAmongTheNodes) {
+  Settings s = plain_settings();
+  s.instances = 5;
+  Node node(s);
+  auto list = entries(1);
+  list[0].started = node.now;
+  node.list(list);
+  EXPECT_TRUE(none<SendAttempt>(node.arrive(1))) << "0.9 of a request a second is none";
+}
+
+// ---- exceptions ----
+
+TEST(Skip, ABackendWithAQueueIsPassedOver) {
+  Node node;
+  node.list(entries(3));
+  for (BackendId i = 0; i < 3; ++i) node.probe_time[i] = 10;
+  node.load[0].in_hand = 6;
+  node.load[1].in_hand = 0;
+  node.load[2].in_hand = 0;
+  node.run_to(node.now + 6 * kTestPeriod + 10);
+  std::map<BackendId, int> got;
+  for (RequestId id = 1; id <= 2; ++id) ++got[only<SendAttempt>(node.arrive(id))->backend];
+  EXPECT_EQ(got.count(0), 0U);
+}
+
+TEST(Admission, RefusesAtOnceWhenNobodyCanMakeTheAim) {
+  Node node;
+  node.list(entries(3));
+  for (BackendId i = 0; i < 3; ++i) {
+    node.probe_time[i] = 10;
+    node.load[i].in_hand = 30;
+  }
+  node.run_to(node.now + 200 * kTestPeriod + 10);
+  const auto actions = node.arrive(1);
+  EXPECT_TRUE(none<SendAttempt>(actions));
+  const auto* refused = only<Refuse>(actions);
+  ASSERT_NE(refused, nullptr);
+  EXPECT_GT(refused->wait, 0);
+}
+
+TEST(Attempts, ARequestIsNotSentOnForEver) {
+  Node node;
+  node.list(entries(8));
+  BackendId b = only<SendAttempt>(node.arrive(1))->backend;
+  int attempts = 1;
+  for (;;) {
+    const auto actions = node.end(1, b, Outcome::kTurnedAway, attempts - 1);
+    const auto* again = only<SendAttempt>(actions);
+    if (again == nullptr) break;
+    b = again->backend;
+    ++attempts;
+  }
+  EXPECT_LE(attempts, 3);
+}
+
+TEST(Attempts, ResendsHaveABudgetOverAllRequests) {
+  Node node;
+  node.list(entries(8));
+  int resends = 0;
+  for (RequestId id = 0; id < 100; ++id) {
+    node.now += 200;  // past the rest that a full backend is given
+    const auto* first = only<SendAttempt>(node.arrive(id, 1));
+    if (first == nullptr) continue;
+    const auto* again = only<SendAttempt>(node.end(id, first->backend, Outcome::kTurnedAway));
+    if (again == nullptr) continue;
+    ++resends;
+    node.end(id, again->backend, Outcome::kError, 1);
+  }
+  EXPECT_LE(resends, 31);
+  EXPECT_GE(resends, 10);
+}
+
+TEST(Tenants, ATenantBeyondItsQuotaIsRefusedFirstWhenBackendsAreBusy) {
+  Settings s = plain_settings();
+  s.tenants = {{20.0}, {20.0}};
+  s.classes[0].late_value = 0.2;
+  Node node(s);
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) {
+    node.probe_time[i] = 10;
+    node.load[i].busy = 0.95;
+    node.load[i].rate = 30;
+  }
+  std::map<int, int> sent;
+  RequestId id = 0;
+  for (int tick = 0; tick < 100; ++tick) {  // 10 s: tenant 0 asks for 100 a second, tenant 1 for 10
+    node.run_to(node.now + 100);
+    for (int i = 0; i < 11; ++i) {
+      const int tenant = i < 10 ? 0 : 1;
+      const auto* attempt = only<SendAttempt>(node.arrive(++id, 0, tenant));
+      if (attempt == nullptr) continue;
+      ++sent[tenant];
+      node.end(id, attempt->backend, Outcome::kServed);
+    }
+  }
+  EXPECT_EQ(sent[1], 100);
+  EXPECT_NEAR(sent[0], 200, 25);
+}
+
+TEST(Tenants, ATenantBeyondItsQuotaIsServedWhileThereIsRoom) {
+  Settings s = plain_settings();
+  s.tenants = {{20.0}};
+  Node node(s);
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) {
+    node.probe_time[i] = 10;
+    node.load[i].busy = 0.2;
+  }
+  node.run_to(node.now + 60 * kTestPeriod);
+  int sent = 0;
+  for (RequestId id = 1; id <= 100; ++id) {
+    node.run_to(node.now + 10);
+    const auto* attempt = only<SendAttempt>(node.arrive(id));
+    if (attempt == nullptr) continue;
+    ++sent;
+    node.end(id, attempt->backend, Outcome::kServed);
+  }
+  EXPECT_EQ(sent, 100);
+}
+
+}  // namespace
+}  // namespace shorelead
