--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -21,6 +21,7 @@
 constexpr double kDifferenceFloor = 0.5;  // of the median of (response - delay), Equation 6
 constexpr double kShareCap = 1.5;         // no share above this multiple of the mean
 constexpr int kNewPeriods = 3;            // a new or returned backend gets at most the mean share for these
+constexpr double kRounding = 1e-9;        // a credit this close to a whole turn is one
 constexpr Millis kTiniestTime = 0.01;     // probe times are at least this, so no share is infinite
 
 // --- the rules ---
@@ -363,7 +364,7 @@
       }
       // A backend passed over for long does not save up turns beyond one round's worth.
       b.credit = std::min(b.credit + b.share * static_cast<double>(count), 1.0 + kShareCap);
-      for (; b.credit >= 1; b.credit -= 1) rotation_.push_back(i);
+      for (; b.credit > 1 - kRounding; b.credit -= 1) rotation_.push_back(i);
     }
     for (std::size_t n = rotation_.size() - old; n > 1; --n) {
       std::swap(rotation_[old + n - 1], rotation_[old + random_.below(n)]);
