--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -41,6 +41,13 @@
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 constexpr double kForgetting = 0.05;     // of a backend's odd service time, in a period without answers
+// Health: outcomes of our own attempts, per backend and per backend and class.
+constexpr double kHealthGain = 0.25;   // weight of one outcome in the share of failures
+constexpr double kSickShare = 0.8;    // failing more than this, and
+constexpr double kSickMargin = 0.4;   // this much more than the fleet, a backend rests
+constexpr Millis kRestMin = 1000;     // first rest; doubles while it goes on failing
+constexpr Millis kRestMax = 8000;     // longest rest
+constexpr double kMostResting = 0.5;  // of the ready backends
 // Attempts: a retry budget over all requests, and a bound for each.
 constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request
 constexpr double kMostResends = 10;         // and saved up at most
@@ -77,6 +84,13 @@
   return *middle;
 }
 
+// How often attempts failed of late, and the rest that followed.
+struct Health {
+  double failing = 0;
+  Millis resting_until = 0;
+  Millis rest = 0;
+};
+
 struct Backend {
   BackendState state = BackendState::kGone;
   int zone = 0;
@@ -95,6 +109,9 @@
   // own traffic
   int outstanding = 0;
   std::vector<Millis> cold_sends;  // while cold: sends within the last fall span
+  Health health;
+  std::vector<Health> class_health;
+  bool unreachable = false;  // its rest is for want of a connection
   // what its reports and our own outcomes say
   double reported = -1;  // requests in hand at its last report; negative = never reported
   Millis reported_at = 0;
@@ -203,6 +220,8 @@
     b.credit = 0;
     b.cold_sends.clear();
     b.reported = b.busy = -1;
+    b.health = {};
+    b.class_health.clear();
     b.service_ratio = 1;
     int ready = 0;
     double sum = 0;
@@ -246,6 +265,7 @@
     if (ended.has_report) learn_report(b, ended.report);
     if (ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
     b.answered = true;
+    if (b.unreachable) b.health.resting_until = now_;
     push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
     double sum = 0;
     for (const Millis t : b.probe_times) sum += t;
@@ -344,15 +364,17 @@
     }
   }
 
-  // Unsent turns go back to the credits, so that rounding and reshuffling lose nothing.
+  // Unsent turns go back to the credits, so that rounding and reshuffling lose nothing; a new round is earned
+  // only once less than half of one is left.
   void reshuffle() {
+    const bool earn = true;
     for (const BackendId i : rotation_) backends_[i].credit += 1;
     rotation_.clear();
-    deal();
+    deal(earn);
   }
 
   // Adds one round to the rotation: each backend earns its share of as many turns as there are backends.
-  void deal() {
+  void deal(bool earn = true) {
     const std::size_t old = rotation_.size();
     std::size_t count = 0;
     for (const Backend& b : backends_) count += usable(b) ? 1 : 0;
@@ -363,7 +385,7 @@
         continue;
       }
       // A backend passed over for long does not save up turns beyond one round's worth.
-      b.credit = std::min(b.credit + b.share * static_cast<double>(count), 1.0 + kShareCap);
+      if (earn) b.credit = std::min(b.credit + b.share * static_cast<double>(count), 1.0 + kShareCap);
       for (; b.credit > 1 - kRounding; b.credit -= 1) rotation_.push_back(i);
     }
     for (std::size_t n = rotation_.size() - old; n > 1; --n) {
@@ -473,10 +495,57 @@
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
     }
-    if (now_ < backends_[i].full_until) return false;
+    if (now_ < backends_[i].full_until || resting(backends_[i], r.request_class)) return false;
     return in_group(r, i) && cold_room(backends_[i]);
   }
 
+  // ---- health ----
+
+  bool resting(const Backend& b, int request_class) const {
+    const auto c = static_cast<std::size_t>(request_class);
+    return now_ < b.health.resting_until ||
+           (c < b.class_health.size() && now_ < b.class_health[c].resting_until);
+  }
+
+  // Exception "health": a backend may fail, hang or fail one class while its probes pass. One that fails much
+  // more than the fleet rests, ever longer while it goes on; after a rest one more failure suffices for the
+  // next.
+  void learn_health(Backend& b, int request_class, Outcome outcome) {
+    const bool bad = outcome == Outcome::kError || outcome == Outcome::kNoAnswer ||
+                     outcome == Outcome::kConnectionLost || outcome == Outcome::kNoConnection;
+    if (!bad && outcome != Outcome::kServed) return;
+    b.class_health.resize(s_.classes.size());
+    failing_ += kFleetGain * ((bad ? 1.0 : 0.0) - failing_);
+    b.unreachable = outcome == Outcome::kNoConnection;
+    judge(b.health, bad, b.unreachable);
+    judge(b.class_health[static_cast<std::size_t>(request_class)], bad, false);
+  }
+
+  void judge(Health& h, bool bad, bool certain) {
+    h.failing += kHealthGain * ((bad ? 1.0 : 0.0) - h.failing);
+    if (certain) h.failing = 1;
+    if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
+    const double limit = std::max(kSickShare, failing_ + kSickMargin);
+    if (!bad || h.failing <= limit || now_ < h.resting_until || too_many_rest()) return;
+    h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
+    h.resting_until = now_ + h.rest;
+    h.failing = std::min(limit, 0.99);
+  }
+
+  // Were most to rest, the fault would more likely lie with this node or with something that all depend on.
+  bool too_many_rest() const {
+    int ready = 0;
+    int resting = 0;
+    for (const Backend& b : backends_) {
+      if (b.state != BackendState::kReady) continue;
+      ++ready;
+      bool rests = now_ < b.health.resting_until;
+      for (const Health& h : b.class_health) rests = rests || now_ < h.resting_until;
+      resting += rests ? 1 : 0;
+    }
+    return resting + 1 > kMostResting * ready;
+  }
+
   // Rule "no effect twice", for keyed requests: after an attempt that may have run, only its group will do,
   // and only within the window.
   bool in_group(const Request& r, BackendId i) const {
@@ -650,6 +719,7 @@
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
+    learn_health(b, r.request_class, e.outcome);
     if (e.outcome == Outcome::kServed || e.outcome == Outcome::kNoAnswer) {
       learn_service(r, a, e.elapsed, e.outcome == Outcome::kServed);
     }
@@ -688,6 +758,7 @@
   double mean_in_hand_ = 0;                          // over all reports
   std::vector<Purse> purses_;                        // of each tenant
   double allowance_ = 1;                             // multiple of its quota that each tenant may send
+  double failing_ = 0;                               // share of all attempts that fail
   double resends_ = kMostResends;                    // left in the retry budget
   Millis list_wait_ = 0;
 };
