A backend passed over loses its turn; without a pick, the soonest of all

Cause: turns of passed-over backends stayed at the head of the rotation and crowded the others out of it, and credits filled up until all shares were equal.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -42,7 +42,7 @@
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 constexpr double kForgetting = 0.05;     // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
-constexpr double kHealthGain = 0.25;   // weight of one outcome in the share of failures
+constexpr double kHealthGain = 0.25;  // weight of one outcome in the share of failures
 constexpr double kSickShare = 0.8;    // failing more than this, and
 constexpr double kSickMargin = 0.4;   // this much more than the fleet, a backend rests
 constexpr Millis kRestMin = 1000;     // first rest; doubles while it goes on failing
@@ -367,7 +367,7 @@
   // Unsent turns go back to the credits, so that rounding and reshuffling lose nothing; a new round is earned
   // only once less than half of one is left.
   void reshuffle() {
-    const bool earn = true;
+    const bool earn = rotation_.size() * 2 < backends_.size();
     for (const BackendId i : rotation_) backends_[i].credit += 1;
     rotation_.clear();
     deal(earn);
@@ -384,8 +384,8 @@
         b.credit = 0;
         continue;
       }
-      // A backend passed over for long does not save up turns beyond one round's worth.
-      if (earn) b.credit = std::min(b.credit + b.share * static_cast<double>(count), 1.0 + kShareCap);
+      // Bounded both ways: neither a hoard of turns nor a long penance for turns taken early.
+      if (earn) b.credit = std::clamp(b.credit + b.share * static_cast<double>(count), -1.0, 1.0 + kShareCap);
       for (; b.credit > 1 - kRounding; b.credit -= 1) rotation_.push_back(i);
     }
     for (std::size_t n = rotation_.size() - old; n > 1; --n) {
@@ -398,42 +398,47 @@
   // ---- choosing a backend ----
 
   // The next backend in the rotation that the rules allow for this request and that is not known to be unable
-  // to answer in time (exception "skip"). If all are, the one expected to be soonest.
+  // to answer in time (exception "skip"; one passed over so loses its turn). If all are, the one expected
+  // soonest.
   std::optional<BackendId> choose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
-    std::optional<BackendId> soonest;
-    Millis least = 0;
     for (int round = 0; round < 2; ++round) {
+      std::size_t kept = 0;
       for (std::size_t n = 0; n < rotation_.size(); ++n) {
         const BackendId i = rotation_[n];
-        if (!usable(backends_[i])) {
-          rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(n--));
+        if (!usable(backends_[i])) continue;
+        if (!allowed(r, i)) {
+          rotation_[kept++] = i;  // it keeps its turn for another request
           continue;
         }
-        if (!allowed(r, i)) continue;
-        const Millis wait = expected_answer(r, backends_[i]);
-        if (wait <= patience) {
-          rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(n));
-          return i;
-        }
-        if (!soonest || wait < least) soonest = i, least = wait;
+        if (expected_answer(r, backends_[i]) > patience) continue;
+        rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(kept),
+                        rotation_.begin() + static_cast<std::ptrdiff_t>(n + 1));
+        return i;
       }
-      // One round always lies ahead; more than two would only pile up turns of backends that are passed over.
-      if (round == 0 && rotation_.size() < 2 * backends_.size()) deal();
-    }
-    // Exception "admission": nobody is expected to answer in time, and trying would only slow the others.
-    if (soonest && least > kRefuseShare * (r.aim_at - now_)) return std::nullopt;
-    if (soonest) {
-      rotation_.erase(std::find(rotation_.begin(), rotation_.end(), *soonest));
-      return soonest;
+      rotation_.resize(kept);
+      if (kept < backends_.size()) deal();
     }
-    // The rotation has nobody for it: any ready backend that the rules allow, dropped or not.
+    return soonest(r);
+  }
+
+  // Without a pick from the rotation: who is expected to answer first. Exception "admission": nobody, if even
+  // that would be too late, since trying would only slow the others. Dropped backends are a last resort.
+  std::optional<BackendId> soonest(const Request& r) {
+    std::optional<BackendId> best;
+    Millis least = 0;
     const std::size_t start = backends_.empty() ? 0 : random_.below(backends_.size());
     for (std::size_t n = 0; n < backends_.size(); ++n) {
       const BackendId i = static_cast<BackendId>((start + n) % backends_.size());
-      if (backends_[i].state == BackendState::kReady && allowed(r, i)) return i;
+      const Backend& b = backends_[i];
+      if (b.state != BackendState::kReady || !allowed(r, i)) continue;
+      const bool better = !best || (usable(b) && !usable(backends_[*best])) ||
+                          (usable(b) == usable(backends_[*best]) && expected_answer(r, b) < least);
+      if (better) best = i, least = expected_answer(r, b);
     }
-    return std::nullopt;
+    if (!best || least > kRefuseShare * (r.aim_at - now_)) return std::nullopt;
+    backends_[*best].credit -= 1;  // a turn taken early
+    return best;
   }
 
   // ---- what is known of a backend ----
