Look: probe the soonest three before a blind first pick

Cause: at a mean load of 0.6 some server is nearly always idle, but the last report of it is too old to tell which.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace shorelead {
 namespace {
@@ -35,6 +36,13 @@
 constexpr double kSkipShare = 0.35;
 // Admission: if every backend is expected to need more than this part of it, the request is refused.
 constexpr double kRefuseShare = 1.0;
+// Look: who is asked out of turn, and when.
+constexpr std::size_t kLooks = 3;        // backends asked for one request
+constexpr double kLookPrice = 0.01;      // most that they may cost together, a request
+constexpr Millis kLookTime = 10;         // slower probes than this are not waited for
+constexpr Millis kLookWait = 15;         // longest that a request is held for them
+constexpr Millis kTimerSlack = 1;        // a timer may fire a rounding early
+constexpr double kLookAge = 0.2;         // service times: a younger report is news enough
 constexpr double kReportLife = 2;        // service times in which a load report loses most of its meaning
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
@@ -99,6 +107,7 @@
   double size = 1;
   // ALBL
   bool probe_out = false;
+  bool look_out = false;               // asked out of turn
   bool answered = false;               // this period's probe was served
   bool dropped = false;                // gets nothing this period
   std::vector<Millis> probe_times;     // last kResponsePeriods, oldest first
@@ -139,6 +148,7 @@
   Millis due = 0;
   Millis aim_at = 0;  // an answer after this is worth less or nothing
   bool streaming = false;
+  Millis look_until = 0;  // it waits, or has waited, for fresh news until then
   std::vector<Attempt> attempts;
 };
 
@@ -148,7 +158,7 @@
 };
 
 // What a timer was set for; the low bits of its cookie.
-enum TimerKind : std::uint64_t { kPeriodTimer, kProbeTimer, kListTimer };
+enum TimerKind : std::uint64_t { kPeriodTimer, kProbeTimer, kListTimer, kLookTimer };
 
 }  // namespace
 
@@ -169,6 +179,8 @@
   }
 
  private:
+  using Held = std::unordered_map<RequestId, Request>::iterator;
+
   // ---- lists ----
 
   void on(const Started&) {
@@ -243,6 +255,7 @@
             b.answered = false;
             if (b.state != BackendState::kReady || b.probe_out) continue;
             b.probe_out = true;
+            if (b.look_out) continue;  // that answer will do
             act(SendProbe{i});
           }
           timer(kProbeTimer, now_ + kProbeTimeout);
@@ -253,6 +266,9 @@
         set_allowance();
         forget();
         break;
+      case kLookTimer:
+        look_again(true);
+        break;
       case kListTimer:
         ask_for_list();
         break;
@@ -261,9 +277,13 @@
 
   void on(const ProbeEnded& ended) {
     Backend& b = at(ended.backend);
-    b.probe_out = false;
-    if (ended.has_report) learn_report(b, ended.report);
-    if (ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
+    const bool period = std::exchange(b.probe_out, false);
+    b.look_out = false;
+    if (ended.has_report) {
+      learn_report(b, ended.report);
+      if (!looking_.empty()) look_again(false);
+    }
+    if (!period || ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
     b.answered = true;
     if (b.unreachable) b.health.resting_until = now_;
     push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
@@ -400,7 +420,7 @@
   // The next backend in the rotation that the rules allow for this request and that is not known to be unable
   // to answer in time (exception "skip"; one passed over so loses its turn). If all are, the one expected
   // soonest.
-  std::optional<BackendId> choose(const Request& r) {
+  std::optional<BackendId> propose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
     for (int round = 0; round < 2; ++round) {
       std::size_t kept = 0;
@@ -419,7 +439,7 @@
       rotation_.resize(kept);
       if (kept < backends_.size()) deal();
     }
-    return soonest(r);
+    return std::nullopt;
   }
 
   // Without a pick from the rotation: who is expected to answer first. Exception "admission": nobody, if even
@@ -441,6 +461,55 @@
     return best;
   }
 
+  // ---- looking again ----
+
+  // Exception "look": nobody in the rotation passes for want of fresh news. Where a probe brings the load
+  // within a few milliseconds and its price is small, ask those expected soonest and hold the request for the
+  // answers.
+  bool look(Held it) {
+    Request& r = it->second;
+    if (!r.attempts.empty() || r.look_until > 0 || !s_.probing || s_.probe_price * kLooks > kLookPrice)
+      return false;
+    std::vector<std::pair<Millis, BackendId>> stale;
+    for (BackendId i = 0; i < backends_.size(); ++i) {
+      const Backend& b = backends_[i];
+      if (!usable(b) || b.reported < 0 || b.response_times.empty() || !allowed(r, i)) continue;
+      if (b.response_times.back() > kLookTime || now_ - b.reported_at < kLookAge * service_) continue;
+      stale.emplace_back(expected_answer(r, b), i);
+    }
+    if (stale.empty()) return false;
+    r.look_until = now_ + kLookWait;
+    const std::size_t count = std::min<std::size_t>(kLooks, stale.size());
+    std::partial_sort(stale.begin(), stale.begin() + static_cast<std::ptrdiff_t>(count), stale.end());
+    for (std::size_t n = 0; n < count; ++n) {
+      Backend& b = backends_[stale[n].second];
+      if (b.probe_out || b.look_out) continue;
+      b.look_out = true;
+      act(SendProbe{stale[n].second});
+    }
+    looking_.push_back(it->first);
+    timer(kLookTimer, r.look_until);
+    return true;
+  }
+
+  // News came in, or the time to wait for it is up (`last`): serve those who waited, in order.
+  void look_again(bool last) {
+    std::vector<RequestId> waiting;
+    waiting.swap(looking_);
+    for (const RequestId id : waiting) {
+      const Held it = requests_.find(id);
+      if (it == requests_.end() || !it->second.attempts.empty()) continue;
+      const bool overdue = last && now_ > it->second.look_until - kTimerSlack;
+      if (overdue || !may_send(it->second)) {
+        proceed(it);
+      } else if (const std::optional<BackendId> i = propose(it->second)) {
+        send(it, *i);
+      } else {
+        looking_.push_back(id);
+      }
+    }
+  }
+
   // ---- what is known of a backend ----
 
   // Requests in its hands, as far as this node can tell: the last report, which with age says ever less and
@@ -645,13 +714,14 @@
     proceed(it);
   }
 
-  using Held = std::unordered_map<RequestId, Request>::iterator;
-
   // Sends the request's next attempt, or gives its final answer at once.
   void proceed(Held it) {
     Request& r = it->second;
     if (may_send(r)) {
-      if (const std::optional<BackendId> i = choose(r)) return send(it, *i);
+      std::optional<BackendId> i = propose(r);
+      if (!i && look(it)) return;
+      if (!i) i = soonest(r);
+      if (i) return send(it, *i);
     }
     finish(it);
   }
@@ -763,6 +833,7 @@
   double mean_in_hand_ = 0;                          // over all reports
   std::vector<Purse> purses_;                        // of each tenant
   double allowance_ = 1;                             // multiple of its quota that each tenant may send
+  std::vector<RequestId> looking_;                   // held for fresh news, in order
   double failing_ = 0;                               // share of all attempts that fail
   double resends_ = kMostResends;                    // left in the retry budget
   Millis list_wait_ = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -64,22 +64,29 @@
       const auto [at, cookie] = *timers_.begin();
       timers_.erase(timers_.begin());
       now = std::max(now, at);
-      for (const Action& a : feed(TimerFired{cookie})) {
-        const auto* probe = std::get_if<SendProbe>(&a);
-        if (probe == nullptr) continue;
-        ++probes[probe->backend];
-        const auto it = probe_time.find(probe->backend);
-        if (it == probe_time.end()) continue;
-        ProbeEnded ended;
-        ended.backend = probe->backend;
-        ended.elapsed = it->second;
-        if (load.count(probe->backend) != 0) ended.has_report = true, ended.report = load[probe->backend];
-        feed(ended);
-      }
+      answer_probes(feed(TimerFired{cookie}));
     }
     now = until;
   }
 
+  // Answers the probes among the actions, where the test gave a time, and returns what came of it.
+  std::vector<Action> answer_probes(const std::vector<Action>& actions) {
+    std::vector<Action> all;
+    for (const Action& a : actions) {
+      const auto* probe = std::get_if<SendProbe>(&a);
+      if (probe == nullptr) continue;
+      ++probes[probe->backend];
+      const auto it = probe_time.find(probe->backend);
+      if (it == probe_time.end()) continue;
+      ProbeEnded ended;
+      ended.backend = probe->backend;
+      ended.elapsed = it->second;
+      if (load.count(probe->backend) != 0) ended.has_report = true, ended.report = load[probe->backend];
+      for (const Action& b : feed(ended)) all.push_back(b);
+    }
+    return all;
+  }
+
   void list(std::vector<BackendEntry> entries, ListKind kind = ListKind::kFull) {
     feed(ListUpdate{kind, std::move(entries)});
   }
@@ -90,7 +97,9 @@
     e.request_class = request_class;
     e.tenant = tenant;
     e.due = now + wait;
-    return feed(e);
+    std::vector<Action> actions = feed(e);
+    for (const Action& a : answer_probes(actions)) actions.push_back(a);
+    return actions;
   }
 
   std::vector<Action> end(RequestId id, BackendId backend, Outcome outcome, int attempt = 0,
@@ -511,6 +520,41 @@
   EXPECT_EQ(got.count(0), 0U);
 }
 
+TEST(Look, ABlindPickWaitsForFreshNewsAndTakesIt) {
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) {
+    node.probe_time[i] = 1;
+    node.load[i].in_hand = 3;
+  }
+  node.run_to(node.now + 20 * kTestPeriod + 300);
+  for (BackendId i = 0; i < 4; ++i) node.load[i].in_hand = 0;  // which the module does not know yet
+  const auto actions = node.arrive(1);
+  EXPECT_FALSE(none<SendProbe>(actions));
+  EXPECT_TRUE(only<SendAttempt>(actions));
+}
+
+TEST(Look, ARequestHeldForNewsThatNeverComesIsStillDecided) {
+  // Seen on the bench: a request looked for after its first attempt was never taken up again.
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) {
+    node.probe_time[i] = 1;
+    node.load[i].in_hand = 1;
+  }
+  node.run_to(node.now + 20 * kTestPeriod + 300);
+  node.probe_time.clear();
+  node.log.clear();
+  EXPECT_TRUE(none<SendAttempt>(node.arrive(1)));
+  node.run_to(node.now + 16);
+  const auto first = only<SendAttempt>(node.log);
+  ASSERT_TRUE(first);
+  node.log.clear();
+  node.end(1, first->backend, Outcome::kTurnedAway);
+  node.run_to(node.now + 16);
+  EXPECT_FALSE(none<SendAttempt>(node.log) && none<Refuse>(node.log));
+}
+
 TEST(Admission, RefusesAtOnceWhenNobodyCanMakeTheAim) {
   Node node;
   node.list(entries(3));
@@ -519,7 +563,10 @@
     node.load[i].in_hand = 30;
   }
   node.run_to(node.now + 200 * kTestPeriod + 10);
-  const auto actions = node.arrive(1);
+  node.log.clear();
+  node.arrive(1);
+  node.run_to(node.now + 20);  // the time that it may wait for fresh news
+  const auto actions = node.log;
   EXPECT_TRUE(none<SendAttempt>(actions));
   const auto refused = only<Refuse>(actions);
   ASSERT_TRUE(refused);
