--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 // --- ALBL's open parameters ---
-constexpr Millis kPeriod = 500;           // probes and shares are renewed this often
-constexpr Millis kProbeTimeout = 200;     // a probe unanswered by then drops the backend for the period
+constexpr Millis kPeriod = 1000;          // probes and shares are renewed this often
+constexpr Millis kProbeTimeout = 250;     // a probe unanswered by then drops the backend for the period
 constexpr Millis kThreshold = 150;        // above ordinary probe times, so Equation 5 applies when quiet
 constexpr int kResponsePeriods = 5;       // response time = mean probe time over this many periods
 constexpr int kDelayPeriods = 10;         // network delay = lowest response time in this many periods
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -11,8 +11,8 @@
 namespace shorelead {
 namespace {
 
-constexpr Millis kTestPeriod = 500;        // the module's period
-constexpr Millis kTestProbeTimeout = 200;  // and its probe time-out
+constexpr Millis kTestPeriod = 1000;       // the module's period
+constexpr Millis kTestProbeTimeout = 250;  // and its probe time-out
 
 RequestClass make_class(Effect effect, DedupGroup group = DedupGroup::kAll) {
   RequestClass c;
