--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -48,7 +48,7 @@
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
-constexpr double kForgetting = 0.05;     // of a backend's odd service time, in a period without answers
+constexpr double kForgetting = 0.1;      // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
 constexpr double kHealthGain = 0.25;  // weight of one outcome in the share of failures
 constexpr double kSickShare = 0.8;    // failing more than this, and
@@ -62,10 +62,9 @@
 constexpr int kMostAttempts = 3;            // for one request
 constexpr double kFullRest = 0.5;  // service times for which a backend that turned work away is left alone
 // Tenants: the allowance is a multiple of a tenant's quota; it moves with how busy the backends are.
-constexpr int kReportPeriods = 3;        // a busy figure older than this many periods is not counted
 constexpr double kBusyTarget = 0.7;      // of the backends' cores: above it the allowances shrink
 constexpr double kMostAllowance = 16;    // while there is room
-constexpr double kAllowanceRise = 1.12;  // most that the allowance grows in a period
+constexpr double kAllowanceRise = 1.25;  // most that the allowance grows in a period
 constexpr double kQuotaBurst = 1;        // seconds of its allowance that a tenant may send at once
 
 // SplitMix64: small, and the same on every platform, unlike the standard distributions.
@@ -670,14 +669,10 @@
   // While the backends are busier than they should be, each tenant's allowance shrinks towards its quota, so
   // that what goes is the traffic beyond it, which is worth little; with room it grows back.
   void set_allowance() {
-    double sum = 0;
-    double n = 0;
-    for (const Backend& b : backends_) {
-      if (!usable(b) || b.busy < 0 || now_ - b.reported_at > kReportPeriods * kPeriod) continue;
-      sum += b.busy * b.lanes;
-      n += b.lanes;
-    }
-    const double busy = n > 0 ? sum / n : 1;
+    // Busy as this node's own traffic met it: an idle backend that hardly gets any is no room for more.
+    if (answers_ == 0) return;
+    const double busy = busy_sum_ / answers_;
+    busy_sum_ = answers_ = 0;
     allowance_ = std::clamp(allowance_ * std::clamp(kBusyTarget / std::max(busy, 0.01), 0.5, kAllowanceRise),
                             1.0, kMostAllowance);
   }
@@ -788,6 +783,10 @@
     Backend& b = at(e.backend);
     if (b.outstanding > 0) --b.outstanding;
     if (e.has_report) learn_report(b, e.report);
+    if (e.outcome == Outcome::kTurnedAway || (e.has_report && e.report.busy >= 0)) {
+      busy_sum_ += e.outcome == Outcome::kTurnedAway ? 1 : e.report.busy;
+      answers_ += 1;
+    }
     if (e.outcome == Outcome::kTurnedAway) b.full_until = now_ + kFullRest * service_;
     const Held it = requests_.find(e.request);
     if (it == requests_.end()) return;
@@ -832,10 +831,12 @@
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double mean_in_hand_ = 0;                          // over all reports
   std::vector<Purse> purses_;                        // of each tenant
-  double allowance_ = 1;                             // multiple of its quota that each tenant may send
-  std::vector<RequestId> looking_;                   // held for fresh news, in order
-  double failing_ = 0;                               // share of all attempts that fail
-  double resends_ = kMostResends;                    // left in the retry budget
+  double busy_sum_ = 0;                              // over this period's answers
+  double answers_ = 0;
+  double allowance_ = 1;            // multiple of its quota that each tenant may send
+  std::vector<RequestId> looking_;  // held for fresh news, in order
+  double failing_ = 0;              // share of all attempts that fail
+  double resends_ = kMostResends;   // left in the retry budget
   Millis list_wait_ = 0;
 };
 
