--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -47,6 +47,7 @@
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
+constexpr double kSomeWaiting = 0.5;     // requests: reports are noisy, so less than this is none
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 constexpr double kForgetting = 0.1;      // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
@@ -127,6 +128,7 @@
   Millis full_until = 0;     // it turned work away: nothing more until then
   double busy = -1;          // share of its cores in use at its last report; negative = never reported
   double lanes = 1;          // requests it works on at once without slowing
+  bool lanes_known = false;  // its reports have told; else they are guessed from warm backends of like size
   bool heard = false;        // an answer, or a time-out, told of its speed this period
   double service_ratio = 1;  // its service time over the fleet's
 };
@@ -231,6 +233,8 @@
     b.credit = 0;
     b.cold_sends.clear();
     b.reported = b.busy = -1;
+    b.lanes_known = false;
+    b.lanes = std::max(1.0, b.size * lanes_per_size_);
     b.health = {};
     b.class_health.clear();
     b.service_ratio = 1;
@@ -263,6 +267,7 @@
       case kProbeTimer:
         set_shares();
         set_allowance();
+        learn_lanes();
         forget();
         break;
       case kLookTimer:
@@ -534,8 +539,12 @@
       b.reported = report.in_hand;
       b.sent_since = 0;
       mean_in_hand_ += kFleetGain * (report.in_hand - mean_in_hand_);
-      if (report.waiting > 0.5) b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
-    } else if (report.rate > 0 && report.busy >= kLeastBusyShare) {
+      if (report.waiting > kSomeWaiting) {
+        b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
+        b.lanes_known = true;
+      }
+    } else if (report.rate > 0 && report.busy >= kLeastBusyShare && !cold(b)) {
+      b.lanes_known = true;
       b.lanes = std::max(1.0, report.rate / report.busy * service_ * b.service_ratio / 1000);
     }
   }
@@ -650,18 +659,25 @@
   bool cold_room(Backend& b) {
     if (!cold(b)) return true;
     std::erase_if(b.cold_sends, [this](Millis t) { return now_ - t >= s_.fall_span; });
-    const double capacity = b.size / mean_size() * s_.fall_span / service_;
+    const double capacity = std::max(1.0, b.size * lanes_per_size_) * s_.fall_span / service_;
     const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / std::max(1, s_.instances);
     return static_cast<double>(b.cold_sends.size()) + 1 <= budget;
   }
 
-  double mean_size() const {
-    double sum = 0;
-    int n = 0;
+  // What warm backends of like size take; it stands while there is none to ask.
+  void learn_lanes() {
+    double lanes = 0;
+    double size = 0;
     for (const Backend& b : backends_) {
-      if (b.state == BackendState::kReady) sum += b.size, ++n;
+      if (!usable(b) || cold(b) || !b.lanes_known) continue;
+      lanes += b.lanes;
+      size += b.size;
+    }
+    if (size <= 0) return;
+    lanes_per_size_ = lanes / size;
+    for (Backend& b : backends_) {
+      if (!b.lanes_known) b.lanes = std::max(1.0, b.size * lanes_per_size_);
     }
-    return n > 0 ? sum / n : 1;
   }
 
   // ---- tenants ----
@@ -829,6 +845,7 @@
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
+  double lanes_per_size_ = 0;                        // of warm backends; 0 until one has told
   double mean_in_hand_ = 0;                          // over all reports
   std::vector<Purse> purses_;                        // of each tenant
   double busy_sum_ = 0;                              // over this period's answers
