--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -52,6 +52,7 @@
 constexpr double kForgetting = 0.1;      // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
 constexpr double kHealthGain = 0.25;  // weight of one outcome in the share of failures
+constexpr double kErrorGain = 0.5;    // and of an error, which no crowd explains
 constexpr double kSickShare = 0.8;    // failing more than this, and
 constexpr double kSickMargin = 0.4;   // this much more than the fleet, a backend rests
 constexpr Millis kRestMin = 1000;     // first rest; doubles while it goes on failing
@@ -118,8 +119,8 @@
   // own traffic
   int outstanding = 0;
   std::vector<Millis> cold_sends;  // while cold: sends within the last fall span
-  Health health;
-  std::vector<Health> class_health;
+  std::vector<Health> silences;    // over all classes, then of each
+  std::vector<Health> errors;
   bool unreachable = false;  // its rest is for want of a connection
   // what its reports and our own outcomes say
   double reported = -1;  // requests in hand at its last report; negative = never reported
@@ -235,8 +236,8 @@
     b.reported = b.busy = -1;
     b.lanes_known = false;
     b.lanes = std::max(1.0, b.size * lanes_per_size_);
-    b.health = {};
-    b.class_health.clear();
+    b.silences.assign(s_.classes.size() + 1, {});
+    b.errors.assign(s_.classes.size() + 1, {});
     b.service_ratio = 1;
     int ready = 0;
     double sum = 0;
@@ -289,7 +290,7 @@
     }
     if (!period || ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
     b.answered = true;
-    if (b.unreachable) b.health.resting_until = now_;
+    if (b.unreachable) b.errors[0].resting_until = now_;
     push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
     double sum = 0;
     for (const Millis t : b.probe_times) sum += t;
@@ -581,67 +582,76 @@
     return in_group(r, i) && cold_room(backends_[i]);
   }
 
+  // Rule "no effect twice", for keyed requests: after an attempt that may have run, only its group will do,
+  // and only within the window.
+  bool in_group(const Request& r, BackendId i) const {
+    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    if (c.effect != Effect::kKeyed) return true;
+    for (const Attempt& a : r.attempts) {
+      if (!a.may_have_run) continue;
+      if (now_ - a.sent >= c.dedup_window) return false;
+      const Backend& there = backends_[a.backend];
+      const Backend& here = backends_[i];
+      if (c.group == DedupGroup::kZone && here.zone != there.zone) return false;
+      if (c.group == DedupGroup::kCell && (here.cell != there.cell || here.zone != there.zone)) return false;
+    }
+    return true;
+  }
+
   // ---- health ----
 
+  // Silences and errors are judged apart, since a crowd explains the first but not the second; each over all
+  // classes (index 0) and for every class (index 1 + class).
   bool resting(const Backend& b, int request_class) const {
-    const auto c = static_cast<std::size_t>(request_class);
-    return now_ < b.health.resting_until ||
-           (c < b.class_health.size() && now_ < b.class_health[c].resting_until);
+    const auto c = static_cast<std::size_t>(request_class) + 1;
+    return now_ < b.silences[0].resting_until || now_ < b.silences[c].resting_until ||
+           now_ < b.errors[0].resting_until || now_ < b.errors[c].resting_until;
   }
 
   // Exception "health": a backend may fail, hang or fail one class while its probes pass. One that fails much
-  // more than the fleet rests, ever longer while it goes on; after a rest one more failure suffices for the
+  // more than the others rests, ever longer while it goes on; after a rest one more failure suffices for the
   // next.
   void learn_health(Backend& b, int request_class, Outcome outcome) {
-    const bool bad = outcome == Outcome::kError || outcome == Outcome::kNoAnswer ||
-                     outcome == Outcome::kConnectionLost || outcome == Outcome::kNoConnection;
-    if (!bad && outcome != Outcome::kServed) return;
-    b.class_health.resize(s_.classes.size());
-    failing_ += kFleetGain * ((bad ? 1.0 : 0.0) - failing_);
-    b.unreachable = outcome == Outcome::kNoConnection;
-    judge(b.health, bad, b.unreachable);
-    judge(b.class_health[static_cast<std::size_t>(request_class)], bad, false);
-  }
-
-  void judge(Health& h, bool bad, bool certain) {
-    h.failing += kHealthGain * ((bad ? 1.0 : 0.0) - h.failing);
-    if (certain) h.failing = 1;
+    const bool silent = outcome == Outcome::kNoAnswer;
+    const bool unreachable = outcome == Outcome::kNoConnection;
+    const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
+    if (!silent && !error && outcome != Outcome::kServed) return;
+    b.unreachable = unreachable;
+    for (const std::size_t n : {std::size_t{0}, static_cast<std::size_t>(request_class) + 1}) {
+      judge(&Backend::silences, b, n, silent, kHealthGain);
+      judge(&Backend::errors, b, n, error, unreachable && n == 0 ? 1 : kErrorGain);
+    }
+  }
+
+  void judge(std::vector<Health> Backend::*record, Backend& b, std::size_t n, bool bad, double gain) {
+    Health& h = (b.*record)[n];
+    h.failing += gain * ((bad ? 1.0 : 0.0) - h.failing);
     if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
-    const double limit = std::max(kSickShare, failing_ + kSickMargin);
-    if (!bad || h.failing <= limit || now_ < h.resting_until || too_many_rest()) return;
+    if (!bad || h.failing <= kSickShare || now_ < h.resting_until || too_many_rest()) return;
+    // Compared with the median backend, not with the mean of all attempts: one that fails fast looks idle,
+    // draws most of the attempts and would make its own failures the common lot.
+    std::vector<double> all;
+    for (const Backend& other : backends_) {
+      if (other.state == BackendState::kReady) all.push_back((other.*record)[n].failing);
+    }
+    if (h.failing <= median(std::move(all)) + kSickMargin) return;
     h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
     h.resting_until = now_ + h.rest;
-    h.failing = std::min(limit, 0.99);
+    h.failing = kSickShare;
   }
 
   // Were most to rest, the fault would more likely lie with this node or with something that all depend on.
   bool too_many_rest() const {
     int ready = 0;
-    int resting = 0;
+    int at_rest = 0;
     for (const Backend& b : backends_) {
       if (b.state != BackendState::kReady) continue;
       ++ready;
-      bool rests = now_ < b.health.resting_until;
-      for (const Health& h : b.class_health) rests = rests || now_ < h.resting_until;
-      resting += rests ? 1 : 0;
+      const auto rests = [this](const Health& h) { return now_ < h.resting_until; };
+      at_rest += std::any_of(b.silences.begin(), b.silences.end(), rests) ||
+                 std::any_of(b.errors.begin(), b.errors.end(), rests);
     }
-    return resting + 1 > kMostResting * ready;
-  }
-
-  // Rule "no effect twice", for keyed requests: after an attempt that may have run, only its group will do,
-  // and only within the window.
-  bool in_group(const Request& r, BackendId i) const {
-    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
-    if (c.effect != Effect::kKeyed) return true;
-    for (const Attempt& a : r.attempts) {
-      if (!a.may_have_run) continue;
-      if (now_ - a.sent >= c.dedup_window) return false;
-      const Backend& there = backends_[a.backend];
-      const Backend& here = backends_[i];
-      if (c.group == DedupGroup::kZone && here.zone != there.zone) return false;
-      if (c.group == DedupGroup::kCell && (here.cell != there.cell || here.zone != there.zone)) return false;
-    }
-    return true;
+    return at_rest + 1 > kMostResting * ready;
   }
 
   // ---- cold backends ----
@@ -685,9 +695,16 @@
   // While the backends are busier than they should be, each tenant's allowance shrinks towards its quota, so
   // that what goes is the traffic beyond it, which is worth little; with room it grows back.
   void set_allowance() {
-    // Busy as this node's own traffic met it: an idle backend that hardly gets any is no room for more.
-    if (answers_ == 0) return;
-    const double busy = busy_sum_ / answers_;
+    // Busy as this node's own traffic met it: an idle backend that hardly gets any is no room for more. Where
+    // answers tell nothing of it, as the probes saw it.
+    if (answers_ == 0) {
+      for (const Backend& b : backends_) {
+        if (!usable(b) || b.busy < 0) continue;
+        busy_sum_ += b.busy;
+        answers_ += 1;
+      }
+    }
+    const double busy = answers_ > 0 ? busy_sum_ / answers_ : 0;
     busy_sum_ = answers_ = 0;
     allowance_ = std::clamp(allowance_ * std::clamp(kBusyTarget / std::max(busy, 0.01), 0.5, kAllowanceRise),
                             1.0, kMostAllowance);
@@ -852,7 +869,6 @@
   double answers_ = 0;
   double allowance_ = 1;            // multiple of its quota that each tenant may send
   std::vector<RequestId> looking_;  // held for fresh news, in order
-  double failing_ = 0;              // share of all attempts that fail
   double resends_ = kMostResends;   // left in the retry budget
   Millis list_wait_ = 0;
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -527,6 +527,72 @@
   EXPECT_EQ(got.count(0), 0U);
 }
 
+TEST(Health, FailFastBackendsAreLeftAloneEvenWhileAllOthersAreSlow) {
+  // From an incident: two of eleven backends answered each request with an error within milliseconds. So they
+  // looked idle and drew half the traffic, while the others, all slow at the time, timed out more often than
+  // not; measured against that, failing was the common lot.
+  Node node;
+  node.list(entries(11));
+  for (BackendId i = 0; i < 11; ++i) {
+    node.probe_time[i] = 1;
+    node.load[i].in_hand = i < 2 ? 0 : 1;
+  }
+  node.run_to(node.now + 20 * kTestPeriod);
+  int failed = 0;
+  for (RequestId id = 1; id <= 300; ++id) {
+    node.run_to(node.now + 30);
+    node.log.clear();
+    node.arrive(id, 1);
+    node.run_to(node.now + 20);
+    const auto sent = only<SendAttempt>(node.log);
+    if (!sent) continue;
+    const bool sick = sent->backend < 2;
+    failed += sick ? 1 : 0;
+    const bool slow = id % 4 != 0;
+    node.end(id, sent->backend, sick ? Outcome::kError : (slow ? Outcome::kNoAnswer : Outcome::kServed), 0,
+             sick ? 5 : (slow ? 400 : 300));
+  }
+  EXPECT_LT(failed, 40);
+  EXPECT_GT(failed, 4) << "they are tried again now and then";
+}
+
+TEST(Health, ABackendThatFailsOneClassKeepsTheOthers) {
+  Node node;
+  node.list(entries(5));
+  for (BackendId i = 0; i < 5; ++i) node.probe_time[i] = 1;
+  node.run_to(node.now + 8 * kTestPeriod);
+  int failed = 0;
+  int others = 0;
+  for (RequestId id = 1; id <= 400; ++id) {
+    node.run_to(node.now + 20);
+    const int c = id % 2 == 0 ? 0 : 1;
+    const auto sent = only<SendAttempt>(node.arrive(id, c));
+    if (!sent) continue;
+    const bool fails = sent->backend == 2 && c == 1;
+    failed += fails ? 1 : 0;
+    others += sent->backend == 2 && c == 0 ? 1 : 0;
+    node.end(id, sent->backend, fails ? Outcome::kError : Outcome::kServed, 0, fails ? 5 : 50);
+  }
+  EXPECT_LT(failed, 12);
+  EXPECT_GT(others, 25);
+}
+
+TEST(Health, WhenAllFailNobodyIsLeftOut) {
+  Node node;
+  node.list(entries(4));
+  for (BackendId i = 0; i < 4; ++i) node.probe_time[i] = 1;
+  node.run_to(node.now + 8 * kTestPeriod);
+  std::map<BackendId, int> got;
+  for (RequestId id = 1; id <= 80; ++id) {
+    node.run_to(node.now + 20);
+    const auto sent = only<SendAttempt>(node.arrive(id, 1));
+    ASSERT_TRUE(sent) << "something that all depend on is no reason to refuse";
+    ++got[sent->backend];
+    node.end(id, sent->backend, Outcome::kError, 0, 5);
+  }
+  EXPECT_EQ(got.size(), 4U);
+}
+
 TEST(Look, ABlindPickWaitsForFreshNewsAndTakesIt) {
   Node node;
   node.list(entries(4));
