--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -67,7 +67,8 @@
 constexpr double kBusyTarget = 0.7;      // of the backends' cores: above it the allowances shrink
 constexpr double kMostAllowance = 16;    // while there is room
 constexpr double kAllowanceRise = 1.25;  // most that the allowance grows in a period
-constexpr double kQuotaBurst = 1;        // seconds of its allowance that a tenant may send at once
+constexpr double kQuotaBurst = 2;        // seconds of its allowance that a tenant may send at once
+constexpr double kLeastBurst = 5;        // requests that it may send at once however small its allowance
 
 // SplitMix64: small, and the same on every platform, unlike the standard distributions.
 class Random {
@@ -717,7 +718,7 @@
     if (quota <= 0) return true;
     const double rate = allowance_ * quota / std::max(1, s_.instances);
     Purse& p = purses_[static_cast<std::size_t>(tenant)];
-    p.tokens = std::min(std::max(1.0, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
+    p.tokens = std::min(std::max(kLeastBurst, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
     p.at = now_;
     if (p.tokens < 1) return false;
     p.tokens -= 1;
