--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -40,7 +40,7 @@
 constexpr std::size_t kLooks = 3;        // backends asked for one request
 constexpr double kLookPrice = 0.01;      // most that they may cost together, a request
 constexpr Millis kLookTime = 10;         // slower probes than this are not waited for
-constexpr Millis kLookWait = 8;         // longest that a request is held for them
+constexpr Millis kLookWait = 8;          // longest that a request is held for them
 constexpr Millis kTimerSlack = 1;        // a timer may fire a rounding early
 constexpr double kLookAge = 0.2;         // service times: a younger report is news enough
 constexpr double kReportLife = 2;        // service times in which a load report loses most of its meaning
@@ -428,6 +428,7 @@
   // soonest.
   std::optional<BackendId> propose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
+    passed_over_.clear();
     for (int round = 0; round < 2; ++round) {
       std::size_t kept = 0;
       for (std::size_t n = 0; n < rotation_.size(); ++n) {
@@ -437,7 +438,10 @@
           rotation_[kept++] = i;  // it keeps its turn for another request
           continue;
         }
-        if (expected_answer(r, backends_[i]) > patience) continue;
+        if (expected_answer(r, backends_[i]) > patience) {
+          if (passed_over_.size() < kLooks && may_look(i)) passed_over_.push_back(i);
+          continue;
+        }
         rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(kept),
                         rotation_.begin() + static_cast<std::ptrdiff_t>(n + 1));
         return i;
@@ -476,28 +480,29 @@
     Request& r = it->second;
     if (!r.attempts.empty() || r.look_until > 0 || !s_.probing || s_.probe_price * kLooks > kLookPrice)
       return false;
-    std::vector<std::pair<Millis, BackendId>> stale;
-    for (BackendId i = 0; i < backends_.size(); ++i) {
-      const Backend& b = backends_[i];
-      if (!usable(b) || b.reported < 0 || b.response_times.empty() || !allowed(r, i)) continue;
-      if (b.response_times.back() > kLookTime || now_ - b.reported_at < kLookAge * service_) continue;
-      stale.emplace_back(expected_answer(r, b), i);
-    }
-    if (stale.empty()) return false;
-    r.look_until = now_ + kLookWait;
-    const std::size_t count = std::min<std::size_t>(kLooks, stale.size());
-    std::partial_sort(stale.begin(), stale.begin() + static_cast<std::ptrdiff_t>(count), stale.end());
-    for (std::size_t n = 0; n < count; ++n) {
-      Backend& b = backends_[stale[n].second];
+    bool asked = false;
+    for (const BackendId i : passed_over_) {
+      Backend& b = backends_[i];
+      asked = true;
       if (b.probe_out || b.look_out) continue;
       b.look_out = true;
-      act(SendProbe{stale[n].second});
+      act(SendProbe{i});
     }
+    if (!asked) return false;
+    r.look_until = now_ + kLookWait;
     looking_.push_back(it->first);
     timer(kLookTimer, r.look_until);
     return true;
   }
 
+  // Whether a probe of this backend would bring news in time.
+  bool may_look(BackendId i) const {
+    const Backend& b = backends_[i];
+    return b.reported >= 0 && !b.response_times.empty() && b.response_times.back() <= kLookTime &&
+           now_ - b.reported_at >= kLookAge * service_ &&
+           std::find(passed_over_.begin(), passed_over_.end(), i) == passed_over_.end();
+  }
+
   // News came in, or the time to wait for it is up (`last`): serve those who waited, in order.
   void look_again(bool last) {
     std::vector<RequestId> waiting;
@@ -868,9 +873,10 @@
   std::vector<Purse> purses_;                        // of each tenant
   double busy_sum_ = 0;                              // over this period's answers
   double answers_ = 0;
-  double allowance_ = 1;            // multiple of its quota that each tenant may send
-  std::vector<RequestId> looking_;  // held for fresh news, in order
-  double resends_ = kMostResends;   // left in the retry budget
+  double allowance_ = 1;                // multiple of its quota that each tenant may send
+  std::vector<BackendId> passed_over_;  // by the last proposal, first ones worth a look
+  std::vector<RequestId> looking_;      // held for fresh news, in order
+  double resends_ = kMostResends;       // left in the retry budget
   Millis list_wait_ = 0;
 };
 
