--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -37,13 +37,18 @@
 // Admission: if every backend is expected to need more than this part of it, the request is refused.
 constexpr double kRefuseShare = 1.0;
 // Look: who is asked out of turn, and when.
-constexpr std::size_t kLooks = 3;        // backends asked for one request
-constexpr double kLookPrice = 0.01;      // most that they may cost together, a request
-constexpr Millis kLookTime = 10;         // slower probes than this are not waited for
-constexpr Millis kLookWait = 8;          // longest that a request is held for them
-constexpr Millis kTimerSlack = 1;        // a timer may fire a rounding early
-constexpr double kLookAge = 0.2;         // service times: a younger report is news enough
-constexpr double kReportLife = 2;        // service times in which a load report loses most of its meaning
+constexpr std::size_t kLooks = 3;    // backends asked for one request
+constexpr double kLookPrice = 0.01;  // most that they may cost together, a request
+constexpr Millis kLookTime = 10;     // slower probes than this are not waited for
+constexpr Millis kLookWait = 8;      // longest that a request is held for them
+constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
+constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
+constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
+// Doubt: reports that contradict what this node knows.
+constexpr double kSettled = 0.5;         // service times after which a report must count an attempt
+constexpr double kWrongGain = 0.15;      // weight of one check
+constexpr double kWrongShare = 0.3;      // more wrong than this, no report is believed
+constexpr Millis kDoubt = 2000;          // for which a backend found wrong is not believed
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
@@ -119,6 +124,8 @@
   double credit = 0;
   // own traffic
   int outstanding = 0;
+  std::vector<Millis> sent_times;  // of the attempts outstanding
+  Millis doubted_until = 0;        // its reports are not believed until then
   std::vector<Millis> cold_sends;  // while cold: sends within the last fall span
   std::vector<Health> silences;    // over all classes, then of each
   std::vector<Health> errors;
@@ -498,7 +505,7 @@
   // Whether a probe of this backend would bring news in time.
   bool may_look(BackendId i) const {
     const Backend& b = backends_[i];
-    return b.reported >= 0 && !b.response_times.empty() && b.response_times.back() <= kLookTime &&
+    return believed(b) && !b.response_times.empty() && b.response_times.back() <= kLookTime &&
            now_ - b.reported_at >= kLookAge * service_ &&
            std::find(passed_over_.begin(), passed_over_.end(), i) == passed_over_.end();
   }
@@ -527,7 +534,7 @@
   // falls back to the fleet's mean, and what this node sent it since. Without reports, every other node is
   // taken to have as many out there as this one.
   double in_hand(const Backend& b) const {
-    if (b.reported < 0) return static_cast<double>(b.outstanding * std::max(1, s_.instances));
+    if (!believed(b)) return static_cast<double>(b.outstanding * std::max(1, s_.instances));
     const double fresh = std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
     const double estimate = mean_in_hand_ + (b.reported - mean_in_hand_) * fresh + b.sent_since;
     return std::max(estimate, static_cast<double>(b.outstanding));
@@ -539,7 +546,25 @@
            warmth(b);
   }
 
+  // Exception "doubt": a report that leaves out requests which this node has had there for long is not of
+  // now. Load figures have been seen to stand still for half a minute, drawing all traffic to whoever stood
+  // at nothing.
+  void check_report(Backend& b, const LoadReport& report) {
+    const Millis before = now_ - kSettled * service_;
+    const auto own = std::count_if(b.sent_times.begin(), b.sent_times.end(),
+                                   [before](Millis sent) { return sent <= before; });
+    if (own == 0 || report.in_hand < 0) return;
+    const bool wrong = report.in_hand + kSomeWaiting < static_cast<double>(own);
+    wrong_reports_ += kWrongGain * ((wrong ? 1.0 : 0.0) - wrong_reports_);
+    if (wrong) b.doubted_until = now_ + kDoubt;
+  }
+
+  bool believed(const Backend& b) const {
+    return b.reported >= 0 && now_ >= b.doubted_until && wrong_reports_ < kWrongShare;
+  }
+
   void learn_report(Backend& b, const LoadReport& report) {
+    check_report(b, report);
     b.busy = report.busy;
     b.reported_at = now_;
     if (report.in_hand >= 0) {
@@ -787,6 +812,7 @@
     if (cold(b)) b.cold_sends.push_back(now_);
     const double crowd = std::max(1.0, (in_hand(b) + 1) / b.lanes);
     ++b.outstanding;
+    b.sent_times.push_back(now_);
     ++b.sent_since;
     it->second.attempts.push_back({i, now_, crowd, warmth(b), true, true});
     if (it->second.attempts.size() > 1) resends_ -= 1;
@@ -820,7 +846,7 @@
 
   void on(const AttemptEnded& e) {
     Backend& b = at(e.backend);
-    if (b.outstanding > 0) --b.outstanding;
+    forget_send(b, now_ - e.elapsed);
     if (e.has_report) learn_report(b, e.report);
     if (e.outcome == Outcome::kTurnedAway || (e.has_report && e.report.busy >= 0)) {
       busy_sum_ += e.outcome == Outcome::kTurnedAway ? 1 : e.report.busy;
@@ -842,6 +868,15 @@
     if (!any_out(r)) proceed(it);
   }
 
+  // An attempt is over: the one on record that was sent nearest to then.
+  static void forget_send(Backend& b, Millis sent) {
+    if (b.sent_times.empty()) return;
+    --b.outstanding;
+    b.sent_times.erase(std::min_element(b.sent_times.begin(), b.sent_times.end(), [sent](Millis x, Millis y) {
+      return std::abs(x - sent) < std::abs(y - sent);
+    }));
+  }
+
   void on(const StreamStarted& e) {
     const Held it = requests_.find(e.request);
     if (it == requests_.end()) return;
@@ -869,9 +904,10 @@
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double lanes_per_size_ = 0;                        // of warm backends; 0 until one has told
-  double mean_in_hand_ = 0;                          // over all reports
-  std::vector<Purse> purses_;                        // of each tenant
-  double busy_sum_ = 0;                              // over this period's answers
+  double wrong_reports_ = 0;   // share of reports found wrong, of those that could be checked
+  double mean_in_hand_ = 0;    // over all reports
+  std::vector<Purse> purses_;  // of each tenant
+  double busy_sum_ = 0;        // over this period's answers
   double answers_ = 0;
   double allowance_ = 1;                // multiple of its quota that each tenant may send
   std::vector<BackendId> passed_over_;  // by the last proposal, first ones worth a look
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -527,6 +527,36 @@
   EXPECT_EQ(got.count(0), 0U);
 }
 
+TEST(Doubt, ReportsThatStandStillAreNotBelieved) {
+  // From an incident: load reports stood still for half a minute; whoever stood at nothing drew all the
+  // traffic.
+  Node node;
+  node.list(entries(6));
+  for (BackendId i = 0; i < 6; ++i) {
+    node.probe_time[i] = 1;
+    node.load[i].in_hand = i == 0 ? 0 : 1;  // and so for ever
+  }
+  node.run_to(node.now + 40 * kTestPeriod);
+  std::map<BackendId, int> got;
+  std::vector<std::pair<RequestId, BackendId>> out;
+  for (RequestId id = 1; id <= 200; ++id) {
+    node.run_to(node.now + 50);
+    if (out.size() == 3) {  // each takes 150 ms
+      node.end(out.front().first, out.front().second, Outcome::kServed, 0, 150);
+      out.erase(out.begin());
+    }
+    node.log.clear();
+    node.arrive(id);
+    node.run_to(node.now + 10);
+    const auto sent = only<SendAttempt>(node.log);
+    if (!sent) continue;
+    out.emplace_back(id, sent->backend);
+    if (id > 100) ++got[sent->backend];
+  }
+  EXPECT_LT(got[0], 60);
+  EXPECT_EQ(got.size(), 6U);
+}
+
 TEST(Health, FailFastBackendsAreLeftAloneEvenWhileAllOthersAreSlow) {
   // From an incident: two of eleven backends answered each request with an error within milliseconds. So they
   // looked idle and drew half the traffic, while the others, all slow at the time, timed out more often than
