--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -69,8 +69,12 @@
 constexpr int kMostAttempts = 3;            // for one request
 constexpr double kFullRest = 0.5;  // service times for which a backend that turned work away is left alone
 // Tenants: the allowance is a multiple of a tenant's quota; it moves with how busy the backends are.
-constexpr double kBusyTarget = 0.7;      // of the backends' cores: above it the allowances shrink
-constexpr double kMostAllowance = 16;    // while there is room
+constexpr int kRatePeriods = 3;        // a rate reported longer ago than this many periods is not counted
+constexpr double kNodesGain = 0.3;     // weight of one period in the count of nodes
+constexpr double kFellowsDown = 0.6;   // of the stated nodes: fewer than that, and some are taken to be down
+constexpr double kMostNodes = 2;       // times the stated number of nodes
+constexpr double kBusyTarget = 0.7;    // of the backends' cores: above it the allowances shrink
+constexpr double kMostAllowance = 16;  // while there is room
 constexpr double kAllowanceRise = 1.25;  // most that the allowance grows in a period
 constexpr double kQuotaBurst = 2;        // seconds of its allowance that a tenant may send at once
 constexpr double kLeastBurst = 5;        // requests that it may send at once however small its allowance
@@ -136,6 +140,7 @@
   int sent_since = 0;        // own attempts since that report
   Millis full_until = 0;     // it turned work away: nothing more until then
   double busy = -1;          // share of its cores in use at its last report; negative = never reported
+  double rate = -1;          // requests it serves a second, likewise
   double lanes = 1;          // requests it works on at once without slowing
   bool lanes_known = false;  // its reports have told; else they are guessed from warm backends of like size
   bool heard = false;        // an answer, or a time-out, told of its speed this period
@@ -180,6 +185,7 @@
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
     class_ratio_.assign(s_.classes.size(), 1.0);
     purses_.resize(s_.tenants.size());
+    nodes_ = std::max(1, s_.instances);
   }
 
   void handle(const Event& event, Millis now, std::vector<Action>& actions) {
@@ -241,7 +247,7 @@
     b.periods = 0;
     b.credit = 0;
     b.cold_sends.clear();
-    b.reported = b.busy = -1;
+    b.reported = b.busy = b.rate = -1;
     b.lanes_known = false;
     b.lanes = std::max(1.0, b.size * lanes_per_size_);
     b.silences.assign(s_.classes.size() + 1, {});
@@ -277,6 +283,7 @@
         set_shares();
         set_allowance();
         learn_lanes();
+        count_nodes();
         forget();
         break;
       case kLookTimer:
@@ -534,7 +541,7 @@
   // falls back to the fleet's mean, and what this node sent it since. Without reports, every other node is
   // taken to have as many out there as this one.
   double in_hand(const Backend& b) const {
-    if (!believed(b)) return static_cast<double>(b.outstanding * std::max(1, s_.instances));
+    if (!believed(b)) return b.outstanding * nodes_;
     const double fresh = std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
     const double estimate = mean_in_hand_ + (b.reported - mean_in_hand_) * fresh + b.sent_since;
     return std::max(estimate, static_cast<double>(b.outstanding));
@@ -566,6 +573,7 @@
   void learn_report(Backend& b, const LoadReport& report) {
     check_report(b, report);
     b.busy = report.busy;
+    b.rate = report.rate;
     b.reported_at = now_;
     if (report.in_hand >= 0) {
       b.reported = report.in_hand;
@@ -741,12 +749,27 @@
                             1.0, kMostAllowance);
   }
 
+  // How many nodes like this one the traffic amounts to: all that the backends serve over what this node got
+  // served. Tells a node in a busy zone, and one whose fellows are down, that its part is larger. Where
+  // reports carry no rates, all nodes are taken to be up and alike.
+  void count_nodes() {
+    double all = 0;
+    for (const Backend& b : backends_) {
+      if (usable(b) && b.rate >= 0 && now_ - b.reported_at < kRatePeriods * kPeriod) all += b.rate;
+    }
+    const double own = served_ * 1000 / kPeriod;
+    served_ = 0;
+    if (all <= 0 || own <= 0) return;
+    nodes_ += kNodesGain * (std::clamp(all / own, 1.0, kMostNodes * s_.instances) - nodes_);
+  }
+
   // Whether the tenant's request is within this node's part of its allowance (a token bucket).
   bool within_allowance(int tenant) {
     if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
     const double quota = s_.tenants[static_cast<std::size_t>(tenant)].quota_rps;
     if (quota <= 0) return true;
-    const double rate = allowance_ * quota / std::max(1, s_.instances);
+    const double stated = std::max(1, s_.instances);
+    const double rate = allowance_ * quota / (nodes_ < kFellowsDown * stated ? nodes_ : stated);
     Purse& p = purses_[static_cast<std::size_t>(tenant)];
     p.tokens = std::min(std::max(kLeastBurst, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
     p.at = now_;
@@ -848,6 +871,7 @@
     Backend& b = at(e.backend);
     forget_send(b, now_ - e.elapsed);
     if (e.has_report) learn_report(b, e.report);
+    if (e.outcome == Outcome::kServed) served_ += 1;
     if (e.outcome == Outcome::kTurnedAway || (e.has_report && e.report.busy >= 0)) {
       busy_sum_ += e.outcome == Outcome::kTurnedAway ? 1 : e.report.busy;
       answers_ += 1;
@@ -909,6 +933,8 @@
   std::vector<Purse> purses_;  // of each tenant
   double busy_sum_ = 0;        // over this period's answers
   double answers_ = 0;
+  double served_ = 0;                   // in this period
+  double nodes_ = 1;                    // as many nodes like this one would make up the traffic
   double allowance_ = 1;                // multiple of its quota that each tenant may send
   std::vector<BackendId> passed_over_;  // by the last proposal, first ones worth a look
   std::vector<RequestId> looking_;      // held for fresh news, in order
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -737,6 +737,34 @@
   EXPECT_NEAR(sent[0], 200, 25);
 }
 
+TEST(Tenants, ANodeWhoseFellowsAreDownTakesTheWholeQuota) {
+  // From an incident: two of three nodes stopped, and the third refused two thirds of all traffic inside the
+  // quotas.
+  const auto sent_by = [](double rate_seen) {
+    Settings s = plain_settings();
+    s.instances = 3;
+    s.tenants = {{30.0}};
+    Node node(s);
+    node.list(entries(4));
+    for (BackendId i = 0; i < 4; ++i) {
+      node.probe_time[i] = 10;
+      node.load[i].busy = 0.9;
+      node.load[i].rate = rate_seen / 4;
+    }
+    int sent = 0;
+    for (RequestId id = 1; id <= 900; ++id) {  // 30 a second for 30 s
+      node.run_to(node.now + 1000.0 / 30);
+      const auto attempt = only<SendAttempt>(node.arrive(id));
+      if (!attempt) continue;
+      sent += id > 450 ? 1 : 0;
+      node.end(id, attempt->backend, Outcome::kServed);
+    }
+    return sent;
+  };
+  EXPECT_NEAR(sent_by(30), 150, 20) << "three nodes' worth of rate at the backends: a third each";
+  EXPECT_GT(sent_by(10), 300) << "the backends serve hardly more than we send";
+}
+
 TEST(Tenants, ATenantBeyondItsQuotaIsServedWhileThereIsRoom) {
   Settings s = plain_settings();
   s.tenants = {{20.0}};
