--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -442,7 +442,6 @@
   // soonest.
   std::optional<BackendId> propose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
-    passed_over_.clear();
     for (int round = 0; round < 2; ++round) {
       std::size_t kept = 0;
       for (std::size_t n = 0; n < rotation_.size(); ++n) {
@@ -452,10 +451,7 @@
           rotation_[kept++] = i;  // it keeps its turn for another request
           continue;
         }
-        if (expected_answer(r, backends_[i]) > patience) {
-          if (passed_over_.size() < kLooks && may_look(i)) passed_over_.push_back(i);
-          continue;
-        }
+        if (expected_answer(r, backends_[i]) > patience) continue;
         rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(kept),
                         rotation_.begin() + static_cast<std::ptrdiff_t>(n + 1));
         return i;
@@ -494,15 +490,19 @@
     Request& r = it->second;
     if (!r.attempts.empty() || r.look_until > 0 || !s_.probing || s_.probe_price * kLooks > kLookPrice)
       return false;
-    bool asked = false;
-    for (const BackendId i : passed_over_) {
-      Backend& b = backends_[i];
-      asked = true;
+    std::vector<std::pair<Millis, BackendId>> stale;
+    for (BackendId i = 0; i < backends_.size(); ++i) {
+      if (may_look(backends_[i]) && allowed(r, i)) stale.emplace_back(expected_answer(r, backends_[i]), i);
+    }
+    if (stale.empty()) return false;
+    const auto last = stale.begin() + static_cast<std::ptrdiff_t>(std::min(kLooks, stale.size()));
+    std::partial_sort(stale.begin(), last, stale.end());
+    for (auto chosen = stale.begin(); chosen != last; ++chosen) {
+      Backend& b = backends_[chosen->second];
       if (b.probe_out || b.look_out) continue;
       b.look_out = true;
-      act(SendProbe{i});
+      act(SendProbe{chosen->second});
     }
-    if (!asked) return false;
     r.look_until = now_ + kLookWait;
     looking_.push_back(it->first);
     timer(kLookTimer, r.look_until);
@@ -510,11 +510,9 @@
   }
 
   // Whether a probe of this backend would bring news in time.
-  bool may_look(BackendId i) const {
-    const Backend& b = backends_[i];
-    return believed(b) && !b.response_times.empty() && b.response_times.back() <= kLookTime &&
-           now_ - b.reported_at >= kLookAge * service_ &&
-           std::find(passed_over_.begin(), passed_over_.end(), i) == passed_over_.end();
+  bool may_look(const Backend& b) const {
+    return usable(b) && believed(b) && !b.response_times.empty() && b.response_times.back() <= kLookTime &&
+           now_ - b.reported_at >= kLookAge * service_;
   }
 
   // News came in, or the time to wait for it is up (`last`): serve those who waited, in order.
@@ -933,12 +931,11 @@
   std::vector<Purse> purses_;  // of each tenant
   double busy_sum_ = 0;        // over this period's answers
   double answers_ = 0;
-  double served_ = 0;                   // in this period
-  double nodes_ = 1;                    // as many nodes like this one would make up the traffic
-  double allowance_ = 1;                // multiple of its quota that each tenant may send
-  std::vector<BackendId> passed_over_;  // by the last proposal, first ones worth a look
-  std::vector<RequestId> looking_;      // held for fresh news, in order
-  double resends_ = kMostResends;       // left in the retry budget
+  double served_ = 0;               // in this period
+  double nodes_ = 1;                // as many nodes like this one would make up the traffic
+  double allowance_ = 1;            // multiple of its quota that each tenant may send
+  std::vector<RequestId> looking_;  // held for fresh news, in order
+  double resends_ = kMostResends;   // left in the retry budget
   Millis list_wait_ = 0;
 };
 
