--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -210,7 +210,9 @@
   void on(const ListUpdate& update) {
     if (update.kind == ListKind::kFailed) {
       // A refused or broken subscription: ask again, ever later and never in step with other nodes.
-      list_wait_ = std::clamp(list_wait_ * 2, kListRetryMin, kListRetryMax);
+      // Well within the time after which an old list counts as told anew.
+      const Millis most = s_.ask_every > 0 ? std::min(kListRetryMax, s_.ask_every / 4) : kListRetryMax;
+      list_wait_ = std::clamp(list_wait_ * 2, std::min(kListRetryMin, most), most);
       timer(kListTimer, now_ + list_wait_ * (0.5 + random_.unit()));
       return;
     }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -481,6 +481,21 @@
   EXPECT_GE(spread(node, 30).size(), 3U) << "the old list stands";
 }
 
+TEST(Lists, NeverWaitsSoLongThatAnOldListCountsAsToldAnew) {
+  Settings s = plain_settings();
+  s.list_on_request = true;
+  s.ask_every = 1200;
+  Node node(s);
+  node.list(entries(3), ListKind::kStored);
+  for (int i = 0; i < 20; ++i) {
+    const Millis failed = node.now;
+    node.list({}, ListKind::kFailed);
+    node.log.clear();
+    while (none<SubscribeList>(node.log) && node.now < failed + 5000) node.run_to(node.now + 10);
+    EXPECT_LT(node.now - failed, 600);
+  }
+}
+
 // ---- rule: cold backends ----
 
 TEST(Cold, ABackendJustStartedIsSentWithinItsBudget) {
