--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -278,8 +278,9 @@
             if (b.look_out) continue;  // that answer will do
             act(SendProbe{i});
           }
-          timer(kProbeTimer, now_ + kProbeTimeout);
         }
+        // Also where probing is not allowed: rotation, allowances and fading records live by the period.
+        timer(kProbeTimer, now_ + kProbeTimeout);
         break;
       case kProbeTimer:
         set_shares();
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -295,6 +295,24 @@
   EXPECT_GT(orders.size(), 4U);
 }
 
+TEST(Albl, WithoutProbesSlowRecordsStillFade) {
+  // Seen on an altered site: where probing was not allowed nothing that lives by the period ran, and backends
+  // found slow once were left for good.
+  Settings s = plain_settings();
+  s.probing = false;
+  Node node(s);
+  node.list(entries(3));
+  for (RequestId id = 1; id <= 60; ++id) {
+    node.run_to(node.now + 500);
+    const auto sent = only<SendAttempt>(node.arrive(id));
+    if (!sent) continue;
+    const bool slow = sent->backend == 0;
+    node.end(id, sent->backend, slow ? Outcome::kNoAnswer : Outcome::kServed, 0, slow ? 400 : 60);
+  }
+  node.run_to(node.now + 60 * kTestPeriod);
+  EXPECT_GT(spread(node, 90)[0], 15);
+}
+
 TEST(Albl, SameEventsSameActions) {
   const auto play = [](std::uint64_t seed) {
     Node node(plain_settings(), seed);
