--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -135,9 +135,8 @@
   std::vector<Health> errors;
   bool unreachable = false;  // its rest is for want of a connection
   // what its reports and our own outcomes say
-  double reported = -1;  // requests in hand at its last report; negative = never reported
+  double others = -1;  // requests of other nodes in its hands at its last report; negative = never reported
   Millis reported_at = 0;
-  int sent_since = 0;        // own attempts since that report
   Millis full_until = 0;     // it turned work away: nothing more until then
   double busy = -1;          // share of its cores in use at its last report; negative = never reported
   double rate = -1;          // requests it serves a second, likewise
@@ -249,7 +248,7 @@
     b.periods = 0;
     b.credit = 0;
     b.cold_sends.clear();
-    b.reported = b.busy = b.rate = -1;
+    b.others = b.busy = b.rate = -1;
     b.lanes_known = false;
     b.lanes = std::max(1.0, b.size * lanes_per_size_);
     b.silences.assign(s_.classes.size() + 1, {});
@@ -538,14 +537,13 @@
 
   // ---- what is known of a backend ----
 
-  // Requests in its hands, as far as this node can tell: the last report, which with age says ever less and
-  // falls back to the fleet's mean, and what this node sent it since. Without reports, every other node is
-  // taken to have as many out there as this one.
+  // Requests in its hands, as far as this node can tell: its own, which it knows, and those of others, from
+  // the last report, which with age says ever less and falls back to the fleet's mean. Without reports, every
+  // other node is taken to have as many out there as this one.
   double in_hand(const Backend& b) const {
     if (!believed(b)) return b.outstanding * nodes_;
     const double fresh = std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
-    const double estimate = mean_in_hand_ + (b.reported - mean_in_hand_) * fresh + b.sent_since;
-    return std::max(estimate, static_cast<double>(b.outstanding));
+    return b.outstanding + mean_others_ + (b.others - mean_others_) * fresh;
   }
 
   Millis expected_answer(const Request& r, const Backend& b) const {
@@ -568,7 +566,7 @@
   }
 
   bool believed(const Backend& b) const {
-    return b.reported >= 0 && now_ >= b.doubted_until && wrong_reports_ < kWrongShare;
+    return b.others >= 0 && now_ >= b.doubted_until && wrong_reports_ < kWrongShare;
   }
 
   void learn_report(Backend& b, const LoadReport& report) {
@@ -577,9 +575,8 @@
     b.rate = report.rate;
     b.reported_at = now_;
     if (report.in_hand >= 0) {
-      b.reported = report.in_hand;
-      b.sent_since = 0;
-      mean_in_hand_ += kFleetGain * (report.in_hand - mean_in_hand_);
+      b.others = std::max(0.0, report.in_hand - b.outstanding);
+      mean_others_ += kFleetGain * (b.others - mean_others_);
       if (report.waiting > kSomeWaiting) {
         b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
         b.lanes_known = true;
@@ -837,7 +834,6 @@
     const double crowd = std::max(1.0, (in_hand(b) + 1) / b.lanes);
     ++b.outstanding;
     b.sent_times.push_back(now_);
-    ++b.sent_since;
     it->second.attempts.push_back({i, now_, crowd, warmth(b), true, true});
     if (it->second.attempts.size() > 1) resends_ -= 1;
     act(SendAttempt{it->first, i, stop_at(it->second)});
@@ -930,7 +926,7 @@
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double lanes_per_size_ = 0;                        // of warm backends; 0 until one has told
   double wrong_reports_ = 0;   // share of reports found wrong, of those that could be checked
-  double mean_in_hand_ = 0;    // over all reports
+  double mean_others_ = 0;     // over all reports
   std::vector<Purse> purses_;  // of each tenant
   double busy_sum_ = 0;        // over this period's answers
   double answers_ = 0;
