--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -43,6 +43,7 @@
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
 constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
 constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
+constexpr double kWorthless = 0.5;   // of that bound, for a request worth nothing beside the dearest class
 constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
 // Doubt: reports that contradict what this node knows.
 constexpr double kSettled = 0.5;         // service times after which a report must count an attempt
@@ -184,6 +185,7 @@
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
     class_ratio_.assign(s_.classes.size(), 1.0);
     purses_.resize(s_.tenants.size());
+    for (const RequestClass& c : s_.classes) most_worth_ = std::max(most_worth_, c.worth);
     nodes_ = std::max(1, s_.instances);
   }
 
@@ -478,7 +480,10 @@
                           (usable(b) == usable(backends_[*best]) && expected_answer(r, b) < least);
       if (better) best = i, least = expected_answer(r, b);
     }
-    if (!best || least > kRefuseShare * (r.aim_at - now_)) return std::nullopt;
+    // What is worth less gives way sooner.
+    const double worth = s_.classes[static_cast<std::size_t>(r.request_class)].worth / most_worth_;
+    const double bound = kRefuseShare * (kWorthless + (1 - kWorthless) * worth);
+    if (!best || least > bound * (r.aim_at - now_)) return std::nullopt;
     backends_[*best].credit -= 1;  // a turn taken early
     return best;
   }
@@ -926,6 +931,7 @@
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double lanes_per_size_ = 0;                        // of warm backends; 0 until one has told
   double wrong_reports_ = 0;   // share of reports found wrong, of those that could be checked
+  double most_worth_ = 1e-9;   // of any class
   double mean_others_ = 0;     // over all reports
   std::vector<Purse> purses_;  // of each tenant
   double busy_sum_ = 0;        // over this period's answers
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -711,6 +711,27 @@
   EXPECT_GT(refused->wait, 0);
 }
 
+TEST(Admission, WhatIsWorthLessGivesWaySooner) {
+  Settings s = plain_settings();
+  s.classes[0].worth = 1;
+  s.classes[1].worth = 10;
+  int sent[2] = {0, 0};
+  for (double in_hand = 0; in_hand < 6; in_hand += 0.25) {
+    for (const int c : {0, 1}) {
+      Node node(s);
+      node.list(entries(3));
+      for (BackendId i = 0; i < 3; ++i) node.probe_time[i] = 1, node.load[i].in_hand = in_hand;
+      node.run_to(node.now + 300 * kTestPeriod);
+      node.log.clear();
+      node.arrive(1, c);
+      node.run_to(node.now + 20);
+      sent[c] += none<SendAttempt>(node.log) ? 0 : 1;
+    }
+  }
+  EXPECT_GT(sent[0], 3);
+  EXPECT_GT(sent[1], sent[0] + 3);
+}
+
 TEST(Attempts, ARequestIsNotSentOnForEver) {
   Node node;
   node.list(entries(8));
