--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -291,7 +291,7 @@
         forget();
         break;
       case kLookTimer:
-        look_again(true);
+        look_again(false);
         break;
       case kListTimer:
         ask_for_list();
@@ -302,11 +302,9 @@
   void on(const ProbeEnded& ended) {
     Backend& b = at(ended.backend);
     const bool period = std::exchange(b.probe_out, false);
-    b.look_out = false;
-    if (ended.has_report) {
-      learn_report(b, ended.report);
-      if (!looking_.empty()) look_again(false);
-    }
+    if (std::exchange(b.look_out, false)) --looks_out_;
+    if (ended.has_report) learn_report(b, ended.report);
+    if (!looking_.empty()) look_again(looks_out_ == 0);
     if (!period || ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout) return;
     b.answered = true;
     if (b.unreachable) b.errors[0].resting_until = now_;
@@ -508,6 +506,7 @@
       Backend& b = backends_[chosen->second];
       if (b.probe_out || b.look_out) continue;
       b.look_out = true;
+      ++looks_out_;
       act(SendProbe{chosen->second});
     }
     r.look_until = now_ + kLookWait;
@@ -522,15 +521,16 @@
            now_ - b.reported_at >= kLookAge * service_;
   }
 
-  // News came in, or the time to wait for it is up (`last`): serve those who waited, in order.
+  // News came in, the last that is under way (`last`), or the time to wait for it is up: serve those who
+  // waited.
   void look_again(bool last) {
     std::vector<RequestId> waiting;
     waiting.swap(looking_);
     for (const RequestId id : waiting) {
       const Held it = requests_.find(id);
       if (it == requests_.end() || !it->second.attempts.empty()) continue;
-      const bool overdue = last && now_ > it->second.look_until - kTimerSlack;
-      if (overdue || !may_send(it->second)) {
+      const bool overdue = now_ > it->second.look_until - kTimerSlack;
+      if (last || overdue || !may_send(it->second)) {
         proceed(it);
       } else if (const std::optional<BackendId> i = propose(it->second)) {
         send(it, *i);
@@ -939,6 +939,7 @@
   double served_ = 0;               // in this period
   double nodes_ = 1;                // as many nodes like this one would make up the traffic
   double allowance_ = 1;            // multiple of its quota that each tenant may send
+  int looks_out_ = 0;               // probes out of turn under way
   std::vector<RequestId> looking_;  // held for fresh news, in order
   double resends_ = kMostResends;   // left in the retry budget
   Millis list_wait_ = 0;
