Tidy the module: one crowd, one class lookup, one guess of lanes; no change in behaviour

Removed: request fields nobody read, a count that the send times already hold, a second computation of the expected answer, the sum over own requests where the report tells nothing of them, a stale comment and a constant under the wrong heading. The stated number of nodes is at least one in all four places. Tests of fixed probe times share one set-up.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
@@ -36,6 +37,7 @@
 constexpr double kSkipShare = 0.35;
 // Admission: if every backend is expected to need more than this part of it, the request is refused.
 constexpr double kRefuseShare = 1.0;
+constexpr double kWorthless = 0.5;  // of that bound, for a request worth nothing beside the dearest class
 // Look: who is asked out of turn, and when.
 constexpr std::size_t kLooks = 3;    // backends asked for one request
 constexpr double kLookPrice = 0.01;  // most that they may cost together, a request
@@ -43,7 +45,6 @@
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
 constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
 constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
-constexpr double kWorthless = 0.5;   // of that bound, for a request worth nothing beside the dearest class
 constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
 // Doubt: reports that contradict what this node knows.
 constexpr double kSettled = 0.5;         // service times after which a report must count an attempt
@@ -128,8 +129,7 @@
   double share = 0;
   double credit = 0;
   // own traffic
-  int outstanding = 0;
-  std::vector<Millis> sent_times;  // of the attempts outstanding
+  std::vector<Millis> sent_times;  // of our attempts out there
   Millis doubted_until = 0;        // its reports are not believed until then
   std::vector<Millis> cold_sends;  // while cold: sends within the last fall span
   std::vector<Health> silences;    // over all classes, then of each
@@ -145,6 +145,8 @@
   bool lanes_known = false;  // its reports have told; else they are guessed from warm backends of like size
   bool heard = false;        // an answer, or a time-out, told of its speed this period
   double service_ratio = 1;  // its service time over the fleet's
+
+  double outstanding() const { return static_cast<double>(sent_times.size()); }
 };
 
 struct Attempt {
@@ -158,8 +160,6 @@
 
 struct Request {
   int request_class = 0;
-  int tenant = 0;
-  Millis arrived = 0;
   Millis due = 0;
   Millis aim_at = 0;  // an answer after this is worth less or nothing
   bool streaming = false;
@@ -186,7 +186,7 @@
     class_ratio_.assign(s_.classes.size(), 1.0);
     purses_.resize(s_.tenants.size());
     for (const RequestClass& c : s_.classes) most_worth_ = std::max(most_worth_, c.worth);
-    nodes_ = std::max(1, s_.instances);
+    nodes_ = stated_nodes();
   }
 
   void handle(const Event& event, Millis now, std::vector<Action>& actions) {
@@ -252,7 +252,7 @@
     b.cold_sends.clear();
     b.others = b.busy = b.rate = -1;
     b.lanes_known = false;
-    b.lanes = std::max(1.0, b.size * lanes_per_size_);
+    b.lanes = lanes_like_warm(b);
     b.silences.assign(s_.classes.size() + 1, {});
     b.errors.assign(s_.classes.size() + 1, {});
     b.service_ratio = 1;
@@ -435,13 +435,16 @@
     }
   }
 
+  const RequestClass& class_of(const Request& r) const {
+    return s_.classes[static_cast<std::size_t>(r.request_class)];
+  }
+
   static bool usable(const Backend& b) { return b.state == BackendState::kReady && !b.dropped; }
 
   // ---- choosing a backend ----
 
   // The next backend in the rotation that the rules allow for this request and that is not known to be unable
-  // to answer in time (exception "skip"; one passed over so loses its turn). If all are, the one expected
-  // soonest.
+  // to answer in time (exception "skip"; one passed over so loses its turn).
   std::optional<BackendId> propose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
     for (int round = 0; round < 2; ++round) {
@@ -474,12 +477,12 @@
       const BackendId i = static_cast<BackendId>((start + n) % backends_.size());
       const Backend& b = backends_[i];
       if (b.state != BackendState::kReady || !allowed(r, i)) continue;
-      const bool better = !best || (usable(b) && !usable(backends_[*best])) ||
-                          (usable(b) == usable(backends_[*best]) && expected_answer(r, b) < least);
-      if (better) best = i, least = expected_answer(r, b);
+      const Millis expected = expected_answer(r, b);
+      const bool better = !best || (usable(b) != usable(backends_[*best]) ? usable(b) : expected < least);
+      if (better) best = i, least = expected;
     }
     // What is worth less gives way sooner.
-    const double worth = s_.classes[static_cast<std::size_t>(r.request_class)].worth / most_worth_;
+    const double worth = class_of(r).worth / most_worth_;
     const double bound = kRefuseShare * (kWorthless + (1 - kWorthless) * worth);
     if (!best || least > bound * (r.aim_at - now_)) return std::nullopt;
     backends_[*best].credit -= 1;  // a turn taken early
@@ -546,14 +549,16 @@
   // the last report, which with age says ever less and falls back to the fleet's mean. Without reports, every
   // other node is taken to have as many out there as this one.
   double in_hand(const Backend& b) const {
-    if (!believed(b)) return b.outstanding * nodes_;
+    if (!believed(b)) return b.outstanding() * nodes_;
     const double fresh = std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
-    return b.outstanding + mean_others_ + (b.others - mean_others_) * fresh;
+    return b.outstanding() + mean_others_ + (b.others - mean_others_) * fresh;
   }
 
+  // How many service times one more request would take there.
+  double crowd(const Backend& b) const { return std::max(1.0, (in_hand(b) + 1) / b.lanes); }
+
   Millis expected_answer(const Request& r, const Backend& b) const {
-    const double crowd = std::max(1.0, (in_hand(b) + 1) / b.lanes);
-    return service_ * class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio * crowd /
+    return service_ * class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio * crowd(b) /
            warmth(b);
   }
 
@@ -561,10 +566,11 @@
   // now. Load figures have been seen to stand still for half a minute, drawing all traffic to whoever stood
   // at nothing.
   void check_report(Backend& b, const LoadReport& report) {
+    if (report.in_hand < 0) return;
     const Millis before = now_ - kSettled * service_;
     const auto own = std::count_if(b.sent_times.begin(), b.sent_times.end(),
                                    [before](Millis sent) { return sent <= before; });
-    if (own == 0 || report.in_hand < 0) return;
+    if (own == 0) return;
     const bool wrong = report.in_hand + kSomeWaiting < static_cast<double>(own);
     wrong_reports_ += kWrongGain * ((wrong ? 1.0 : 0.0) - wrong_reports_);
     if (wrong) b.doubted_until = now_ + kDoubt;
@@ -580,7 +586,7 @@
     b.rate = report.rate;
     b.reported_at = now_;
     if (report.in_hand >= 0) {
-      b.others = std::max(0.0, report.in_hand - b.outstanding);
+      b.others = std::max(0.0, report.in_hand - b.outstanding());
       mean_others_ += kFleetGain * (b.others - mean_others_);
       if (report.waiting > kSomeWaiting) {
         b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
@@ -627,7 +633,7 @@
   // Rule "no effect twice", for keyed requests: after an attempt that may have run, only its group will do,
   // and only within the window.
   bool in_group(const Request& r, BackendId i) const {
-    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    const RequestClass& c = class_of(r);
     if (c.effect != Effect::kKeyed) return true;
     for (const Attempt& a : r.attempts) {
       if (!a.may_have_run) continue;
@@ -711,11 +717,14 @@
   bool cold_room(Backend& b) {
     if (!cold(b)) return true;
     std::erase_if(b.cold_sends, [this](Millis t) { return now_ - t >= s_.fall_span; });
-    const double capacity = std::max(1.0, b.size * lanes_per_size_) * s_.fall_span / service_;
-    const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / std::max(1, s_.instances);
+    const double capacity = lanes_like_warm(b) * s_.fall_span / service_;
+    const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / stated_nodes();
     return static_cast<double>(b.cold_sends.size()) + 1 <= budget;
   }
 
+  // Guessed from warm backends, by size.
+  double lanes_like_warm(const Backend& b) const { return std::max(1.0, b.size * lanes_per_size_); }
+
   // What warm backends of like size take; it stands while there is none to ask.
   void learn_lanes() {
     double lanes = 0;
@@ -728,7 +737,7 @@
     if (size <= 0) return;
     lanes_per_size_ = lanes / size;
     for (Backend& b : backends_) {
-      if (!b.lanes_known) b.lanes = std::max(1.0, b.size * lanes_per_size_);
+      if (!b.lanes_known) b.lanes = lanes_like_warm(b);
     }
   }
 
@@ -752,6 +761,8 @@
                             1.0, kMostAllowance);
   }
 
+  double stated_nodes() const { return std::max(1, s_.instances); }
+
   // How many nodes like this one the traffic amounts to: all that the backends serve over what this node got
   // served. Tells a node in a busy zone, and one whose fellows are down, that its part is larger. Where
   // reports carry no rates, all nodes are taken to be up and alike.
@@ -763,7 +774,7 @@
     const double own = served_ * 1000 / kPeriod;
     served_ = 0;
     if (all <= 0 || own <= 0) return;
-    nodes_ += kNodesGain * (std::clamp(all / own, 1.0, kMostNodes * s_.instances) - nodes_);
+    nodes_ += kNodesGain * (std::clamp(all / own, 1.0, kMostNodes * stated_nodes()) - nodes_);
   }
 
   // Whether the tenant's request is within this node's part of its allowance (a token bucket).
@@ -771,8 +782,8 @@
     if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
     const double quota = s_.tenants[static_cast<std::size_t>(tenant)].quota_rps;
     if (quota <= 0) return true;
-    const double stated = std::max(1, s_.instances);
-    const double rate = allowance_ * quota / (nodes_ < kFellowsDown * stated ? nodes_ : stated);
+    const double nodes = nodes_ < kFellowsDown * stated_nodes() ? nodes_ : stated_nodes();
+    const double rate = allowance_ * quota / nodes;
     Purse& p = purses_[static_cast<std::size_t>(tenant)];
     p.tokens = std::min(std::max(kLeastBurst, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
     p.at = now_;
@@ -789,8 +800,6 @@
     }
     Request r;
     r.request_class = e.request_class;
-    r.tenant = e.tenant;
-    r.arrived = now_;
     r.due = e.due;
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
@@ -813,7 +822,7 @@
 
   bool may_send(const Request& r) const {
     if (static_cast<int>(r.attempts.size()) >= std::min(s_.max_attempts, kMostAttempts)) return false;
-    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    const RequestClass& c = class_of(r);
     if (now_ >= stop_at(r)) return false;
     if (!r.attempts.empty() && resends_ < 1) return false;
     return c.effect != Effect::kUnsafe || !may_have_run(r);
@@ -821,7 +830,7 @@
 
   // Work on an answer that has lost all its worth only delays the others, so attempts end at the aim then.
   Millis stop_at(const Request& r) const {
-    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    const RequestClass& c = class_of(r);
     return c.late_value > 0 || c.streamed ? r.due : std::min(r.due, r.aim_at);
   }
 
@@ -836,10 +845,8 @@
   void send(Held it, BackendId i) {
     Backend& b = backends_[i];
     if (cold(b)) b.cold_sends.push_back(now_);
-    const double crowd = std::max(1.0, (in_hand(b) + 1) / b.lanes);
-    ++b.outstanding;
+    it->second.attempts.push_back({i, now_, crowd(b), warmth(b), true, true});
     b.sent_times.push_back(now_);
-    it->second.attempts.push_back({i, now_, crowd, warmth(b), true, true});
     if (it->second.attempts.size() > 1) resends_ -= 1;
     act(SendAttempt{it->first, i, stop_at(it->second)});
   }
@@ -847,7 +854,7 @@
   // The final answer of a request that will not be served: a refusal where that is harmless, else a failure.
   void finish(Held it) {
     const Request& r = it->second;
-    const RequestClass& c = s_.classes[static_cast<std::size_t>(r.request_class)];
+    const RequestClass& c = class_of(r);
     const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
                           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
     if (harmless) {
@@ -873,23 +880,22 @@
     Backend& b = at(e.backend);
     forget_send(b, now_ - e.elapsed);
     if (e.has_report) learn_report(b, e.report);
-    if (e.outcome == Outcome::kServed) served_ += 1;
-    if (e.outcome == Outcome::kTurnedAway || (e.has_report && e.report.busy >= 0)) {
-      busy_sum_ += e.outcome == Outcome::kTurnedAway ? 1 : e.report.busy;
+    const bool served = e.outcome == Outcome::kServed;
+    const bool full = e.outcome == Outcome::kTurnedAway;
+    if (served) served_ += 1;
+    if (full) b.full_until = now_ + kFullRest * service_;
+    if (full || (e.has_report && e.report.busy >= 0)) {
+      busy_sum_ += full ? 1 : e.report.busy;
       answers_ += 1;
     }
-    if (e.outcome == Outcome::kTurnedAway) b.full_until = now_ + kFullRest * service_;
     const Held it = requests_.find(e.request);
     if (it == requests_.end()) return;
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
     learn_health(b, r.request_class, e.outcome);
-    if (e.outcome == Outcome::kServed || e.outcome == Outcome::kNoAnswer) {
-      learn_service(r, a, e.elapsed, e.outcome == Outcome::kServed);
-    }
-    a.may_have_run = !(e.outcome == Outcome::kTurnedAway || e.outcome == Outcome::kNoConnection ||
-                       e.outcome == Outcome::kNotSent);
+    if (served || e.outcome == Outcome::kNoAnswer) learn_service(r, a, e.elapsed, served);
+    a.may_have_run = !(full || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
     if (e.request_over) return drop(it);
     if (!any_out(r)) proceed(it);
   }
@@ -897,7 +903,6 @@
   // An attempt is over: the one on record that was sent nearest to then.
   static void forget_send(Backend& b, Millis sent) {
     if (b.sent_times.empty()) return;
-    --b.outstanding;
     b.sent_times.erase(std::min_element(b.sent_times.begin(), b.sent_times.end(), [sent](Millis x, Millis y) {
       return std::abs(x - sent) < std::abs(y - sent);
     }));
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -177,6 +177,16 @@
   return got;
 }
 
+// The same after `periods` of constant probe times.
+std::map<BackendId, int> spread_at(const std::map<BackendId, Millis>& probe_times, int count,
+                                   int periods = 6) {
+  Node node;
+  node.list(entries(static_cast<int>(probe_times.size())));
+  node.probe_time = probe_times;
+  node.run_to(node.now + periods * kTestPeriod);
+  return spread(node, count);
+}
+
 // ---- ALBL ----
 
 TEST(Albl, ProbesEveryReadyBackendEachPeriod) {
@@ -190,12 +200,7 @@
 TEST(Albl, EquationFiveByHand) {
   // Constant probe times: response = delay = t, so shares go as 1/t^2. Times 10, 10, 10, 10 and 12 ms:
   // weights 1, 1, 1, 1 and 0.694, sum 4.694; nobody reaches the cap of 0.3.
-  Node node;
-  node.list(entries(5));
-  for (BackendId i = 0; i < 4; ++i) node.probe_time[i] = 10;
-  node.probe_time[4] = 12;
-  node.run_to(node.now + 6 * kTestPeriod);
-  const auto got = spread(node, 4694);
+  const auto got = spread_at({{0, 10}, {1, 10}, {2, 10}, {3, 10}, {4, 12}}, 4694);
   for (BackendId i = 0; i < 4; ++i) EXPECT_NEAR(got.at(i), 1000, 25);
   EXPECT_NEAR(got.at(4), 694, 25);
 }
@@ -203,12 +208,7 @@
 TEST(Albl, EquationSixByHandWithItsFloor) {
   // All above the threshold, constant: every difference is 0 and meets the same floor, so shares go as
   // 1/delay: 160, 160, 160 and 192 ms give 1, 1, 1 and 0.8333 of 3.8333.
-  Node node;
-  node.list(entries(4));
-  for (BackendId i = 0; i < 3; ++i) node.probe_time[i] = 160;
-  node.probe_time[3] = 192;
-  node.run_to(node.now + 6 * kTestPeriod);
-  const auto got = spread(node, 3833);
+  const auto got = spread_at({{0, 160}, {1, 160}, {2, 160}, {3, 192}}, 3833);
   for (BackendId i = 0; i < 3; ++i) EXPECT_NEAR(got.at(i), 1000, 25);
   EXPECT_NEAR(got.at(3), 833, 25);
 }
@@ -216,21 +216,13 @@
 TEST(Albl, OneBackendUnderTheThresholdSwitchesToEquationFive) {
   // With one at 140 ms Equation 5 applies to all: 1/t^2. Equation 6 would have given the 192 ms backend
   // 0.729 of the first one's share; Equation 5 gives it 0.532.
-  Node node;
-  node.list(entries(4));
-  node.probe_time = {{0, 140}, {1, 140}, {2, 140}, {3, 192}};
-  node.run_to(node.now + 6 * kTestPeriod);
-  const auto got = spread(node, 3532);
+  const auto got = spread_at({{0, 140}, {1, 140}, {2, 140}, {3, 192}}, 3532);
   EXPECT_NEAR(got.at(0), 1000, 25);
   EXPECT_NEAR(got.at(3), 532, 25);
 }
 
 TEST(Albl, NoShareAboveOneAndAHalfTimesTheMean) {
-  Node node;
-  node.list(entries(4));
-  node.probe_time = {{0, 1}, {1, 20}, {2, 20}, {3, 20}};
-  node.run_to(node.now + 8 * kTestPeriod);
-  const auto got = spread(node, 4000);
+  const auto got = spread_at({{0, 1}, {1, 20}, {2, 20}, {3, 20}}, 4000, 8);
   EXPECT_NEAR(got.at(0), 1500, 30);
   for (BackendId i = 1; i < 4; ++i) EXPECT_NEAR(got.at(i), 833, 30);
 }
@@ -241,11 +233,8 @@
   node.probe_time = {{0, 10}, {1, 10}, {2, 10}};  // backend 3 never answers
   node.run_to(node.now + 4 * kTestPeriod);
   EXPECT_EQ(spread(node, 100).count(3), 0U);
-  Node late;
-  late.list(entries(4));
-  late.probe_time = {{0, 10}, {1, 10}, {2, 10}, {3, kTestProbeTimeout + 1}};
-  late.run_to(late.now + 4 * kTestPeriod);
-  EXPECT_EQ(spread(late, 100).count(3), 0U);
+  const auto got = spread_at({{0, 10}, {1, 10}, {2, 10}, {3, kTestProbeTimeout + 1}}, 100, 4);
+  EXPECT_EQ(got.count(3), 0U);
 }
 
 TEST(Albl, WhenOverHalfWouldDropAllKeepTheirShares) {
