SIGHUP rereads the configuration and moves the watch; list and traffic stay

Ruled out: a fault while rereading (nothing was reread), descriptors (55 of 384), memory (1 of 48 MB). NODE_DISCOVERY would have named the old address for good, since variables won over the file: on rereading, the file's address wins over it.

Tests: a node on loopback survives a bad file, then moves its watch from the version reached while a request is under way; the file read again wins over the variable. Both fail without the change (the process ends on SIGHUP).

--- a/src/node/config.h
+++ b/src/node/config.h
@@ -39,7 +39,9 @@
 
 // Throw FieldError with the field and the cause.
 Config parse_config(std::string text, const Overrides& overrides);
-Config load_config(const std::string& path, const Overrides& overrides);
+// A flag wins over the variable of the same name, and both over the file. The variables tell of the start:
+// where the file has been replaced since (`again`), the address of discovery that it names is the newer one.
+Config load_config(const std::string& path, const Overrides& flags, const Overrides& variables, bool again);
 List parse_list(const Json& object);
 
 }  // namespace shorelead::node
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -26,6 +26,13 @@
   expect(waits_.connect, Ending::kConnectTimeout);
 }
 
+void Discovery::move(const Poco::Net::SocketAddress& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (stream_) leave();
+  watch();
+}
+
 void Discovery::expect(Millis wait, Ending otherwise) {
   loop_.cancel(deadline_);
   deadline_ = loop_.after(wait, [this, otherwise] {
@@ -85,12 +92,16 @@
 
 void Discovery::on_end(Stream&, Ending ending) { end(ending); }
 
-void Discovery::end(Ending ending) {
-  if (!stream_) return;
+void Discovery::leave() {
   loop_.cancel(deadline_);
   stream_->close();
   loop_.later([stream = std::move(stream_)] {});  // it may be the one that called
   stream_ = nullptr;
+}
+
+void Discovery::end(Ending ending) {
+  if (!stream_) return;
+  leave();
   listener_.ended(ending);
 }
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -36,6 +36,9 @@
 
   // Opens the watch anew from the version reached; nothing if it stands.
   void watch();
+  // Discovery is now found there: leaves a watch on the old address without a word and opens one on the new,
+  // from the version reached.
+  void move(const Poco::Net::SocketAddress& address);
   bool watching() const { return stream_ != nullptr; }
   std::uint64_t version() const { return version_; }
   Millis last_told() const { return last_told_; }  // when a line, or a sign of life, came; 0 = never
@@ -47,10 +50,11 @@
   void on_end(Stream& stream, Ending ending) override;
   void take_line(std::string_view line);
   void expect(Millis wait, Ending otherwise);
+  void leave();
   void end(Ending ending);
 
   Loop& loop_;
-  const Poco::Net::SocketAddress address_;
+  Poco::Net::SocketAddress address_;
   Listener listener_;
   const Waits waits_;
   std::uint64_t version_;
--- a/src/node/loop.cpp
+++ b/src/node/loop.cpp
@@ -112,7 +112,7 @@
 void Loop::on_signals(std::function<void(int)> handler) {
   sigset_t set;
   sigemptyset(&set);
-  for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&set, signal);
   sigprocmask(SIG_BLOCK, &set, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   on_signal_ = std::move(handler);
--- a/src/node/loop.h
+++ b/src/node/loop.h
@@ -48,7 +48,7 @@
   // Done once the handler at hand has returned, before the next one.
   void later(Task task) { later_.push_back(std::move(task)); }
 
-  // SIGTERM, SIGINT and SIGUSR1 are blocked for the process and come here instead.
+  // SIGTERM, SIGINT, SIGHUP and SIGUSR1 are blocked for the process and come here instead.
   void on_signals(std::function<void(int)> handler);
 
   void run() override;  // once: POCO's reactor does not start again after it was stopped
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,6 +6,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 
@@ -20,36 +21,42 @@
 struct Options {
   std::string config;
   std::string log_level = "info";
-  shorelead::node::Overrides overrides;
+  shorelead::node::Overrides flags;
 };
 
 void add_options(CLI::App& command, Options& options) {
   command.add_option("--config", options.config, "configuration file, JSON")->envname("NODE_CONFIG");
-  command.add_option("--name", options.overrides.name, "name of this node")->envname("NODE_NAME");
-  command.add_option("--listen", options.overrides.listen, "address:port for clients")
-      ->envname("NODE_LISTEN");
-  command.add_option("--discovery", options.overrides.discovery, "address:port of discovery")
-      ->envname("NODE_DISCOVERY");
+  command.add_option("--name", options.flags.name, "name of this node (variable NODE_NAME)");
+  command.add_option("--listen", options.flags.listen, "address:port for clients (variable NODE_LISTEN)");
+  command.add_option("--discovery", options.flags.discovery,
+                     "address:port of discovery (variable NODE_DISCOVERY, until the file is reloaded)");
   command.add_option("--log-level", options.log_level, "debug, info, warning or error")
       ->envname("NODE_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
 }
 
-Config load(const Options& options) {
-  if (options.config.empty()) throw shorelead::FieldError("NODE_CONFIG (or --config) names no file");
-  return shorelead::node::load_config(options.config, options.overrides);
+std::string variable(const char* name) {
+  const char* const value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+Config load(const Options& options, bool again) {
+  const shorelead::node::Overrides variables{variable("NODE_NAME"), variable("NODE_LISTEN"),
+                                             variable("NODE_DISCOVERY")};
+  return shorelead::node::load_config(options.config, options.flags, variables, again);
 }
 
 int serve(const Options& options) {
-  const Config config = load(options);
+  const Config config = load(options, false);
   spdlog::set_default_logger(spdlog::stdout_logger_st(config.name));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %l %v");
   spdlog::set_level(spdlog::level::from_str(options.log_level));
   spdlog::flush_on(spdlog::level::info);
   shorelead::node::Loop loop;
   shorelead::node::Server server(loop, config);
-  loop.on_signals([&server](int signal) {
+  loop.on_signals([&server, &options](int signal) {
     if (signal == SIGUSR1) return server.log_counters();
+    if (signal == SIGHUP) return server.reload([&options] { return load(options, true); });
     server.shut_down();
   });
   spdlog::info("serving on {}, discovery at {}, list {} with {} backends", config.listen.toString(),
@@ -78,7 +85,7 @@
       return 0;
     }
     if (checking->parsed()) {
-      const Config config = load(options);
+      const Config config = load(options, false);
       std::cout << config.name << ": " << config.settings.classes.size() << " classes, "
                 << config.known.backends.size() << " known backends, " << config.limits.sockets
                 << " sockets\n";
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace shorelead::node {
 namespace {
@@ -23,6 +24,7 @@
 Server::Server(Loop& loop, const Config& config, const Waits& waits)
     : loop_(loop),
       config_(config),
+      limits_(config.limits),
       waits_(waits),
       facade_(config.settings, config.host, config.seed),
       jitter_(config.seed),
@@ -175,7 +177,7 @@
   });
 }
 
-int Server::most_streams() const { return config_.limits.sockets - kOwnDescriptors; }
+int Server::most_streams() const { return limits_.sockets - kOwnDescriptors; }
 
 // Unused connections give way, clients' first: a client opens another at no loss. Busy clients may take all
 // the others: a request for which no descriptor is left is refused at once, which makes its client idle.
@@ -201,6 +203,25 @@
   });
 }
 
+void Server::reload(const std::function<Config()>& read) {
+  std::optional<Config> fresh;
+  try {
+    fresh = read();
+  } catch (const std::exception& error) {
+    ++bad_reloads_;
+    spdlog::error("configuration not reloaded, the old one stays: {}", error.what());
+    return;
+  }
+  ++reloads_;
+  limits_ = fresh->limits;
+  spdlog::info("configuration reloaded: discovery at {}, {} sockets; the rest counts from the next start",
+               fresh->discovery.toString(), limits_.sockets);
+  loop_.cancel(rewatch_);
+  watch_wait_ = 0;
+  discovery_->move(fresh->discovery);
+  if (!config_.settings.list_on_request) discovery_->watch();  // the wait for it was just cancelled
+}
+
 void Server::leave_when_empty(Millis until) {
   if (front_->empty() || loop_.now() >= until) {
     spdlog::info("shut down, {} connections left", front_->clients());
@@ -225,9 +246,9 @@
   const Millis told = discovery_->last_told();
   spdlog::info(
       "counters: up_s={:.1f} taken={} served={} refused={} failed={} client_gone={} left_early={} "
-      "malformed={}",
+      "malformed={} reloads={} bad_reloads={}",
       (now - started_) / 1000, front.taken, front.served, front.refused, front.failed, front.client_gone,
-      front.left_early, front.malformed);
+      front.left_early, front.malformed, reloads_, bad_reloads_);
   spdlog::info("counters: answers {}", listed(front.by_status, status));
   spdlog::info("counters: sent={} attempts {}", sent_, listed(attempt_endings_, ending));
   spdlog::info("counters: probes={} {}", probes_, listed(probe_endings_, ending));
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -3,6 +3,7 @@
 // answered what it had taken.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,6 +29,9 @@
   ~Server();
 
   void shut_down();  // as on SIGTERM
+  // As on SIGHUP: what `read` brings counts from now on, where it can without a new start (discovery and the
+  // number of descriptors). Where it throws, all stays as it was.
+  void reload(const std::function<Config()>& read);
   void log_counters() const;
   unsigned short port() const { return front_->port(); }
   const FrontCounters& counters() const { return front_->counters(); }
@@ -49,7 +53,8 @@
   void leave_when_empty(Millis until);
 
   Loop& loop_;
-  const Config& config_;
+  const Config& config_;  // as at the start
+  Limits limits_;
   const Waits waits_;
   Facade facade_;
   std::unique_ptr<Upstream> upstream_;
@@ -70,6 +75,8 @@
   std::map<Ending, std::uint64_t> attempt_endings_;
   std::map<Ending, std::uint64_t> probe_endings_;
   std::map<Ending, std::uint64_t> watch_endings_;
+  std::uint64_t reloads_ = 0;
+  std::uint64_t bad_reloads_ = 0;
   int most_sockets_ = 0;
 };
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
+#include <fstream>
+
 namespace shorelead::node {
 namespace {
 
@@ -51,6 +54,23 @@
   EXPECT_EQ(read.discovery.toString(), "127.0.0.8:2");
 }
 
+// The variables are those of the start; a file that is read again names where discovery is now.
+TEST(Config, AFileReadAgainWinsOverTheVariableForDiscovery) {
+  const std::string path = testing::TempDir() + "shorelead_config_test.json";
+  std::ofstream(path) << config();
+  const Overrides variables{"n9", "127.0.0.7:1", "127.0.0.8:2"};
+  EXPECT_EQ(load_config(path, {}, variables, false).discovery.toString(), "127.0.0.8:2");
+  const Config again = load_config(path, {}, variables, true);
+  EXPECT_EQ(again.discovery.toString(), "127.0.0.5:8500");
+  EXPECT_EQ(again.name, "n9");
+  EXPECT_EQ(again.listen.toString(), "127.0.0.7:1");
+  const Overrides flags{"", "", "127.0.0.9:3"};
+  EXPECT_EQ(load_config(path, flags, variables, true).discovery.toString(), "127.0.0.9:3");
+  EXPECT_THROW(load_config(path + ".missing", {}, variables, true), FieldError);
+  EXPECT_THROW(load_config("", {}, variables, false), FieldError);
+  std::remove(path.c_str());
+}
+
 TEST(Config, NamesTheFieldAndTheCause) {
   const auto refused = [](const std::string& text, const std::string& words) {
     try {
@@ -78,7 +98,7 @@
 
 TEST(Config, AFileThatIsNotThereIsNamed) {
   try {
-    load_config("/nonexistent/config.json", {});
+    load_config("/nonexistent/config.json", {}, {}, false);
     ADD_FAILURE();
   } catch (const FieldError& error) {
     EXPECT_NE(std::string(error.what()).find("/nonexistent/config.json"), std::string::npos);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -57,7 +57,8 @@
   void start() {
     loop = std::make_unique<Loop>();
     server = std::make_unique<Server>(*loop, config, waits);
-    loop->on_signals([this](int) { server->shut_down(); });
+    loop->on_signals(
+        [this](int signal) { signal == SIGHUP ? server->reload(read_again) : server->shut_down(); });
     thread = std::thread([this] { loop->run(); });
   }
 
@@ -72,6 +73,7 @@
   Peer discovery;
   Config config;
   Server::Waits waits;
+  std::function<Config()> read_again;  // on SIGHUP
   std::unique_ptr<Loop> loop;
   std::unique_ptr<Server> server;
   std::thread thread;
@@ -447,6 +449,49 @@
   EXPECT_LT(node.loop->wakeups(), 1000U);  // a spinning reactor makes some hundred thousand
 }
 
+// On SIGHUP: the watch moves to where discovery is now, from the version reached, and the list and the
+// traffic stay. A configuration that cannot be read changes nothing.
+TEST(Node, ANewConfigurationMovesTheWatchAndKeepsTheTraffic) {
+  Peer backend;
+  Peer elsewhere;
+  Node node;
+  node.know("s-1", backend);
+  node.config.known.version = 7;
+  Config next = node.config;
+  next.discovery = Poco::Net::SocketAddress("127.0.0.1", elsewhere.port());
+  int reads = 0;
+  node.read_again = [&] {
+    if (++reads == 1) throw FieldError("broken on purpose");
+    return next;
+  };
+  node.start();
+  Line watch = node.discovery.accept();
+  watch.request();
+  Line client = node.client();
+  client.write(get("/safe/1"));
+  Line there = backend.accept();
+  there.request();
+  ::kill(::getpid(), SIGHUP);
+  const std::string line = R"({"seq":9,"whole":false,"hosts":[]})"
+                           "\n";
+  watch.write(first_line(line));  // the old watch stands after the bad file, and its news count
+  Line probe = node.client();
+  do {
+    probe.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  } while (status_of(probe.answer()) == "HTTP/1.1 503");
+  ::kill(::getpid(), SIGHUP);
+  Line moved = elsewhere.accept();
+  EXPECT_TRUE(holds(moved.request(), "GET /api/targets?watch=1&from=9 "));
+  EXPECT_EQ(watch.rest(), "");  // closed by the node
+  there.write(kOk);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+  client.write(get("/safe/2"));
+  there.request();  // on the same connection
+  there.write(kOk);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+  EXPECT_EQ(reads, 2);
+}
+
 // On SIGTERM: not ready, yet still serving who comes, every answer the last on its connection; then it ends.
 TEST(Node, ServesOnWhileItShutsDown) {
   Peer backend;
