A failure counts less toward a rest where the median backend fails as well

A trace of every attempt showed about 15% of attempts to every backend ending in a broken connection, and backends getting 0 to 8 requests a second by turns while two or three others got 60 to 150 and turned away 570 to 1,170 in 5 s. At fault: judge() in policy.cpp. One refused connection set failing to 1 and rested a backend at once, three broken ones in a row did too, for 1 to 8 s; with a sixth of all attempts broken both come by chance some times a second, and the median of the quick means (0.0 to 0.1) does not show it. Each record now also keeps a slow mean; a failure weighs less by the median backend's.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -68,6 +68,8 @@
 // Health: outcomes of our own attempts, per backend and per backend and class.
 constexpr double kHealthGain = 0.25;  // weight of one outcome in the share of failures
 constexpr double kErrorGain = 0.5;    // and of an error, which no crowd explains
+constexpr double kUsualGain = 0.05;   // weight of one in what is usual; where that is failing, a further
+constexpr double kUsualDoubt = 20;    // failure says less: by one plus this times what is usual
 constexpr double kSickShare = 0.8;    // failing more than this, and
 constexpr double kSickMargin = 0.4;   // this much more than the fleet, a backend rests
 constexpr Millis kRestMin = 1000;     // first rest; doubles while it goes on failing
@@ -114,16 +116,13 @@
 // How often attempts failed of late, and the rest that followed.
 struct Health {
   double failing = 0;
+  double usual = 0;  // the same over more of them
   Millis resting_until = 0;
   Millis rest = 0;
 };
 
-struct Backend {
-  BackendState state = BackendState::kGone;
-  int zone = 0;
-  int cell = 0;
-  Millis started = 0;
-  double size = 1;
+struct Backend : BackendEntry {
+  Backend() { state = BackendState::kGone; }  // till a list names it
   // ALBL
   bool probe_out = false;
   bool look_out = false;               // asked out of turn
@@ -178,7 +177,6 @@
   Millis at = 0;
 };
 
-// What a timer was set for; the low bits of its cookie.
 enum TimerKind : std::uint64_t { kTickTimer, kListTimer, kLookTimer };
 
 }  // namespace
@@ -229,10 +227,7 @@
       Backend& b = backends_[entry.backend];
       const bool returned = entry.state == BackendState::kReady &&
                             (b.state != BackendState::kReady || b.started != entry.started);
-      b.state = entry.state;
-      b.zone = entry.zone;
-      b.cell = entry.cell;
-      b.started = entry.started;
+      static_cast<BackendEntry&>(b) = entry;
       b.size = entry.size > 0 ? entry.size : 1;
       if (returned) welcome(b);
       if (b.state != BackendState::kReady) b.share = b.credit = 0;
@@ -248,8 +243,8 @@
   // A new or returned backend starts over: what was measured before says nothing of it.
   void welcome(Backend& b) {
     Backend fresh;
-    fresh.state = b.state, fresh.zone = b.zone, fresh.cell = b.cell, fresh.started = b.started;
-    fresh.size = b.size, fresh.probe_out = b.probe_out, fresh.look_out = b.look_out;
+    static_cast<BackendEntry&>(fresh) = b;
+    fresh.probe_out = b.probe_out, fresh.look_out = b.look_out;
     fresh.sent_times = std::move(b.sent_times);
     fresh.asked_at = now_ - random_.unit() * kLongestRound;
     b = std::move(fresh);
@@ -697,21 +692,29 @@
 
   void judge(std::vector<Health> Backend::*record, Backend& b, std::size_t n, bool bad, double gain) {
     Health& h = (b.*record)[n];
+    h.usual += kUsualGain * ((bad ? 1.0 : 0.0) - h.usual);
+    // Where connections break everywhere, some failures in a row are chance: were they taken for sickness,
+    // most backends would rest by turns and the others be overrun.
+    if (bad) gain /= 1 + kUsualDoubt * of_median(record, n, &Health::usual);
     h.failing += gain * ((bad ? 1.0 : 0.0) - h.failing);
     if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
     if (!bad || h.failing <= kSickShare || now_ < h.resting_until) return;
     // Compared with the median backend, not with the mean of all attempts: one that fails fast looks idle,
     // draws most of the attempts and would make its own failures the common lot. So most never rest at once.
-    std::vector<double> all;
-    for (const Backend& other : backends_) {
-      if (other.state == BackendState::kReady) all.push_back((other.*record)[n].failing);
-    }
-    if (h.failing <= median(std::move(all)) + kSickMargin) return;
+    if (h.failing <= of_median(record, n, &Health::failing) + kSickMargin) return;
     h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
     h.resting_until = now_ + h.rest;
     h.failing = kSickShare;
   }
 
+  double of_median(std::vector<Health> Backend::*record, std::size_t n, double Health::*figure) const {
+    std::vector<double> all;
+    for (const Backend& b : backends_) {
+      if (b.state == BackendState::kReady) all.push_back((b.*record)[n].*figure);
+    }
+    return median(std::move(all));
+  }
+
   // ---- cold backends ----
 
   bool cold(const Backend& b) const { return b.started > 0 && now_ - b.started < s_.warm_up; }
@@ -737,10 +740,8 @@
     return room >= 1 || r.luck * wish * kColdWish < room;
   }
 
-  // Guessed from warm backends, by size.
   double lanes_like_warm(const Backend& b) const { return std::max(1.0, b.size * lanes_per_size_); }
 
-  // What warm backends of like size take; it stands while there is none to ask.
   void learn_lanes() {
     double lanes = 0;
     double pace = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -873,6 +873,30 @@
   EXPECT_GT(others, 25);
 }
 
+TEST(Health, ChanceFailuresCommonToAllRestNobody) {
+  // From a day on sockets: connections to all backends broke at random, a sixth of them. Each backend rested
+  // by turns for seconds, a refused connection sufficing, and the two or three left were overrun.
+  Node node;
+  node.list(entries(6));
+  for (BackendId i = 0; i < 6; ++i) node.probe_time[i] = 1;
+  node.run_to(node.now + 8 * kTestPeriod);
+  std::uint32_t dice = 1;
+  std::map<BackendId, int> got;
+  for (RequestId id = 1; id <= 3000; ++id) {
+    node.run_to(node.now + 3);
+    const auto sent = only<SendAttempt>(node.arrive(id, 1));
+    ASSERT_TRUE(sent);
+    if (id > 1000) ++got[sent->backend];  // from when it is known that all fail
+    dice = dice * 1664525 + 1013904223;
+    const std::uint32_t roll = (dice >> 16) % 100;
+    node.end(id, sent->backend,
+             roll < 13   ? Outcome::kConnectionLost
+             : roll < 16 ? Outcome::kNoConnection
+                         : Outcome::kServed);
+  }
+  for (BackendId i = 0; i < 6; ++i) EXPECT_GT(got[i], 250) << i;  // of 333
+}
+
 TEST(Health, WhenAllFailNobodyIsLeftOut) {
   Node node;
   node.list(entries(4));
