Clients that ask for nothing go in 2 s; open ids refused; numbers of gone backends given back

Half a request waited 10 s and a silent connection 300 s where 3 s are owed. Facade and module numbered every backend ever seen. Changed, each with a test: front.cpp's waits (2 s; 2.5 s unused where over half the room is taken; who never spoke gives way first), 409 for the id of an open request, 400 for a body on a safe class, a doubled id or deadline and an unreadable X-Cost; facade.cpp gives numbers back; upstream.cpp reads interim answers in a loop, drops a load report with any impossible figure, keeps no connection of a withdrawn backend and makes one pass, not one per backend ever seen, at each list; http.cpp refuses noise with its first wrong byte; stream.cpp keeps no more than what came in.

--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -95,13 +95,14 @@
   open.over = open.over || pass;
   event.request_over = open.over;
   open.out -= 1;
-  if (open.over && open.out == 0) requests_.erase(it);
+  if (open.over && open.out == 0) erase(it);
   feed(event, now);
   return pass ? Choice{Choice::Kind::kPass, request} : take(request, Choice::Kind::kHold);
 }
 
 void Facade::report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load,
                           Millis now) {
+  backends_.at(backend).probes -= 1;
   ProbeEnded event;
   event.backend = backend;
   event.outcome = outcome_of(ending);
@@ -116,14 +117,18 @@
   update.kind = source == ListSource::kStored ? ListKind::kStored
                 : list.whole                  ? ListKind::kFull
                                               : ListKind::kDelta;
+  give_back_numbers();
   if (update.kind != ListKind::kDelta) {
-    for (Known& known : backends_) known.ready = false;
+    for (Known& known : backends_) {
+      known.ready = false;
+      known.gone = true;
+    }
   }
   for (const ListedBackend& listed : list.backends) {
-    const auto [it, fresh] = numbers_.try_emplace(listed.host, static_cast<BackendId>(backends_.size()));
-    if (fresh) backends_.emplace_back();
+    const std::optional<BackendId> number = number_of(listed);
+    if (!number) continue;
     BackendEntry entry;
-    entry.backend = it->second;
+    entry.backend = *number;
     entry.state = state_of(listed.health);
     entry.zone = zone_number(listed.site);
     entry.cell = listed.cell;
@@ -132,11 +137,49 @@
     Known& known = backends_[entry.backend];
     if (!listed.dial.empty()) known.dial = listed.dial;
     known.ready = entry.state == BackendState::kReady;
+    known.gone = entry.state == BackendState::kGone;
     update.entries.push_back(entry);
   }
   feed(update, now);
 }
 
+// The number by which the module knows this backend; none for one that is gone and was never known.
+std::optional<BackendId> Facade::number_of(const ListedBackend& listed) {
+  const auto it = numbers_.find(listed.host);
+  if (it != numbers_.end()) return it->second;
+  if (state_of(listed.health) == BackendState::kGone) return std::nullopt;
+  if (free_.empty()) {
+    free_.push_back(static_cast<BackendId>(backends_.size()));
+    backends_.emplace_back();
+  }
+  const BackendId number = free_.back();
+  free_.pop_back();
+  backends_[number].host = listed.host;
+  return numbers_[listed.host] = number;
+}
+
+// Guards against growing with every backend that ever was: where each replaced one comes back under a new id,
+// the numbers of those that are gone go to others, once no request and no probe is left that names them. Only
+// with the next list, so that whoever keeps connections by number has dropped them by then.
+void Facade::give_back_numbers() {
+  std::vector<char> named(backends_.size(), 0);
+  for (const auto& [request, open] : requests_) {
+    for (const BackendId backend : open.attempts) named[backend] = 1;
+  }
+  for (BackendId number = 0; number < backends_.size(); ++number) {
+    Known& known = backends_[number];
+    if (known.host.empty() || !known.gone || known.probes > 0 || named[number]) continue;
+    numbers_.erase(known.host);
+    known = Known{};
+    free_.push_back(number);
+  }
+}
+
+void Facade::erase(std::unordered_map<RequestId, Open>::iterator it) {
+  deadlines_.erase({it->second.due + kAfterDue, it->first});
+  requests_.erase(it);
+}
+
 void Facade::report_watch_ended(Millis now) {
   // Where lists come by themselves the module never asked, and the host alone sees to the watch.
   if (!settings_.list_on_request) return;
@@ -147,7 +190,7 @@
   const auto it = requests_.find(request);
   if (it == requests_.end() || it->second.over) return;
   it->second.over = true;
-  if (it->second.out == 0) requests_.erase(it);
+  if (it->second.out == 0) erase(it);
   feed(RequestGone{request}, now);
 }
 
@@ -201,6 +244,7 @@
   } else if (const auto* fail = std::get_if<Fail>(&action)) {
     answer(fail->request, {Choice::Kind::kFail, fail->request});
   } else if (const auto* probe = std::get_if<SendProbe>(&action)) {
+    backends_.at(probe->backend).probes += 1;
     errands_.probes.push_back(probe->backend);
   } else if (std::holds_alternative<SubscribeList>(action)) {
     errands_.watch = true;
@@ -243,7 +287,7 @@
   if (it == requests_.end() || it->second.over) return;
   it->second.over = true;
   errands_.choices.push_back(choice);
-  if (it->second.out == 0) requests_.erase(it);
+  if (it->second.out == 0) erase(it);
 }
 
 // What has just been decided of this request, if anything; what came up of others waits for tick().
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -90,13 +92,16 @@
 
   const std::string& dial(BackendId backend) const { return backends_.at(backend).dial; }
   bool wanted(BackendId backend) const { return backends_.at(backend).ready; }
-  std::size_t backends() const { return backends_.size(); }
+  std::size_t backends() const { return numbers_.size(); }
   std::size_t open_requests() const { return requests_.size(); }
 
  private:
   struct Known {
+    std::string host;  // empty: the number is free
     std::string dial;
     bool ready = false;
+    bool gone = false;
+    int probes = 0;  // under way
   };
   struct Open {
     Millis due = 0;
@@ -111,15 +116,19 @@
   void answer(RequestId request, Choice choice);
   Choice take(RequestId request, Choice::Kind otherwise);
   int zone_number(const std::string& name);
+  std::optional<BackendId> number_of(const ListedBackend& listed);
+  void give_back_numbers();
+  void erase(std::unordered_map<RequestId, Open>::iterator it);
 
   const Settings settings_;
   std::vector<std::string> zones_;
   Policy policy_;
   std::vector<Known> backends_;
   std::unordered_map<std::string, BackendId> numbers_;
+  std::vector<BackendId> free_;
   std::unordered_map<RequestId, Open> requests_;
   std::multimap<Millis, std::uint64_t> timers_;
-  std::multimap<Millis, RequestId> deadlines_;
+  std::set<std::pair<Millis, RequestId>> deadlines_;
   std::vector<Event> unsent_;  // attempts that could not be begun, to be told to the module
   Errands errands_;
   std::function<void()> wake_;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -13,14 +13,12 @@
 // A client counts its wait from when it sent the request, this node from when it came in; and the answer has
 // to get there.
 constexpr Millis kTransit = 5;
-constexpr double kTransitShare = 0.1;   // but no more than this part of the wait
-constexpr Millis kMostWait = 3600000;   // that a client may name
-constexpr Millis kRequestWait = 10000;  // for the rest of a request that has begun
-constexpr Millis kIdleWait = 300000;    // for the next one
-constexpr Millis kLinger = 1000;        // for a client to close after its last answer
-constexpr Millis kSweepEvery = 1000;
+constexpr double kTransitShare = 0.1;       // but no more than this part of the wait
+constexpr Millis kMostWait = 3600000;       // that a client may name
+constexpr Millis kLinger = 1000;            // for a client to close after its last answer
 constexpr Millis kPause = 20;               // accepting stopped for want of descriptors
 constexpr std::size_t kMostAhead = 131072;  // bytes taken of what follows the request at hand
+constexpr std::size_t kMostLeft = 1048576;  // and of what follows the last answer
 constexpr int kBacklog = 1024;
 
 const char* reason(int status) {
@@ -33,6 +31,8 @@
       return "Not Found";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 431:
@@ -57,16 +57,24 @@
     last_used = input_at = owner.loop_.now();
   }
 
-  // Between requests. Guards against closing on one that has come in but was not read yet.
-  bool idle() const { return state == State::kReading && begun_at == 0 && stream.quiet(); }
+  // Between requests, as far as has been read.
+  bool idle() const { return state == State::kReading && begun_at == 0; }
 
-  // Nothing is lost if it is closed now: it had its answer, and asks for nothing yet.
-  bool dispensable() const {
-    return (idle() && used) || (state == State::kClosing && stream.flushed() && stream.quiet());
+  // Little is lost if it is closed now: it had its answer and asks for nothing yet, or it has connected and
+  // said nothing for longer than one does who has something to ask.
+  bool dispensable(Millis now) const {
+    if (state == State::kClosing) return stream.flushed();
+    return idle() && (used || now - last_used >= owner.waits_.speak);
   }
 
   void on_input(Stream&) override {
-    if (state == State::kClosing) return stream.input().clear();
+    if (state == State::kClosing) {
+      left += stream.input().size();
+      stream.input().clear();
+      // Guards against work for a client that sends on without end.
+      if (left > kMostLeft) owner.forget(*this);
+      return;
+    }
     input_at = owner.loop_.now() - stream.waited();
     if (state == State::kReading) return read();
     if (stream.input().size() > kMostAhead) stream.want_input(false);
@@ -144,7 +152,7 @@
   bool last() const { return !keep_alive || owner.draining_ || owner.paused_ || owner.listener_.crowded(); }
 
   void answered(bool bye) {
-    owner.waiting_.erase(request);
+    owner.release(*this);
     request = 0;
     begun_at = 0;
     told_to_go_on = false;
@@ -176,7 +184,7 @@
     if (state == State::kWaiting) {
       spdlog::debug("client gone ({}) with request {} under way", name_of(ending), request);
       const RequestId gone = request;
-      owner.waiting_.erase(gone);
+      owner.release(*this);
       ++owner.counters_.client_gone;
       owner.forget(*this);
       if (gone != 0) owner.listener_.gone(gone);
@@ -196,11 +204,12 @@
   Millis begun_at = 0;  // when the request at hand began to come in; 0 = none has
   Millis input_at = 0;  // when the system took in what was read last
   Millis last_used = 0;
+  std::size_t left = 0;  // bytes that came after the last answer
 };
 
 Front::Front(Loop& loop, const Poco::Net::SocketAddress& address, const Settings& settings,
-             const HostSettings& host, Listener listener)
-    : loop_(loop), settings_(settings), host_(host), listener_(std::move(listener)) {
+             const HostSettings& host, Listener listener, const Waits& waits)
+    : loop_(loop), settings_(settings), host_(host), listener_(std::move(listener)), waits_(waits) {
   socket_ = std::make_unique<Poco::Net::ServerSocket>();
   socket_->bind(address, true, false);
   socket_->listen(kBacklog);
@@ -267,6 +276,11 @@
   const char* cause = "";
   const int refusal = classify(message, ask, cause);
   if (refusal != 0) return client.answer(refusal, cause, 0, false);
+  // Guards against another's request being taken for a repeat of this one, by a backend or by whoever reads
+  // its records.
+  if (!open_ids_.emplace(message.value("x-request-id")).second) {
+    return client.answer(409, "a request with this X-Request-ID is open", 0, false);
+  }
   const Millis wait = ask.due;
   ask.due = client.begun_at + wait - std::min(kTransit, kTransitShare * wait);
   client.request = ++last_request_;
@@ -292,7 +306,15 @@
                         ? method == "GET"
                         : method == "POST" && keyed == (request_class.effect == Effect::kKeyed);
   if (!fits) return cause = "method or Idempotency-Key does not fit the class", 400;
+  if (request_class.effect == Effect::kSafe && !message.body().empty()) {
+    return cause = "a body does not fit the class", 400;
+  }
   if (message.value("x-request-id").empty()) return cause = "X-Request-ID is missing", 400;
+  // Guards against a backend that reads the other one of two.
+  for (const char* const once : {"x-request-id", "x-timeout-ms", "idempotency-key"}) {
+    const auto same = [&](const Field& field) { return same_name(field.name.in(raw), once); };
+    if (std::count_if(head.fields.begin(), head.fields.end(), same) > 1) return cause = "field twice", 400;
+  }
   ask.due = request_class.deadline;
   if (const Field* wait = head.find(raw, "x-timeout-ms")) {
     const auto value = parse_whole(wait->value.in(raw));
@@ -305,11 +327,21 @@
   if (!tenant.empty() && named != host_.tenants.end()) {
     ask.tenant = static_cast<int>(named - host_.tenants.begin());
   }
-  ask.expected_work = parse_decimal(message.value("x-cost")).value_or(-1);
+  if (const Field* cost = head.find(raw, "x-cost")) {
+    const auto value = parse_decimal(cost->value.in(raw));
+    if (!value || *value < 0) return cause = "bad X-Cost", 400;
+    ask.expected_work = *value;
+  }
   ask.client_retry = message.value("x-retried") == "1";
   return 0;
 }
 
+// The request at hand has its answer, or nobody waits for it any more.
+void Front::release(const Client& client) {
+  if (waiting_.erase(client.request) == 0) return;
+  open_ids_.erase(std::string(client.message->value("x-request-id")));
+}
+
 void Front::serve(RequestId request, const Message& answer) {
   const auto it = waiting_.find(request);
   if (it == waiting_.end()) return;
@@ -332,16 +364,27 @@
 }
 
 bool Front::evict_idle() {
-  Client* oldest = nullptr;
+  const Millis now = loop_.now();
+  std::vector<Client*> spare;
   for (const auto& [client, hold] : clients_) {
-    if (oldest != nullptr && client->last_used >= oldest->last_used) continue;
-    if (client->dispensable()) oldest = client;
+    if (client->dispensable(now)) spare.push_back(client);
   }
-  if (oldest == nullptr) return false;
-  if (!oldest->stream.close_quiet()) return false;
-  ++counters_.evicted;
-  forget(*oldest);
-  return true;
+  // Who never asked for anything first, then who has not for longest.
+  const auto after = [](const Client* a, const Client* b) {
+    return std::pair(a->used, a->last_used) > std::pair(b->used, b->last_used);
+  };
+  std::make_heap(spare.begin(), spare.end(), after);
+  while (!spare.empty()) {
+    Client* const client = spare.front();
+    if (client->stream.close_quiet()) {
+      ++counters_.evicted;
+      forget(*client);
+      return true;
+    }
+    std::pop_heap(spare.begin(), spare.end(), after);  // something has come in, to be read next
+    spare.pop_back();
+  }
+  return false;
 }
 
 void Front::drain() {
@@ -377,26 +420,32 @@
   if (paused_) loop_.later([this] { look_for_room(); });
 }
 
+bool Front::overdue(const Client& client, Millis now) const {
+  if (client.state == Client::State::kWaiting) return false;
+  if (client.state == Client::State::kClosing) return now - client.last_used >= kLinger;
+  if (client.begun_at > 0) return now - client.begun_at >= waits_.request;
+  const Millis most = !client.used ? waits_.request : listener_.roomy() ? waits_.idle : waits_.idle_crowded;
+  return now - client.last_used >= most;
+}
+
+// Guards against clients that hold a connection and ask for nothing, or never for all of it.
 void Front::sweep() {
   const Millis now = loop_.now();
-  const auto clients = clients_;
-  for (const auto& [client, hold] : clients) {
-    switch (client->state) {
-      case Client::State::kReading:
-        if (client->begun_at > 0 && now - client->begun_at >= kRequestWait) {
-          client->answer(408, "request did not come whole", 0, true);
-        } else if (now - client->last_used >= kIdleWait && client->idle() && client->stream.close_quiet()) {
-          forget(*client);
-        }
-        break;
-      case Client::State::kClosing:
-        if (now - client->last_used >= kLinger) forget(*client);
-        break;
-      case Client::State::kWaiting:
-        break;
+  std::vector<std::shared_ptr<Client>> found;
+  for (const auto& [client, hold] : clients_) {
+    if (overdue(*client, now)) found.push_back(hold);
+  }
+  for (const auto& client : found) {
+    if (client->state == Client::State::kClosing) {
+      forget(*client);
+    } else if (client->begun_at > 0) {
+      client->answer(408, "request did not come whole", 0, true);
+    } else if (client->stream.close_quiet()) {
+      ++(client->used ? counters_.idle : counters_.silent);
+      forget(*client);
     }
   }
-  sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
+  sweep_ = loop_.after(waits_.sweep, [this] { sweep(); });
 }
 
 }  // namespace shorelead::node
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "node/facade.h"
 #include "node/http.h"
@@ -28,7 +29,9 @@
   std::uint64_t failed = 0;
   std::uint64_t client_gone = 0;
   std::uint64_t left_early = 0;  // clients that were gone when their request was read; not taken
-  std::uint64_t malformed = 0;   // answered with 400, 404, 408, 413 or 431
+  std::uint64_t malformed = 0;   // answered with 400, 404, 408, 409, 413 or 431
+  std::uint64_t silent = 0;      // connections closed that had never asked for anything
+  std::uint64_t idle = 0;        // and that had not for long
   std::uint64_t evicted = 0;
   std::uint64_t paused = 0;  // times that accepting was stopped for want of descriptors
   std::map<int, std::uint64_t> by_status;
@@ -41,12 +44,26 @@
     std::function<void(RequestId)> gone;
     std::function<bool()> ready;
     std::function<bool()> crowded;    // whether room is short
+    std::function<bool()> roomy;      // whether there is plenty of room
     std::function<bool()> make_room;  // whether one more client may be taken in
   };
 
+  struct Waits {
+    // For the first request on a connection, and for the rest of one that has begun. Whoever sends none of it
+    // for so long has none, or never will have all of it.
+    Millis request = 2000;
+    Millis idle = 300000;        // for the next one
+    Millis idle_crowded = 2500;  // the same where many connections are open
+    Millis speak = 250;  // a new client that has said nothing for so long gives way where room is short
+    Millis sweep = 250;  // how often all these are looked after
+  };
+
   // Throws Poco::Exception where the address cannot be listened on.
   Front(Loop& loop, const Poco::Net::SocketAddress& address, const Settings& settings,
-        const HostSettings& host, Listener listener);
+        const HostSettings& host, Listener listener)
+      : Front(loop, address, settings, host, std::move(listener), Waits()) {}
+  Front(Loop& loop, const Poco::Net::SocketAddress& address, const Settings& settings,
+        const HostSettings& host, Listener listener, const Waits& waits);
   ~Front() override;
 
   // Final answers. To a client that is gone they are nothing.
@@ -74,8 +91,10 @@
   void pause_accepting();
   void look_for_room();
   void begin(Client& client);  // the request at hand
+  void release(const Client& client);
   int classify(const Message& message, Ask& ask, const char*& cause) const;
   void close_idle(bool only_used);
+  bool overdue(const Client& client, Millis now) const;
   void forget(Client& client);
   void sweep();
 
@@ -83,10 +102,12 @@
   const Settings& settings_;
   const HostSettings& host_;
   Listener listener_;
+  const Waits waits_;
   std::unique_ptr<Poco::Net::ServerSocket> socket_;
   std::unique_ptr<Watch> watch_;
   std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
   std::unordered_map<RequestId, Client*> waiting_;
+  std::unordered_set<std::string> open_ids_;  // X-Request-ID of those that wait
   RequestId last_request_ = 0;
   bool draining_ = false;
   bool paused_ = false;
--- a/src/node/http.cpp
+++ b/src/node/http.cpp
@@ -144,6 +144,7 @@
 
 // Reads lines as far as they are whole, so that no split makes a difference and nothing is read twice.
 bool Parser::parse_head(std::string_view buffer) {
+  if (head_size_ == 0 && !may_begin(buffer)) return false;
   while (true) {
     const std::size_t end = buffer.find('\n', scan_);
     if (end == std::string_view::npos || end >= kMostHead) {
@@ -170,6 +171,19 @@
   }
 }
 
+// Guards against waiting for the end of what cannot become a message: noise has no line ends to wait for.
+bool Parser::may_begin(std::string_view buffer) {
+  const std::string_view start = buffer.substr(at_);
+  if (kind_ == Kind::kResponse) {
+    constexpr std::string_view kStart = "HTTP/1.";
+    const std::size_t come = std::min(start.size(), kStart.size());
+    return start.substr(0, come) == kStart.substr(0, come) || (bad(400, "bad status line"), false);
+  }
+  // A line end before the request line is settled further on.
+  const bool fits = start.empty() || token_char(start[0]) || start[0] == '\r' || start[0] == '\n';
+  return fits || (bad(400, "bad request line"), false);
+}
+
 bool Parser::parse_start_line(std::string_view buffer, Place place) {
   const std::string_view line = place.in(buffer);
   const auto version = [this](std::string_view text) {
--- a/src/node/http.h
+++ b/src/node/http.h
@@ -72,6 +72,7 @@
  private:
   State bad(int refusal, const char* cause);
   bool parse_head(std::string_view buffer);
+  bool may_begin(std::string_view buffer);
   bool parse_start_line(std::string_view buffer, Place line);
   bool parse_field(std::string_view buffer, Place line);
   bool settle_framing(std::string_view buffer);
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -11,6 +11,7 @@
 constexpr int kOwnDescriptors =
     32;                            // standard streams, reactor, timers, signals, listener, watch, some spare
 constexpr int kCrowded = 8;        // room is short when less than one in so many descriptors is free
+constexpr int kRoomy = 2;          // and plentiful when less than one in so many is in use
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
 constexpr Millis kLeaveEvery = 20;
 constexpr Millis kLeaveAfter = 600;  // beyond the longest deadline, whatever is left
@@ -65,6 +66,7 @@
                         return facade_.backends() > 0 && loop_.now() - started_ >= kReadyWait;
                       },
                       [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
+                      [this] { return Stream::open_count() * kRoomy < most_streams(); },
                       [this] { return make_room(); }});
   facade_.start(config.known, loop_.now());
   if (!config.settings.list_on_request) discovery_->watch();
@@ -159,9 +161,7 @@
   spdlog::info("list {}: {}, {} ready, {} draining, {} gone", list.version, list.whole ? "whole" : "changes",
                ready, draining, list.backends.size() - ready - draining);
   facade_.report_list(list, ListSource::kWatch, loop_.now());
-  for (BackendId backend = 0; backend < facade_.backends(); ++backend) {
-    if (!facade_.wanted(backend)) upstream_->withdraw(backend);
-  }
+  upstream_->withdraw([this](BackendId backend) { return facade_.wanted(backend); });
 }
 
 void Server::watch_ended(Ending ending) {
@@ -255,10 +255,12 @@
   spdlog::info("counters: list version={} age_s={:.1f} watches={} {}", discovery_->version(),
                told > 0 ? (now - told) / 1000 : -1.0, discovery_->opened(), listed(watch_endings_, ending));
   spdlog::info(
-      "counters: sockets open={} most={} clients={} accepted={} evicted={} paused={} backends={} idle={} "
+      "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} paused={} "
+      "backends={} idle={} "
       "made={} reused={}",
-      Stream::open_count(), most_sockets_, front_->clients(), front.accepted, front.evicted, front.paused,
-      upstream_->connections(), upstream_->idle(), upstream_->opened(), upstream_->reused());
+      Stream::open_count(), most_sockets_, front_->clients(), front.accepted, front.silent, front.idle,
+      front.evicted, front.paused, upstream_->connections(), upstream_->idle(), upstream_->opened(),
+      upstream_->reused());
   spdlog::info("counters: open_requests={} worst_timer_lag_ms={:.2f} wakeups={}", facade_.open_requests(),
                loop_.worst_lag(), loop_.wakeups());
 }
--- a/src/node/stream.cpp
+++ b/src/node/stream.cpp
@@ -171,15 +171,17 @@
   if (!open()) return;
   // A connection that is still being made has nothing to read; whether it came up is told as writable.
   if (!connected_) return on_writable();
-  const std::size_t held = input_.size();
-  input_.resize(held + kReadSize);
+  // Read aside, so that what is kept of a connection is no larger than what came in.
+  std::array<char, kReadSize> part;
   ssize_t got = 0;
   do {
-    got = ::recv(fd(), input_.data() + held, kReadSize, 0);
+    got = ::recv(fd(), part.data(), part.size(), 0);
   } while (got < 0 && errno == EINTR);
   const int error = errno;
-  input_.resize(held + (got > 0 ? static_cast<std::size_t>(got) : 0));
-  if (got > 0) return handler_.on_input(*this);
+  if (got > 0) {
+    input_.append(part.data(), static_cast<std::size_t>(got));
+    return handler_.on_input(*this);
+  }
   if (got == 0) return fail(Ending::kPeerClosed);
   if (error != EAGAIN && error != EWOULDBLOCK) fail(Ending::kBroken);
 }
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <cmath>
 #include <iterator>
+#include <map>
+#include <utility>
 
 namespace shorelead::node {
 namespace {
@@ -15,6 +17,7 @@
 constexpr Millis kConnectUntold = 1000;  // nor for how long to wait for a connection
 constexpr Millis kProbeWait = 250;       // a probe unanswered by then tells nothing any more
 constexpr Millis kSweepEvery = 1000;
+constexpr double kMostLoad = 1e5;      // in any figure of a load report: no machine has so many in hand
 constexpr std::size_t kMostIdle = 32;  // connections kept for one backend
 
 }  // namespace
@@ -38,8 +41,10 @@
         std::find_if(kNames.begin(), kNames.end(),
                      [name = trim(pair.substr(0, equals))](const auto& n) { return n.first == name; });
     if (named == kNames.end() || equals == pair.size()) continue;
+    // A report that is wrong in one figure is not to be believed in the others; and one huge figure would
+    // outweigh all that is known of a fleet for hours.
     const std::optional<double> value = parse_decimal(trim(pair.substr(equals + 1)));
-    if (!value || *value < 0) continue;
+    if (!value || *value < 0 || *value > kMostLoad) return std::nullopt;
     report.*(named->second) = *value;
     any = true;
   }
@@ -102,21 +107,21 @@
 
   void on_input(Stream&) override {
     if (!job) return owner.forget(*this);  // it says something unasked: never to be used again
-    answer.raw = std::move(stream.input());
-    stream.input() = {};
-    const Parser::State state = answer.parser.advance(answer.raw);
+    answer.raw = std::exchange(stream.input(), {});
+    Parser::State state = answer.parser.advance(answer.raw);
+    // Interim answers, however many: the final one follows. But nobody asked for another protocol.
+    while (state == Parser::State::kDone && answer.head().status < 200 && answer.head().status != 101) {
+      answer.raw.erase(0, answer.parser.size());
+      answer.parser.reset();
+      state = answer.parser.advance(answer.raw);
+    }
     if (state == Parser::State::kBad) return owner.finish(*this, Ending::kMalformed, nullptr, false);
     if (state != Parser::State::kDone) {
       stream.input() = std::move(answer.raw);
       return;
     }
     const int status = answer.head().status;
-    if (status < 200) {  // an interim answer; the final one follows
-      stream.input() = answer.raw.substr(answer.parser.size());
-      answer = Message(Parser::Kind::kResponse);
-      if (!stream.input().empty()) on_input(stream);
-      return;
-    }
+    if (status == 101) return owner.finish(*this, Ending::kMalformed, nullptr, false);
     // Bytes beyond the answer leave it open what the next one would be.
     const bool keep = answer.head().keep_alive && answer.raw.size() == answer.parser.size() && written();
     owner.finish(*this, judge(status), &answer, keep);
@@ -149,7 +154,8 @@
   const std::string dial;
   Stream stream;
   std::unique_ptr<Job> job;
-  bool asked = false;  // the request of this job was handed to the stream
+  bool asked = false;      // the request of this job was handed to the stream
+  bool withdrawn = false;  // not to be kept: its backend was withdrawn, and its number may go to another
   Message answer{Parser::Kind::kResponse};
   Millis unused_since = 0;
 };
@@ -270,10 +276,12 @@
   link.asked = false;
   link.unused_since = loop_.now();
   const std::shared_ptr<Link> hold = link.shared_from_this();  // the answer is the link's
-  if (!keep) forget(link);
+  if (!keep || link.withdrawn) forget(link);
   // Whoever is silent may have lost the connections kept to it as well: what is sent on them then would be
   // reset later and might have run, while a new one that does not come up proves that nothing did.
-  if (ending == Ending::kTimeout && !job->probe) drop_idle(link.backend);
+  if (ending == Ending::kTimeout && !job->probe) {
+    drop_idle([backend = link.backend](const Link& other) { return other.backend == backend; });
+  }
   if (job->probe) {
     listener_.probe_done(link.backend, result);
   } else {
@@ -291,9 +299,11 @@
   }
 }
 
-void Upstream::withdraw(BackendId backend) {
-  drop_idle(backend);
-  stop_where([backend](const Link& link) { return link.backend == backend; });
+void Upstream::withdraw(const std::function<bool(BackendId)>& wanted) {
+  const auto unwanted = [&wanted](const Link& link) { return !wanted(link.backend); };
+  drop_idle(unwanted);
+  for (const auto& link : links_) link->withdrawn = link->withdrawn || unwanted(*link);
+  stop_where(unwanted);
 }
 
 void Upstream::stop_unsent(RequestId request) {
@@ -311,11 +321,12 @@
   }
 }
 
-void Upstream::drop_idle(BackendId backend) {
-  const auto links = links_;
-  for (const auto& link : links) {
-    if (link->backend == backend && link->idle()) forget(*link);
-  }
+template <typename Which>
+void Upstream::drop_idle(const Which& which) {
+  std::vector<std::shared_ptr<Link>> found;
+  std::copy_if(links_.begin(), links_.end(), std::back_inserter(found),
+               [&which](const auto& link) { return link->idle() && which(*link); });
+  for (const auto& link : found) forget(*link);
 }
 
 bool Upstream::evict_idle() {
@@ -342,14 +353,10 @@
 
 void Upstream::sweep() {
   const Millis now = loop_.now();
-  const auto links = links_;
-  for (const auto& link : links) {
-    const auto kept =
-        static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(), [&](const auto& l) {
-          return l->idle() && l->backend == link->backend;
-        }));
-    if (link->idle() && (now - link->unused_since >= most_idle_ || kept > kMostIdle)) forget(*link);
-  }
+  std::map<BackendId, std::size_t> kept;
+  drop_idle([&](const Link& link) {
+    return now - link.unused_since >= most_idle_ || ++kept[link.backend] > kMostIdle;
+  });
   sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
 }
 
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -42,8 +42,9 @@
   // The request is over: an attempt at it that waits for a connection is not to be written any more.
   void stop_unsent(RequestId request);
   void probe(BackendId backend, const std::string& dial);
-  // Nothing new may go to this backend: ends what was not yet written and the connections kept.
-  void withdraw(BackendId backend);
+  // Nothing new may go to a backend that is not wanted: ends what was not yet written and the connections
+  // kept.
+  void withdraw(const std::function<bool(BackendId)>& wanted);
   bool evict_idle();  // closes the connection that was unused for longest
 
   std::size_t connections() const { return links_.size(); }
@@ -62,7 +63,8 @@
   void time_limit(const std::shared_ptr<Link>& link);
   void finish(Link& link, Ending ending, const Message* answer, bool keep);
   void forget(Link& link);
-  void drop_idle(BackendId backend);
+  template <typename Which>
+  void drop_idle(const Which& which);
   template <typename Which>
   void stop_where(const Which& which);
   void sweep();
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace shorelead::node {
 namespace {
@@ -189,6 +190,47 @@
   EXPECT_EQ(f.facade.backends(), 2U);
 }
 
+// Guards against growing with every backend that ever was: numbers of those gone are given to others, but not
+// while a request or a probe still names them.
+TEST(Facade, NumbersOfBackendsThatAreGoneAreGivenBack) {
+  Fixture f(2);
+  const Choice held = f.pick(kSafe);
+  const RequestId request = f.last;
+  ASSERT_EQ(held.kind, Choice::Kind::kSend);
+  std::uint64_t version = 0;
+  const auto replace = [&](const std::string& old_host, const std::string& host) {
+    List change;
+    change.version = ++version;
+    change.backends.resize(2);
+    change.backends[0].host = old_host;
+    change.backends[0].health = "gone";
+    change.backends[1] = list_of(1).backends[0];  // at an address that another had before
+    change.backends[1].host = host;
+    f.facade.report_list(change, ListSource::kWatch, f.now);
+  };
+  replace("s-0", "n-0");
+  replace("s-1", "n-1");
+  std::set<BackendId> met;
+  for (int i = 2; i < 200; ++i) {
+    replace("n-" + std::to_string(i - 2), "n-" + std::to_string(i));
+    EXPECT_EQ(f.facade.backends(), 4U) << i;  // two, the one just gone and the one held
+    const Choice choice = f.pick(kSafe);
+    ASSERT_EQ(choice.kind, Choice::Kind::kSend);
+    met.insert(choice.backend);
+    f.report(0, Ending::kServed);
+  }
+  EXPECT_EQ(met.count(held.backend), 0U);
+  EXPECT_LE(met.size(), 5U);
+  f.last = request;
+  EXPECT_EQ(f.report(0, Ending::kServed).kind, Choice::Kind::kPass);
+  replace("n-198", "n-200");
+  replace("n-199", "n-201");
+  EXPECT_EQ(f.facade.backends(), 3U);
+  // Of a backend never heard of there is nothing to remember once it is gone.
+  replace("never", "n-202");
+  EXPECT_EQ(f.facade.backends(), 3U);
+}
+
 TEST(Facade, KeyedRequestsStayInTheirZone) {
   Fixture f(1);
   List other;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -174,6 +174,18 @@
   EXPECT_EQ(state_of(bodiless), State::kDone);
 }
 
+// Guards against waiting out an attempt's time for noise that cannot become an answer.
+TEST(Http, NoiseIsRefusedWithItsFirstWrongByte) {
+  for (const std::string text :
+       {"\x01\x02\x03", "HTTQ", "HTTP/2.0 200 OK", "<html>", " HTTP/1.1 200 OK\r\n\r\n"}) {
+    for (std::size_t split = 0; split <= text.size(); ++split) {
+      Message message = parse(text, split, Kind::kResponse);
+      EXPECT_EQ(state_of(message), State::kBad) << text << " split at " << split;
+    }
+  }
+  expect_refused(std::string("\x16\x03\x01", 3), 400, "bad request line");
+}
+
 // Guards against a 200 cut short passing for a whole one.
 TEST(Http, AnswerCutShortIsNeverDone) {
   for (const std::string text : {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -97,12 +97,18 @@
   return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size.data() + line + "\r\n";
 }
 
-std::string get(const std::string& path, const std::string& fields = "") {
-  return "GET " + path + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: r1\r\n" + fields + "\r\n";
+// New with every request.
+std::string id_field() {
+  static int last = 0;
+  return "X-Request-ID: r" + std::to_string(++last) + "\r\n";
+}
+
+std::string get(const std::string& path, const std::string& fields = "", const std::string& id = id_field()) {
+  return "GET " + path + " HTTP/1.1\r\nHost: origin.svc\r\n" + id + fields + "\r\n";
 }
 
 std::string post(const std::string& path, const std::string& body, const std::string& fields = "") {
-  return "POST " + path + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: r1\r\n" + fields +
+  return "POST " + path + " HTTP/1.1\r\nHost: origin.svc\r\n" + id_field() + fields +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -123,7 +129,7 @@
   Line there = backend.accept();
   const std::string request = there.request();
   EXPECT_EQ(request.rfind("POST /unsafe/x?user=u1 HTTP/1.1\r\n", 0), 0U) << request;
-  EXPECT_TRUE(holds(request, "X-Request-ID: r1\r\n"));
+  EXPECT_TRUE(holds(request, "X-Request-ID: r"));
   EXPECT_TRUE(holds(request, "X-Custom: c\r\n"));
   EXPECT_TRUE(holds(request, "X-Timeout-Ms: "));
   EXPECT_FALSE(holds(request, "X-Timeout-Ms: 9000\r\n"));
@@ -298,6 +304,10 @@
       {get("/safe", "X-Timeout-Ms: -5\r\n"), "400"},
       {"GET /safe HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
       {post("/unsafe", "x", "Content-Length: 1\r\n"), "400"},
+      {get("/safe", "X-Request-ID: r2\r\n"), "400"},
+      {get("/safe", "X-Cost: much\r\n"), "400"},
+      {get("/safe", "X-Cost: -1\r\n"), "400"},
+      {get("/safe", "Content-Length: 1\r\n") + "x", "400"},
       {"POST /unsafe HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n", "413"},
       {"GET /" + std::string(20000, 'a'), "431"},
   };
@@ -401,6 +411,43 @@
   EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
 }
 
+// Guards against being shut off by clients that connect and say nothing: they give way to those who ask.
+TEST(Node, SilentClientsMakeRoomForOthers) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  node.config.limits.sockets = 48;  // 16 connections beside the node's own
+  node.start();
+  std::vector<Line> silent;
+  for (int i = 0; i < 40; ++i) silent.push_back(node.client());
+  Line last = node.client();
+  last.write(get("/safe"));
+  Line there = backend.accept();
+  there.request();
+  there.write(kOk);
+  EXPECT_EQ(status_of(last.answer()), "HTTP/1.1 200");
+}
+
+// Guards against another's request passing for a repeat: the id of an open request does not reach a backend.
+TEST(Node, TheIdOfAnOpenRequestIsRefused) {
+  Served served;
+  auto& [backend, node, client] = served;
+  client.write(get("/safe", "", "X-Request-ID: same\r\n"));
+  Line there = backend.accept();
+  there.request();
+  Line other = node.client();
+  for (int i = 0; i < 2; ++i) {
+    other.write(get("/safe", "", "X-Request-ID: same\r\n"));
+    EXPECT_EQ(status_of(other.answer()), "HTTP/1.1 409");
+  }
+  there.write(kOk);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+  other.write(get("/safe", "", "X-Request-ID: same\r\n"));  // free again
+  there.request();
+  there.write(kOk);
+  EXPECT_EQ(status_of(other.answer()), "HTTP/1.1 200");
+}
+
 // More clients at once than there are descriptors: each gets a whole answer, if only a refusal.
 TEST(Node, EveryClientIsAnsweredWhereDescriptorsRunShort) {
   Peer backend;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -109,7 +109,7 @@
   FullPeer peer;
   Backends b;
   b.send(peer, kLong);
-  b.loop.later([&b] { b.upstream.withdraw(0); });
+  b.loop.later([&b] { b.upstream.withdraw([](BackendId) { return false; }); });
   EXPECT_EQ(b.run(), Ending::kStoppedUnsent);
 }
 
@@ -211,12 +211,52 @@
   }
 }
 
+// Interim answers before the final one, more than a stack would hold; but nobody asked for another protocol.
+TEST(Upstream, InterimAnswersHoweverManyAreNotTheFinalOne) {
+  for (const auto& [last, ending] :
+       {std::pair{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Ending::kServed},
+        std::pair{"HTTP/1.1 101 Switching Protocols\r\n\r\n", Ending::kMalformed}}) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong);
+    Line there = peer.accept();
+    std::string text;
+    for (int i = 0; i < 5000; ++i) text += "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n";
+    b.loop.after(1, [&, last = last] {
+      there.request();
+      there.write(text + last);
+    });
+    EXPECT_EQ(b.run(), ending);
+  }
+}
+
+// What was written before its backend was withdrawn comes to its end, and then the connection goes: the
+// number of a backend that is gone may pass to another.
+TEST(Upstream, AConnectionToAWithdrawnBackendIsNotKept) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    there.request();
+    b.upstream.withdraw([](BackendId) { return false; });
+    there.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.upstream.connections(), 0U);
+}
+
 TEST(Upstream, LoadReportsAreReadWithCare) {
   EXPECT_FALSE(parse_load(""));
   EXPECT_FALSE(parse_load("nonsense"));
   EXPECT_FALSE(parse_load("inflight=x,queue=,=3"));
   EXPECT_FALSE(parse_load("inflight=-1"));
   EXPECT_FALSE(parse_load("util=nan"));
+  // A report with one figure that cannot be is not believed in the others, nor does it outweigh the fleet's.
+  EXPECT_FALSE(parse_load("inflight=nan,queue=2,util=0.5"));
+  EXPECT_FALSE(parse_load("inflight=3,queue=1e300"));
+  EXPECT_FALSE(parse_load("inflight=99999999999,queue=2,util=0.5"));
+  EXPECT_FALSE(parse_load("inflight=3,queue=-2,util=0.5"));
   const auto load = parse_load("novel=1,inflight=3,,queue");
   ASSERT_TRUE(load);
   EXPECT_EQ(load->in_hand, 3);
@@ -225,7 +265,7 @@
 
 // A front for one class of requests; it keeps what it is asked and stops soon after the first.
 struct Clients {
-  Clients() {
+  explicit Clients(const Front::Waits& waits = {}) : waits(waits) {
     settings.classes.resize(1);
     settings.classes[0].effect = Effect::kSafe;
     host.classes = {"safe"};
@@ -240,10 +280,12 @@
   Loop loop;
   Settings settings;
   HostSettings host;
+  Front::Waits waits;
   std::vector<std::string> taken;
   std::vector<Millis> dues;
   std::function<void(RequestId)> after_each;  // in place of stopping
-  Millis left = 0;                            // of the client's wait, when the last was taken
+  bool roomy = true;
+  Millis left = 0;  // of the client's wait, when the last was taken
   Front front{loop,
               Poco::Net::SocketAddress("127.0.0.1", 0),
               settings,
@@ -255,7 +297,9 @@
                  if (after_each) return after_each(request);
                  loop.after(1, [this] { loop.stop(); });
                },
-               [](RequestId) {}, [] { return true; }, [] { return false; }, [] { return true; }}};
+               [](RequestId) {}, [] { return true; }, [] { return false; }, [this] { return roomy; },
+               [] { return true; }},
+              waits};
 };
 
 // Guards against answers that the client no longer waits for: its wait runs while the request lies unread, in
@@ -284,6 +328,54 @@
   EXPECT_EQ(c.dues[0], c.dues[1]);
 }
 
+// Guards against clients that hold connections and never ask: an error for half a request, a close for none.
+TEST(Front, HalfARequestAndSilenceEndInTime) {
+  Front::Waits waits;
+  waits.request = kSoon;
+  waits.sweep = 5;
+  Clients c(waits);
+  Line half = Line::connect(c.front.port());
+  half.write("POST /safe HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhal");
+  Line silent = Line::connect(c.front.port());
+  std::string answer;
+  std::string end = "?";
+  std::thread clients([&] {
+    answer = half.answer();
+    half.close();
+    end = silent.rest();
+    c.loop.stop();
+  });
+  c.loop.run();
+  clients.join();
+  EXPECT_EQ(answer.rfind("HTTP/1.1 408 ", 0), 0U) << answer;
+  EXPECT_EQ(end, "");
+  EXPECT_EQ(c.front.counters().silent, 1U);
+  EXPECT_TRUE(c.taken.empty());
+}
+
+// Where few connections are open one that has asked may stay; it goes where many are.
+TEST(Front, UnusedConnectionsGoSoonerWhereManyAreOpen) {
+  Front::Waits waits;
+  waits.idle_crowded = kSoon;
+  waits.sweep = 5;
+  Clients c(waits);
+  c.roomy = false;
+  c.after_each = [&c](RequestId request) { c.front.refuse(request, 0); };
+  Line client = c.ask("/safe");
+  std::string answer;
+  std::string end = "?";
+  std::thread reading([&] {
+    answer = client.answer();
+    end = client.rest();
+    c.loop.stop();
+  });
+  c.loop.run();
+  reading.join();
+  EXPECT_EQ(answer.rfind("HTTP/1.1 503 ", 0), 0U) << answer;
+  EXPECT_EQ(end, "");
+  EXPECT_EQ(c.front.counters().idle, 1U);
+}
+
 // Guards against work for nobody: a client that left while its request lay unread is not served.
 TEST(Front, AClientThatLeftBeforeItWasReadIsNotServed) {
   Clients c;
