Kept connections are used no longer than requests on them fare well

A trace of every connection: of requests on one unused for under 100 ms a tenth broke without an answer, of those on one unused for 100 to 800 ms nearly half; the end of such a connection came 330 to 770 ms after its last use, so the look before writing (quiet()) saw nothing. Settings say 60 s. Ruled out: single backends (all alike), probes. upstream.cpp now keeps a record by age, against connections just used; an unfit age is not used for 10 s. And a timed-out attempt drops only connections unused since before it: with answers lost all over, each loss closed all.

--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -7,13 +7,20 @@
 #include <cmath>
 #include <iterator>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace shorelead::node {
 namespace {
 
-constexpr double kIdleShare = 0.5;       // of the time after which a backend may close: we close before it
-constexpr Millis kIdleUntold = 10000;    // where the settings do not tell that time
+constexpr double kIdleShare = 0.5;     // of the time after which a backend may close: we close before it
+constexpr Millis kIdleUntold = 10000;  // where the settings do not tell that time
+// KeptRecord
+constexpr Millis kYoung = 25;        // unused for less, a connection is as good as in use
+constexpr double kBrokeGain = 0.1;   // weight of one request
+constexpr double kBrokeMore = 0.2;   // share broken, on top of
+constexpr double kBrokeTimes = 2;    // this multiple of the share on young ones, from which an age is unfit
+constexpr Millis kUnfitFor = 10000;  // after which it is tried again
 constexpr Millis kConnectUntold = 1000;  // nor for how long to wait for a connection
 constexpr Millis kProbeWait = 250;       // a probe unanswered by then tells nothing any more
 constexpr Millis kSweepEvery = 1000;
@@ -51,6 +58,27 @@
   return any ? std::optional(report) : std::nullopt;
 }
 
+std::size_t KeptRecord::slot(Millis age) {
+  std::size_t n = 0;
+  for (Millis most = kYoung; age >= most && n + 1 < std::tuple_size_v<decltype(slots_)>; most *= 2) ++n;
+  return n;
+}
+
+void KeptRecord::note(Millis age, bool broke, Millis now) {
+  const std::size_t n = slot(age);
+  Slot& at = slots_[n];
+  at.broke += kBrokeGain * ((broke ? 1 : 0) - at.broke);
+  // Compared with connections just used: where those break as well, age is not the cause.
+  if (n == 0 || at.broke <= kBrokeMore + kBrokeTimes * slots_[0].broke) return;
+  at.unfit_until = now + kUnfitFor;
+  at.broke = 0;
+}
+
+bool KeptRecord::fit(Millis age, Millis now) const {
+  const auto last = slots_.begin() + static_cast<std::ptrdiff_t>(slot(age)) + 1;
+  return std::none_of(slots_.begin(), last, [now](const Slot& one) { return now < one.unfit_until; });
+}
+
 // One attempt or probe under way.
 struct Upstream::Job {
   bool probe = false;
@@ -158,6 +186,7 @@
   bool withdrawn = false;  // not to be kept: its backend was withdrawn, and its number may go to another
   Message answer{Parser::Kind::kResponse};
   Millis unused_since = 0;
+  Millis age = 0;  // for how long it had stood unused before this job
 };
 
 Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener)
@@ -214,6 +243,7 @@
     });
     return;
   }
+  link->age = reused ? loop_.now() - link->unused_since : 0;
   if (reused) {
     link->write_request();
   } else {
@@ -255,7 +285,9 @@
       if (!best || link->unused_since > best->unused_since) best = link;
     }
     if (!best) return nullptr;
-    const bool fit = best->dial == dial && loop_.now() - best->unused_since < most_idle_;
+    const Millis now = loop_.now();
+    const Millis age = now - best->unused_since;
+    const bool fit = best->dial == dial && age < most_idle_ && kept_.fit(age, now);
     // An end that has come in but was not read yet would make of this request one that may have run.
     if (fit && best->stream.quiet()) return best;
     forget(*best);
@@ -273,14 +305,18 @@
     if (!result.load && job->probe) result.load = parse_load(answer->body());
   }
   result.answer = answer;
+  if (link.asked) kept_.note(link.age, ending == Ending::kBroken && link.answer.raw.empty(), loop_.now());
   link.asked = false;
   link.unused_since = loop_.now();
   const std::shared_ptr<Link> hold = link.shared_from_this();  // the answer is the link's
   if (!keep || link.withdrawn) forget(link);
   // Whoever is silent may have lost the connections kept to it as well: what is sent on them then would be
-  // reset later and might have run, while a new one that does not come up proves that nothing did.
+  // reset later and might have run, while a new one that does not come up proves that nothing did. But one
+  // used since this attempt began shows that the backend is there, and only this answer was lost.
   if (ending == Ending::kTimeout && !job->probe) {
-    drop_idle([backend = link.backend](const Link& other) { return other.backend == backend; });
+    drop_idle([&link, &job](const Link& other) {
+      return other.backend == link.backend && other.unused_since < job->started;
+    });
   }
   if (job->probe) {
     listener_.probe_done(link.backend, result);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -3,6 +3,7 @@
 // connection on which something came unasked, and never choose a backend.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -25,6 +26,25 @@
   const Message* answer = nullptr;
 };
 
+// For how long a connection that stands unused is good, learned from what became of the requests on them:
+// backends, or what lies between, may close them well before the stated time, and the word of it comes late.
+// A request written then ends as one that may have run.
+class KeptRecord {
+ public:
+  // Of a request on a connection unused for `age` before it (0 for a new one): whether it broke with no
+  // answer.
+  void note(Millis age, bool broke, Millis now);
+  bool fit(Millis age, Millis now) const;
+
+ private:
+  struct Slot {
+    double broke = 0;  // share of late
+    Millis unfit_until = 0;
+  };
+  static std::size_t slot(Millis age);
+  std::array<Slot, 16> slots_;  // by age: under 25 ms, under 50 ms, under 100 ms, ...
+};
+
 class Upstream {
  public:
   struct Listener {
@@ -74,6 +94,7 @@
   const Millis most_idle_;
   Listener listener_;
   std::vector<std::shared_ptr<Link>> links_;
+  KeptRecord kept_;
   Loop::TimerId sweep_ = 0;
   std::uint64_t last_serial_ = 0;
   std::uint64_t opened_ = 0;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -190,6 +190,91 @@
   EXPECT_EQ(b.upstream.connections(), 0U);
 }
 
+// But an answer on another connection meanwhile shows that the backend is there: only that one was lost.
+TEST(Upstream, ALostAnswerLeavesConnectionsUsedSince) {
+  Peer peer;
+  Backends b;
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  b.send(peer, 200);
+  Line silent = peer.accept();
+  std::vector<Line> kept;
+  b.loop.after(1, [&] {
+    silent.request();
+    b.send(peer, kLong);
+  });
+  b.loop.after(20, [&] {
+    Line there = peer.accept();
+    there.request();
+    there.write(ok);
+    kept.push_back(std::move(there));
+  });
+  b.steps.push_back([] {});
+  EXPECT_EQ(b.run(), Ending::kTimeout);
+  EXPECT_EQ(b.told, 2);
+  EXPECT_EQ(b.upstream.idle(), 1U);
+}
+
+// Guards against writing to connections that the other side has given up unheard.
+TEST(KeptRecord, AnAgeAtWhichRequestsBreakIsUnfitForAWhile) {
+  KeptRecord record;
+  Millis now = 1000;
+  EXPECT_TRUE(record.fit(59000, now));
+  for (int i = 0; i < 20; ++i) {
+    record.note(0, i % 10 == 0, now);
+    record.note(70, i % 10 == 0, now);
+    record.note(150, i % 2 == 0, now);
+  }
+  EXPECT_TRUE(record.fit(10, now));
+  EXPECT_TRUE(record.fit(70, now));
+  EXPECT_FALSE(record.fit(150, now));
+  EXPECT_FALSE(record.fit(900, now));  // nor any older
+  now += 10001;
+  EXPECT_TRUE(record.fit(900, now));
+}
+
+// Where new connections break as often, age is not the cause.
+TEST(KeptRecord, BreaksAtAllAgesLeaveEveryAgeFit) {
+  KeptRecord record;
+  for (int i = 0; i < 60; ++i) {
+    record.note(0, i % 4 == 0, 1000);
+    record.note(150, i % 4 == 0, 1000);
+  }
+  EXPECT_TRUE(record.fit(150, 1000));
+}
+
+TEST(Upstream, ConnectionsOfAnUnfitAgeAreNotUsedAgain) {
+  Peer peer;
+  Backends b;
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  std::vector<Line> lines;
+  int broke = 0;
+  const auto wait = [] { std::this_thread::sleep_for(std::chrono::milliseconds(30)); };
+  // Each connection answers its first request, stands unused for 30 ms and is reset by the next.
+  std::function<void()> next = [&] {
+    if (broke == 6) return b.loop.stop();
+    b.steps.push_back([&] {
+      wait();
+      const auto opened = b.upstream.opened();
+      b.send(peer, kLong);
+      if (b.upstream.opened() != opened) return b.loop.stop();  // it was not used again
+      ++broke;
+      lines.back().request();
+      lines.back().reset();
+      b.steps.push_back(next);
+    });
+    b.send(peer, kLong);
+    lines.push_back(peer.accept());
+    b.loop.after(1, [&] {
+      lines.back().request();
+      lines.back().write(ok);
+    });
+  };
+  b.loop.later(next);
+  b.run();
+  EXPECT_GE(broke, 2);
+  EXPECT_LT(broke, 6);
+}
+
 TEST(Upstream, ProbesBringTheLoadInBodyOrHeader) {
   for (const std::string answer :
        {"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\ninflight=7,queue=2,util=.5",
