The first answer on a connection is its last where many connections stand unused

Probe: connections by state at each node, four times a second: 124 to 165 unused ones that had asked, 105 silent, 0 to 19 requests under way. Ruled out: the nodes' own refusals (19 of 3,150), descriptors of the nodes, the restart.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -110,6 +110,7 @@
     input = std::move(rest);
     keep_alive = message->head().keep_alive;
     used = true;
+    stand_unused(false);
     state = State::kWaiting;
     owner.begin(*this);
   }
@@ -149,7 +150,19 @@
 
   // Whether the answer is the last on this connection. Where room is short, a client that is told so makes
   // room without harm, while closing on one that is idle may cross its next request.
-  bool last() const { return !keep_alive || owner.draining_ || owner.paused_ || owner.listener_.crowded(); }
+  // So is the first answer on a connection where many already stand unused: clients that ask once and stay
+  // would soon hold all that they may, and leave none to those who come and go.
+  bool last() const {
+    const bool stays = answers == 0 && owner.listener_.many_unused(owner.unused_);
+    return !keep_alive || owner.draining_ || owner.paused_ || stays || owner.listener_.crowded();
+  }
+
+  // Counts this connection among those that have asked and now stand unused, or no longer.
+  void stand_unused(bool unused) {
+    if (unused == counted) return;
+    counted = unused;
+    unused ? ++owner.unused_ : --owner.unused_;
+  }
 
   void answered(bool bye) {
     owner.release(*this);
@@ -157,6 +170,8 @@
     begun_at = 0;
     told_to_go_on = false;
     last_used = owner.loop_.now();
+    ++answers;
+    stand_unused(!bye);
     if (bye) {
       // Closed by halves: with bytes unread, a close would reset the connection and take the answer along.
       state = State::kClosing;
@@ -199,7 +214,9 @@
   std::shared_ptr<Message> message = std::make_shared<Message>(Parser::Kind::kRequest);
   RequestId request = 0;
   bool keep_alive = true;
-  bool used = false;  // has carried a request
+  bool used = false;     // has carried a request
+  bool counted = false;  // among the unused
+  std::uint64_t answers = 0;
   bool told_to_go_on = false;
   Millis begun_at = 0;  // when the request at hand began to come in; 0 = none has
   Millis input_at = 0;  // when the system took in what was read last
@@ -413,6 +430,7 @@
 // Closes a connection; it is freed once the handler at hand, which may be its own, is done.
 void Front::forget(Client& client) {
   client.stream.close();
+  client.stand_unused(false);
   const auto it = clients_.find(&client);
   if (it == clients_.end()) return;
   loop_.later([hold = it->second] {});
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -43,9 +43,10 @@
     std::function<void(RequestId, const Ask&, std::shared_ptr<const Message>)> request;
     std::function<void(RequestId)> gone;
     std::function<bool()> ready;
-    std::function<bool()> crowded;    // whether room is short
-    std::function<bool()> roomy;      // whether there is plenty of room
-    std::function<bool()> make_room;  // whether one more client may be taken in
+    std::function<bool()> crowded;                 // whether room is short
+    std::function<bool(std::size_t)> many_unused;  // whether so many unused connections of clients are many
+    std::function<bool()> roomy;                   // whether there is plenty of room
+    std::function<bool()> make_room;               // whether one more client may be taken in
   };
 
   struct Waits {
@@ -53,7 +54,7 @@
     // for so long has none, or never will have all of it.
     Millis request = 2000;
     Millis idle = 300000;        // for the next one
-    Millis idle_crowded = 2500;  // the same where many connections are open
+    Millis idle_crowded = 2000;  // the same where many connections are open
     Millis speak = 250;  // a new client that has said nothing for so long gives way where room is short
     Millis sweep = 250;  // how often all these are looked after
   };
@@ -108,6 +109,7 @@
   std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
   std::unordered_map<RequestId, Client*> waiting_;
   std::unordered_set<std::string> open_ids_;  // X-Request-ID of those that wait
+  std::size_t unused_ = 0;                    // clients that have asked and now stand unused
   RequestId last_request_ = 0;
   bool draining_ = false;
   bool paused_ = false;
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -9,9 +9,11 @@
 namespace {
 
 constexpr int kOwnDescriptors =
-    32;                            // standard streams, reactor, timers, signals, listener, watch, some spare
-constexpr int kCrowded = 8;        // room is short when less than one in so many descriptors is free
-constexpr int kRoomy = 2;          // and plentiful when less than one in so many is in use
+    32;                      // standard streams, reactor, timers, signals, listener, watch, some spare
+constexpr int kCrowded = 8;  // room is short when less than one in so many descriptors is free
+constexpr int kRoomy = 2;    // and plentiful when less than one in so many is in use
+constexpr int kManyUnused =
+    6;  // unused clients' connections are many where they take more than one in so many
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
 constexpr Millis kLeaveEvery = 20;
 constexpr Millis kLeaveAfter = 600;  // beyond the longest deadline, whatever is left
@@ -51,23 +53,24 @@
                                                       [this](Ending ending) { watch_ended(ending); }});
   front_ = std::make_unique<Front>(
       loop_, config.listen, config.settings, config.host,
-      Front::Listener{[this](RequestId request, const Ask& ask, std::shared_ptr<const Message> message) {
-                        open_[request].message = std::move(message);
-                        carry_out(facade_.pick(request, ask, loop_.now()));
-                      },
-                      [this](RequestId request) {
-                        facade_.report_client_gone(request, loop_.now());
-                        close(request);
-                      },
-                      [this] {
-                        // A list of earlier will do if discovery takes its time.
-                        if (leaving_) return false;
-                        if (discovery_->last_told() > 0) return true;
-                        return facade_.backends() > 0 && loop_.now() - started_ >= kReadyWait;
-                      },
-                      [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
-                      [this] { return Stream::open_count() * kRoomy < most_streams(); },
-                      [this] { return make_room(); }});
+      Front::Listener{
+          [this](RequestId request, const Ask& ask, std::shared_ptr<const Message> message) {
+            open_[request].message = std::move(message);
+            carry_out(facade_.pick(request, ask, loop_.now()));
+          },
+          [this](RequestId request) {
+            facade_.report_client_gone(request, loop_.now());
+            close(request);
+          },
+          [this] {
+            // A list of earlier will do if discovery takes its time.
+            if (leaving_) return false;
+            if (discovery_->last_told() > 0) return true;
+            return facade_.backends() > 0 && loop_.now() - started_ >= kReadyWait;
+          },
+          [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
+          [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
+          [this] { return Stream::open_count() * kRoomy < most_streams(); }, [this] { return make_room(); }});
   facade_.start(config.known, loop_.now());
   if (!config.settings.list_on_request) discovery_->watch();
 }
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -382,8 +382,8 @@
                  if (after_each) return after_each(request);
                  loop.after(1, [this] { loop.stop(); });
                },
-               [](RequestId) {}, [] { return true; }, [] { return false; }, [this] { return roomy; },
-               [] { return true; }},
+               [](RequestId) {}, [] { return true; }, [] { return false; },
+               [](std::size_t unused) { return unused >= 2; }, [this] { return roomy; }, [] { return true; }},
               waits};
 };
 
@@ -438,6 +438,34 @@
   EXPECT_TRUE(c.taken.empty());
 }
 
+// Guards against clients that ask once and stay: where many stand unused already the first answer on a
+// connection is its last, while one that has been in use goes on.
+TEST(Front, WhereManyStandUnusedAFirstAnswerIsTheLast) {
+  Clients c;
+  c.after_each = [&c](RequestId request) { c.front.refuse(request, 0); };
+  std::vector<std::string> answers;
+  std::thread reading([&] {
+    std::vector<Line> clients;
+    for (int i = 0; i < 3; ++i) {
+      clients.push_back(c.ask("/safe"));
+      answers.push_back(clients.back().answer());
+    }
+    clients[0].write("GET /safe HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\n\r\n");
+    answers.push_back(clients[0].answer());
+    c.loop.stop();
+  });
+  c.loop.run();
+  reading.join();
+  const auto last = [](const std::string& answer) {
+    return answer.find("Connection: close\r\n") != std::string::npos;
+  };
+  ASSERT_EQ(answers.size(), 4U);
+  EXPECT_FALSE(last(answers[0]));
+  EXPECT_FALSE(last(answers[1]));
+  EXPECT_TRUE(last(answers[2]));
+  EXPECT_FALSE(last(answers[3]));
+}
+
 // Where few connections are open one that has asked may stay; it goes where many are.
 TEST(Front, UnusedConnectionsGoSoonerWhereManyAreOpen) {
   Front::Waits waits;
