An early end needs any usable backend, not one with a turn left in the rotation

Seen: wide, attempts 1.06 to 1.10 a request where a fifth of answers are lost and three quarters can be sent again; a rotation near its end seldom holds a backend of the group of a keyed request, so few ended early (policy.cpp, send()).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -867,12 +867,12 @@
     if (cold(b)) b.cold_sends.push_back(now_);
     r.attempts.push_back({i, now_, crowd(b), warmth(b), true, true});
     if (r.attempts.size() > 1) resends_ -= 1;
-    // Exception "early end": answers get lost, this one is expected before, and there is somebody else to
-    // ask.
+    // Exception "early end": answers get lost, this one is expected before, and somebody else may have it.
     const Millis early = kEarlyEnd * (stop_at(r) - now_);
-    const bool ends =
-        losing_ > kLosing && expected_answer(r, b) < early && may_send(r) &&
-        std::any_of(rotation_.begin(), rotation_.end(), [&](BackendId j) { return allowed(r, j); });
+    const bool ends = losing_ > kLosing && expected_answer(r, b) < early && may_send(r) &&
+                      std::any_of(backends_.begin(), backends_.end(), [&](const Backend& o) {
+                        return usable(o) && allowed(r, static_cast<BackendId>(&o - backends_.data()));
+                      });
     act(SendAttempt{it->first, i, ends ? now_ + early : stop_at(r)});
     b.sent_times.push_back(now_);
   }
