Front: one flag for a connection's first answer, not a count; constants of connections in order

The count was only ever compared with 0, and the record's constants had come between two lines that read on from each other. Behaviour as before; all checks pass.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -153,7 +153,7 @@
   // So is the first answer on a connection where many already stand unused: clients that ask once and stay
   // would soon hold all that they may, and leave none to those who come and go.
   bool last() const {
-    const bool stays = answers == 0 && owner.listener_.many_unused(owner.unused_);
+    const bool stays = !answered_before && owner.listener_.many_unused(owner.unused_);
     return !keep_alive || owner.draining_ || owner.paused_ || stays || owner.listener_.crowded();
   }
 
@@ -170,7 +170,7 @@
     begun_at = 0;
     told_to_go_on = false;
     last_used = owner.loop_.now();
-    ++answers;
+    answered_before = true;
     stand_unused(!bye);
     if (bye) {
       // Closed by halves: with bytes unread, a close would reset the connection and take the answer along.
@@ -216,7 +216,7 @@
   bool keep_alive = true;
   bool used = false;     // has carried a request
   bool counted = false;  // among the unused
-  std::uint64_t answers = 0;
+  bool answered_before = false;
   bool told_to_go_on = false;
   Millis begun_at = 0;  // when the request at hand began to come in; 0 = none has
   Millis input_at = 0;  // when the system took in what was read last
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -13,19 +13,19 @@
 namespace shorelead::node {
 namespace {
 
-constexpr double kIdleShare = 0.5;     // of the time after which a backend may close: we close before it
-constexpr Millis kIdleUntold = 10000;  // where the settings do not tell that time
+constexpr double kIdleShare = 0.5;       // of the time after which a backend may close: we close before it
+constexpr Millis kIdleUntold = 10000;    // where the settings do not tell that time
+constexpr Millis kConnectUntold = 1000;  // nor for how long to wait for a connection
+constexpr Millis kProbeWait = 250;       // a probe unanswered by then tells nothing any more
+constexpr Millis kSweepEvery = 1000;
+constexpr double kMostLoad = 1e5;      // in any figure of a load report: no machine has so many in hand
+constexpr std::size_t kMostIdle = 32;  // connections kept for one backend
 // KeptRecord
 constexpr Millis kYoung = 25;        // unused for less, a connection is as good as in use
 constexpr double kBrokeGain = 0.1;   // weight of one request
 constexpr double kBrokeMore = 0.2;   // share broken, on top of
 constexpr double kBrokeTimes = 2;    // this multiple of the share on young ones, from which an age is unfit
 constexpr Millis kUnfitFor = 10000;  // after which it is tried again
-constexpr Millis kConnectUntold = 1000;  // nor for how long to wait for a connection
-constexpr Millis kProbeWait = 250;       // a probe unanswered by then tells nothing any more
-constexpr Millis kSweepEvery = 1000;
-constexpr double kMostLoad = 1e5;      // in any figure of a load report: no machine has so many in hand
-constexpr std::size_t kMostIdle = 32;  // connections kept for one backend
 
 }  // namespace
 
