The transport stands in a library of its own, src/net, and a check holds the layers

Need: later parts (registry, DNS, gossip) and the lab must share or stay clear of the transport, and loop, stream and http included the module for the sake of one alias.

Change: loop, stream and http move to src/net (library shorelead_net, namespace net); Millis stands in src/base; the node names what it uses of the transport in node/net.h. tests/layers.sh says which folder may include which; layers_test.sh sees it fail on a wrong arrow and on a folder without a line.

--- a/src/node/http.cpp
+++ b/src/net/http.cpp
@@ -1,4 +1,4 @@
-#include "node/http.h"
+#include "net/http.h"
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <utility>
 
-namespace shorelead::node {
+namespace shorelead::net {
 namespace {
 
 constexpr std::size_t kMostFields = 100;
@@ -338,4 +338,4 @@
   return taken;
 }
 
-}  // namespace shorelead::node
+}  // namespace shorelead::net
--- a/src/node/http.h
+++ b/src/net/http.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace shorelead::node {
+namespace shorelead::net {
 
 constexpr std::size_t kMostHead = 16384;
 constexpr std::size_t kMostBody = 65536;
@@ -119,4 +119,4 @@
 std::optional<std::uint64_t> parse_whole(std::string_view text);
 std::optional<double> parse_decimal(std::string_view text);
 
-}  // namespace shorelead::node
+}  // namespace shorelead::net
--- a/src/node/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,4 +1,4 @@
-#include "node/loop.h"
+#include "net/loop.h"
 
 #include <Poco/NObserver.h>
 #include <Poco/Net/StreamSocketImpl.h>
@@ -12,7 +12,7 @@
 #include <csignal>
 #include <system_error>
 
-namespace shorelead::node {
+namespace shorelead::net {
 namespace {
 
 using Poco::Net::ErrorNotification;
@@ -206,4 +206,4 @@
   loop_.enter([this] { handler_.on_error(); });
 }
 
-}  // namespace shorelead::node
+}  // namespace shorelead::net
--- a/src/node/loop.h
+++ b/src/net/loop.h
@@ -18,9 +18,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "policy/policy.h"
+#include "base/millis.h"
 
-namespace shorelead::node {
+namespace shorelead::net {
 
 // A descriptor of any kind as a socket of POCO's, which closes it.
 class Descriptor : public Poco::Net::Socket {
@@ -117,4 +117,4 @@
   bool writing_ = false;
 };
 
-}  // namespace shorelead::node
+}  // namespace shorelead::net
--- a/src/node/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,4 +1,4 @@
-#include "node/stream.h"
+#include "net/stream.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
@@ -11,7 +11,7 @@
 #include <cerrno>
 #include <charconv>
 
-namespace shorelead::node {
+namespace shorelead::net {
 namespace {
 
 constexpr std::size_t kReadSize = 16384;
@@ -233,4 +233,4 @@
   return Poco::Net::SocketAddress(host, port);
 }
 
-}  // namespace shorelead::node
+}  // namespace shorelead::net
--- a/src/node/stream.h
+++ b/src/net/stream.h
@@ -12,9 +12,9 @@
 #include <string>
 #include <string_view>
 
-#include "node/loop.h"
+#include "net/loop.h"
 
-namespace shorelead::node {
+namespace shorelead::net {
 
 // Every way in which a connection, or what was under way on one, can end. What it means to the module is said
 // in one place, the facade.
@@ -117,4 +117,4 @@
 // "a.b.c.d:port"; no names are looked up.
 std::optional<Poco::Net::SocketAddress> parse_address(const std::string& text);
 
-}  // namespace shorelead::node
+}  // namespace shorelead::net
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -8,8 +8,7 @@
 #include <random>
 
 #include "node/config.h"
-#include "node/http.h"
-#include "node/stream.h"
+#include "node/net.h"
 
 namespace shorelead::node {
 
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "node/stream.h"
+#include "node/net.h"
 #include "policy/policy.h"
 #include "settings/settings.h"
 
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -15,9 +15,7 @@
 #include <unordered_set>
 
 #include "node/facade.h"
-#include "node/http.h"
-#include "node/loop.h"
-#include "node/stream.h"
+#include "node/net.h"
 
 namespace shorelead::node {
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "node/config.h"
-#include "node/loop.h"
+#include "node/net.h"
 #include "node/server.h"
 
 namespace {
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -13,7 +13,7 @@
 #include "node/discovery.h"
 #include "node/facade.h"
 #include "node/front.h"
-#include "node/loop.h"
+#include "node/net.h"
 #include "node/upstream.h"
 
 namespace shorelead::node {
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -11,9 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "node/http.h"
-#include "node/loop.h"
-#include "node/stream.h"
+#include "node/net.h"
 #include "policy/policy.h"
 
 namespace shorelead::node {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -10,9 +10,10 @@
 #include <variant>
 #include <vector>
 
+#include "base/millis.h"
+
 namespace shorelead {
 
-using Millis = double;
 using RequestId = std::uint32_t;
 // Dense index that the host gives each backend when a list first names it; it stays with that address.
 using BackendId = std::uint32_t;
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <utility>
 
-#include "node/http.h"
+#include "node/net.h"
 
 namespace shorelead::node {
 
