The lab: stand-in fleet, open-loop load, faults by script, an auditor of the four rules

Change: src/lab (program shorelead_lab) starts real nodes and plays boxes (queue model checked against M/M/1, M/D/1, M/M/c), discovery, links and clients on loopback; an auditor decides the four rules from clients' records, boxes' ledgers and discovery's log.

--- /dev/null
+++ b/src/lab/experiment.h
@@ -0,0 +1,143 @@
+// An experiment: what fleet, classes, nodes and load a run has, what happens when, and what must hold. Read
+// from TOML (toml++). Owns that file's form and its checks; it must never let an unknown key, a number
+// without its unit or an impossible value pass: each is an error with file, line, column and cause.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "lab/box_model.h"
+#include "lab/draw.h"
+#include "lab/records.h"
+#include "lab/schedule.h"
+
+namespace shorelead::lab {
+
+// "file:line:column: cause"
+class ExperimentError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct ClassSpec {
+  ClassRules rules;
+  Work work;
+  double share = 1;
+  int body = 64;  // bytes of the answer, beside what identifies it
+};
+
+struct FleetSpec {
+  int boxes = 8;
+  std::vector<std::string> zones{"a"};
+  int cells = 1;
+  BoxSpec spec;
+  Millis report_age = 0;  // how old the figures in an answer are
+  bool reports = true;
+  double error_rate = 0;
+  Millis idle_close = 60000;  // boxes close connections that stood unused for so long
+  Millis latency = 0;         // one way, on every link
+  Millis jitter = 0;
+  int port_base = 0;  // 0 = ports that the system gives
+};
+
+struct NodesSpec {
+  int count = 1;
+  int sockets = 1024;
+  int memory_mb = 192;
+  Millis notice = 200;  // until the front notices that a node has died
+};
+
+struct DiscoverySpec {
+  Millis late_min = 100;  // word of a change goes out this much after it came true
+  Millis late_max = 300;
+};
+
+struct ClientsSpec {
+  int retries = 0;
+  Millis backoff = 100;
+  double honour = 1;  // share that waits as Retry-After asks
+  double leave = 0;   // share that goes away before the answer
+  double drop = 0;    // share that closes its connection after an answer
+  double bad_per_second = 0;
+  std::vector<std::string> bad_kinds;  // empty = all
+};
+
+struct Rules {
+  int most_attempts = 5;
+  bool parallel = false;
+  bool cancel = true;
+  bool retry_after = true;
+  Millis drain_grace = 250;
+  Millis connect_timeout = 200;
+};
+
+// Something that is done to the world at a moment.
+struct Action {
+  enum class Kind {
+    kKill,       // boxes die at once; back cold after `back`
+    kStall,      // boxes stand still for a while, every so often
+    kDrain,      // boxes drain, then go, and come back cold under new ids after `back`
+    kDeploy,     // all of `boxes` by drains, `batch` at a time
+    kSlow,       // boxes serve at `factor` of their speed
+    kLink,       // links pass nothing, or are slow, or hurt answers
+    kDiscovery,  // discovery is down, restarts with old numbers, or serves an empty list
+    kNodeKill,
+    kNodeTerm,
+    kNodeReload
+  };
+  Kind kind = Kind::kKill;
+  Millis at = 0;
+  int line = 0;
+  double part = 0;         // of the boxes, or
+  std::vector<int> boxes;  // these, by number
+  std::string zone;        // or those of a zone
+  std::vector<int> nodes;  // whose links, or which nodes; empty = all
+  Millis back = 0;         // 0 = never
+  Millis length = 0;       // stalls, links, slowness, discovery
+  Millis least = 0;        // a stall's length is drawn between ...
+  Millis most = 0;
+  Millis every = 0;          // ... and comes each
+  Millis drain_time = 1000;  // until a draining box goes
+  int batch = 1;
+  double factor = 1;
+  bool same_address = false;  // the successor takes the address of the one that went
+  std::string fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
+                      // discovery: down, restart, empty
+  double share = 1;   // of the answers hurt
+  Millis latency = 0;
+  int after_bytes = 0;  // reset and truncate: so many bytes of the answer pass
+};
+
+struct Must {
+  bool rules = true;
+  std::optional<double> served;  // least share of wishes served in their time, no verdict by default
+  std::optional<Millis> p99;
+};
+
+struct Experiment {
+  std::string name;
+  std::string file;
+  std::uint64_t seed = 1;
+  Millis settle = 1500;  // after the last request is due, before the audit
+  FleetSpec fleet;
+  NodesSpec nodes;
+  DiscoverySpec discovery;
+  ClientsSpec clients;
+  Rules rules;
+  LoadPlan load;
+  std::vector<ClassSpec> classes;
+  std::vector<Action> timeline;  // in order of time
+  Must must;
+};
+
+// Throws ExperimentError.
+Experiment parse_experiment(std::string_view text, const std::string& file);
+Experiment load_experiment(const std::string& path);
+
+// "410 ms", "1.5 s", "2 min" -> milliseconds; nothing where it is none of these.
+std::optional<Millis> parse_time(std::string_view text);
+
+}  // namespace shorelead::lab
