--- a/src/lab/box.cpp
+++ b/src/lab/box.cpp
@@ -94,6 +94,9 @@
     closed_ = true;
     timer_.cancel();
     end_hard(socket_);
+    // Guards against an attempt that was still on its way in when the box died and stayed open on record for
+    // good: whatever the node sent next was taken for a second one at once.
+    if (line_ != kNoLine) box_->cut(line_);
   }
 
   void close_unused() {
@@ -524,15 +527,19 @@
   up_ = false;
   alarm_.cancel();
   sweep_.cancel();
-  for (const auto& [serial, job] : jobs_) {
-    Arrived& record = world_.ledger[job.line];
-    if (record.end == BoxEnd::kOpen) record.end = BoxEnd::kDropped;
-    record.closed = clock_now();
-  }
   jobs_.clear();
   for (const auto& link : links_) link->close();
 }
 
+void Box::cut(std::size_t line) {
+  Arrived& record = world_.ledger[line];
+  if (record.answered > 0 || record.closed > 0) return;
+  if (record.end == BoxEnd::kOpen || record.end == BoxEnd::kServed || record.end == BoxEnd::kErred) {
+    record.end = BoxEnd::kDropped;
+  }
+  record.closed = clock_now();
+}
+
 void Box::drain() { draining_since_ = clock_now(); }
 
 void Box::stall(Millis until) {
--- a/src/lab/box.h
+++ b/src/lab/box.h
@@ -57,6 +57,7 @@
 
   void take(const std::shared_ptr<Connection>& connection, std::size_t line, Millis extra_work);
   void gone(std::size_t line);  // whoever sent it has ended the connection
+  void cut(std::size_t line);   // the box ended it, by its death or a fault
   void step();
   void arm();
   void begun(std::size_t line, Millis at);
