A backend that turns away while idle drains untold: dropped until its next probe

Seen in the lab's rolling deploy (stand-in boxes, two real nodes, a quarter of capacity in use): ten requests of 2,300 refused at once while seven boxes of ten stood idle. Their attempts had gone, within two milliseconds, to the three boxes that had begun to drain; the list said so 0.1 to 0.3 s later. Ruled out: full boxes (their figures show util=1.00), the node's sockets.

The test saw 7 of 24 requests turned away without the change, 1 with it.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -914,6 +914,12 @@
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
+    // Exception "drains untold": turned away by a backend whose own figures, in that very answer, show a free
+    // core and nobody waiting is no want of room. It drains, and word of it is on its way, seconds late: it
+    // is dropped as if its probe had gone unanswered, or it would draw the further attempts of one request
+    // after another until there are none left, while others are idle.
+    const bool idle = e.report.busy >= 0 && e.report.busy < 1 && e.report.waiting == 0;
+    if (full && e.has_report && idle && s_.probing && now_ >= b.doubted_until) b.missed = b.dropped = true;
     learn_health(b, r.request_class, e.outcome);
     if (served || e.outcome == Outcome::kNoAnswer) learn_service(r, a, e.elapsed, served);
     a.may_have_run = !(full || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1050,6 +1050,44 @@
   EXPECT_LE(attempts, 3);
 }
 
+// Guards against a backend that drains before any list tells: it turned away one request after another, three
+// of them drew all attempts that a request has, and requests were refused while seven backends of ten stood
+// idle.
+TEST(Attempts, WhoTurnsAwayWhileIdleIsLeftAloneUntilItsNextProbe) {
+  struct Case {
+    double busy;
+    double waiting;
+    bool left_alone;
+  };
+  for (const Case& c : {Case{0.5, 0, true}, Case{1, 3, false}, Case{1, 0, false}, Case{-1, -1, false}}) {
+    Node node;
+    node.answers_report = true;
+    node.list(entries(4));
+    node.report_in_hand(4, 0);
+    for (BackendId i = 0; i < 4; ++i) node.load[i].busy = node.load[i].waiting = 0;
+    node.run_to(node.now + 3 * kTestPeriod);
+    node.run_past_probes();
+    node.load[0].busy = c.busy;
+    node.load[0].waiting = c.waiting;
+    int turned_away = 0;
+    for (RequestId id = 1; id <= 24; ++id) {
+      auto sent = only<SendAttempt>(node.arrive(id));
+      ASSERT_TRUE(sent);
+      int attempt = 0;
+      for (; sent->backend == 0; ++attempt) {
+        ++turned_away;
+        sent = only<SendAttempt>(node.end(id, 0, Outcome::kTurnedAway, attempt));
+        ASSERT_TRUE(sent);
+      }
+      node.end(id, sent->backend, Outcome::kServed, attempt);
+    }
+    EXPECT_EQ(turned_away == 1, c.left_alone) << c.busy << " " << c.waiting << ": " << turned_away;
+    node.load[0].busy = node.load[0].waiting = 0;
+    node.run_to(node.now + 2 * kTestPeriod);
+    EXPECT_GT(spread(node, 40)[0], 0);  // its probe was answered: back in the rotation
+  }
+}
+
 TEST(Attempts, ResendsHaveABudgetOverAllRequests) {
   Node node;
   node.list(entries(8));
