--- a/src/lab/bad_clients.cpp
+++ b/src/lab/bad_clients.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "lab/dial.h"
+
 namespace shorelead::lab {
 namespace {
 
@@ -135,13 +137,10 @@
   const std::string& kind = experiment_.clients.bad_kinds[kind_++ % experiment_.clients.bad_kinds.size()];
   const auto node = static_cast<std::size_t>(draw_.whole(front_.addresses.size()));
   if (front_.taken_in[node]) {
-    const std::string& dial = front_.addresses[node];
-    const std::size_t colon = dial.rfind(':');
     const std::size_t record = records_.size();
     records_.push_back({kind, clock_now(), 0, 0, false});
     auto client = std::make_shared<Client>(*this, record, nonsense(kind), kind == "big_body");
-    client->start({asio::ip::make_address(dial.substr(0, colon)),
-                   static_cast<unsigned short>(std::stoi(dial.substr(colon + 1)))});
+    client->start(endpoint_of(front_.addresses[node]));
   }
   alarm_.at(clock_now() + draw_.exponential(1000 / experiment_.clients.bad_per_second), nullptr,
             [this] { next(); });
--- a/src/lab/box.cpp
+++ b/src/lab/box.cpp
@@ -237,10 +237,7 @@
       for (std::size_t n = 0; n < noise.size(); n += 7) noise[n] = static_cast<char>(128 + n);
       return write(noise + "\r\n\r\n", [] {});  // the connection stays open and is of no further use
     }
-    if (fault == "endless") {
-      record(line).end = BoxEnd::kSpoilt;
-      return endless("HTTP/1.1 200 OK\r\n", 0);
-    }
+    if (fault == "endless") return endless("HTTP/1.1 200 OK\r\n", 0);
     const std::string part = text.substr(0, std::min(bytes, text.size() - 1));
     if (fault == "reset") {
       if (part.empty()) return reset_now();
--- /dev/null
+++ b/src/lab/dial.h
@@ -0,0 +1,16 @@
+// "a.b.c.d:port" as an endpoint, for all of the lab's connections. It must never look a name up.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace shorelead::lab {
+
+// Throws where the text is no address with a port.
+inline boost::asio::ip::tcp::endpoint endpoint_of(const std::string& dial) {
+  const std::size_t colon = dial.rfind(':');
+  return {boost::asio::ip::make_address(dial.substr(0, colon)),
+          static_cast<unsigned short>(std::stoi(dial.substr(colon + 1)))};
+}
+
+}  // namespace shorelead::lab
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -13,6 +13,8 @@
 #include <cstdlib>
 #include <optional>
 
+#include "lab/dial.h"
+
 namespace shorelead::lab {
 namespace {
 
@@ -113,10 +115,7 @@
 
   void connect() {
     const std::string& dial = owner_.front_.addresses[static_cast<std::size_t>(node_)];
-    const std::size_t colon = dial.rfind(':');
-    const tcp::endpoint to(asio::ip::make_address(dial.substr(0, colon)),
-                           static_cast<unsigned short>(std::stoi(dial.substr(colon + 1))));
-    socket_.async_connect(to, [self = shared_from_this()](const error_code& error) {
+    socket_.async_connect(endpoint_of(dial), [self = shared_from_this()](const error_code& error) {
       if (self->dead_) return;
       if (error) return self->finish(ClientEnd::kNoConnection);
       error_code ignored;
