Test: a client that asks while all others are new may be refused once and comes again

On a busy machine the 41 connections came in over more than 250 ms, so that when the last one asked, all 15 others held were newer than the 250 ms after which a silent client gives way; no descriptor was left for its attempt and it was refused, which is right. The test took any refusal for a failure and then waited 20 s for a backend's connection.

Change: the test's client comes again when refused, up to 20 times, and the count of clients that gave way must not be 0, so that it breaks where silent clients do not give way.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -411,21 +411,34 @@
   EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
 }
 
-// Guards against being shut off by clients that connect and say nothing: they give way to those who ask.
+// Guards against being shut off by clients that connect and say nothing: they give way to those who ask. One
+// that asks while all others are newer than `speak` may be refused once (seen where this machine was busy):
+// it comes again.
 TEST(Node, SilentClientsMakeRoomForOthers) {
   Peer backend;
   Node node;
   node.know("s-1", backend);
   node.config.limits.sockets = 48;  // 16 connections beside the node's own
   node.start();
+  std::thread serving([&backend] {
+    while (std::optional<Line> there = backend.accept_until_stopped()) {
+      there->request();
+      there->write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
   std::vector<Line> silent;
   for (int i = 0; i < 40; ++i) silent.push_back(node.client());
-  Line last = node.client();
-  last.write(get("/safe"));
-  Line there = backend.accept();
-  there.request();
-  there.write(kOk);
-  EXPECT_EQ(status_of(last.answer()), "HTTP/1.1 200");
+  std::string status = "HTTP/1.1 503";
+  for (int tries = 0; tries < 20 && status == "HTTP/1.1 503"; ++tries) {
+    Line last = node.client();
+    last.write(get("/safe"));
+    status = status_of(last.answer());
+  }
+  EXPECT_EQ(status, "HTTP/1.1 200");
+  node.stop();
+  EXPECT_GT(node.server->counters().evicted, 0U);
+  backend.stop();
+  serving.join();
 }
 
 // Guards against another's request passing for a repeat: the id of an open request does not reach a backend.
