--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <optional>
 #include <stdexcept>
 #include <unordered_map>
@@ -40,6 +41,8 @@
 // --- exceptions to the rotation (each is described in docs/design.md) ---
 // Skip: a pick expected to need more than this part of the time left to the aim is passed over.
 constexpr double kSkipShare = 0.35;
+constexpr std::size_t kMostWeighed =
+    512;  // backends weighed for one request: none costs more in a large fleet
 // Admission: if every backend is expected to need more than this part of it, the request is refused.
 constexpr double kRefuseShare = 1.0;
 constexpr double kWorthless = 0.5;  // of that bound, for a request worth nothing beside the dearest class
@@ -66,14 +69,15 @@
 constexpr double kRecordSpan = 5;        // seconds: a backend's own record holds what came in them
 constexpr double kForgetting = 0.1;      // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
-constexpr double kHealthGain = 0.25;  // weight of one outcome in the share of failures
-constexpr double kErrorGain = 0.5;    // and of an error, which no crowd explains
-constexpr double kUsualGain = 0.05;   // weight of one in what is usual; where that is failing, a further
-constexpr double kUsualDoubt = 20;    // failure says less: by one plus this times what is usual
-constexpr double kSickShare = 0.8;    // failing more than this, and
-constexpr double kSickMargin = 0.4;   // this much more than the fleet, a backend rests
-constexpr Millis kRestMin = 1000;     // first rest; doubles while it goes on failing
-constexpr Millis kRestMax = 8000;     // longest rest
+constexpr double kHealthGain = 0.25;       // weight of one outcome in the share of failures
+constexpr double kErrorGain = 0.5;         // and of an error, which no crowd explains
+constexpr double kUsualGain = 0.05;        // weight of one in what is usual; where that is failing, a further
+constexpr double kUsualDoubt = 20;         // failure says less: by one plus this times what is usual
+constexpr std::size_t kMedianParts = 128;  // a median is worked out anew once one in so many had an outcome
+constexpr double kSickShare = 0.8;         // failing more than this, and
+constexpr double kSickMargin = 0.4;        // this much more than the fleet, a backend rests
+constexpr Millis kRestMin = 1000;          // first rest; doubles while it goes on failing
+constexpr Millis kRestMax = 8000;          // longest rest
 // Attempts: a retry budget over all requests, and a bound for each.
 constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request
 constexpr double kMostResends = 10;         // and saved up at most
@@ -175,6 +179,12 @@
   std::vector<Attempt> attempts;
 };
 
+// A median over all ready backends, good until so many outcomes came in.
+struct Median {
+  double value = 0;
+  std::uint64_t due = 0;
+};
+
 struct Purse {
   double tokens = 0;
   Millis at = 0;
@@ -222,11 +232,12 @@
       return;
     }
     if (update.kind != ListKind::kStored) list_wait_ = 0;
-    std::vector<char> named(backends_.size(), 0);
+    const bool whole = update.kind != ListKind::kDelta;
+    std::vector<char> named(whole ? backends_.size() : 0, 0);
     for (const BackendEntry& entry : update.entries) {
       if (entry.backend >= backends_.size()) backends_.resize(entry.backend + 1);
-      if (entry.backend >= named.size()) named.resize(entry.backend + 1);
-      named[entry.backend] = 1;
+      if (whole && entry.backend >= named.size()) named.resize(entry.backend + 1);
+      if (whole) named[entry.backend] = 1;
       Backend& b = backends_[entry.backend];
       const bool returned = entry.state == BackendState::kReady &&
                             (b.state != BackendState::kReady || b.started != entry.started);
@@ -235,10 +246,8 @@
       if (returned) welcome(b);
       if (b.state != BackendState::kReady) b.share = b.credit = 0;
     }
-    if (update.kind != ListKind::kDelta) {
-      for (std::size_t i = 0; i < backends_.size(); ++i) {
-        if (!named[i]) backends_[i].state = BackendState::kGone;
-      }
+    for (std::size_t i = 0; i < named.size(); ++i) {
+      if (!named[i]) backends_[i].state = BackendState::kGone;
     }
     if (update.kind == ListKind::kStored) set_shares();
   }
@@ -448,37 +457,47 @@
   // to answer in time (exception "skip"; one passed over so loses its turn).
   std::optional<BackendId> propose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
-    for (int round = 0; round < 2; ++round) {
+    weighed_ = 0;
+    for (int round = 0; round < 2 && weighed_ < kMostWeighed; ++round) {
       std::size_t kept = 0;
-      for (std::size_t n = 0; n < rotation_.size(); ++n) {
+      std::size_t n = 0;
+      for (; n < rotation_.size() && weighed_ < kMostWeighed; ++n) {
         const BackendId i = rotation_[n];
         if (!usable(backends_[i])) continue;
+        ++weighed_;
         const bool may = allowed(r, i);
         if (!may || expected_answer(r, backends_[i]) > patience) {
           // It keeps its turn for another request, as does one that a look may clear.
           if (!may || may_look(backends_[i])) rotation_[kept++] = i;
           continue;
         }
-        rotation_.erase(rotation_.begin() + static_cast<std::ptrdiff_t>(kept),
-                        rotation_.begin() + static_cast<std::ptrdiff_t>(n + 1));
+        take_turns(kept, n + 1);
         return i;
       }
-      rotation_.resize(kept);
-      if (kept < backends_.size()) deal();
+      take_turns(kept, n);
+      if (weighed_ < kMostWeighed && kept < backends_.size()) deal();
     }
     return std::nullopt;
   }
 
+  // The turns from `kept` up to `n` are taken. Costs by `kept`, as a deque gives way at its nearer end.
+  void take_turns(std::size_t kept, std::size_t n) {
+    const auto at = [this](std::size_t i) { return rotation_.begin() + static_cast<std::ptrdiff_t>(i); };
+    rotation_.erase(at(kept), at(n));
+  }
+
   // Without a pick from the rotation: who is expected to answer first. Exception "admission": nobody, if even
   // that would be too late, since trying would only slow the others. Dropped backends are a last resort.
   std::optional<BackendId> soonest(const Request& r) {
     std::optional<BackendId> best;
     Millis least = 0;
     const std::size_t start = backends_.empty() ? 0 : random_.below(backends_.size());
-    for (std::size_t n = 0; n < backends_.size(); ++n) {
+    std::size_t weighed = 0;
+    for (std::size_t n = 0; n < backends_.size() && weighed < kMostWeighed; ++n) {
       const BackendId i = static_cast<BackendId>((start + n) % backends_.size());
       const Backend& b = backends_[i];
       if (b.state != BackendState::kReady || !allowed(r, i)) continue;
+      weighed += 1;
       const Millis expected = expected_answer(r, b);
       const bool better = !best || (usable(b) != usable(backends_[*best]) ? usable(b) : expected < least);
       if (better) best = i, least = expected;
@@ -501,15 +520,19 @@
     // Those whose turn comes first, but for what old news still tells: were ties broken in any fixed order,
     // all nodes would ask the same few.
     std::vector<std::pair<double, BackendId>> stale;
-    for (const BackendId i : rotation_) {
-      Backend& b = backends_[i];
+    const std::size_t most = std::min(rotation_.size(), kMostWeighed);
+    for (std::size_t n = 0; n < most; ++n) {
+      const BackendId i = rotation_[n];
+      const Backend& b = backends_[i];
       if (!may_look(b) || !allowed(r, i)) continue;
       const std::pair<double, BackendId> one{std::round(crowd(b) * kLookSteps), i};
-      if (std::find(stale.begin(), stale.end(), one) == stale.end()) stale.push_back(one);
+      if (std::find(stale.begin(), stale.end(), one) != stale.end()) continue;
+      const auto behind =
+          std::find_if(stale.begin(), stale.end(), [&](auto x) { return x.first > one.first; });
+      stale.insert(behind, one);
+      if (stale.size() > static_cast<std::size_t>(kLooks)) stale.pop_back();
     }
     if (stale.empty()) return false;
-    std::stable_sort(stale.begin(), stale.end(), [](auto x, auto y) { return x.first < y.first; });
-    stale.resize(std::min(static_cast<std::size_t>(kLooks), stale.size()));
     for (const auto& [level, i] : stale) {
       Backend& b = backends_[i];
       if (std::exchange(b.look_out, true)) continue;
@@ -536,13 +559,16 @@
   void look_again(bool last) {
     std::vector<RequestId> waiting;
     waiting.swap(looking_);
+    bool tried = false;
     for (const RequestId id : waiting) {
       const Held it = requests_.find(id);
       if (it == requests_.end() || !it->second.attempts.empty()) continue;
       const bool overdue = now_ > it->second.look_until - kTimerSlack;
+      // In a large fleet where the first of them finds nobody among so many, one answer more clears no other.
+      const bool vain = std::exchange(tried, true) && weighed_ >= kMostWeighed;
       if (last || overdue || !may_send(it->second)) {
         proceed(it);
-      } else if (const std::optional<BackendId> i = propose(it->second)) {
+      } else if (const auto i = vain ? std::nullopt : propose(it->second)) {
         send(it, *i);
       } else {
         looking_.push_back(id);
@@ -684,6 +710,7 @@
     const bool unreachable = outcome == Outcome::kNoConnection;
     const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
     if (!silent && !error && outcome != Outcome::kServed) return;
+    ++outcomes_;
     for (const std::size_t n : {std::size_t{0}, static_cast<std::size_t>(request_class) + 1}) {
       judge(&Backend::silences, b, n, silent, kHealthGain);
       judge(&Backend::errors, b, n, error, unreachable && n == 0 ? 1 : kErrorGain);
@@ -707,12 +734,19 @@
     h.failing = kSickShare;
   }
 
-  double of_median(std::vector<Health> Backend::*record, std::size_t n, double Health::*figure) const {
+  // Over all ready backends. One outcome moves it little where they are many, so it is worked out anew only
+  // once one in kMedianParts of them had one: among fewer than that, with each.
+  double of_median(std::vector<Health> Backend::*record, std::size_t n, double Health::*figure) {
+    const std::size_t which = (n * 2 + (record == &Backend::errors)) * 2 + (figure == &Health::usual);
+    if (which >= medians_.size()) medians_.resize(which + 1);
+    Median& kept = medians_[which];
+    if (outcomes_ < kept.due) return kept.value;
     std::vector<double> all;
     for (const Backend& b : backends_) {
       if (b.state == BackendState::kReady) all.push_back((b.*record)[n].*figure);
     }
-    return median(std::move(all));
+    kept.due = outcomes_ + all.size() / kMedianParts;
+    return kept.value = median(std::move(all));
   }
 
   // ---- cold backends ----
@@ -953,7 +987,10 @@
   Millis now_ = 0;
   std::vector<Action>* out_ = nullptr;
   std::vector<Backend> backends_;
-  std::vector<BackendId> rotation_;
+  std::deque<BackendId> rotation_;
+  std::size_t weighed_ = 0;                          // by the last propose()
+  std::vector<Median> medians_;                      // by record, class and figure
+  std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
