--- /dev/null
+++ b/src/lab/subset_ways.h
@@ -0,0 +1,24 @@
+// Ways of choosing subsets beside the lots of src/subset, as baselines: random choice, rendezvous hashing
+// (Thaler and Ravishankar 1998), deterministic subsetting by shuffled slices (Beyer et al. 2016, ch. 20), an
+// aperture on a ring of evenly spaced boxes. Pure; never linked into the daemon.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "subset/lots.h"
+
+namespace shorelead::lab {
+
+using Members = std::vector<std::uint64_t>;  // keys, sorted
+using Boxes = std::vector<subset::Box>;
+// All nodes' subsets at once.
+using Way = std::function<std::vector<Members>(const Boxes&, int nodes, int size)>;
+
+// Every way by name, the lots among them.
+const std::vector<std::pair<std::string, Way>>& subset_ways();
+
+}  // namespace shorelead::lab
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -28,6 +28,7 @@
   List known;
   Settings settings;
   HostSettings host;
+  FleetOptions fleet;  // from the file of our own, if there is one
 };
 
 // Where a value given outside the file wins over the one in it; empty = not given.
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace shorelead::node {
@@ -12,6 +13,13 @@
 // its last attempt, which falls on the same moment, is told to the module first.
 constexpr Millis kAfterDue = 1;
 
+// Changes of the fleet are gathered for so long before a subset is drawn anew, since a drawing costs by the
+// fleet. A member that drains is told to the module at once; who takes its place comes well before its grace
+// ends.
+constexpr Millis kDrawEvery = 100;
+// Attempts and probes in a row without a word, after which a member counts as no capacity.
+constexpr int kSilences = 3;
+
 Outcome outcome_of(Ending ending) {
   switch (ending) {
     case Ending::kServed:
@@ -56,8 +64,11 @@
 
 }  // namespace
 
-Facade::Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed)
-    : settings_(settings), zones_(host.zones), policy_(settings, seed) {}
+Facade::Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed,
+               const FleetOptions& fleet)
+    : settings_(settings), zones_(host.zones), policy_(settings, seed), place_(fleet.place) {
+  if (fleet.subset) subset_.emplace(*fleet.subset, fleet.place);
+}
 
 void Facade::start(const List& known, Millis now) {
   feed(Started{}, now);
@@ -95,6 +106,7 @@
   open.over = open.over || pass;
   event.request_over = open.over;
   open.out -= 1;
+  heard(event.backend, event.outcome);
   if (open.over && open.out == 0) erase(it);
   feed(event, now);
   return pass ? Choice{Choice::Kind::kPass, request} : take(request, Choice::Kind::kHold);
@@ -102,45 +114,153 @@
 
 void Facade::report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load,
                           Millis now) {
-  backends_.at(backend).probes -= 1;
+  backends_.at(backend).uses -= 1;
   ProbeEnded event;
   event.backend = backend;
   event.outcome = outcome_of(ending);
   event.elapsed = elapsed;
   event.has_report = load != nullptr;
   if (load != nullptr) event.report = *load;
+  heard(backend, event.outcome);
   feed(event, now);
 }
 
-void Facade::report_list(const List& list, ListSource source, Millis now) {
-  ListUpdate update;
-  update.kind = source == ListSource::kStored ? ListKind::kStored
-                : list.whole                  ? ListKind::kFull
-                                              : ListKind::kDelta;
+std::vector<BackendId> Facade::report_list(const List& list, ListSource source, Millis now) {
+  const ListKind kind = source == ListSource::kStored ? ListKind::kStored
+                        : list.whole                  ? ListKind::kFull
+                                                      : ListKind::kDelta;
   give_back_numbers();
-  if (update.kind != ListKind::kDelta) {
-    for (Known& known : backends_) {
-      known.ready = false;
-      known.gone = true;
+  std::vector<const ListedBackend*> entries;
+  if (!subset_) {
+    entries.reserve(list.backends.size());
+    for (const ListedBackend& listed : list.backends) entries.push_back(&listed);
+    return take(entries, kind, now);
+  }
+  std::vector<ListedBackend> missing;
+  if (kind != ListKind::kDelta) {
+    std::set<std::string_view> named;
+    for (const ListedBackend& listed : list.backends) named.insert(listed.host);
+    for (const auto& [host, listed] : fleet_) {
+      if (named.count(host) > 0) continue;
+      missing.push_back(listed);
+      missing.back().health = "gone";
+    }
+  }
+  const auto put = [this, &entries](const ListedBackend& listed) {
+    const BackendState state = state_of(listed.health);
+    if (numbers_.count(listed.host) > 0) entries.push_back(&listed);
+    if (state == BackendState::kGone) {
+      subset_->remove(listed.host);
+      fleet_.erase(listed.host);
+      return;
     }
+    subset_->put({listed.host, zone_number(listed.site), listed.size, state == BackendState::kReady});
+    ListedBackend& known = fleet_[listed.host];
+    const std::string dial = listed.dial.empty() ? known.dial : listed.dial;
+    known = listed;
+    known.dial = dial;
+  };
+  for (const ListedBackend& listed : missing) put(listed);
+  for (const ListedBackend& listed : list.backends) put(listed);
+  unsettled_ = true;
+  if (kind == ListKind::kStored) {
+    settle_subset(kind, now);
+    return {};
   }
-  for (const ListedBackend& listed : list.backends) {
-    const std::optional<BackendId> number = number_of(listed);
+  // Members as they are now, without waiting for the drawing.
+  std::erase_if(entries, [this](const ListedBackend* listed) {
+    return !subset_->holds(listed->host) && state_of(listed->health) == BackendState::kReady;
+  });
+  std::vector<BackendId> unwanted = take(entries, ListKind::kDelta, now);
+  if (wake_) wake_();
+  return unwanted;
+}
+
+std::vector<BackendId> Facade::take(const std::vector<const ListedBackend*>& entries, ListKind kind,
+                                    Millis now) {
+  std::vector<BackendId> unwanted;
+  ListUpdate update;
+  update.kind = kind;
+  update.sharing = subset_ ? subset::holders(place_, subset_->lots()) : 0;
+  std::vector<char> named(kind == ListKind::kDelta ? 0 : backends_.size(), 0);
+  for (const ListedBackend* const listed : entries) {
+    const std::optional<BackendId> number = number_of(*listed);
     if (!number) continue;
     BackendEntry entry;
     entry.backend = *number;
-    entry.state = state_of(listed.health);
-    entry.zone = zone_number(listed.site);
-    entry.cell = listed.cell;
-    entry.started = listed.born;
-    entry.size = listed.size;
+    entry.state = state_of(listed->health);
+    entry.zone = zone_number(listed->site);
+    entry.cell = listed->cell;
+    entry.started = listed->born;
+    entry.size = listed->size;
+    if (*number < named.size()) named[*number] = 1;
     Known& known = backends_[entry.backend];
-    if (!listed.dial.empty()) known.dial = listed.dial;
-    known.ready = entry.state == BackendState::kReady;
-    known.gone = entry.state == BackendState::kGone;
+    if (!listed->dial.empty()) known.dial = listed->dial;
+    const bool was = std::exchange(known.ready, entry.state == BackendState::kReady);
+    if (was && !known.ready) unwanted.push_back(*number);
+    known.gone = false;
+    if (entry.state == BackendState::kGone) leave(*number);
     update.entries.push_back(entry);
   }
+  for (BackendId number = 0; number < named.size(); ++number) {
+    Known& known = backends_[number];
+    if (named[number] || known.host.empty() || known.gone) continue;
+    if (std::exchange(known.ready, false)) unwanted.push_back(number);
+    leave(number);
+  }
   feed(update, now);
+  return unwanted;
+}
+
+void Facade::leave(BackendId number) {
+  Known& known = backends_[number];
+  known.gone = true;
+  if (!std::exchange(known.leaving, true)) leaving_.push_back(number);
+}
+
+void Facade::settle_subset(ListKind kind, Millis now) {
+  unsettled_ = false;
+  settled_at_ = now;
+  ++subset_counters_.drawings;
+  const subset::Change change = subset_->settle();
+  subset_counters_.changes += change.added.size() + change.removed.size();
+  if (change.empty() && kind == ListKind::kDelta) return;
+  give_back_numbers();
+  std::vector<ListedBackend> left;
+  std::vector<const ListedBackend*> entries;
+  for (const std::string& host : change.removed) {
+    // To the module one that is no longer a member is gone; what is under way there goes on.
+    const auto it = fleet_.find(host);
+    if (numbers_.count(host) == 0 || (it != fleet_.end() && it->second.health != "ready")) continue;
+    left.emplace_back();
+    left.back().host = host;
+    left.back().health = "gone";
+  }
+  for (const ListedBackend& one : left) entries.push_back(&one);
+  for (const std::string& host : change.added) entries.push_back(&fleet_.at(host));
+  const std::vector<BackendId> unwanted = take(entries, kind, now);
+  errands_.unwanted.insert(errands_.unwanted.end(), unwanted.begin(), unwanted.end());
+}
+
+// Whether a member answers, for the subset's count of its capacity. Any word from it will do.
+void Facade::heard(BackendId backend, Outcome outcome) {
+  if (!subset_ || outcome == Outcome::kCalledOff || outcome == Outcome::kNotSent) return;
+  Known& known = backends_[backend];
+  const bool silent = outcome == Outcome::kNoAnswer || outcome == Outcome::kNoConnection;
+  const int before = std::exchange(known.silences, silent ? known.silences + 1 : 0);
+  if (silent ? known.silences != kSilences : before < kSilences) return;
+  subset_->set_answering(known.host, !silent);
+  unsettled_ = true;
+}
+
+std::optional<SubsetCounters> Facade::subset_counters() const {
+  if (!subset_) return std::nullopt;
+  SubsetCounters counters = subset_counters_;
+  counters.fleet = subset_->fleet();
+  counters.members = subset_->size();
+  counters.borrowed = subset_->borrowed();
+  counters.lots = subset_->lots();
+  return counters;
 }
 
 // The number by which the module knows this backend; none for one that is gone and was never known.
@@ -162,21 +282,21 @@
 // the numbers of those that are gone go to others, once no request and no probe is left that names them. Only
 // with the next list, so that whoever keeps connections by number has dropped them by then.
 void Facade::give_back_numbers() {
-  std::vector<char> named(backends_.size(), 0);
-  for (const auto& [request, open] : requests_) {
-    for (const BackendId backend : open.attempts) named[backend] = 1;
-  }
-  for (BackendId number = 0; number < backends_.size(); ++number) {
+  std::erase_if(leaving_, [this](BackendId number) {
     Known& known = backends_[number];
-    if (known.host.empty() || !known.gone || known.probes > 0 || named[number]) continue;
+    if (known.gone && known.uses > 0) return false;
+    known.leaving = false;
+    if (!known.gone) return true;  // it is back
     numbers_.erase(known.host);
     known = Known{};
     free_.push_back(number);
-  }
+    return true;
+  });
 }
 
 void Facade::erase(std::unordered_map<RequestId, Open>::iterator it) {
   deadlines_.erase({it->second.due + kAfterDue, it->first});
+  for (const BackendId backend : it->second.attempts) backends_[backend].uses -= 1;
   requests_.erase(it);
 }
 
@@ -209,8 +329,11 @@
     answer(request, {Choice::Kind::kFail, request});
     feed(RequestGone{request}, now);
   }
+  const Millis draw_at = settled_at_ + kDrawEvery;
+  if (unsettled_ && now >= draw_at) settle_subset(ListKind::kDelta, now);
   Errands due = std::exchange(errands_, {});
-  const Millis timer = timers_.empty() ? 0 : timers_.begin()->first;
+  Millis timer = timers_.empty() ? 0 : timers_.begin()->first;
+  if (unsettled_) timer = timer > 0 ? std::min(timer, draw_at) : draw_at;
   const Millis deadline = deadlines_.empty() ? 0 : deadlines_.begin()->first;
   due.next = timer > 0 && deadline > 0 ? std::min(timer, deadline) : std::max(timer, deadline);
   return due;
@@ -244,7 +367,7 @@
   } else if (const auto* fail = std::get_if<Fail>(&action)) {
     answer(fail->request, {Choice::Kind::kFail, fail->request});
   } else if (const auto* probe = std::get_if<SendProbe>(&action)) {
-    backends_.at(probe->backend).probes += 1;
+    backends_.at(probe->backend).uses += 1;
     errands_.probes.push_back(probe->backend);
   } else if (std::holds_alternative<SubscribeList>(action)) {
     errands_.watch = true;
@@ -267,6 +390,7 @@
   choice.attempt = static_cast<int>(open.attempts.size());
   choice.until = send.stop_at > 0 ? std::min(send.stop_at, open.due) : open.due;
   open.attempts.push_back(send.backend);
+  backends_.at(send.backend).uses += 1;
   if (open.over || choice.until <= now || choice.attempt >= settings_.max_attempts) {
     AttemptEnded ended;
     ended.request = send.request;
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -15,6 +15,7 @@
 #include "node/net.h"
 #include "policy/policy.h"
 #include "settings/settings.h"
+#include "subset/subset.h"
 
 namespace shorelead::node {
 
@@ -49,8 +50,9 @@
   std::vector<Choice> choices;
   std::vector<std::pair<RequestId, int>> call_off;  // attempts that nobody waits for any more
   std::vector<BackendId> probes;
-  bool watch = false;  // (re)open the watch on the list
-  Millis next = 0;     // call tick() again by then; 0 = no need
+  std::vector<BackendId> unwanted;  // nothing new may go there, and no connection is to be kept
+  bool watch = false;               // (re)open the watch on the list
+  Millis next = 0;                  // call tick() again by then; 0 = no need
 };
 
 struct ListedBackend {
@@ -69,11 +71,28 @@
   std::vector<ListedBackend> backends;
 };
 
+// How the node works with a fleet too large for it; all off unless set.
+struct FleetOptions {
+  std::optional<subset::Options> subset;
+  subset::Place place;
+};
+
+struct SubsetCounters {
+  std::size_t fleet = 0;
+  std::size_t members = 0;
+  std::size_t borrowed = 0;
+  int lots = 0;
+  std::uint64_t drawings = 0;
+  std::uint64_t changes = 0;  // members taken in or given up
+};
+
 enum class ListSource { kStored, kWatch };
 
 class Facade {
  public:
-  Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed);
+  Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed)
+      : Facade(settings, host, seed, FleetOptions()) {}
+  Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed, const FleetOptions& fleet);
 
   // Call first, with the list that the node had before; empty where it had none.
   void start(const List& known, Millis now);
@@ -82,7 +101,8 @@
   Choice report(RequestId request, int attempt, Ending ending, Millis elapsed, const LoadReport* load,
                 Millis now);
   void report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load, Millis now);
-  void report_list(const List& list, ListSource source, Millis now);
+  // Says which backends nothing new may go to from now on that it might have gone to before.
+  std::vector<BackendId> report_list(const List& list, ListSource source, Millis now);
   void report_watch_ended(Millis now);
   void report_client_gone(RequestId request, Millis now);
   Errands tick(Millis now);
@@ -92,7 +112,8 @@
 
   const std::string& dial(BackendId backend) const { return backends_.at(backend).dial; }
   bool wanted(BackendId backend) const { return backends_.at(backend).ready; }
-  std::size_t backends() const { return numbers_.size(); }
+  std::size_t backends() const { return subset_ ? subset_->fleet() : numbers_.size(); }
+  std::optional<SubsetCounters> subset_counters() const;
   std::size_t open_requests() const { return requests_.size(); }
 
  private:
@@ -101,7 +122,9 @@
     std::string dial;
     bool ready = false;
     bool gone = false;
-    int probes = 0;  // under way
+    bool leaving = false;  // its number is to be given back
+    int uses = 0;          // probes under way, and attempts of open requests, that name it
+    int silences = 0;      // in a row
   };
   struct Open {
     Millis due = 0;
@@ -118,6 +141,11 @@
   int zone_number(const std::string& name);
   std::optional<BackendId> number_of(const ListedBackend& listed);
   void give_back_numbers();
+  // Takes entries in and tells the module.
+  std::vector<BackendId> take(const std::vector<const ListedBackend*>& entries, ListKind kind, Millis now);
+  void leave(BackendId number);
+  void settle_subset(ListKind kind, Millis now);
+  void heard(BackendId backend, Outcome outcome);
   void erase(std::unordered_map<RequestId, Open>::iterator it);
 
   const Settings settings_;
@@ -126,6 +154,13 @@
   std::vector<Known> backends_;
   std::unordered_map<std::string, BackendId> numbers_;
   std::vector<BackendId> free_;
+  std::vector<BackendId> leaving_;  // numbers of those that are gone, to be given back
+  subset::Place place_;
+  std::optional<subset::Subset> subset_;
+  std::unordered_map<std::string, ListedBackend> fleet_;  // all that are listed, where subsets are drawn
+  Millis settled_at_ = 0;
+  bool unsettled_ = false;
+  SubsetCounters subset_counters_;
   std::unordered_map<RequestId, Open> requests_;
   std::multimap<Millis, std::uint64_t> timers_;
   std::set<std::pair<Millis, RequestId>> deadlines_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -12,6 +12,7 @@
 
 #include "node/config.h"
 #include "node/net.h"
+#include "node/own.h"
 #include "node/server.h"
 
 namespace {
@@ -20,12 +21,14 @@
 
 struct Options {
   std::string config;
+  std::string own;
   std::string log_level = "info";
   shorelead::node::Overrides flags;
 };
 
 void add_options(CLI::App& command, Options& options) {
   command.add_option("--config", options.config, "configuration file, JSON")->envname("NODE_CONFIG");
+  command.add_option("--own", options.own, "file of our own, TOML: subsets, probes")->envname("NODE_OWN");
   command.add_option("--name", options.flags.name, "name of this node (variable NODE_NAME)");
   command.add_option("--listen", options.flags.listen, "address:port for clients (variable NODE_LISTEN)");
   command.add_option("--discovery", options.flags.discovery,
@@ -43,7 +46,9 @@
 Config load(const Options& options, bool again) {
   const shorelead::node::Overrides variables{variable("NODE_NAME"), variable("NODE_LISTEN"),
                                              variable("NODE_DISCOVERY")};
-  return shorelead::node::load_config(options.config, options.flags, variables, again);
+  Config config = shorelead::node::load_config(options.config, options.flags, variables, again);
+  shorelead::node::load_own(options.own, config);
+  return config;
 }
 
 int serve(const Options& options) {
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -29,7 +29,7 @@
       config_(config),
       limits_(config.limits),
       waits_(waits),
-      facade_(config.settings, config.host, config.seed),
+      facade_(config.settings, config.host, config.seed, config.fleet),
       jitter_(config.seed),
       started_(loop.now()) {
   facade_.on_errand([this] {
@@ -46,7 +46,14 @@
                            facade_.report_probe(backend, result.ending, result.elapsed,
                                                 result.load ? &*result.load : nullptr, loop_.now());
                          },
-                         [this] { return make_room(); }});
+                         [this](bool probe) {
+                           return make_room(probe ? limits::Purpose::kProbe : limits::Purpose::kRequest);
+                         },
+                         [this](bool probe) {
+                           return descriptors().keep(
+                               probe ? limits::Purpose::kProbe : limits::Purpose::kRequest,
+                               descriptors_now());
+                         }});
   discovery_ =
       std::make_unique<Discovery>(loop_, config.discovery, config.known.version,
                                   Discovery::Listener{[this](const List& list) { list_changed(list); },
@@ -70,7 +77,8 @@
           },
           [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
-          [this] { return Stream::open_count() * kRoomy < most_streams(); }, [this] { return make_room(); }});
+          [this] { return Stream::open_count() * kRoomy < most_streams(); },
+          [this] { return make_room(limits::Purpose::kClient); }});
   facade_.start(config.known, loop_.now());
   if (!config.settings.list_on_request) discovery_->watch();
 }
@@ -120,6 +128,7 @@
 void Server::settle() {
   settling_ = false;
   const Errands due = facade_.tick(loop_.now());
+  upstream_->withdraw(due.unwanted);
   for (const Choice& choice : due.choices) carry_out(choice);
   for (const auto& [request, attempt] : due.call_off) upstream_->call_off(request, attempt);
   for (const BackendId backend : due.probes) {
@@ -163,8 +172,7 @@
   }
   spdlog::info("list {}: {}, {} ready, {} draining, {} gone", list.version, list.whole ? "whole" : "changes",
                ready, draining, list.backends.size() - ready - draining);
-  facade_.report_list(list, ListSource::kWatch, loop_.now());
-  upstream_->withdraw([this](BackendId backend) { return facade_.wanted(backend); });
+  upstream_->withdraw(facade_.report_list(list, ListSource::kWatch, loop_.now()));
 }
 
 void Server::watch_ended(Ending ending) {
@@ -182,13 +190,33 @@
 
 int Server::most_streams() const { return limits_.sockets - kOwnDescriptors; }
 
-// Unused connections give way, clients' first: a client opens another at no loss. Busy clients may take all
-// the others: a request for which no descriptor is left is refused at once, which makes its client idle.
-bool Server::make_room() {
-  while (Stream::open_count() >= most_streams()) {
-    if (!front_->evict_idle() && !upstream_->evict_idle()) return false;
+limits::Descriptors Server::descriptors() const { return limits::Descriptors(most_streams()); }
+
+limits::DescriptorCounts Server::descriptors_now() const {
+  return {Stream::open_count(), static_cast<int>(upstream_->connections()),
+          static_cast<int>(upstream_->probing())};
+}
+
+// Busy clients may take all the others: a request for which no descriptor is left is refused at once, which
+// makes its client idle.
+bool Server::make_room(limits::Purpose purpose) {
+  while (true) {
+    switch (descriptors().step(purpose, descriptors_now())) {
+      case limits::Step::kOpen:
+        return true;
+      case limits::Step::kEvictClient:
+        if (!front_->evict_idle() && !upstream_->evict_idle()) return false;
+        break;
+      case limits::Step::kEvictBackend:
+        if (!upstream_->evict_idle() && !front_->evict_idle()) return false;
+        break;
+      case limits::Step::kEvictClientOnly:
+        if (!front_->evict_idle()) return false;
+        break;
+      case limits::Step::kRefuse:
+        return false;
+    }
   }
-  return true;
 }
 
 void Server::shut_down() {
@@ -264,6 +292,14 @@
       Stream::open_count(), most_sockets_, front_->clients(), front.accepted, front.silent, front.idle,
       front.evicted, front.paused, upstream_->connections(), upstream_->idle(), upstream_->opened(),
       upstream_->reused());
+  if (const auto subset = facade_.subset_counters()) {
+    spdlog::info("counters: subset fleet={} members={} lots={} borrowed={} drawings={} changes={}",
+                 subset->fleet, subset->members, subset->lots, subset->borrowed, subset->drawings,
+                 subset->changes);
+  }
+  spdlog::info("counters: descriptors state={} most={} backends_budget={} probing={}",
+               limits::name_of(descriptors().state(descriptors_now())), most_streams(),
+               descriptors().backends_budget(), upstream_->probing());
   spdlog::info("counters: open_requests={} worst_timer_lag_ms={:.2f} wakeups={}", facade_.open_requests(),
                loop_.worst_lag(), loop_.wakeups());
 }
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "limits/descriptors.h"
 #include "node/config.h"
 #include "node/discovery.h"
 #include "node/facade.h"
@@ -48,8 +49,11 @@
   void attempt_done(RequestId request, int attempt, const Result& result);
   void list_changed(const List& list);
   void watch_ended(Ending ending);
+  limits::Descriptors descriptors() const;
   int most_streams() const;
-  bool make_room();
+  // Frees a descriptor where that is to be; whether there is one.
+  bool make_room(limits::Purpose purpose);
+  limits::DescriptorCounts descriptors_now() const;
   void leave_when_empty(Millis until);
 
   Loop& loop_;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -182,11 +182,13 @@
   const std::string dial;
   Stream stream;
   std::unique_ptr<Job> job;
-  bool asked = false;      // the request of this job was handed to the stream
+  bool asked = false;             // the request of this job was handed to the stream
+  bool opened_for_probe = false;  // and it carries that probe still
   bool withdrawn = false;  // not to be kept: its backend was withdrawn, and its number may go to another
   Message answer{Parser::Kind::kResponse};
   Millis unused_since = 0;
-  Millis age = 0;  // for how long it had stood unused before this job
+  std::optional<std::list<Link*>::iterator> unused;  // its place among them
+  Millis age = 0;                                    // for how long it had stood unused before this job
 };
 
 Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener)
@@ -199,8 +201,10 @@
 
 Upstream::~Upstream() {
   loop_.cancel(sweep_);
-  for (const auto& link : links_) {
-    if (link->job) loop_.cancel(link->job->limit);
+  for (const auto& [backend, pool] : pools_) {
+    for (const auto& link : pool) {
+      if (link->job) loop_.cancel(link->job->limit);
+    }
   }
 }
 
@@ -228,9 +232,15 @@
   const bool reused = link != nullptr;
   if (!reused) {
     link = std::make_shared<Link>(*this, backend, dial,
-                                  listener_.make_room() ? parse_address(dial) : std::nullopt);
-    links_.push_back(link);
+                                  listener_.make_room(job->probe) ? parse_address(dial) : std::nullopt);
+    pools_[backend].push_back(link);
+    ++links_;
+  } else {
+    use(*link);
   }
+  link->opened_for_probe = !reused && job->probe;
+  if (link->opened_for_probe) ++probing_;
+  if (!job->probe) working_.emplace(job->request, link.get());
   Job& under_way = *job;
   under_way.serial = ++last_serial_;
   link->job = std::move(job);
@@ -279,10 +289,11 @@
 std::shared_ptr<Upstream::Link> Upstream::take_idle(BackendId backend, const std::string& dial) {
   // The one used last first, so that those beyond need grow old and go.
   while (true) {
+    const auto pool = pools_.find(backend);
+    if (pool == pools_.end()) return nullptr;
     std::shared_ptr<Link> best;
-    for (const auto& link : links_) {
-      if (link->backend != backend || !link->idle()) continue;
-      if (!best || link->unused_since > best->unused_since) best = link;
+    for (const auto& link : pool->second) {
+      if (link->idle() && (!best || link->unused_since > best->unused_since)) best = link;
     }
     if (!best) return nullptr;
     const Millis now = loop_.now();
@@ -294,6 +305,16 @@
   }
 }
 
+void Upstream::rest(Link& link) {
+  link.unused_since = loop_.now();
+  link.unused = unused_.insert(unused_.end(), &link);
+}
+
+void Upstream::use(Link& link) {
+  if (link.unused) unused_.erase(*link.unused);
+  link.unused.reset();
+}
+
 void Upstream::finish(Link& link, Ending ending, const Message* answer, bool keep) {
   const std::unique_ptr<Job> job = std::move(link.job);
   loop_.cancel(job->limit);
@@ -307,16 +328,26 @@
   result.answer = answer;
   if (link.asked) kept_.note(link.age, ending == Ending::kBroken && link.answer.raw.empty(), loop_.now());
   link.asked = false;
-  link.unused_since = loop_.now();
+  if (std::exchange(link.opened_for_probe, false)) --probing_;
+  if (!job->probe) {
+    const auto [first, last] = working_.equal_range(job->request);
+    working_.erase(std::find_if(first, last, [&link](const auto& one) { return one.second == &link; }));
+  }
   const std::shared_ptr<Link> hold = link.shared_from_this();  // the answer is the link's
-  if (!keep || link.withdrawn) forget(link);
+  if (keep && !link.withdrawn && listener_.keep(job->probe)) {
+    rest(link);
+  } else {
+    forget(link);
+  }
   // Whoever is silent may have lost the connections kept to it as well: what is sent on them then would be
   // reset later and might have run, while a new one that does not come up proves that nothing did. But one
   // used since this attempt began shows that the backend is there, and only this answer was lost.
   if (ending == Ending::kTimeout && !job->probe) {
-    drop_idle([&link, &job](const Link& other) {
-      return other.backend == link.backend && other.unused_since < job->started;
-    });
+    const auto pool = pools_.find(link.backend);
+    const auto kept = pool == pools_.end() ? std::vector<std::shared_ptr<Link>>() : pool->second;
+    for (const auto& other : kept) {
+      if (other->unused && other->unused_since < job->started) forget(*other);
+    }
   }
   if (job->probe) {
     listener_.probe_done(link.backend, result);
@@ -326,73 +357,66 @@
 }
 
 void Upstream::call_off(RequestId request, int attempt) {
-  for (const auto& link : links_) {
-    if (!link->job || link->job->probe || link->job->request != request || link->job->attempt != attempt) {
-      continue;
-    }
-    const auto hold = link;
-    return finish(*hold, hold->written() ? Ending::kCalledOff : Ending::kStoppedUnsent, nullptr, false);
-  }
+  const auto [first, last] = working_.equal_range(request);
+  const auto found =
+      std::find_if(first, last, [attempt](const auto& one) { return one.second->job->attempt == attempt; });
+  if (found == last) return;
+  const std::shared_ptr<Link> hold = found->second->shared_from_this();
+  finish(*hold, hold->written() ? Ending::kCalledOff : Ending::kStoppedUnsent, nullptr, false);
 }
 
-void Upstream::withdraw(const std::function<bool(BackendId)>& wanted) {
-  const auto unwanted = [&wanted](const Link& link) { return !wanted(link.backend); };
-  drop_idle(unwanted);
-  for (const auto& link : links_) link->withdrawn = link->withdrawn || unwanted(*link);
-  stop_where(unwanted);
-}
-
-void Upstream::stop_unsent(RequestId request) {
-  stop_where([request](const Link& link) { return !link.job->probe && link.job->request == request; });
-}
-
-template <typename Which>
-void Upstream::stop_where(const Which& which) {
-  const auto unsent = [&which](const auto& link) { return link->job && !link->asked && which(*link); };
-  // What is told of one may end others or begin new ones. Most often there is none, and nothing is copied.
+void Upstream::withdraw(const std::vector<BackendId>& unwanted) {
   std::vector<std::shared_ptr<Link>> found;
-  std::copy_if(links_.begin(), links_.end(), std::back_inserter(found), unsent);
+  for (const BackendId backend : unwanted) {
+    const auto pool = pools_.find(backend);
+    if (pool != pools_.end()) found.insert(found.end(), pool->second.begin(), pool->second.end());
+  }
+  for (const auto& link : found) {
+    link->withdrawn = true;
+    if (link->unused) forget(*link);
+  }
+  // What is told of one may end others.
   for (const auto& link : found) {
-    if (unsent(link)) finish(*link, Ending::kStoppedUnsent, nullptr, false);
+    if (link->job && !link->asked) finish(*link, Ending::kStoppedUnsent, nullptr, false);
   }
 }
 
-template <typename Which>
-void Upstream::drop_idle(const Which& which) {
+void Upstream::stop_unsent(RequestId request) {
   std::vector<std::shared_ptr<Link>> found;
-  std::copy_if(links_.begin(), links_.end(), std::back_inserter(found),
-               [&which](const auto& link) { return link->idle() && which(*link); });
-  for (const auto& link : found) forget(*link);
+  const auto [first, last] = working_.equal_range(request);
+  for (auto it = first; it != last; ++it) {
+    if (!it->second->asked) found.push_back(it->second->shared_from_this());
+  }
+  for (const auto& link : found) {
+    if (link->job && !link->asked) finish(*link, Ending::kStoppedUnsent, nullptr, false);
+  }
 }
 
 bool Upstream::evict_idle() {
-  std::shared_ptr<Link> oldest;
-  for (const auto& link : links_) {
-    if (link->idle() && (!oldest || link->unused_since < oldest->unused_since)) oldest = link;
-  }
-  if (!oldest) return false;
-  forget(*oldest);
+  if (unused_.empty()) return false;
+  forget(*unused_.front());
   return true;
 }
 
-std::size_t Upstream::idle() const {
-  return static_cast<std::size_t>(
-      std::count_if(links_.begin(), links_.end(), [](const auto& link) { return link->idle(); }));
-}
-
 // Closes a link; it is freed once the handler at hand, which may be its own, is done.
 void Upstream::forget(Link& link) {
+  const std::shared_ptr<Link> hold = link.shared_from_this();
+  use(link);
   link.stream.close();
-  loop_.later([hold = link.shared_from_this()] {});
-  std::erase_if(links_, [&link](const auto& other) { return other.get() == &link; });
+  loop_.later([hold] {});
+  const auto pool = pools_.find(link.backend);
+  if (pool == pools_.end()) return;
+  links_ -= std::erase(pool->second, hold);
+  if (pool->second.empty()) pools_.erase(pool);
 }
 
 void Upstream::sweep() {
   const Millis now = loop_.now();
   std::map<BackendId, std::size_t> kept;
-  drop_idle([&](const Link& link) {
-    return now - link.unused_since >= most_idle_ || ++kept[link.backend] > kMostIdle;
-  });
+  for (auto it = unused_.begin(); it != unused_.end();) {
+    Link& link = **it++;
+    if (now - link.unused_since >= most_idle_ || ++kept[link.backend] > kMostIdle) forget(link);
+  }
   sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
 }
 
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -6,9 +6,11 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "node/net.h"
@@ -48,7 +50,10 @@
   struct Listener {
     std::function<void(RequestId, int attempt, const Result&)> attempt_done;
     std::function<void(BackendId, const Result&)> probe_done;
-    std::function<bool()> make_room;  // frees a descriptor if none is left; false if it cannot
+    // Whether a connection may be opened for an attempt or a probe; frees a descriptor where that is to be.
+    std::function<bool(bool probe)> make_room;
+    // Whether a connection is to be kept that carried one of the two.
+    std::function<bool(bool probe)> keep;
   };
 
   Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener);
@@ -60,13 +65,15 @@
   // The request is over: an attempt at it that waits for a connection is not to be written any more.
   void stop_unsent(RequestId request);
   void probe(BackendId backend, const std::string& dial);
-  // Nothing new may go to a backend that is not wanted: ends what was not yet written and the connections
-  // kept.
-  void withdraw(const std::function<bool(BackendId)>& wanted);
+  // Nothing new may go to these backends: ends what was not yet written and the connections kept.
+  void withdraw(const std::vector<BackendId>& unwanted);
   bool evict_idle();  // closes the connection that was unused for longest
 
-  std::size_t connections() const { return links_.size(); }
-  std::size_t idle() const;
+  std::size_t connections() const { return links_; }
+  std::size_t idle() const { return unused_.size(); }
+  std::size_t probing() const {
+    return probing_;
+  }  // connections that now carry a probe and were opened for it
   std::uint64_t opened() const { return opened_; }
   std::uint64_t reused() const { return reused_; }
 
@@ -80,18 +87,21 @@
   void connect_limit(const std::shared_ptr<Link>& link);
   void time_limit(const std::shared_ptr<Link>& link);
   void finish(Link& link, Ending ending, const Message* answer, bool keep);
+  void rest(Link& link);  // it stands unused from now on
+  void use(Link& link);   // and no longer
   void forget(Link& link);
-  template <typename Which>
-  void drop_idle(const Which& which);
-  template <typename Which>
-  void stop_where(const Which& which);
   void sweep();
 
   Loop& loop_;
   const Millis connect_timeout_;
   const Millis most_idle_;
   Listener listener_;
-  std::vector<std::shared_ptr<Link>> links_;
+  // No event walks all connections: they are found by backend, by request and by age.
+  std::unordered_map<BackendId, std::vector<std::shared_ptr<Link>>> pools_;
+  std::unordered_multimap<RequestId, Link*> working_;  // those that carry an attempt
+  std::list<Link*> unused_;                            // the longest unused first
+  std::size_t links_ = 0;
+  std::size_t probing_ = 0;
   KeptRecord kept_;
   Loop::TimerId sweep_ = 0;
   std::uint64_t last_serial_ = 0;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -232,6 +232,7 @@
       return;
     }
     if (update.kind != ListKind::kStored) list_wait_ = 0;
+    sharing_ = update.sharing;
     const bool whole = update.kind != ListKind::kDelta;
     std::vector<char> named(whole ? backends_.size() : 0, 0);
     for (const BackendEntry& entry : update.entries) {
@@ -291,7 +292,8 @@
     if (std::exchange(b.look_out, false)) --looks_out_;
     if (ended.has_report) learn_report(b, ended.report);
     if (!looking_.empty()) look_again(looks_out_ == 0);
-    if (!counts) return;
+    // One that this node had no descriptor for says nothing of the backend.
+    if (!counts || ended.outcome == Outcome::kNotSent) return;
     b.missed = ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout;
     if (b.missed) return;
     push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
@@ -322,16 +324,26 @@
     periods_ = periods_ * kRateMemory + 1;
     const double points = s_.probe_price / mean_share_ * 1000 / kPeriod / rate();
     round_ = std::clamp(points / kProbePoints * kPeriod, kPeriod, kLongestRound);
+    // Where ceilings are set, they hold whatever the price.
+    if (s_.most_probes > 0) round_ = std::max(round_, 1000 / mean_share_ / s_.most_probes);
+    if (s_.most_probes_backend > 0) round_ = std::max(round_, 1000 * sharers() / s_.most_probes_backend);
   }
 
   double rate() const { return (seen_ + arrived_ + 1) / (periods_ + 1) * 1000 / kPeriod; }
 
   // Probes go out when a round has passed since the backend's last one, so each keeps a phase of its own.
   void probe_due() {
-    for (BackendId i = 0; i < backends_.size(); ++i) {
+    // Under a ceiling a long list is new all at once only to the list: who comes too late for this tick is
+    // first in the next.
+    auto left = s_.most_probes > 0 ? std::ceil(s_.most_probes * kPeriod / kTicks / 1000) : backends_.size();
+    const std::size_t start = s_.most_probes > 0 ? first_probe_ : 0;
+    for (std::size_t n = 0; n < backends_.size() && left > 0; ++n) {
+      const BackendId i = static_cast<BackendId>((start + n) % backends_.size());
       Backend& b = backends_[i];
       if (b.state != BackendState::kReady || b.probe_out || now_ - b.asked_at < round_ - kTimerSlack)
         continue;
+      left -= 1;
+      first_probe_ = i + std::size_t{1};
       b.probe_out = true;
       b.asked_at = now_;
       if (!b.look_out) act(SendProbe{i});  // else that answer will do
@@ -588,7 +600,7 @@
       const double fresh = !heard ? 0 : std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
       return b.outstanding() + mean_others_ + (b.others - mean_others_) * fresh;
     }
-    return b.outstanding() * nodes_;
+    return b.outstanding() * std::max(1.0, nodes_ * sharers() / stated_nodes());
   }
 
   bool reports_told() const { return reports_ > 0 && wrong_reports_ < kWrongShare; }
@@ -766,7 +778,7 @@
   bool cold_room(const Request& r, Backend& b) {
     if (!cold(b)) return true;
     const double capacity = std::max(1.0, b.size * pace_per_size_) * s_.fall_span / service_;
-    const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / stated_nodes();
+    const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / sharers();
     const Millis span = s_.fall_span / std::min(1.0, budget);  // in which one request is within the budget
     std::erase_if(b.cold_sends, [this, span](Millis t) { return now_ - t >= span; });
     const double room = std::min(budget, std::max(1.0, budget) - static_cast<double>(b.cold_sends.size()));
@@ -809,6 +821,9 @@
 
   double stated_nodes() const { return std::max(1, s_.instances); }
 
+  // How many of them each of these backends has before it.
+  double sharers() const { return sharing_ > 0 ? sharing_ : stated_nodes(); }
+
   // How many nodes like this one the traffic amounts to: all that the backends serve over what this node got
   // served. Tells a node in a busy zone, and one whose fellows are down, that its part is larger. Where
   // reports carry no rates, all nodes are taken to be up and alike.
@@ -824,7 +839,7 @@
     served_ = 0;
     if (rates <= 0 || served_mean_ <= 0) return;
     // Those not heard of lately are taken to serve as much: at little traffic a node hears of few in time.
-    const double all = rates / heard / mean_share_;
+    const double all = rates / heard / mean_share_ * stated_nodes() / sharers();
     nodes_ += kNodesGain * (std::clamp(all / served_mean_, 1.0, kMostNodes * stated_nodes()) - nodes_);
   }
 
@@ -987,6 +1002,8 @@
   Millis now_ = 0;
   std::vector<Action>* out_ = nullptr;
   std::vector<Backend> backends_;
+  double sharing_ = 0;           // nodes before each of them, where lists tell
+  std::size_t first_probe_ = 0;  // where the next tick begins under a ceiling
   std::deque<BackendId> rotation_;
   std::size_t weighed_ = 0;                          // by the last propose()
   std::vector<Median> medians_;                      // by record, class and figure
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -55,10 +55,12 @@
   Millis connect_timeout = 0;
   Millis warm_up = 0;  // a started backend is warm no later than this
   double cold_share = 1;
-  double fall_multiple = 1;   // a cold backend sent more than this multiple of its present capacity
-  Millis fall_span = 0;       // for this long falls over
-  bool sizes_listed = false;  // list entries carry comparable sizes
-  double probe_price = 0;     // taken off the result for each probe per request
+  double fall_multiple = 1;        // a cold backend sent more than this multiple of its present capacity
+  Millis fall_span = 0;            // for this long falls over
+  bool sizes_listed = false;       // list entries carry comparable sizes
+  double probe_price = 0;          // taken off the result for each probe per request
+  double most_probes = 0;          // a second, of this node; 0 = no ceiling
+  double most_probes_backend = 0;  // a second, to one backend from all nodes; 0 = no ceiling
 };
 
 // A backend's own load figures; a negative value was not reported.
@@ -99,6 +101,7 @@
 struct ListUpdate {
   ListKind kind = ListKind::kFull;
   std::vector<BackendEntry> entries;
+  double sharing = 0;  // nodes that work with each of these backends, where a node sees a part; 0 = all
 };
 struct RequestArrived {
   RequestId request = 0;
--- a/src/subset/lots.cpp
+++ b/src/subset/lots.cpp
@@ -25,6 +25,7 @@
 std::uint64_t hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
 int lots_of(std::size_t boxes, const Options& options, const Place& place, int before) {
+  if (boxes <= static_cast<std::size_t>(std::max(0, options.whole_up_to))) return 1;
   const double wanted = static_cast<double>(boxes) / std::max(1, options.target);
   int most = 1 << 30;
   if (place.nodes > 0) most = std::max(1, place.nodes / std::max(1, options.least_holders));
@@ -44,6 +45,12 @@
   return {static_cast<int>(drawn % static_cast<std::uint64_t>(lots)), drawn | (1ULL << 63)};
 }
 
+double holders(const Place& place, int lots) {
+  if (lots <= 1 || place.nodes <= 0) return 0;
+  const double mean = static_cast<double>(place.nodes) / lots;
+  return place.index ? std::ceil(mean) : mean + 2 * std::sqrt(mean);
+}
+
 std::vector<int> draw(std::span<const Box> boxes, int lots, std::uint64_t round, double slack) {
   std::vector<int> lot_of(boxes.size(), 0);
   if (lots <= 1) return lot_of;
--- a/src/subset/lots.h
+++ b/src/subset/lots.h
@@ -37,6 +37,7 @@
   double slack = 0.25;  // a lot holds at most this share more than the mean
   int least_holders =
       2;  // where the number of nodes is known, lots grow rather than have fewer nodes hold a box
+  int whole_up_to = 0;  // a fleet of so many boxes at most is not divided
 };
 
 std::uint64_t hash_of(std::string_view text);
@@ -53,6 +54,10 @@
 };
 Ticket ticket_of(const Place& place, int lots);
 
+// How many nodes hold each box: whole rounds, or by chance where nodes know no index; then enough for all but
+// one box in some forty. 0 where all nodes hold all boxes, or their number is not known.
+double holders(const Place& place, int lots);
+
 // For each box, in the order given, the lot that it has in this round. O(boxes log boxes).
 std::vector<int> draw(std::span<const Box> boxes, int lots, std::uint64_t round, double slack);
 
--- a/src/subset/subset.cpp
+++ b/src/subset/subset.cpp
@@ -1,6 +1,7 @@
 #include "subset/subset.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace shorelead::subset {
 namespace {
@@ -11,133 +12,66 @@
 
 }  // namespace
 
-Subset::Subset(const Options& options, const Place& place) : options_(options), place_(place) {}
-
-void Subset::put(const Listed& listed) {
-  const auto [it, fresh] = places_.try_emplace(listed.id, static_cast<std::uint32_t>(boxes_.size()));
-  if (fresh)
-    boxes_.push_back({{hash_of(listed.id), listed.zone, listed.size}, listed.id, listed.ready, true, false});
-  Known& known = boxes_[it->second];
-  if (!fresh && known.ready == listed.ready && known.box.zone == listed.zone && known.box.size == listed.size)
-    return;
-  known.ready = listed.ready;
-  known.box.zone = std::max(0, listed.zone);
-  known.box.size = std::max(1e-6, listed.size);
-  changed_ = true;
-}
-
-void Subset::remove(const std::string& id) {
-  const auto it = places_.find(id);
-  if (it == places_.end()) return;
-  const std::uint32_t place = it->second;
-  if (boxes_[place].member) left_.push_back(id);
-  places_.erase(it);
-  if (place + 1 != boxes_.size()) {
-    boxes_[place] = std::move(boxes_.back());
-    places_[boxes_[place].id] = place;
-  }
-  boxes_.pop_back();
-  changed_ = true;
-}
-
-void Subset::clear() {
-  for (const Known& known : boxes_) {
-    if (known.member) left_.push_back(known.id);
-  }
-  boxes_.clear();
-  places_.clear();
-  changed_ = true;
+void Subset::set_answering(const std::string& id, bool answering) {
+  const bool changed = answering ? silent_.erase(id) > 0 : silent_.insert(id).second;
+  changed_ = changed_ || changed;
 }
 
-void Subset::set_answering(const std::string& id, bool answering) {
-  const auto it = places_.find(id);
-  if (it == places_.end() || boxes_[it->second].answering == answering) return;
-  boxes_[it->second].answering = answering;
-  changed_ = changed_ || boxes_[it->second].member;
+void Subset::set_nodes(int nodes) {
+  changed_ = changed_ || place_.nodes != nodes;
+  place_.nodes = nodes;
 }
 
-// Those of its own lot that are ready, and as many ready ones of the lots next to it as are wanting.
+// Those of its own lot, and as many of the lots next to it as are wanting.
 std::vector<std::uint32_t> Subset::chosen() {
-  std::vector<Box> ready;
-  std::vector<std::uint32_t> places;
-  double total = 0;
-  for (std::uint32_t n = 0; n < boxes_.size(); ++n) {
-    if (!boxes_[n].ready) continue;
-    ready.push_back(boxes_[n].box);
-    places.push_back(n);
-    total += boxes_[n].box.size;
-  }
   borrowed_ = 0;
-  if (ready.empty()) return {};
-  lots_ = lots_of(ready.size(), options_, place_, lots_);
+  if (fleet_->ready() == 0) return {};
+  lots_ = fleet_->lots(place_);
   const Ticket ticket = ticket_of(place_, lots_);
-  const std::vector<int> lot_of = draw(ready, lots_, ticket.round, options_.slack);
-  std::vector<std::uint32_t> members;
+  const Fleet::Drawing& drawing = fleet_->drawing(ticket.round, lots_);
+  std::vector<std::uint32_t> members = drawing.lots[static_cast<std::size_t>(ticket.lot)];
+  const auto size = [this](std::uint32_t place) { return fleet_->at(place).box.size; };
   double capacity = 0;
-  for (std::size_t n = 0; n < ready.size(); ++n) {
-    if (lot_of[n] != ticket.lot) continue;
-    members.push_back(places[n]);
-    if (boxes_[places[n]].answering) capacity += ready[n].size;
-  }
-  const double wanted = kEnough * total / lots_;
-  if (capacity >= wanted && !members.empty()) return members;
+  for (const std::uint32_t place : members) capacity += answers(place) ? size(place) : 0;
+  const double wanted = kEnough * fleet_->capacity() / lots_;
   // Lots that differ in the lowest bits first: each lends to another one, so no lot has to lend to all.
-  struct Lender {
-    int far;
-    std::uint64_t key;
-    std::size_t n;
-    bool operator<(const Lender& o) const { return far != o.far ? far < o.far : key < o.key; }
-  };
-  std::vector<Lender> lenders;
-  for (std::size_t n = 0; n < ready.size(); ++n) {
-    if (lot_of[n] == ticket.lot || !boxes_[places[n]].answering) continue;
-    lenders.push_back({lot_of[n] ^ ticket.lot, ready[n].key, n});
+  for (int far = 1; far < lots_ && (capacity < wanted || members.empty()); ++far) {
+    std::vector<std::uint32_t> lenders = drawing.lots[static_cast<std::size_t>(ticket.lot ^ far)];
+    std::sort(lenders.begin(), lenders.end(), [this](std::uint32_t x, std::uint32_t y) {
+      return fleet_->at(x).box.key < fleet_->at(y).box.key;
+    });
+    for (const std::uint32_t place : lenders) {
+      if (capacity >= wanted && !members.empty()) break;
+      // One that was lent and has fallen silent stays, or nobody would hear when it is back.
+      if (!answers(place) && !holds(fleet_->at(place).id)) continue;
+      members.push_back(place);
+      capacity += answers(place) ? size(place) : 0;
+      ++borrowed_;
+    }
   }
-  std::sort(lenders.begin(), lenders.end());
-  for (const Lender& lender : lenders) {
-    if (capacity >= wanted && !members.empty()) break;
-    members.push_back(places[lender.n]);
-    capacity += ready[lender.n].size;
-    ++borrowed_;
+  if (capacity > 0) return members;
+  members.clear();  // nobody is known to answer: all who are ready
+  for (std::uint32_t place = 0; place < fleet_->size(); ++place) {
+    if (fleet_->at(place).ready) members.push_back(place);
   }
-  if (capacity <= 0) members = places;  // nobody is known to answer: all who are ready
   return members;
 }
 
 Change Subset::settle() {
   Change change;
-  if (!changed_) return change;
+  if (!changed_ && settled_ == fleet_->version()) return change;
   changed_ = false;
-  std::vector<bool> now(boxes_.size(), false);
-  for (const std::uint32_t place : chosen()) now[place] = true;
-  for (const std::string& id : left_) {
-    const auto again = places_.find(id);
-    if (again == places_.end()) {
-      change.removed.push_back(id);
-    } else {
-      boxes_[again->second].member = true;  // gone and back within one settle: the node never heard of it
-    }
-  }
-  left_.clear();
-  for (std::uint32_t n = 0; n < boxes_.size(); ++n) {
-    if (now[n] == boxes_[n].member) continue;
-    (now[n] ? change.added : change.removed).push_back(boxes_[n].id);
-    boxes_[n].member = now[n];
-  }
+  settled_ = fleet_->version();
+  // One that has gone, or has left the subset, is heard of no more: should it return, it starts over.
+  std::set<std::string> now;
+  for (const std::uint32_t place : chosen()) now.insert(fleet_->at(place).id);
+  std::set_difference(now.begin(), now.end(), members_.begin(), members_.end(),
+                      std::back_inserter(change.added));
+  std::set_difference(members_.begin(), members_.end(), now.begin(), now.end(),
+                      std::back_inserter(change.removed));
+  for (const std::string& id : change.removed) silent_.erase(id);
+  members_ = std::move(now);
   return change;
 }
 
-std::vector<std::string> Subset::members() const {
-  std::vector<std::string> ids;
-  for (const Known& known : boxes_) {
-    if (known.member) ids.push_back(known.id);
-  }
-  return ids;
-}
-
-bool Subset::holds(const std::string& id) const {
-  const auto it = places_.find(id);
-  return it != places_.end() && boxes_[it->second].member;
-}
-
 }  // namespace shorelead::subset
--- a/src/subset/subset.h
+++ b/src/subset/subset.h
@@ -5,21 +5,16 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
+#include <set>
 #include <string>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
-#include "subset/lots.h"
+#include "subset/fleet.h"
 
 namespace shorelead::subset {
 
-struct Listed {
-  std::string id;
-  int zone = 0;
-  double size = 1;
-  bool ready = true;  // else it drains; one that has gone is not listed
-};
-
 struct Change {
   std::vector<std::string> added;    // now to be worked with
   std::vector<std::string> removed;  // no longer; whatever is under way there goes on
@@ -28,44 +23,41 @@
 
 class Subset {
  public:
-  Subset(const Options& options, const Place& place);
+  Subset(const Options& options, const Place& place) : Subset(std::make_shared<Fleet>(options), place) {}
+  // On a list that others read too; whoever shares it changes it.
+  Subset(std::shared_ptr<Fleet> fleet, const Place& place) : fleet_(std::move(fleet)), place_(place) {}
 
   // The fleet changed: entries that are new or not as they were, and ids that have gone. What changes in the
   // subset is told by settle(), so that many changes at once cost one drawing.
-  void put(const Listed& listed);
-  void remove(const std::string& id);
-  void clear();
-  // Whether the node finds it answering. One that does not stays in the subset but counts as no capacity.
+  void put(const Listed& listed) { fleet_->put(listed); }
+  void remove(const std::string& id) { fleet_->remove(id); }
+  void clear() { fleet_->clear(); }
+  // Whether the node finds a member answering. One that does not stays in the subset but counts as no
+  // capacity.
   void set_answering(const std::string& id, bool answering);
-  void set_nodes(int nodes) { place_.nodes = nodes; }
+  void set_nodes(int nodes);
 
   // Draws anew if anything changed since, and says what that changes.
   Change settle();
 
-  std::vector<std::string> members() const;
-  bool holds(const std::string& id) const;
+  std::vector<std::string> members() const { return {members_.begin(), members_.end()}; }
+  bool holds(const std::string& id) const { return members_.count(id) > 0; }
+  std::size_t size() const { return members_.size(); }
   int lots() const { return lots_; }
-  std::size_t fleet() const { return boxes_.size(); }
+  std::size_t fleet() const { return fleet_->size(); }
   std::size_t borrowed() const { return borrowed_; }
 
  private:
-  struct Known {
-    Box box;
-    std::string id;
-    bool ready = true;
-    bool answering = true;
-    bool member = false;
-  };
-
   std::vector<std::uint32_t> chosen();
+  bool answers(std::uint32_t place) const { return silent_.count(fleet_->at(place).id) == 0; }
 
-  const Options options_;
+  const std::shared_ptr<Fleet> fleet_;
   Place place_;
   int lots_ = 0;
-  std::vector<Known> boxes_;
-  std::unordered_map<std::string, std::uint32_t> places_;
-  std::vector<std::string> left_;  // members that have gone since the last settle()
-  bool changed_ = false;
+  std::set<std::string> members_;  // ordered, so that changes are told in the same order everywhere
+  std::unordered_set<std::string> silent_;
+  std::uint64_t settled_ = 0;  // version of the list that this subset was drawn from
+  bool changed_ = false;       // something else did
   std::size_t borrowed_ = 0;
 };
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <fstream>
 
+#include "node/own.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -112,5 +114,50 @@
   EXPECT_EQ(parse_list(document).backends.at(0).health, "gone");
 }
 
+// The file of our own: a mistake is named with its line, and nothing of it passes for a default.
+TEST(OwnFile, MistakesAreNamedWithTheirPlace) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"[subset]\nsise = 50",
+       "own.toml:2: [subset] has no key \"sise\"; it knows: size, above, slack, nodes, index"},
+      {"\n[subsets]\nsize = 50", "own.toml:2: [file] has no key \"subsets\"; it knows: subset, probes"},
+      {"subset = 5", "own.toml:1: subset is not a table"},
+      {"[subset]\nsize = \"50\"", "own.toml:2: size is not a number"},
+      {"[subset]\nsize = 1", "own.toml:2: size is 1; it may be 2 to 100000"},
+      {"[subset]\nsize = 2.5", "own.toml:2: size is not a whole number"},
+      {"[subset]\nslack = nan", "own.toml:2: slack is not a number"},
+      {"[subset]\nnodes = 10\nindex = 10", "own.toml:3: index is 10, but there are 10 nodes, counted from 0"},
+      {"[probes]\nper_second = -1", "own.toml:2: per_second is -1; it may be 0.1 to 1e+06"},
+      {"[probes]\nper_second = 1\nper_second = 2", "own.toml:3: "},
+      {"[probes", "own.toml:1: "},
+  };
+  for (const auto& [text, cause] : cases) {
+    Config read = parse_config(config(), {});
+    try {
+      apply_own(text, "own.toml", read);
+      ADD_FAILURE() << text << " was taken";
+    } catch (const FieldError& error) {
+      EXPECT_EQ(std::string(error.what()).substr(0, std::string(cause).size()), cause) << text;
+    }
+  }
+  Config read = parse_config(config(), {});
+  EXPECT_THROW(load_own("/nowhere/own.toml", read), FieldError);
+}
+
+TEST(OwnFile, TheNodesPlaceIsThePlatformsUnlessItTells) {
+  Config read = parse_config(config(), {});
+  apply_own("", "own.toml", read);
+  EXPECT_FALSE(read.fleet.subset);  // off unless set
+  apply_own("[subset]\nsize = 20", "own.toml", read);
+  ASSERT_TRUE(read.fleet.subset);
+  EXPECT_EQ(read.fleet.subset->target, 20);
+  EXPECT_EQ(read.fleet.subset->whole_up_to, 40);
+  EXPECT_EQ(read.fleet.place.nodes, 2);
+  EXPECT_EQ(read.fleet.place.index, 1);
+  apply_own("[subset]\nnodes = 1000\n[probes]\nper_box = 2.5", "own.toml", read);
+  EXPECT_EQ(read.settings.instances, 1000);
+  EXPECT_FALSE(read.fleet.place.index);
+  EXPECT_EQ(read.settings.most_probes_backend, 2.5);
+}
+
 }  // namespace
 }  // namespace shorelead::node
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -250,5 +250,122 @@
   EXPECT_GT(woken, 0);
 }
 
+// ---- subsets ----
+
+struct Part {
+  explicit Part(int boxes = 400, int size = 20) : facade(settings(), host(), 1, fleet(size)) {
+    facade.start(list_of(boxes), now);
+  }
+  static FleetOptions fleet(int size) {
+    FleetOptions options;
+    options.subset.emplace();
+    options.subset->target = size;
+    options.place.index = 3;
+    options.place.nodes = 100;
+    return options;
+  }
+  // Where one request after another goes; each is served at once.
+  std::set<BackendId> used(int requests = 400) {
+    std::set<BackendId> all;
+    for (int i = 0; i < requests; ++i) {
+      const Choice choice = facade.pick(++last, {kSafe, 0, now + 1000, -1, false}, now);
+      if (choice.kind != Choice::Kind::kSend) continue;
+      all.insert(choice.backend);
+      facade.report(last, 0, Ending::kServed, 5, nullptr, now);
+    }
+    return all;
+  }
+  std::string host_of(BackendId backend) const {
+    return "s-" + std::to_string(std::stoi(facade.dial(backend).substr(10)) - 9000);
+  }
+  void change(const std::string& host, const std::string& health) {
+    List list;
+    ListedBackend b;
+    b.host = host;
+    b.health = health;
+    list.backends.push_back(b);
+    unwanted = facade.report_list(list, ListSource::kWatch, now);
+  }
+  Millis now = 1.7e12;
+  RequestId last = 0;
+  std::vector<BackendId> unwanted;
+  Facade facade;
+};
+
+TEST(FacadeSubset, WorksWithItsPartAndWithASmallFleetWhole) {
+  Part part;
+  const auto counters = part.facade.subset_counters();
+  ASSERT_TRUE(counters);
+  EXPECT_EQ(counters->fleet, 400U);
+  EXPECT_GE(counters->members, 10U);
+  EXPECT_LE(counters->members, 36U);
+  EXPECT_EQ(part.used().size(), counters->members);
+  EXPECT_EQ(Part(8).used().size(), 8U);  // fewer boxes than the subset's size
+}
+
+// Rule "drains are kept", on a part: a member that drains gets nothing new from that moment, without waiting
+// for a drawing, and another stands in before its grace ends.
+TEST(FacadeSubset, AMemberThatDrainsStopsAtOnceAndIsReplaced) {
+  Part part;
+  const std::set<BackendId> before = part.used();
+  const BackendId drained = *before.begin();
+  part.change(part.host_of(drained), "draining");
+  EXPECT_EQ(part.unwanted, std::vector<BackendId>{drained});
+  EXPECT_EQ(part.used().count(drained), 0U);
+  part.now += 101;
+  part.facade.tick(part.now);
+  EXPECT_EQ(part.used().count(drained), 0U);
+  EXPECT_GE(part.facade.subset_counters()->members, before.size() * 7 / 10);
+}
+
+// A change among boxes of other nodes' parts leaves this one's as it is, or nearly.
+TEST(FacadeSubset, ABoxElsewhereMovesFew) {
+  Part part;
+  const std::set<BackendId> before = part.used();
+  std::set<std::string> members;
+  for (const BackendId b : before) members.insert(part.host_of(b));
+  int host = 0;
+  while (members.count("s-" + std::to_string(host)) > 0) ++host;
+  part.change("s-" + std::to_string(host), "gone");
+  EXPECT_TRUE(part.unwanted.empty());
+  part.now += 101;
+  part.facade.tick(part.now);
+  EXPECT_LE(part.facade.subset_counters()->changes, before.size() + 6);
+}
+
+// The hard case: all of its members drain in one deploy. Others stand in; it is never without while anybody
+// is ready, and numbers of those gone are given back.
+TEST(FacadeSubset, ASubsetAllOfWhoseBoxesDrainIsDrawnAnew) {
+  Part part;
+  for (int round = 0; round < 15; ++round) {
+    for (const BackendId b : part.used()) {
+      part.change(part.host_of(b), "draining");
+      part.change(part.host_of(b), "gone");
+    }
+    part.now += 101;
+    part.facade.tick(part.now);
+    EXPECT_FALSE(part.used().empty()) << round;
+  }
+}
+
+// Members that are silent count as no capacity: others are borrowed, and given back when they answer again.
+TEST(FacadeSubset, BorrowsWhileMembersAreSilent) {
+  Part part;
+  const std::set<BackendId> before = part.used();
+  const auto probe_all = [&](Ending ending) {
+    for (const BackendId b : before) {
+      for (int n = 0; n < 3; ++n) part.facade.report_probe(b, ending, 250, nullptr, part.now);
+    }
+    part.now += 101;
+    part.facade.tick(part.now);
+  };
+  probe_all(Ending::kTimeout);
+  EXPECT_GT(part.facade.subset_counters()->borrowed, 0U);
+  EXPECT_GT(part.facade.subset_counters()->members, before.size());
+  probe_all(Ending::kServed);
+  EXPECT_EQ(part.facade.subset_counters()->borrowed, 0U);
+  EXPECT_EQ(part.facade.subset_counters()->members, before.size());
+}
+
 }  // namespace
 }  // namespace shorelead::node
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -10,10 +10,11 @@
   [policy]="base policy"
   [net]="base net"
   [subset]="base subset"
+  [limits]="base limits"
   [settings]="base policy settings"
-  [node]="base policy settings net node"
+  [node]="base policy settings subset limits net node"
   [drill]="base policy settings drill"
-  [lab]="base lab"  # stand-ins share no parser with the node, or it would be tested against itself
+  [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
 
 fail=0
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -22,7 +22,8 @@
   explicit Backends(Millis connect_timeout = kLong)
       : upstream(loop, connect_timeout, 60000,
                  {[this](RequestId, int, const Result& result) { take(result); },
-                  [this](BackendId, const Result& result) { take(result); }, [this] { return room; }}) {
+                  [this](BackendId, const Result& result) { take(result); }, [this](bool) { return room; },
+                  [this](bool probe) { return !probe || keeps_probes; }}) {
     message->raw = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
     message->parser.advance(message->raw);
   }
@@ -49,6 +50,7 @@
 
   Loop loop;
   bool room = true;
+  bool keeps_probes = true;
   std::deque<Loop::Task> steps;
   Ending last = Ending::kNotSent;
   std::optional<LoadReport> load;
@@ -109,7 +111,7 @@
   FullPeer peer;
   Backends b;
   b.send(peer, kLong);
-  b.loop.later([&b] { b.upstream.withdraw([](BackendId) { return false; }); });
+  b.loop.later([&b] { b.upstream.withdraw({0}); });
   EXPECT_EQ(b.run(), Ending::kStoppedUnsent);
 }
 
@@ -324,7 +326,7 @@
   Line there = peer.accept();
   b.loop.after(1, [&] {
     there.request();
-    b.upstream.withdraw([](BackendId) { return false; });
+    b.upstream.withdraw({0});
     there.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   });
   EXPECT_EQ(b.run(), Ending::kServed);
