Module: a wrong first guess is given up; boxes where nobody waits have room

Change: two exceptions. Guess: once a period, where over half of the backends told of their service time and each is under half of the fleet's, the fleet's moves to the slowest of them. Room: a report of nobody waiting and a core free says that the box works on all it has in hand at once.

--- a/bench/fleet/fleet_bench.cpp
+++ b/bench/fleet/fleet_bench.cpp
@@ -41,7 +41,7 @@
 // A connection to a box: every head is answered at once.
 class Box : public std::enable_shared_from_this<Box> {
  public:
-  Box(tcp::socket socket, Counts& counts, bool still)
+  Box(tcp::socket socket, Counts& counts, const std::string& still)
       : socket_(std::move(socket)), counts_(counts), still_(still) {
     socket_.set_option(tcp::no_delay(true));
   }
@@ -60,9 +60,10 @@
     for (std::size_t end = 0; (end = in_.find("\r\n\r\n")) != std::string::npos; in_.erase(0, end + 4)) {
       const bool probe = in_.compare(0, 7, "GET /-/") == 0;
       ++(probe ? counts_.probes : counts_.requests);
-      // Reports that move a little, or stand still as the issue describes.
-      const char* const load =
-          still_ || ++told_ % 2 == 0 ? "inflight=0,queue=0,util=0.1" : "inflight=1,queue=0,util=0.2";
+      // Reports that move a little, or stand still.
+      const char* const moving =
+          ++told_ % 2 == 0 ? "inflight=0,queue=0,util=0.1" : "inflight=1,queue=0,util=0.2";
+      const std::string& load = still_.empty() ? std::string(moving) : still_;
       out_.append("HTTP/1.1 200 OK\r\nX-Server-Load: ").append(load);
       out_.append("\r\nContent-Length: 2\r\n\r\nok");
     }
@@ -74,7 +75,7 @@
 
   tcp::socket socket_;
   Counts& counts_;
-  const bool still_;
+  const std::string still_;  // what reports always say; empty = they move
   std::uint64_t told_ = 0;
   std::array<char, 4096> part_;
   std::string in_;
@@ -83,7 +84,7 @@
 
 class Listener {
  public:
-  Listener(asio::io_context& context, Counts& counts, bool still)
+  Listener(asio::io_context& context, Counts& counts, const std::string& still)
       : acceptor_(context, tcp::endpoint(kLoopback, 0)), counts_(counts), still_(still) {
     accept();
   }
@@ -100,7 +101,7 @@
   }
   tcp::acceptor acceptor_;
   Counts& counts_;
-  const bool still_;
+  const std::string still_;  // what reports always say; empty = they move
 };
 
 // Discovery: the whole list on the first line of a watch, then signs of life.
@@ -264,7 +265,7 @@
   int sockets = 4096;
   double seconds = 5;
   double warm_up = 4;
-  bool still = false;
+  std::string still;
 };
 
 void run(const Options& options, int boxes) {
@@ -377,7 +378,8 @@
   app.add_option("--sockets", options.sockets, "the node's descriptors")->check(CLI::Range(64, 19000));
   app.add_option("--seconds", options.seconds)->check(CLI::Range(0.5, 120.0));
   app.add_option("--warm-up", options.warm_up)->check(CLI::Range(0.0, 60.0));
-  app.add_flag("--still", options.still, "boxes' load reports stand still");
+  app.add_option("--still", options.still,
+                 "what boxes' load reports say all the time; they move if not given");
   CLI11_PARSE(app, argc, argv);
   rlimit limit{};
   ::getrlimit(RLIMIT_NOFILE, &limit);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -67,6 +67,7 @@
 constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 constexpr double kSlowGain = 0.1;        // weight of one answer in the slowness of all
 constexpr double kRecordSpan = 5;        // seconds: a backend's own record holds what came in them
+constexpr double kGuessShare = 0.5;      // of the fleet's service time: where all are below, it is wrong
 constexpr double kForgetting = 0.1;      // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
 constexpr double kHealthGain = 0.25;       // weight of one outcome in the share of failures
@@ -639,6 +640,11 @@
       if (report.waiting > kSomeWaiting) {
         b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
         b.lanes_known = true;
+      } else if (report.waiting == 0 && report.busy >= 0 && report.busy < 1 && report.in_hand > b.lanes) {
+        // Nobody waits and a core is free: it works on as many at once as it has in hand. Were it taken for
+        // crowded, it would get nothing, and nothing could tell.
+        b.lanes = std::round(report.in_hand);
+        b.lanes_known = true;
       }
     } else if (report.rate > 0 && report.busy >= kLeastBusyShare && !cold(b)) {
       b.lanes_known = true;
@@ -675,7 +681,21 @@
     const double held = rate() * mean_share_ * kRecordSpan;
     slowness_ = std::pow(slowness_, 1 - kForgetting);
     stretch_ = std::pow(std::max(1.0, slowness_), 1 / (1 + held * held));
+    // Exception "guess": where answers meet a crowd from the first moment on, none teaches the fleet's
+    // service time. But if over half of all backends told of theirs, and each is well below it, it cannot be
+    // theirs.
+    double slowest = 0;
+    std::size_t ready = 0;
+    std::size_t heard = 0;
+    for (const Backend& b : backends_) {
+      ready += usable(b);
+      heard += usable(b) && b.heard;
+      if (b.heard) slowest = std::max(slowest, b.service_ratio);
+    }
+    const bool wrong = heard * 2 > ready && slowest < kGuessShare;
+    if (wrong) service_ *= slowest;
     for (Backend& b : backends_) {
+      if (b.heard && wrong) b.service_ratio /= slowest;
       if (!b.heard) b.service_ratio = std::pow(b.service_ratio, 1 - kForgetting);
       b.heard = false;
     }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -4,9 +4,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace shorelead {
 namespace {
@@ -826,6 +828,61 @@
   EXPECT_GE(got.size(), 4U);
 }
 
+// Plays `clients` that ask again as soon as they are answered, each after `takes`; returns how many of `count`
+// requests were refused.
+int refused_of(Node& node, int clients, int count, Millis takes) {
+  int refused = 0;
+  RequestId last = 0;
+  std::deque<std::pair<RequestId, BackendId>> out;
+  node.log.clear();
+  const auto read_log = [&] {
+    for (const Action& a : std::exchange(node.log, {})) {
+      if (const auto* send = std::get_if<SendAttempt>(&a)) out.emplace_back(send->request, send->backend);
+      refused += std::holds_alternative<Refuse>(a);
+    }
+  };
+  for (int n = 0; n < clients; ++n) node.arrive(++last);
+  read_log();
+  while (static_cast<int>(last) < count) {
+    node.run_to(node.now + takes / clients);
+    if (!out.empty()) {
+      const auto [id, backend] = out.front();
+      out.pop_front();
+      node.end(id, backend, Outcome::kServed, 0, takes);
+    }
+    node.arrive(++last);
+    read_log();
+  }
+  return refused;
+}
+
+// Guards against a first guess that stands for ever: where every answer meets a crowd from the first moment
+// on, none taught the fleet's service time, and requests were refused though answers took 8 ms of the 400
+// that were wanted. (Seen with reports that stood still at one in hand: 2% of the first 10,000, then 0.8%.)
+TEST(Admission, AGuessThatAllBackendsContradictIsGivenUp) {
+  Node node;
+  node.answers_report = true;
+  node.list(entries(8));
+  node.report_in_hand(8, 1);
+  for (BackendId i = 0; i < 8; ++i) node.load[i].waiting = 0, node.load[i].busy = 0.1;
+  node.run_to(node.now + 3 * kTestPeriod);
+  refused_of(node, 200, 40000, 8);  // a second and a half: the guess is still there at first
+  EXPECT_EQ(refused_of(node, 200, 20000, 8), 0);
+}
+
+// Guards against refusing everything: boxes that report 25 requests in hand, none waiting and half their cores
+// free were each taken to work on one at a time, so that nobody ever got a request and nobody could tell.
+TEST(Admission, WhereNobodyWaitsThereIsRoom) {
+  Node node;
+  node.list(entries(8));
+  node.report_in_hand(8, 25);
+  for (BackendId i = 0; i < 8; ++i) node.load[i].waiting = 0, node.load[i].busy = 0.5;
+  node.run_to(node.now + 3 * kTestPeriod);
+  const auto actions = node.arrive(1);
+  EXPECT_TRUE(none<Refuse>(actions));
+  EXPECT_TRUE(only<SendAttempt>(actions));
+}
+
 TEST(Health, FailFastBackendsAreLeftAloneEvenWhileAllOthersAreSlow) {
   // From an incident: two of eleven backends answered each request with an error within milliseconds. So they
   // looked idle and drew half the traffic, while the others, all slow at the time, timed out more often than
