--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -540,9 +540,10 @@
   int total = 0;
   int most_in_a_second = 0;
 };
-ColdSends cold_sends(int nodes, int count, Millis every, Millis span) {
+// Some `nodes` are played; they have been told of `stated`, and that `sharing` of them have each backend.
+ColdSends cold_sends(int nodes, int count, Millis every, Millis span, int stated = 0, double sharing = 0) {
   Settings s = plain_settings();
-  s.instances = nodes;
+  s.instances = stated > 0 ? stated : nodes;
   s.classes[0].aim = 2000;  // else a cold backend is too slow to be of use
   s.classes[0].deadline = 4000;
   std::vector<Millis> sends;
@@ -550,7 +551,7 @@
     Node node(s, static_cast<std::uint64_t>(n) + 1);
     for (BackendId i = 0; i < static_cast<BackendId>(count); ++i) node.probe_time[i] = 1;
     auto list = entries(count);
-    node.list(list);
+    node.feed(ListUpdate{ListKind::kFull, list, sharing});
     RequestId id = 1;
     const Millis start = 1000 + every * n / nodes;
     bool told = false;
@@ -558,7 +559,7 @@
       if (!told && at >= 21000) {
         node.run_to(21000);
         list.back().started = node.now;
-        node.list(list);
+        node.feed(ListUpdate{ListKind::kFull, list, sharing});
         told = true;
       }
       node.run_to(at);
@@ -595,6 +596,16 @@
   EXPECT_LE(found.most_in_a_second, 9);
 }
 
+// Where nodes work with parts of a fleet, the budget of a cold backend is shared by the nodes that have it in
+// theirs: two of a hundred take all of it between them, neither fifty times too little nor more than it
+// bears.
+TEST(Cold, TheBudgetIsSharedAmongTheNodesBeforeIt) {
+  const ColdSends all = cold_sends(2, 1, 500, 1500);
+  const ColdSends part = cold_sends(2, 1, 500, 1500, 100, 2);
+  EXPECT_LE(part.most_in_a_second, 9);
+  EXPECT_EQ(part.total, all.total);
+}
+
 TEST(Cold, CrowdedWarmBackendsDoNotRaiseTheBudget) {
   // Found after the loss of a zone: three warm backends, all crowded, answered ten times slower than alone,
   // so what each works on at once (rate over busy share, times its own service time) came out ten times too
@@ -828,8 +839,8 @@
   EXPECT_GE(got.size(), 4U);
 }
 
-// Plays `clients` that ask again as soon as they are answered, each after `takes`; returns how many of `count`
-// requests were refused.
+// Plays `clients` that ask again as soon as they are answered, each after `takes`; returns how many of
+// `count` requests were refused.
 int refused_of(Node& node, int clients, int count, Millis takes) {
   int refused = 0;
   RequestId last = 0;
@@ -870,8 +881,48 @@
   EXPECT_EQ(refused_of(node, 200, 20000, 8), 0);
 }
 
-// Guards against refusing everything: boxes that report 25 requests in hand, none waiting and half their cores
-// free were each taken to work on one at a time, so that nobody ever got a request and nobody could tell.
+// Ceilings of probes hold in every second, also where a list is new all at once, and everybody has a turn.
+TEST(Probes, ACeilingHoldsAndNobodyIsLeftOut) {
+  Settings s = plain_settings();
+  s.most_probes = 100;
+  Node node(s);
+  node.list(entries(500));
+  for (BackendId i = 0; i < 500; ++i) node.probe_time[i] = 1;
+  for (int second = 1; second <= 6; ++second) {
+    node.log.clear();
+    node.run_to(node.now + 1000);
+    EXPECT_LE(std::count_if(node.log.begin(), node.log.end(),
+                            [](const Action& a) { return std::holds_alternative<SendProbe>(a); }),
+              110);
+  }
+  EXPECT_GE(node.probes.size(), 490U);
+}
+
+// A probe for which the node had no descriptor says nothing of the backend: it is not dropped for it.
+TEST(Probes, OneThatWasNotSentIsNoMiss) {
+  for (const Outcome outcome : {Outcome::kNotSent, Outcome::kNoAnswer}) {
+    Node node;
+    node.list(entries(4));
+    for (int n = 0; n < 40; ++n) {
+      node.log.clear();
+      node.run_to(node.now + 100);
+      for (const Action& a : std::vector<Action>(node.log)) {
+        const auto* probe = std::get_if<SendProbe>(&a);
+        if (probe == nullptr) continue;
+        ProbeEnded ended;
+        ended.backend = probe->backend;
+        ended.outcome = probe->backend == 0 ? outcome : Outcome::kServed;
+        ended.elapsed = 1;
+        node.feed(ended);
+      }
+    }
+    EXPECT_EQ(spread(node, 200)[0] > 0, outcome == Outcome::kNotSent);
+  }
+}
+
+// Guards against refusing everything: boxes that report 25 requests in hand, none waiting and half their
+// cores free were each taken to work on one at a time, so that nobody ever got a request and nobody could
+// tell.
 TEST(Admission, WhereNobodyWaitsThereIsRoom) {
   Node node;
   node.list(entries(8));
