--- /dev/null
+++ b/src/language/schema.cpp
@@ -0,0 +1,97 @@
+#include "language/schema.h"
+
+#include <algorithm>
+#include <array>
+
+namespace shorelead::language {
+namespace {
+
+constexpr double kHour = 3600000;
+constexpr double kDay = 24 * kHour;
+
+constexpr Field kNode[] = {
+    {"listen", Type::kAddress, 0, 0, true, "", "where clients connect"},
+    {"discovery", Type::kAddress, 0, 0, true, "", "where the list of boxes is watched"},
+    {"seed", Type::kWord, 0, 0, true, "", "64 bits, hexadecimal: the node's random numbers"},
+    {"sockets", Type::kCount, 64, 1000000, false, "",
+     "descriptors that the node may hold; 1,024 if not told"},
+    {"memory", Type::kSize, 8388608, 1e15, false, "", "bytes that the node may hold"},
+    {"nodes", Type::kCount, 1, 1000000, false, "", "how many nodes there are; 1 if not told"},
+    {"index", Type::kCount, 0, 999999, false, "", "which of them this is, from 0"},
+    {"zone", Type::kWord, 0, 0, false, "", "the zone it stands in"},
+};
+
+constexpr Field kClass[] = {
+    {"effect", Type::kWord, 0, 0, true, "safe|keyed|unsafe",
+     "what a second run does: nothing; nothing within its group and window; harm"},
+    {"group", Type::kWord, 0, 0, false, "all|zone|cell", "keyed: which boxes drop a repeat; all if not told"},
+    {"window", Type::kTime, 1, kDay, false, "", "keyed: how long they do"},
+    {"aim", Type::kTime, 1, kHour, true, "", "answers within this earn full worth"},
+    {"give_up", Type::kTime, 1, kHour, true, "", "the client's whole wait"},
+    {"worth", Type::kNumber, 0, 1e9, false, "", "beside other classes; 1 if not told"},
+    {"late_value", Type::kShare, 0, 1, false, "",
+     "of the worth, that an answer after the aim still earns; none if not told"},
+};
+
+constexpr Field kPool[] = {
+    {"list", Type::kWord, 0, 0, false, "watched|asked",
+     "whether lists come by themselves or are asked for; asked if not told"},
+    {"ask_every", Type::kTime, 1, kDay, false, "", "a list older than this counts as told anew"},
+    {"probing", Type::kFlag, 0, 0, false, "", "whether boxes may be probed; yes if not told"},
+    {"cancelling", Type::kFlag, 0, 0, false, "", "whether attempts may be called off; yes if not told"},
+    {"parallel", Type::kFlag, 0, 0, false, "",
+     "whether a second copy may go out while the first runs; no if not told"},
+    {"attempts", Type::kCount, 1, 5, false, "", "most attempts for one request; 3 if not told"},
+    {"connect_within", Type::kTime, 1, 60000, false, "",
+     "a connection that is not up by then is given up; 200 ms if not told"},
+    {"idle", Type::kTime, 100, kDay, false, "", "boxes close connections that stood unused for so long"},
+    {"advise_wait", Type::kTime, 1, kHour, false, "",
+     "refusals say to come back after this; they say nothing if not told"},
+    {"zones", Type::kWords, 0, 0, false, "", "the zones' names, in an order that all nodes share"},
+};
+
+constexpr Field kCold[] = {
+    {"share", Type::kShare, 0.001, 1, true, "", "of its capacity, that a box starts with"},
+    {"warm_up", Type::kTime, 1, kHour, true, "", "after which it is warm"},
+    {"fall_multiple", Type::kNumber, 1, 1000, true, "", "sent more than this times its present capacity ..."},
+    {"fall_span", Type::kTime, 1, kHour, true, "", "... for this long, it falls over"},
+};
+
+constexpr Field kSubset[] = {
+    {"size", Type::kCount, 2, 100000, false, "", "boxes that a node works with; 50 if not told"},
+    {"above", Type::kCount, 0, 10000000, false, "",
+     "a fleet of so many at most is worked with whole; twice the size if not told"},
+    {"slack", Type::kShare, 0.05, 1, false, "", "that a part may be larger than the mean; 25 % if not told"},
+};
+
+constexpr Field kProbes[] = {
+    {"per_second", Type::kRate, 0.1, 1e6, false, "", "most probes by this node"},
+    {"per_box", Type::kRate, 0.01, 1e4, false, "", "most probes to one box by all nodes, on average"},
+};
+
+constexpr Block kBlocks[] = {
+    {"node", "", true, true, kNode, "this node; its name behind the word"},
+    {"class", "", true, false, kClass, "a class of requests: the first part of their path"},
+    {"pool", "", true, true, kPool, "the boxes, and what is allowed before them"},
+    {"cold", "pool", false, true, kCold, "the rule on boxes that have just started"},
+    {"subset", "pool", false, true, kSubset, "work with a part of a large fleet"},
+    {"probes", "pool", false, true, kProbes, "ceilings of probes"},
+};
+
+}  // namespace
+
+std::span<const Block> blocks() { return kBlocks; }
+
+const Block* find_block(std::string_view name, std::string_view within) {
+  const auto it = std::find_if(std::begin(kBlocks), std::end(kBlocks),
+                               [&](const Block& b) { return b.name == name && b.within == within; });
+  return it == std::end(kBlocks) ? nullptr : it;
+}
+
+const Field* find_field(const Block& block, std::string_view name) {
+  const auto it =
+      std::find_if(block.fields.begin(), block.fields.end(), [&](const Field& f) { return f.name == name; });
+  return it == block.fields.end() ? nullptr : &*it;
+}
+
+}  // namespace shorelead::language
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -94,11 +94,15 @@
   return config;
 }
 
+Overrides merge(const Overrides& flags, const Overrides& variables, bool again) {
+  const auto first = [](const std::string& a, const std::string& b) { return a.empty() ? b : a; };
+  return {first(flags.name, variables.name), first(flags.listen, variables.listen),
+          again ? flags.discovery : first(flags.discovery, variables.discovery)};
+}
+
 Config load_config(const std::string& path, const Overrides& flags, const Overrides& variables, bool again) {
   if (path.empty()) throw FieldError("NODE_CONFIG (or --config) names no file");
-  const auto first = [](const std::string& a, const std::string& b) { return a.empty() ? b : a; };
-  const Overrides overrides{first(flags.name, variables.name), first(flags.listen, variables.listen),
-                            again ? flags.discovery : first(flags.discovery, variables.discovery)};
+  const Overrides overrides = merge(flags, variables, again);
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf())) throw FieldError("cannot read the configuration at \"" + path + "\"");
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -38,10 +38,13 @@
   std::string discovery;
 };
 
+// A flag wins over the variable of the same name; a variable tells of the start only, so where the file has
+// been replaced since (`again`), the address of discovery that it names is the newer one.
+Overrides merge(const Overrides& flags, const Overrides& variables, bool again);
+
 // Throw FieldError with the field and the cause.
 Config parse_config(std::string text, const Overrides& overrides);
-// A flag wins over the variable of the same name, and both over the file. The variables tell of the start:
-// where the file has been replaced since (`again`), the address of discovery that it names is the newer one.
+// Flags and variables, merged, win over the file.
 Config load_config(const std::string& path, const Overrides& flags, const Overrides& variables, bool again);
 List parse_list(const Json& object);
 ListedBackend parse_backend(const Json& item);  // one entry of it
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,7 +6,9 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <string>
 
@@ -14,6 +16,7 @@
 #include "node/net.h"
 #include "node/own.h"
 #include "node/server.h"
+#include "node/shore.h"
 
 namespace {
 
@@ -27,7 +30,8 @@
 };
 
 void add_options(CLI::App& command, Options& options) {
-  command.add_option("--config", options.config, "configuration file, JSON")->envname("NODE_CONFIG");
+  command.add_option("--config", options.config, "configuration file: the platform's JSON, or .shore")
+      ->envname("NODE_CONFIG");
   command.add_option("--own", options.own, "file of our own, TOML: subsets, probes")->envname("NODE_OWN");
   command.add_option("--name", options.flags.name, "name of this node (variable NODE_NAME)");
   command.add_option("--listen", options.flags.listen, "address:port for clients (variable NODE_LISTEN)");
@@ -46,11 +50,62 @@
 Config load(const Options& options, bool again) {
   const shorelead::node::Overrides variables{variable("NODE_NAME"), variable("NODE_LISTEN"),
                                              variable("NODE_DISCOVERY")};
+  if (shorelead::node::is_shore(options.config)) {
+    if (!options.own.empty())
+      throw shorelead::FieldError("--own goes with the platform's JSON: a .shore file says it itself");
+    return shorelead::node::load_shore(
+        options.config, shorelead::node::merge(options.flags, variables, again), shorelead::language::disk());
+  }
   Config config = shorelead::node::load_config(options.config, options.flags, variables, again);
   shorelead::node::load_own(options.own, config);
   return config;
 }
 
+// Prints a .shore file in its one form, or puts it there (`in_place`), or only says whether it has it
+// (`only_check`).
+int format_file(const std::string& path, bool only_check, bool in_place) {
+  namespace language = shorelead::language;
+  const auto text = language::disk().read(path);
+  if (!text) throw shorelead::FieldError(path + " cannot be read");
+  const language::Tree tree = language::parse(*text, path);
+  for (const language::Problem& problem : tree.problems) std::cerr << problem.text();
+  if (!tree.problems.empty()) return 1;
+  const std::string formatted = language::format(tree);
+  if (only_check) {
+    if (formatted != *text)
+      std::cerr << path << ": not in its form; shorelead config format --write " << path << "\n";
+    return formatted == *text ? 0 : 1;
+  }
+  if (!in_place) {
+    std::cout << formatted;
+    return 0;
+  }
+  if (formatted == *text) return 0;
+  // Beside it first, so that a full disk leaves the old one whole.
+  const std::string fresh = path + ".new";
+  std::ofstream out(fresh, std::ios::binary);
+  out << formatted;
+  out.close();
+  if (!out || std::rename(fresh.c_str(), path.c_str()) != 0) {
+    std::remove(fresh.c_str());
+    throw shorelead::FieldError(path + " cannot be written");
+  }
+  return 0;
+}
+
+int check_file(const std::string& path) {
+  const auto document = shorelead::language::check(path, shorelead::language::disk());
+  for (const auto& problem : document.problems) std::cerr << problem.text();
+  if (!document.problems.empty()) {
+    std::cerr << document.problems.size() << (document.problems.size() == 1 ? " mistake\n" : " mistakes\n");
+    return 1;
+  }
+  shorelead::node::load_shore(path, {}, shorelead::language::disk());  // what only the node can tell
+  std::cout << path << ": " << document.sections.size() << " blocks in " << document.files.size()
+            << (document.files.size() == 1 ? " file" : " files") << ", no mistake\n";
+  return 0;
+}
+
 int serve(const Options& options) {
   const Config config = load(options, false);
   spdlog::set_default_logger(spdlog::stdout_logger_st(config.name));
@@ -83,12 +138,27 @@
     CLI::App* const checking =
         app.add_subcommand("check-config", "read the configuration and say what is wrong");
     add_options(*checking, options);
+    CLI::App* const config = app.add_subcommand("config", "work on .shore files");
+    config->require_subcommand(1);
+    std::string file;
+    bool only_check = false;
+    bool in_place = false;
+    CLI::App* const check =
+        config->add_subcommand("check", "say every mistake of a file and what it includes");
+    check->add_option("file", file)->required();
+    CLI::App* const format = config->add_subcommand("format", "print a file in its one form");
+    format->add_option("file", file)->required();
+    auto* const checks =
+        format->add_flag("--check", only_check, "only say whether it has it: exit code 1 if not");
+    format->add_flag("--write", in_place, "put it in the file's place")->excludes(checks);
     CLI::App* const version = app.add_subcommand("version", "print the version");
     CLI11_PARSE(app, argc, argv);
     if (version->parsed()) {
       std::cout << "shorelead " << SHORELEAD_VERSION << "\n";
       return 0;
     }
+    if (check->parsed()) return check_file(file);
+    if (format->parsed()) return format_file(file, only_check, in_place);
     if (checking->parsed()) {
       const Config config = load(options, false);
       std::cout << config.name << ": " << config.settings.classes.size() << " classes, "
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -7,9 +7,11 @@
 
 #include <cstdio>
 #include <fstream>
+#include <tuple>
 
 #include "node/list_reader.h"
 #include "node/own.h"
+#include "node/shore.h"
 
 namespace shorelead::node {
 namespace {
@@ -162,6 +164,77 @@
   EXPECT_EQ(read.settings.most_probes_backend, 2.5);
 }
 
+// ---- the same in our own language ----
+
+const std::string kShore = R"(
+node n3 { listen 127.0.0.4:8081; discovery 127.0.0.5:8500; seed 8c1f30d27a5be964; memory 192 MiB; nodes 2; index 1; zone b }
+class check { effect keyed; group zone; window 800 ms; aim 400 ms; give_up 1 s }
+class charge { effect unsafe; aim 400 ms; give_up 1 s }
+pool main {
+  attempts 3; idle 60 s; connect_within 200 ms; zones a b; ask_every 10 s
+  cold { share 30 %; warm_up 9 s; fall_multiple 3; fall_span 1 s }
+}
+)";
+
+Config shore(const std::string& text, const Overrides& overrides = {}) {
+  language::Reader reader;
+  reader.read = [&text](const std::string&) { return std::optional(text); };
+  reader.glob = [](const std::string&) { return std::vector<std::string>(); };
+  return load_shore("n3.shore", overrides, reader);
+}
+
+// A deployment said in both forms is the same to the node, field by field.
+TEST(Shore, SaysWhatTheJsonSays) {
+  const Config a = parse_config(config(), {});
+  const Config b = shore(kShore);
+  EXPECT_EQ(a.name, b.name);
+  EXPECT_EQ(a.listen, b.listen);
+  EXPECT_EQ(a.discovery, b.discovery);
+  EXPECT_EQ(a.seed, b.seed);
+  EXPECT_EQ(a.limits.sockets, b.limits.sockets);
+  EXPECT_EQ(a.limits.memory_mb, b.limits.memory_mb);
+  EXPECT_EQ(a.host.classes, b.host.classes);
+  EXPECT_EQ(a.host.zones, b.host.zones);
+  EXPECT_EQ(a.host.idle_timeout, b.host.idle_timeout);
+  const auto all = [](const Settings& s) {
+    return std::tuple(s.instances, s.instance, s.zone, s.list_on_request, s.probing, s.cancelling,
+                      s.parallel_attempts, s.advise_wait, s.max_wait_advice, s.max_attempts, s.ask_every,
+                      s.connect_timeout, s.warm_up, s.cold_share, s.fall_multiple, s.fall_span, s.most_probes,
+                      s.most_probes_backend);
+  };
+  EXPECT_EQ(all(a.settings), all(b.settings));
+  ASSERT_EQ(a.settings.classes.size(), b.settings.classes.size());
+  for (std::size_t n = 0; n < a.settings.classes.size(); ++n) {
+    const auto one = [n](const Settings& s) {
+      const RequestClass& c = s.classes[n];
+      return std::tuple(c.effect, c.group, c.dedup_window, c.aim, c.deadline, c.aim_stretch, c.worth,
+                        c.late_value, c.streamed);
+    };
+    EXPECT_EQ(one(a.settings), one(b.settings));
+  }
+  EXPECT_FALSE(b.fleet.subset);
+}
+
+TEST(Shore, WhatOnlyTheNodeCanTellIsAMistakeWithItsPlace) {
+  const std::pair<const char*, const char*> changes[] = {
+      {"discovery 127.0.0.5:8500", "discovery boxes.example.org:8500"},
+      {"seed 8c1f30d27a5be964", "seed 8c1f30d27a5be964x"},
+      {"zone b", "zone c"},
+      {"attempts 3", "attempts 6"},
+  };
+  for (const auto& [from, to] : changes) {
+    std::string text = kShore;
+    text.replace(text.find(from), std::string(from).size(), to);
+    try {
+      shore(text);
+      ADD_FAILURE() << to << " was taken";
+    } catch (const FieldError& error) {
+      EXPECT_EQ(std::string(error.what()).rfind("n3.shore:", 0), 0U) << error.what();
+    }
+  }
+  EXPECT_EQ(shore(kShore, {"n9", "127.0.0.9:1", ""}).listen.toString(), "127.0.0.9:1");  // a flag wins
+}
+
 // ---- lists in slices ----
 
 // What a reader says of a text: "ok", or that it refuses.
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -11,8 +11,9 @@
   [net]="base net"
   [subset]="base subset"
   [limits]="base limits"
+  [language]="base language"
   [settings]="base policy settings"
-  [node]="base policy settings subset limits net node"
+  [node]="base policy settings subset limits language net node"
   [drill]="base policy settings drill"
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
