--- a/src/lab/scale.cpp
+++ b/src/lab/scale.cpp
@@ -161,6 +161,7 @@
   subset::Options subset_options() const {
     subset::Options options;
     options.target = o_.size;
+    options.least_holders = o_.least_holders;
     if (o_.way == "whole") options.whole_up_to = 1 << 30;
     return options;
   }
--- a/src/lab/scale.h
+++ b/src/lab/scale.h
@@ -27,6 +27,7 @@
   double skew = 0.8;          // share of the boxes in zone 0; the others are divided between two more
   bool three_sizes = false;   // boxes of speeds 0.5, 1 and 2
   double probes_per_box = 0;  // ceiling, a second; 0 = none
+  int least_holders = 2;      // nodes that have each box, as far as their number allows
   std::uint64_t seed = 1;
 };
 
--- a/src/lab/scale_main.cpp
+++ b/src/lab/scale_main.cpp
@@ -29,6 +29,8 @@
   app.add_option("--probes-per-box", options.probes_per_box, "ceiling, a second")
       ->check(CLI::Range(0.0, 1000.0));
   app.add_flag("--three-sizes", options.three_sizes, "boxes of speeds 0.5, 1 and 2");
+  app.add_option("--least-holders", options.least_holders, "nodes that have each box")
+      ->check(CLI::Range(1, 1000));
   app.add_option("--seed", options.seed);
   CLI11_PARSE(app, argc, argv);
   std::printf(
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -12,8 +12,9 @@
   [subset]="base subset"
   [limits]="base limits"
   [language]="base language"
+  [routing]="base routing"
   [settings]="base policy settings"
-  [node]="base policy settings subset limits language net node"
+  [node]="base policy settings subset limits language routing net node"
   [drill]="base policy settings drill"
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
