A node routes by its .shore file; config explain says which route, class and limits

Change: route blocks in the language; the checker knows classes by name, the node compiles the table and refuses what is never reached with both places; the front asks the table where there is one.

--- a/src/language/check.cpp
+++ b/src/language/check.cpp
@@ -61,6 +61,7 @@
       return "a number without a unit";
     case Type::kWord:
     case Type::kWords:
+    case Type::kPair:
       return "a word";
     case Type::kAddress:
       return "an address with a port";
@@ -361,7 +362,7 @@
       return;
     }
     const auto [first, fresh] = section.places.try_emplace(s.name, s.place);
-    if (!fresh) {
+    if (!fresh && f->type != Type::kPair) {
       problem(s.place, "\"" + s.name + "\" is told a second time", "take one of them out")
           .also.emplace_back(first->second, "here is the first");
       return;
@@ -371,7 +372,11 @@
               std::string(a_kind(f->type)) + " is due: " + std::string(f->means));
       return;
     }
-    if (s.values.size() > 1 && f->type != Type::kWords) {
+    if (f->type == Type::kPair && s.values.size() != 2) {
+      problem(s.place, "\"" + s.name + "\" takes a name and a value", "as in: " + s.name + " X-Version 2");
+      return;
+    }
+    if (s.values.size() > 1 && f->type != Type::kWords && f->type != Type::kPair) {
       problem(
           s.values[1].place, "\"" + s.name + "\" takes one value, and this is a second",
           s.values[0].kind == Value::Kind::kNumber && s.values[1].kind == Value::Kind::kWord
@@ -414,6 +419,8 @@
       case Type::kAddress:
         if (!address(v.text)) return wrong(f, v, place, "as in: 127.0.0.1:8080");
         break;
+      case Type::kPair:
+        break;
       case Type::kWord:
       case Type::kWords: {
         const std::vector<std::string> words = parts(f.words, '|');
@@ -498,6 +505,7 @@
   void together() {
     for (const Section& s : document_.sections) {
       if (s.block->name == "class") one_class(s);
+      if (s.block->name == "route") one_route(s);
       if (s.block->name == "node") {
         const auto nodes = s.number("nodes");
         const auto index = s.number("index");
@@ -512,6 +520,16 @@
     }
   }
 
+  void one_route(const Section& s) {
+    std::vector<std::string> classes;
+    for (const Section& other : document_.sections) {
+      if (other.block->name == "class") classes.push_back(other.name);
+    }
+    const std::string wanted = s.word("class");
+    if (wanted.empty() || std::find(classes.begin(), classes.end(), wanted) != classes.end()) return;
+    problem(s.places.at("class"), "there is no class \"" + wanted + "\"", did_you_mean(wanted, classes));
+  }
+
   void one_class(const Section& s) {
     const auto aim = s.number("aim");
     const auto give_up = s.number("give_up");
--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -69,9 +69,20 @@
     {"per_box", Type::kRate, 0.01, 1e4, false, "", "most probes to one box by all nodes, on average"},
 };
 
+constexpr Field kRoute[] = {
+    {"host", Type::kWord, 0, 0, false, "", "a name, or \"*.\" and a name; any if not told"},
+    {"path", Type::kWord, 0, 0, false, "",
+     "literals, \"{parameters}\", \"/*\" for the rest; any if not told"},
+    {"methods", Type::kWords, 0, 0, false, "", "any if not told"},
+    {"header", Type::kPair, 0, 0, false, "", "a field and the value that it must have"},
+    {"class", Type::kWord, 0, 0, true, "", "the class of requests that take this route"},
+};
+
 constexpr Block kBlocks[] = {
     {"node", "", true, true, kNode, "this node; its name behind the word"},
     {"class", "", true, false, kClass, "a class of requests: the first part of their path"},
+    {"route", "", true, false, kRoute,
+     "which requests are of which class; without any, the first part of the path is the class"},
     {"pool", "", true, true, kPool, "the boxes, and what is allowed before them"},
     {"cold", "pool", false, true, kCold, "the rule on boxes that have just started"},
     {"subset", "pool", false, true, kSubset, "work with a part of a large fleet"},
--- a/src/language/schema.h
+++ b/src/language/schema.h
@@ -18,6 +18,7 @@
   kWord,     // one of `words`, if there are any
   kAddress,  // 127.0.0.1:8080
   kWords,    // one or more
+  kPair,     // two words; may be told more than once
   kFlag,     // yes or no
 };
 
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -6,9 +6,11 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include "node/facade.h"
+#include "routing/table.h"
 #include "settings/settings.h"
 
 namespace shorelead::node {
@@ -19,6 +21,17 @@
   int sockets = 1024;
 };
 
+// Which requests are of which class, where the first part of the path does not tell.
+struct Routes {
+  struct Route {
+    std::string name;
+    std::string place;  // file:line
+    int request_class = 0;
+  };
+  routing::Table table;
+  std::vector<Route> routes;  // by the table's rules
+};
+
 struct Config {
   std::string name;
   Poco::Net::SocketAddress listen;
@@ -28,7 +41,8 @@
   List known;
   Settings settings;
   HostSettings host;
-  FleetOptions fleet;  // from the file of our own, if there is one
+  std::shared_ptr<const Routes> routes;  // none: the first part of the path is the class
+  FleetOptions fleet;                    // from the file of our own, if there is one
 };
 
 // Where a value given outside the file wins over the one in it; empty = not given.
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -308,14 +308,29 @@
 
 // Reads of a request what the module is told of it; `due` holds the client's whole wait until the caller
 // knows better. Returns 0, or the status that it is refused with.
-int Front::classify(const Message& message, Ask& ask, const char*& cause) const {
+std::optional<int> Front::class_of(const Message& message) const {
   const Head& head = message.head();
   const std::string_view raw = message.raw;
   std::string_view path = head.target.in(raw);
+  if (routes_) {
+    const std::function<std::string_view(std::string_view)> field = [&message](std::string_view name) {
+      return message.value(name);
+    };
+    const auto rule = routes_->table.find({message.value("host"), path, head.method.in(raw), &field});
+    return rule ? std::optional(routes_->routes[*rule].request_class) : std::nullopt;
+  }
   path = path.substr(1, std::min(path.find_first_of("/?#", 1), path.size()) - 1);
   const auto known = std::find(host_.classes.begin(), host_.classes.end(), path);
-  if (known == host_.classes.end()) return cause = "unknown class", 404;
-  ask.request_class = static_cast<int>(known - host_.classes.begin());
+  if (known == host_.classes.end()) return std::nullopt;
+  return static_cast<int>(known - host_.classes.begin());
+}
+
+int Front::classify(const Message& message, Ask& ask, const char*& cause) const {
+  const Head& head = message.head();
+  const std::string_view raw = message.raw;
+  const std::optional<int> found = class_of(message);
+  if (!found) return cause = routes_ ? "no route" : "unknown class", 404;
+  ask.request_class = *found;
   const RequestClass& request_class = settings_.classes[static_cast<std::size_t>(ask.request_class)];
   const std::string_view method = head.method.in(raw);
   const bool keyed = !message.value("idempotency-key").empty();
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "node/config.h"
 #include "node/facade.h"
 #include "node/net.h"
 
@@ -70,6 +71,9 @@
   void refuse(RequestId request, Millis wait);
   void fail(RequestId request, int status);
 
+  // From now on a request's class is told by these, or, where there are none, by the first part of its path.
+  void route_by(std::shared_ptr<const Routes> routes) { routes_ = std::move(routes); }
+
   bool evict_idle();  // closes the connection that was unused for longest
   // Says goodbye: not ready any more, every answer the last on its connection, unused connections closed.
   void drain();
@@ -92,6 +96,7 @@
   void begin(Client& client);  // the request at hand
   void release(const Client& client);
   int classify(const Message& message, Ask& ask, const char*& cause) const;
+  std::optional<int> class_of(const Message& message) const;
   void close_idle(bool only_used);
   bool overdue(const Client& client, Millis now) const;
   void forget(Client& client);
@@ -100,6 +105,7 @@
   Loop& loop_;
   const Settings& settings_;
   const HostSettings& host_;
+  std::shared_ptr<const Routes> routes_;
   Listener listener_;
   const Waits waits_;
   std::unique_ptr<Poco::Net::ServerSocket> socket_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -5,12 +5,16 @@
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "node/config.h"
 #include "node/net.h"
@@ -106,6 +110,55 @@
   return 0;
 }
 
+// Which route, class and limits a request gets, and from which line. `request` is "METHOD host/path".
+int explain(const std::string& path, const std::string& request, const std::vector<std::string>& headers) {
+  const Config config = shorelead::node::load_shore(path, {}, shorelead::language::disk());
+  const std::size_t blank = request.find(' ');
+  const std::size_t slash = request.find('/', blank == std::string::npos ? 0 : blank);
+  if (blank == std::string::npos || slash == std::string::npos) {
+    throw shorelead::FieldError("a request is said as in: 'GET a.example.org/checks/7'");
+  }
+  const std::string method = request.substr(0, blank);
+  const std::string host = request.substr(blank + 1, slash - blank - 1);
+  const std::string target = request.substr(slash);
+  const std::function<std::string_view(std::string_view)> field =
+      [&headers](std::string_view name) -> std::string_view {
+    for (const std::string& header : headers) {
+      const std::size_t colon = header.find(':');
+      if (colon == std::string::npos || !shorelead::node::same_name(header.substr(0, colon), name)) continue;
+      return shorelead::node::trim(std::string_view(header).substr(colon + 1));
+    }
+    return {};
+  };
+  std::optional<int> found;
+  if (config.routes) {
+    const auto rule = config.routes->table.find({host, target, method, &field});
+    if (rule) {
+      const auto& route = config.routes->routes[*rule];
+      std::cout << "route " << route.name << " (" << route.place << ")\n";
+      found = route.request_class;
+    }
+  } else {
+    const std::string first = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
+    const auto known = std::find(config.host.classes.begin(), config.host.classes.end(), first);
+    if (known != config.host.classes.end()) found = static_cast<int>(known - config.host.classes.begin());
+    std::cout << "no routes: the first part of the path is the class\n";
+  }
+  if (!found) {
+    std::cout << "answered 404: " << (config.routes ? "no route takes it" : "there is no such class") << "\n";
+    return 1;
+  }
+  const auto n = static_cast<std::size_t>(*found);
+  const shorelead::RequestClass& c = config.settings.classes[n];
+  const char* const effects[] = {"safe", "keyed", "unsafe"};
+  std::cout << "class " << config.host.classes[n] << ": " << effects[static_cast<int>(c.effect)]
+            << ", wanted in " << c.aim << " ms, given up after " << c.deadline << " ms\n"
+            << "attempts: " << config.settings.max_attempts << " at most"
+            << (c.effect == shorelead::Effect::kUnsafe ? ", another only where none can have run" : "")
+            << "\n";
+  return 0;
+}
+
 int serve(const Options& options) {
   const Config config = load(options, false);
   spdlog::set_default_logger(spdlog::stdout_logger_st(config.name));
@@ -151,6 +204,13 @@
     auto* const checks =
         format->add_flag("--check", only_check, "only say whether it has it: exit code 1 if not");
     format->add_flag("--write", in_place, "put it in the file's place")->excludes(checks);
+    CLI::App* const explaining =
+        config->add_subcommand("explain", "say which route, class and limits a request gets");
+    std::string request;
+    std::vector<std::string> headers;
+    explaining->add_option("file", file)->required();
+    explaining->add_option("--request", request, "as in: 'GET a.example.org/checks/7'")->required();
+    explaining->add_option("--header", headers, "as in: 'X-Version: 2'");
     CLI::App* const version = app.add_subcommand("version", "print the version");
     CLI11_PARSE(app, argc, argv);
     if (version->parsed()) {
@@ -158,6 +218,7 @@
       return 0;
     }
     if (check->parsed()) return check_file(file);
+    if (explaining->parsed()) return explain(file, request, headers);
     if (format->parsed()) return format_file(file, only_check, in_place);
     if (checking->parsed()) {
       const Config config = load(options, false);
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -79,6 +79,7 @@
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
           [this] { return make_room(limits::Purpose::kClient); }});
+  front_->route_by(config.routes);
   facade_.start(config.known, loop_.now());
   if (!config.settings.list_on_request) discovery_->watch();
 }
@@ -245,6 +246,11 @@
   }
   ++reloads_;
   limits_ = fresh->limits;
+  // Requests that have been read keep the class they were given. Routes name classes by number, so they count
+  // only where the classes are those of the start.
+  const bool same_classes = fresh->host.classes == config_.host.classes;
+  if (same_classes) front_->route_by(fresh->routes);
+  if (!same_classes) spdlog::warn("the classes are other ones: routes and classes wait for the next start");
   spdlog::info("configuration reloaded: discovery at {}, {} sockets; the rest counts from the next start",
                fresh->discovery.toString(), limits_.sockets);
   loop_.cancel(rewatch_);
--- a/src/node/shore.cpp
+++ b/src/node/shore.cpp
@@ -1,6 +1,7 @@
 #include "node/shore.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 
 namespace shorelead::node {
@@ -43,6 +44,49 @@
   return c;
 }
 
+std::string place_of(const language::Place& place) { return place.file + ":" + std::to_string(place.line); }
+
+void take_routes(const language::Document& document, Config& config) {
+  auto routes = std::make_shared<Routes>();
+  std::vector<routing::Rule> rules;
+  std::vector<const Section*> sections;
+  const std::vector<std::string>& classes = config.host.classes;
+  for (const Section& section : document.sections) {
+    if (section.block->name != "route") continue;
+    routing::Rule rule;
+    rule.host = section.word("host");
+    if (section.places.count("path") > 0) rule.path = section.word("path");
+    if (const auto it = section.words.find("methods"); it != section.words.end()) rule.methods = it->second;
+    if (const auto it = section.words.find("header"); it != section.words.end()) {
+      for (std::size_t n = 0; n + 1 < it->second.size(); n += 2) {
+        std::string name = it->second[n];
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
+        rule.fields.emplace_back(std::move(name), it->second[n + 1]);
+      }
+    }
+    rules.push_back(std::move(rule));
+    sections.push_back(&section);
+    const auto known = std::find(classes.begin(), classes.end(), section.word("class"));
+    routes->routes.push_back(
+        {section.name, place_of(section.place), static_cast<int>(known - classes.begin())});
+  }
+  if (rules.empty()) return;
+  std::vector<routing::Refusal> refusals;
+  routes->table = routing::Table::compile(rules, refusals);
+  std::string all;
+  for (const routing::Refusal& refusal : refusals) {
+    const Section& section = *sections[refusal.rule];
+    all.append(all.empty() ? "" : "\n").append(place_of(section.place)).append(": error: route ");
+    all.append(section.name).append(": ").append(refusal.cause);
+    if (!refusal.other) continue;
+    const Section& other = *sections[*refusal.other];
+    all.append("\n  ").append(place_of(other.place)).append(": here is route ").append(other.name);
+  }
+  if (!all.empty()) throw FieldError(all);
+  config.routes = std::move(routes);
+}
+
 void take_pool(const Section& pool, Config& config) {
   Settings& s = config.settings;
   s.list_on_request = pool.word("list") != "watched";
@@ -100,6 +144,7 @@
     config.settings.classes.push_back(class_of(section));
     config.host.classes.push_back(section.name);
   }
+  take_routes(document, config);
   const Section& pool = *document.find("pool");
   take_pool(pool, config);
   auto& zones = config.host.zones;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -235,6 +235,34 @@
   EXPECT_EQ(shore(kShore, {"n9", "127.0.0.9:1", ""}).listen.toString(), "127.0.0.9:1");  // a flag wins
 }
 
+// Routes are compiled when the file is read; what cannot be reached is said with both places.
+TEST(Shore, RoutesLeadToClassesOrAreRefused) {
+  const std::string routes =
+      "route results { path \"/v1/{id}/result\"; methods GET; header X-Version 2; class check }\n"
+      "route rest { host *.example.org; path /v1/*; class charge }\n";
+  const Config with = shore(kShore + routes);
+  ASSERT_TRUE(with.routes);
+  const std::function<std::string_view(std::string_view)> two = [](std::string_view name) {
+    return name == "x-version" ? "2" : "";
+  };
+  const auto to = [&](std::string_view host, std::string_view path) -> std::string {
+    const auto rule = with.routes->table.find({host, path, "GET", &two});
+    return rule ? with.routes->routes[*rule].name + " " + std::to_string(with.routes->routes[*rule].request_class) : "";
+  };
+  EXPECT_EQ(to("h", "/v1/7/result"), "results 0");
+  EXPECT_EQ(to("a.example.org:80", "/v1/7/result"), "rest 1");  // a host that is told goes before any
+  EXPECT_EQ(to("h", "/v2"), "");
+  EXPECT_FALSE(shore(kShore).routes);
+  try {
+    shore(kShore + routes + "route again { host *.EXAMPLE.org; path /v1/*; class check }\n");
+    ADD_FAILURE() << "a route that is never reached was taken";
+  } catch (const FieldError& error) {
+    EXPECT_EQ(std::string(error.what()),
+              "n3.shore:11: error: route again: it is never reached: another route takes the same requests\n"
+              "  n3.shore:10: here is route rest");
+  }
+}
+
 // ---- lists in slices ----
 
 // What a reader says of a text: "ok", or that it refuses.
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <functional>
 #include <string>
@@ -141,6 +142,48 @@
   EXPECT_TRUE(answer.ends_with("\r\n\r\nbody"));
 }
 
+// With routes the class is told by host, path, method and fields, and everything else is answered 404; the
+// request goes on as it came. A reload brings other routes for what is read from then on.
+TEST(Node, RoutesTellTheClass) {
+  const auto routes_to = [](const std::string& path, int request_class) {
+    auto routes = std::make_shared<Routes>();
+    std::vector<routing::Refusal> refusals;
+    routes->table = routing::Table::compile({{"", path, {}, {}, 0}}, refusals);
+    routes->routes.push_back({"r", "f:1", request_class});
+    return routes;
+  };
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  node.config.routes = routes_to("/a/{id}", 1);  // unsafe
+  Config fresh = node.config;
+  fresh.routes = routes_to("/b/*", 0);  // safe
+  std::atomic<int> reads = 0;
+  node.read_again = [&] {
+    ++reads;
+    return fresh;
+  };
+  node.start();
+  Line client = node.client();
+  client.write(get("/safe"));
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 404");
+  client.write(get("/a/7"));
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 400");  // a GET does not fit an unsafe class
+  client.write(post("/a/7", "x"));
+  Line there = backend.accept();
+  EXPECT_EQ(there.request().rfind("POST /a/7 HTTP/1.1\r\n", 0), 0U);
+  ::kill(::getpid(), SIGHUP);  // with a request under the old routes under way
+  while (reads == 0) std::this_thread::yield();
+  there.write(kOk);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+  client.write(get("/b/c/d"));
+  EXPECT_TRUE(holds(there.request(), "GET /b/c/d"));
+  there.write(kOk);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+  client.write(post("/a/7", "x"));
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 404");
+}
+
 TEST(Node, KeepsBothConnectionsAndTheOrderOfRequests) {
   Served served;
   auto& [backend, node, client] = served;
