config diff: what changes for traffic between two configurations

Result: other units, another order, defaults said aloud and routes split by method are no difference; ten changes of one value each are (Shore.TheDifferenceIsOfBehaviour).

--- a/src/node/config.h
+++ b/src/node/config.h
@@ -29,6 +29,7 @@
     int request_class = 0;
   };
   routing::Table table;
+  std::vector<routing::Rule> rules;
   std::vector<Route> routes;  // by the table's rules
 };
 
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,6 +1,8 @@
 // The command line: `serve`, `check-config` and `version`. It owns the reading of flags and variables, the
 // log and the exit code. It must never go on with a configuration that it could not read whole.
 #include <Poco/Exception.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -17,6 +19,7 @@
 #include <vector>
 
 #include "node/config.h"
+#include "node/difference.h"
 #include "node/net.h"
 #include "node/own.h"
 #include "node/server.h"
@@ -110,6 +113,37 @@
   return 0;
 }
 
+// What changes for traffic; exit code 1 if anything does, as diff has it.
+int print_difference(const std::string& before, const std::string& after, bool json) {
+  const auto disk = shorelead::language::disk();
+  const auto found = shorelead::node::differences(shorelead::node::load_shore(before, {}, disk),
+                                                  shorelead::node::load_shore(after, {}, disk));
+  if (json) {
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> out(buffer);
+    const auto text = [&out](const char* key, const std::string& value) {
+      out.Key(key);
+      value.empty() ? out.Null() : out.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+    };
+    out.StartArray();
+    for (const auto& one : found) {
+      out.StartObject();
+      text("what", one.what);
+      text("before", one.before);
+      text("after", one.after);
+      out.EndObject();
+    }
+    out.EndArray();
+    std::cout << buffer.GetString() << "\n";
+  } else {
+    for (const auto& one : found) {
+      std::cout << one.what << ": " << (one.before.empty() ? "(new)" : one.before) << " -> "
+                << (one.after.empty() ? "(gone)" : one.after) << "\n";
+    }
+  }
+  return found.empty() ? 0 : 1;
+}
+
 // Which route, class and limits a request gets, and from which line. `request` is "METHOD host/path".
 int explain(const std::string& path, const std::string& request, const std::vector<std::string>& headers) {
   const Config config = shorelead::node::load_shore(path, {}, shorelead::language::disk());
@@ -211,6 +245,14 @@
     explaining->add_option("file", file)->required();
     explaining->add_option("--request", request, "as in: 'GET a.example.org/checks/7'")->required();
     explaining->add_option("--header", headers, "as in: 'X-Version: 2'");
+    CLI::App* const diffing = config->add_subcommand(
+        "diff", "say what changes for traffic: exit code 1 if anything does, 2 on a mistake");
+    std::string before;
+    std::string after;
+    bool json = false;
+    diffing->add_option("old", before)->required();
+    diffing->add_option("new", after)->required();
+    diffing->add_flag("--json", json);
     CLI::App* const version = app.add_subcommand("version", "print the version");
     CLI11_PARSE(app, argc, argv);
     if (version->parsed()) {
@@ -219,6 +261,14 @@
     }
     if (check->parsed()) return check_file(file);
     if (explaining->parsed()) return explain(file, request, headers);
+    if (diffing->parsed()) {
+      try {
+        return print_difference(before, after, json);
+      } catch (const shorelead::FieldError& error) {
+        std::cerr << error.what() << "\n";
+        return 2;
+      }
+    }
     if (format->parsed()) return format_file(file, only_check, in_place);
     if (checking->parsed()) {
       const Config config = load(options, false);
--- a/src/node/shore.cpp
+++ b/src/node/shore.cpp
@@ -84,6 +84,7 @@
     all.append("\n  ").append(place_of(other.place)).append(": here is route ").append(other.name);
   }
   if (!all.empty()) throw FieldError(all);
+  routes->rules = std::move(rules);
   config.routes = std::move(routes);
 }
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <tuple>
 
+#include "node/difference.h"
 #include "node/list_reader.h"
 #include "node/own.h"
 #include "node/shore.h"
@@ -247,7 +248,9 @@
   };
   const auto to = [&](std::string_view host, std::string_view path) -> std::string {
     const auto rule = with.routes->table.find({host, path, "GET", &two});
-    return rule ? with.routes->routes[*rule].name + " " + std::to_string(with.routes->routes[*rule].request_class) : "";
+    return rule ? with.routes->routes[*rule].name + " " +
+                      std::to_string(with.routes->routes[*rule].request_class)
+                : "";
   };
   EXPECT_EQ(to("h", "/v1/7/result"), "results 0");
   EXPECT_EQ(to("a.example.org:80", "/v1/7/result"), "rest 1");  // a host that is told goes before any
@@ -263,6 +266,42 @@
   }
 }
 
+// The difference is of what the node goes by: other words, another order and what is so anyway are none.
+TEST(Shore, TheDifferenceIsOfBehaviour) {
+  const std::string routes = "route a { path \"/v1/{id}\"; methods GET POST; class check }\n";
+  const std::string same =
+      "route z { methods POST; path \"/v1/{key}\"; class check }\nroute y { methods GET; path \"/v1/{n}\"; "
+      "class check }\n";
+  std::string reordered = kShore + same;
+  const std::pair<const char*, const char*> words[] = {
+      {"aim 400 ms; give_up 1 s }\nclass charge", "give_up 1000 ms; aim 0.4 s; worth 1 }\nclass charge"},
+      {"attempts 3; idle 60 s", "idle 1 min; probing yes"}};
+  for (const auto& [from, to] : words) reordered.replace(reordered.find(from), std::string(from).size(), to);
+  EXPECT_TRUE(differences(shore(kShore + routes), shore(reordered)).empty());
+  const std::pair<const char*, const char*> changes[] = {
+      {"attempts 3", "attempts 2"},
+      {"give_up 1 s", "give_up 2 s"},
+      {"window 800 ms", "window 900 ms"},
+      {"share 30 %", "share 40 %"},
+      {"zone b", "zone a"},
+      {"class check }\n", "class charge }\n"},
+      {"{id}\"", "{id}/x\""},
+      {"GET POST", "GET"},
+      {"fall_span 1 s", "fall_span 2 s"},
+      {"pool main {", "pool main { subset { }"},
+  };
+  for (const auto& [from, to] : changes) {
+    std::string text = kShore + routes;
+    text.replace(text.find(from), std::string(from).size(), to);
+    EXPECT_FALSE(differences(shore(kShore + routes), shore(text)).empty()) << to;
+  }
+  const auto moved = differences(shore(kShore), shore(kShore + routes));
+  ASSERT_EQ(moved.size(), 3U);
+  EXPECT_EQ(moved[0].what, "route GET any host /v1/{}");
+  EXPECT_EQ(moved[0].after, "class check");
+  EXPECT_EQ(moved[2].what, "routes");
+}
+
 // ---- lists in slices ----
 
 // What a reader says of a text: "ok", or that it refuses.
