--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -17,6 +17,8 @@
 tests/layers.sh || fail=1
 [ "$fail" -eq 0 ] || { echo "limits, layers or formatting: failed"; exit 1; }
 
+fuzz/run 5000
+
 for kind in plain sanitized; do
   build="build-$kind"
   sanitize=OFF
