A subset's member that went and came back is judged anew

Cause (found in reading the change once more): silences in a row were counted on over a box's absence, so one that had been silent, drained and came back never reached just three again and was not held for silent a second time; nothing was borrowed in its place.

Change: the count starts over when a list names it ready again.

Result: FacadeSubset.AMemberThatCameBackIsJudgedAnew, seen failing with the line taken out (0 borrowed).

--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -202,6 +202,7 @@
     if (!listed->dial.empty()) known.dial = listed->dial;
     const bool was = std::exchange(known.ready, entry.state == BackendState::kReady);
     if (was && !known.ready) unwanted.push_back(*number);
+    if (!was && known.ready) known.silences = 0;  // what was heard of it before says nothing now
     known.gone = false;
     if (entry.state == BackendState::kGone) leave(*number);
     update.entries.push_back(entry);
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -283,6 +283,7 @@
     ListedBackend b;
     b.host = host;
     b.health = health;
+    b.site.push_back('a');
     list.backends.push_back(b);
     unwanted = facade.report_list(list, ListSource::kWatch, now);
   }
@@ -367,5 +368,30 @@
   EXPECT_EQ(part.facade.subset_counters()->members, before.size());
 }
 
+// Guards against counting silences on over a box's absence: one that was silent, went and came back is judged
+// anew.
+TEST(FacadeSubset, AMemberThatCameBackIsJudgedAnew) {
+  Part part;
+  const std::set<BackendId> before = part.used();
+  const auto silent = [&] {
+    for (const BackendId b : before) {
+      for (int n = 0; n < 3; ++n) part.facade.report_probe(b, Ending::kTimeout, 250, nullptr, part.now);
+    }
+  };
+  const auto all = [&](const std::string& health) {
+    for (const BackendId b : before) part.change(part.host_of(b), health);
+    part.now += 101;
+    part.facade.tick(part.now);
+  };
+  silent();
+  all("draining");
+  all("ready");
+  EXPECT_EQ(part.facade.subset_counters()->borrowed, 0U);
+  silent();
+  part.now += 101;
+  part.facade.tick(part.now);
+  EXPECT_GT(part.facade.subset_counters()->borrowed, 0U);
+}
+
 }  // namespace
 }  // namespace shorelead::node
