--- a/bench/lists/lists.cpp
+++ b/bench/lists/lists.cpp
@@ -87,18 +87,31 @@
   }
 }
 
+// One box that drains and is back by turns.
+class Flapping {
+ public:
+  Flapping() {
+    list_.backends.resize(1);
+    list_.backends[0].host = "s-11";
+  }
+  const List& next() {
+    list_.backends[0].health = ready_ ? "ready" : "draining";
+    ready_ = !ready_;
+    return list_;
+  }
+
+ private:
+  List list_;
+  bool ready_ = false;
+};
+
 void one_change(benchmark::State& state, bool subsets) {
   Millis now = 1e12;
   Facade facade(settings(), {}, 1, fleet(subsets));
   facade.start(read(whole(static_cast<int>(state.range(0)))), now);
-  List drains;
-  drains.backends.resize(1);
-  drains.backends[0].host = "s-11";
-  bool ready = false;
+  Flapping box;
   for (auto _ : state) {
-    drains.backends[0].health = ready ? "ready" : "draining";
-    ready = !ready;
-    benchmark::DoNotOptimize(facade.report_list(drains, ListSource::kWatch, now));
+    benchmark::DoNotOptimize(facade.report_list(box.next(), ListSource::kWatch, now));
   }
 }
 
@@ -106,15 +119,10 @@
   Millis now = 1e12;
   Facade facade(settings(), {}, 1, fleet(true));
   facade.start(read(whole(static_cast<int>(state.range(0)))), now);
-  List drains;
-  drains.backends.resize(1);
-  drains.backends[0].host = "s-11";
-  bool ready = false;
+  Flapping box;
   for (auto _ : state) {
     state.PauseTiming();
-    drains.backends[0].health = ready ? "ready" : "draining";
-    ready = !ready;
-    facade.report_list(drains, ListSource::kWatch, now);
+    facade.report_list(box.next(), ListSource::kWatch, now);
     now += 200;
     state.ResumeTiming();
     facade.tick(now);
--- a/src/subset/fleet.cpp
+++ b/src/subset/fleet.cpp
@@ -44,11 +44,6 @@
   return total;
 }
 
-const Fleet::Known* Fleet::find(const std::string& id) const {
-  const auto it = places_.find(id);
-  return it == places_.end() ? nullptr : &boxes_[it->second];
-}
-
 int Fleet::lots(const Place& place) { return lots_ = lots_of(ready_, options_, place, lots_); }
 
 const Fleet::Drawing& Fleet::drawing(std::uint64_t round, int lots) {
--- a/src/subset/fleet.h
+++ b/src/subset/fleet.h
@@ -46,7 +46,6 @@
   const Options& options() const { return options_; }
   const Known& at(std::uint32_t place) const { return boxes_[place]; }
   const std::vector<Known>& boxes() const { return boxes_; }
-  const Known* find(const std::string& id) const;
 
   // The number of lots among so many nodes as `place` tells; it stays while it fits.
   int lots(const Place& place);
