--- a/src/language/check.cpp
+++ b/src/language/check.cpp
@@ -62,6 +62,7 @@
     case Type::kWord:
     case Type::kWords:
     case Type::kPair:
+    case Type::kShares:
       return "a word";
     case Type::kAddress:
       return "an address with a port";
@@ -166,20 +167,35 @@
                 "a configuration has one or more of each, as in: class NAME { ... }");
       }
     }
-    std::stable_sort(document_.problems.begin(), document_.problems.end(),
-                     [this](const Problem& x, const Problem& y) {
-                       const auto order = [this](const Place& p) {
-                         return std::tuple(std::find(document_.files.begin(), document_.files.end(), p.file),
-                                           p.line, p.column);
-                       };
-                       return order(x.place) < order(y.place);
-                     });
+    in_order(document_.problems);
+    if (document_.problems.empty()) doubts();
+    in_order(document_.warnings);
     return std::move(document_);
   }
 
  private:
+  void in_order(std::vector<Problem>& problems) const {
+    std::stable_sort(problems.begin(), problems.end(), [this](const Problem& x, const Problem& y) {
+      const auto order = [this](const Place& p) {
+        return std::tuple(std::find(document_.files.begin(), document_.files.end(), p.file), p.line,
+                          p.column);
+      };
+      return order(x.place) < order(y.place);
+    });
+    // What is shared is held against the schema wherever it is used.
+    const auto same = [](const Problem& x, const Problem& y) { return x.text() == y.text(); };
+    problems.erase(std::unique(problems.begin(), problems.end(), same), problems.end());
+  }
+
+  Problem& warning(const Place& place, std::string cause, std::string hint = "") {
+    document_.warnings.push_back(problem(place, std::move(cause), std::move(hint)));
+    document_.problems.pop_back();
+    document_.warnings.back().warning = true;
+    return document_.warnings.back();
+  }
+
   Problem& problem(const Place& place, std::string cause, std::string hint = "") {
-    Problem p{place, std::move(cause), std::move(hint), "", {}};
+    Problem p{place, std::move(cause), std::move(hint), "", {}, false};
     const auto lines = lines_.find(place.file);
     if (lines != lines_.end() && place.line >= 1 && place.line <= static_cast<int>(lines->second.size())) {
       p.line = lines->second[static_cast<std::size_t>(place.line) - 1];
@@ -205,6 +221,8 @@
         include(s, path);
       } else if (s.name == "let") {
         let(s);
+      } else if (s.name == "shared") {
+        shared(s);
       } else {
         statements_.push_back(std::move(s));
       }
@@ -267,13 +285,70 @@
       return;
     }
     const auto [it, fresh] =
-        variables_.try_emplace(s.values[0].text, Variable{s.values[2], s.values[0].place});
+        variables_.try_emplace(s.values[0].text, Variable{s.values[2], s.values[0].place, false});
     if (fresh) return;
     problem(s.values[0].place, "\"" + s.values[0].text + "\" is set a second time",
             "variables never change; give it another name")
         .also.emplace_back(it->second.place, "here is the first");
   }
 
+  // Statements under a name, to be put into blocks by "use NAME".
+  void shared(Statement& s) {
+    if (!s.has_block || s.values.size() != 1 || s.values[0].kind != Value::Kind::kWord) {
+      problem(s.place, "shared statements stand as in: shared NAME { ... }");
+      return;
+    }
+    const std::string name = s.values[0].text;
+    const auto [it, fresh] = shared_.try_emplace(name, Shared{std::move(s.block), s.place, false});
+    if (fresh) return;
+    problem(s.place, "\"" + name + "\" is shared a second time", "give it another name")
+        .also.emplace_back(it->second.place, "here is the first");
+  }
+
+  // A block's statements with what it uses put in; what the block itself says goes before what it uses.
+  std::vector<const Statement*> statements_of(const Statement& s) {
+    std::vector<const Statement*> all;
+    std::set<std::string> told;
+    for (const Statement& child : s.block) {
+      if (child.name == "use") continue;
+      all.push_back(&child);
+      told.insert(child.name);
+    }
+    std::map<std::string, const Statement*> used;
+    for (const Statement& child : s.block) {
+      if (child.name != "use") continue;
+      if (child.values.size() != 1 || child.has_block || child.values[0].kind != Value::Kind::kWord) {
+        problem(child.place, "shared statements are put in as in: use NAME");
+        continue;
+      }
+      const auto it = shared_.find(child.values[0].text);
+      if (it == shared_.end()) {
+        std::vector<std::string> names;
+        for (const auto& [name, one] : shared_) names.push_back(name);
+        problem(child.values[0].place, "nothing is shared as \"" + child.values[0].text + "\"",
+                did_you_mean(child.values[0].text, names));
+        continue;
+      }
+      it->second.used = true;
+      for (const Statement& one : it->second.statements) {
+        if (told.count(one.name) > 0) continue;
+        if (one.name == "use") {
+          problem(one.place, "shared statements cannot use others", "use both in the block itself");
+          continue;
+        }
+        const auto [first, fresh] = used.try_emplace(one.name, &child);
+        if (!fresh && first->second != &child) {
+          problem(child.place, "\"" + one.name + "\" comes from this and from another that is used here",
+                  "say it in the block itself")
+              .also.emplace_back(first->second->place, "here is the other");
+          continue;
+        }
+        all.push_back(&one);
+      }
+    }
+    return all;
+  }
+
   // ---- blocks and fields ----
 
   static std::vector<std::string> names_within(const Block* block) {
@@ -284,7 +359,8 @@
     for (const Block& b : blocks()) {
       if (b.within == (block == nullptr ? "" : block->name)) names.emplace_back(b.name);
     }
-    if (block == nullptr) names.insert(names.end(), {"include", "let"});
+    if (block == nullptr) names.insert(names.end(), {"include", "let", "shared"});
+    if (block != nullptr) names.emplace_back("use");
     return names;
   }
 
@@ -318,10 +394,11 @@
       section.name = s.values[0].text;
     }
     seen(s, section, outer);
-    for (const Statement& child : s.block) {
-      if (!child.has_block && find_block(child.name, found->name) == nullptr) {
-        field(child, section);
-      } else if (auto inner = block(child, found, &section)) {
+    const std::vector<const Statement*> children = statements_of(s);
+    for (const Statement* const child : children) {
+      if (!child->has_block && find_block(child->name, found->name) == nullptr) {
+        field(*child, section);
+      } else if (auto inner = block(*child, found, &section)) {
         section.inner.push_back(std::move(*inner));
       }
     }
@@ -362,7 +439,7 @@
       return;
     }
     const auto [first, fresh] = section.places.try_emplace(s.name, s.place);
-    if (!fresh && f->type != Type::kPair) {
+    if (!fresh && f->type != Type::kPair && f->type != Type::kShares) {
       problem(s.place, "\"" + s.name + "\" is told a second time", "take one of them out")
           .also.emplace_back(first->second, "here is the first");
       return;
@@ -376,6 +453,7 @@
       problem(s.place, "\"" + s.name + "\" takes a name and a value", "as in: " + s.name + " X-Version 2");
       return;
     }
+    if (f->type == Type::kShares) return shares(*f, s, section);
     if (s.values.size() > 1 && f->type != Type::kWords && f->type != Type::kPair) {
       problem(
           s.values[1].place, "\"" + s.name + "\" takes one value, and this is a second",
@@ -390,9 +468,35 @@
     }
   }
 
+  void shares(const Field& f, const Statement& s, Section& section) {
+    if (s.values.size() != 2) {
+      problem(s.place, "\"" + s.name + "\" takes a pool and its share", "as in: " + s.name + " main 95 %");
+      return;
+    }
+    const Value* const name = resolve(s.values[0]);
+    const Value* const share = resolve(s.values[1]);
+    if (name == nullptr || share == nullptr) return;
+    if (name->kind == Value::Kind::kNumber) {
+      problem(s.values[0].place, "\"" + s.name + "\" takes a pool first and then its share",
+              "as in: " + s.name + " main 95 %");
+      return;
+    }
+    const std::size_t before = document_.problems.size();
+    Field as_share = f;
+    as_share.type = Type::kShare;
+    number(as_share, *share, s.values[1].place, section);
+    if (document_.problems.size() > before) return;
+    std::ostringstream exact;
+    exact.precision(17);
+    exact << section.numbers.at(std::string(f.name));
+    auto& words = section.words[std::string(f.name)];
+    words.insert(words.end(), {name->text, exact.str()});
+  }
+
   const Value* resolve(const Value& given) {
     if (given.kind != Value::Kind::kVariable) return &given;
     const auto it = variables_.find(given.text);
+    if (it != variables_.end()) it->second.used = true;
     if (it != variables_.end() && it->second.value.kind != Value::Kind::kVariable) return &it->second.value;
     std::vector<std::string> names;
     for (const auto& [name, variable] : variables_) names.push_back(name);
@@ -420,6 +524,7 @@
         if (!address(v.text)) return wrong(f, v, place, "as in: 127.0.0.1:8080");
         break;
       case Type::kPair:
+      case Type::kShares:
         break;
       case Type::kWord:
       case Type::kWords: {
@@ -503,9 +608,16 @@
   // ---- what has to fit together ----
 
   void together() {
+    for (const Section& s : document_.sections) {
+      index_.try_emplace({s.block->name, s.name}, &s);
+      auto& names = names_[s.block->name];
+      if (std::find(names.begin(), names.end(), s.name) == names.end() || s.block->name == "route")
+        names.push_back(s.name);
+    }
     for (const Section& s : document_.sections) {
       if (s.block->name == "class") one_class(s);
       if (s.block->name == "route") one_route(s);
+      if (s.block->name == "pool") one_pool(s);
       if (s.block->name == "node") {
         const auto nodes = s.number("nodes");
         const auto index = s.number("index");
@@ -518,16 +630,229 @@
         }
       }
     }
+    fallbacks();
+    const std::vector<std::string>& pools = named("pool");
+    if (pools.size() > 1 && named("route").empty()) {
+      problem(second("pool")->place, "there are " + std::to_string(pools.size()) + " pools and no route",
+              "a route says which requests go where, as in: route a { path \"/a/*\"; class C; pool " +
+                  pools[0] + " }");
+    }
+  }
+
+  // The names of all blocks of a kind; of routes there may be many, of the others there are few.
+  const std::vector<std::string>& named(std::string_view block) const {
+    static const std::vector<std::string> kNone;
+    const auto it = names_.find(block);
+    return it == names_.end() ? kNone : it->second;
+  }
+
+  const Section* second(std::string_view block) const {
+    const Section* last = nullptr;
+    for (const Section& s : document_.sections) {
+      if (s.block->name == block && std::exchange(last, &s) != nullptr) return &s;
+    }
+    return last;
+  }
+
+  const Section* section(std::string_view block, std::string_view name) const {
+    const auto it = index_.find({block, std::string(name)});
+    return it == index_.end() ? nullptr : it->second;
+  }
+
+  // Whether there is a block of that name; says so where not.
+  bool known(std::string_view block, const std::string& name, const Place& place) {
+    if (section(block, name) != nullptr) return true;
+    const std::string what(block);
+    problem(place, "there is no " + what + " \"" + name + "\"", did_you_mean(name, named(block)));
+    return false;
   }
 
   void one_route(const Section& s) {
-    std::vector<std::string> classes;
-    for (const Section& other : document_.sections) {
-      if (other.block->name == "class") classes.push_back(other.name);
+    if (const std::string wanted = s.word("class"); !wanted.empty())
+      known("class", wanted, s.places.at("class"));
+    const auto split = s.words.find("split");
+    const bool splits = s.places.count("split") > 0;
+    if (s.places.count("pool") > 0) {
+      known("pool", s.word("pool"), s.places.at("pool"));
+      if (splits) {
+        problem(s.places.at("split"), called(s) + " says both its pool and a split", "take one of them out")
+            .also.emplace_back(s.places.at("pool"), "here is its pool");
+        return;
+      }
+    } else if (!splits && named("pool").size() > 1) {
+      problem(s.place, called(s) + " does not say its pool", "there are several: " + list(named("pool")));
+    }
+    if (s.places.count("by") > 0 && !splits) {
+      problem(s.places.at("by"), "\"by\" says nothing without a split", "as in: split main 95 %");
+    }
+    if (!splits) return;
+    if (s.places.count("by") == 0) {
+      problem(s.places.at("split"), called(s) + " splits and does not say by what",
+              "the header whose value keeps its pool, as in: by X-Client-ID");
+    }
+    if (split == s.words.end()) return;
+    double sum = 0;
+    std::set<std::string> told;
+    bool all = true;
+    for (std::size_t n = 0; n + 1 < split->second.size(); n += 2) {
+      const std::string& pool = split->second[n];
+      all = known("pool", pool, s.places.at("split")) && all;
+      if (!told.insert(pool).second) {
+        problem(s.places.at("split"), called(s) + " splits to pool " + pool + " twice", "add the shares up");
+        all = false;
+      }
+      sum += std::strtod(split->second[n + 1].c_str(), nullptr);
+    }
+    if (all && std::abs(sum - 1) > 1e-9) {
+      problem(s.places.at("split"), "the shares of " + called(s) + " are " + plain(sum * 100) + " % together",
+              "they must be 100 %");
+    }
+  }
+
+  static std::string list(const std::vector<std::string>& names) {
+    std::string all;
+    for (const std::string& name : names) all.append(all.empty() ? "" : ", ").append(name);
+    return all;
+  }
+
+  // Where its boxes come from, and what is told of them.
+  void one_pool(const Section& s) {
+    std::map<std::string, const Section*> dials;
+    const Section* first = nullptr;
+    for (const Section& box : s.inner) {
+      if (box.block->name != "box") continue;
+      if (first == nullptr) first = &box;
+      const std::string dial = box.word("dial");
+      const auto [it, fresh] = dials.try_emplace(dial, &box);
+      if (!fresh && !dial.empty()) {
+        problem(box.places.at("dial"), "two boxes of " + called(s) + " listen at " + dial)
+            .also.emplace_back(it->second->places.at("dial"), "here is the other");
+      }
+      const auto zones = s.words.find("zones");
+      if (box.places.count("zone") == 0) continue;
+      const std::string zone = box.word("zone");
+      if (zones == s.words.end() ||
+          std::find(zones->second.begin(), zones->second.end(), zone) == zones->second.end()) {
+        problem(box.places.at("zone"), "zone is " + zone + ", which " + called(s) + " does not name",
+                "it names its zones as in: zones a b");
+      }
+    }
+    const bool own = s.places.count("discovery") > 0;
+    if (first != nullptr && own) {
+      problem(s.places.at("discovery"), called(s) + " has both boxes and a discovery", "take one of them out")
+          .also.emplace_back(first->place, "here is a box");
+    }
+    if (first != nullptr && s.places.count("list") > 0) {
+      problem(s.places.at("list"), "\"list\" says nothing of a pool whose boxes stand in the file")
+          .also.emplace_back(first->place, "here is a box");
+    }
+    const Section* const node = document_.find("node");
+    if (first == nullptr && !own && node != nullptr && node->places.count("discovery") == 0) {
+      problem(
+          s.place, called(s) + " does not say where its boxes come from",
+          "by discovery 127.0.0.1:8500, here or in the node, or by boxes: box NAME { dial 127.0.0.1:9001 }");
+    }
+  }
+
+  void fallbacks() {
+    std::set<std::string> told;
+    for (const Section& s : document_.sections) {
+      if (s.block->name != "pool" || s.places.count("fallback") == 0) continue;
+      if (!known("pool", s.word("fallback"), s.places.at("fallback"))) continue;
+      std::vector<std::string> chain{s.name};
+      for (const Section* at = section("pool", s.word("fallback")); at != nullptr;
+           at = section("pool", at->word("fallback"))) {
+        const bool back = at->name == s.name;
+        const bool seen = std::find(chain.begin(), chain.end(), at->name) != chain.end();
+        chain.push_back(at->name);
+        if (back && told.count(s.name) == 0) {
+          told.insert(chain.begin(), chain.end());
+          std::string whole;
+          for (const std::string& name : chain) whole.append(whole.empty() ? "" : " -> ").append(name);
+          problem(s.places.at("fallback"), "these fallbacks go in a circle: " + whole,
+                  "the last of them has no fallback");
+        }
+        if (seen || back) break;
+      }
+    }
+  }
+
+  // ---- what works, but hardly as it was meant ----
+
+  void doubts() {
+    for (const auto& [name, variable] : variables_) {
+      if (!variable.used) warning(variable.place, "nothing uses \"$" + name + "\"", "take it out");
+    }
+    for (const auto& [name, one] : shared_) {
+      if (!one.used) warning(one.place, "nothing uses what is shared as \"" + name + "\"", "take it out");
+    }
+    double patience = 0;
+    for (const Section& s : document_.sections) {
+      if (s.block->name == "class") patience = std::max(patience, s.number("give_up").value_or(0));
+    }
+    const bool routed = !named("route").empty();
+    std::set<std::string> used;
+    for (const Section& s : document_.sections) {
+      if (s.block->name != "route") continue;
+      used.insert("class " + s.word("class"));
+      used.insert("pool " + (s.places.count("pool") > 0 ? s.word("pool") : named("pool").front()));
+      const auto split = s.words.find("split");
+      if (split == s.words.end()) continue;
+      for (std::size_t n = 0; n + 1 < split->second.size(); n += 2) {
+        used.insert("pool " + split->second[n]);
+        if (std::strtod(split->second[n + 1].c_str(), nullptr) <= 0) {
+          warning(s.places.at("split"),
+                  called(s) + " gives pool " + split->second[n] + " a share of nothing");
+        }
+      }
+    }
+    for (const Section& s : document_.sections) {
+      if (s.block->name == "pool") used.insert("pool " + s.word("fallback"));
+    }
+    for (const Section& s : document_.sections) {
+      const std::string_view kind = s.block->name;
+      if (routed && (kind == "class" || kind == "pool") && used.count(called(s)) == 0) {
+        warning(s.place, "no route leads to " + called(s), "take it out, or say which requests are meant");
+      }
+      if (kind == "class" && s.places.count("late_value") > 0 && s.number("aim") == s.number("give_up")) {
+        warning(s.places.at("late_value"), "no answer of " + called(s) + " is late: its aim is its give_up");
+      }
+      if (kind == "pool") doubts_of_pool(s, patience);
+    }
+  }
+
+  // Limits that never bind.
+  void doubts_of_pool(const Section& s, double patience) {
+    if (const auto wait = s.number("connect_within"); wait && *wait >= patience) {
+      warning(s.places.at("connect_within"),
+              "connect_within never binds: no class waits longer than " + shown(Type::kTime, patience));
+    }
+    const bool probing = s.number("probing").value_or(1) > 0;
+    const Section* const probes = s.find("probes");
+    if (probes != nullptr && !probing) {
+      warning(probes->place, "ceilings of probes never bind: there are none")
+          .also.emplace_back(s.places.at("probing"), "here they are turned off");
+    }
+    const Section* const part = s.find("subset");
+    const auto boxes = std::count_if(s.inner.begin(), s.inner.end(),
+                                     [](const Section& inner) { return inner.block->name == "box"; });
+    const double above =
+        part == nullptr ? 0 : part->number("above").value_or(2 * part->number("size").value_or(50));
+    if (part != nullptr && boxes > 0 && static_cast<double>(boxes) <= above) {
+      warning(part->place, "this subset is never drawn: " + called(s) + " has " + std::to_string(boxes) +
+                               (boxes == 1 ? " box" : " boxes"));
+    }
+    const Section* const node = document_.find("node");
+    const auto nodes = node == nullptr ? std::nullopt : node->number("nodes");
+    if (probes == nullptr || !nodes || boxes == 0) return;
+    const auto all = probes->number("per_second");
+    const auto each = probes->number("per_box");
+    if (all && each && *each * static_cast<double>(boxes) / *nodes <= *all) {
+      warning(probes->places.at("per_second"), "per_second never binds: per_box alone allows " +
+                                                   plain(*each * static_cast<double>(boxes) / *nodes) +
+                                                   " rps for each node")
+          .also.emplace_back(probes->places.at("per_box"), "here is per_box");
     }
-    const std::string wanted = s.word("class");
-    if (wanted.empty() || std::find(classes.begin(), classes.end(), wanted) != classes.end()) return;
-    problem(s.places.at("class"), "there is no class \"" + wanted + "\"", did_you_mean(wanted, classes));
   }
 
   void one_class(const Section& s) {
@@ -555,6 +880,12 @@
   struct Variable {
     Value value;
     Place place;
+    bool used = false;
+  };
+  struct Shared {
+    std::vector<Statement> statements;
+    Place place;
+    bool used = false;
   };
 
   const Reader& reader_;
@@ -563,7 +894,10 @@
   std::vector<std::string> chain_;
   std::map<std::string, Place> included_;
   std::map<std::string, Variable> variables_;
+  std::map<std::string, Shared> shared_;
   std::map<std::string, Place> seen_;
+  std::map<std::pair<std::string_view, std::string>, const Section*> index_;
+  std::map<std::string_view, std::vector<std::string>> names_;
   std::map<std::string, std::vector<std::string>> lines_;
 };
 
--- a/src/language/check.h
+++ b/src/language/check.h
@@ -40,6 +40,7 @@
 struct Document {
   std::vector<Section> sections;
   std::vector<Problem> problems;  // in the order of the text; with any, the sections are not to be used
+  std::vector<Problem> warnings;  // looked for only where there is no mistake
   std::vector<std::string> files;
 
   const Section* find(std::string_view block) const;
--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -11,7 +11,8 @@
 
 constexpr Field kNode[] = {
     {"listen", Type::kAddress, 0, 0, true, "", "where clients connect"},
-    {"discovery", Type::kAddress, 0, 0, true, "", "where the list of boxes is watched"},
+    {"discovery", Type::kAddress, 0, 0, false, "",
+     "where the list of boxes is watched, by pools that do not say where themselves"},
     {"seed", Type::kWord, 0, 0, true, "", "64 bits, hexadecimal: the node's random numbers"},
     {"sockets", Type::kCount, 64, 1000000, false, "",
      "descriptors that the node may hold; 1,024 if not told"},
@@ -34,6 +35,9 @@
 };
 
 constexpr Field kPool[] = {
+    {"discovery", Type::kAddress, 0, 0, false, "",
+     "where this pool's list is watched; the node's if not told, unless its boxes stand here"},
+    {"fallback", Type::kWord, 0, 0, false, "", "the pool that takes its requests where it has nobody ready"},
     {"list", Type::kWord, 0, 0, false, "watched|asked",
      "whether lists come by themselves or are asked for; asked if not told"},
     {"ask_every", Type::kTime, 1, kDay, false, "", "a list older than this counts as told anew"},
@@ -50,6 +54,14 @@
     {"zones", Type::kWords, 0, 0, false, "", "the zones' names, in an order that all nodes share"},
 };
 
+constexpr Field kBox[] = {
+    {"dial", Type::kAddress, 0, 0, true, "", "where it listens"},
+    {"zone", Type::kWord, 0, 0, false, "", "the zone it stands in"},
+    {"cell", Type::kCount, 0, 1000000, false, "", "the cell it belongs to; 0 if not told"},
+    {"size", Type::kNumber, 0.001, 1000000, false, "", "its capacity beside others'; 1 if not told"},
+    {"draining", Type::kFlag, 0, 0, false, "", "yes: it gets nothing new; no if not told"},
+};
+
 constexpr Field kCold[] = {
     {"share", Type::kShare, 0.001, 1, true, "", "of its capacity, that a box starts with"},
     {"warm_up", Type::kTime, 1, kHour, true, "", "after which it is warm"},
@@ -76,6 +88,10 @@
     {"methods", Type::kWords, 0, 0, false, "", "any if not told"},
     {"header", Type::kPair, 0, 0, false, "", "a field and the value that it must have"},
     {"class", Type::kWord, 0, 0, true, "", "the class of requests that take this route"},
+    {"pool", Type::kWord, 0, 0, false, "", "where they go; may be left out where there is one pool"},
+    {"split", Type::kShares, 0, 1, false, "",
+     "a pool and its share of them; told once for each pool, 100 % together"},
+    {"by", Type::kWord, 0, 0, false, "", "with split: the header whose value keeps its pool"},
 };
 
 constexpr Block kBlocks[] = {
@@ -83,7 +99,8 @@
     {"class", "", true, false, kClass, "a class of requests: the first part of their path"},
     {"route", "", true, false, kRoute,
      "which requests are of which class; without any, the first part of the path is the class"},
-    {"pool", "", true, true, kPool, "the boxes, and what is allowed before them"},
+    {"pool", "", true, false, kPool, "boxes, and what is allowed before them"},
+    {"box", "pool", true, false, kBox, "one box of a pool whose list stands in the file"},
     {"cold", "pool", false, true, kCold, "the rule on boxes that have just started"},
     {"subset", "pool", false, true, kSubset, "work with a part of a large fleet"},
     {"probes", "pool", false, true, kProbes, "ceilings of probes"},
--- a/src/language/schema.h
+++ b/src/language/schema.h
@@ -19,6 +19,7 @@
   kAddress,  // 127.0.0.1:8080
   kWords,    // one or more
   kPair,     // two words; may be told more than once
+  kShares,   // a word and a share; may be told more than once
   kFlag,     // yes or no
 };
 
--- a/src/language/syntax.cpp
+++ b/src/language/syntax.cpp
@@ -375,7 +375,7 @@
   const auto where = [](const Place& p) {
     return p.file + ":" + std::to_string(p.line) + ":" + std::to_string(p.column);
   };
-  std::string out = where(place) + ": error: " + cause + "\n";
+  std::string out = where(place) + (warning ? ": warning: " : ": error: ") + cause + "\n";
   if (!line.empty()) {
     out += "    " + line + "\n    ";
     for (int n = 1; n < place.column; ++n) {
--- a/src/language/syntax.h
+++ b/src/language/syntax.h
@@ -34,8 +34,9 @@
   std::string hint;                                 // may be empty
   std::string line;                                 // the line as it stands
   std::vector<std::pair<Place, std::string>> also;  // other places that belong to it, and what is there
+  bool warning = false;                             // it works, but hardly as it was meant
 
-  // "file:line:column: error: cause", the line with a caret, the hint, the other places.
+  // "file:line:column: error: cause" (or warning), the line with a caret, the hint, the other places.
   std::string text() const;
 };
 
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -94,6 +94,20 @@
   return config;
 }
 
+std::vector<PoolConfig> pools_of(const Config& config) {
+  if (!config.pools.empty()) return config.pools;
+  PoolConfig pool;
+  pool.name = "main";
+  pool.discovery = config.discovery;
+  pool.known = config.known;
+  pool.settings = config.settings;
+  for (std::size_t n = 0; n < config.settings.classes.size(); ++n)
+    pool.classes.push_back(static_cast<int>(n));
+  pool.host = config.host;
+  pool.fleet = config.fleet;
+  return {pool};
+}
+
 Overrides merge(const Overrides& flags, const Overrides& variables, bool again) {
   const auto first = [](const std::string& a, const std::string& b) { return a.empty() ? b : a; };
   return {first(flags.name, variables.name), first(flags.listen, variables.listen),
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -7,10 +7,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "node/facade.h"
-#include "routing/table.h"
+#include "routing/plan.h"
 #include "settings/settings.h"
 
 namespace shorelead::node {
@@ -21,16 +23,19 @@
   int sockets = 1024;
 };
 
-// Which requests are of which class, where the first part of the path does not tell.
-struct Routes {
-  struct Route {
-    std::string name;
-    std::string place;  // file:line
-    int request_class = 0;
-  };
-  routing::Table table;
-  std::vector<routing::Rule> rules;
-  std::vector<Route> routes;  // by the table's rules
+// Which requests are of which class and go to which pool, where the first part of the path does not tell.
+using Routes = routing::Plan;
+
+// Boxes with a decision module, connections and a source of lists of their own.
+struct PoolConfig {
+  std::string name;
+  std::optional<Poco::Net::SocketAddress> discovery;  // none: the boxes are those in `known`
+  List known;
+  Settings settings;         // with the classes that may come to it
+  std::vector<int> classes;  // the number that each of the node's classes has here; -1 = it never comes
+  HostSettings host;
+  FleetOptions fleet;
+  int fallback = -1;  // the pool that stands in for it where nobody is ready
 };
 
 struct Config {
@@ -44,8 +49,14 @@
   HostSettings host;
   std::shared_ptr<const Routes> routes;  // none: the first part of the path is the class
   FleetOptions fleet;                    // from the file of our own, if there is one
+  // From a .shore file. Empty: there is one pool, which is what stands above.
+  std::vector<PoolConfig> pools;
+  std::vector<std::string> warnings;  // of the .shore file, in the checker's words
 };
 
+// The pools of any configuration, at least one.
+std::vector<PoolConfig> pools_of(const Config& config);
+
 // Where a value given outside the file wins over the one in it; empty = not given.
 struct Overrides {
   std::string name;
--- a/src/node/difference.cpp
+++ b/src/node/difference.cpp
@@ -62,9 +62,91 @@
   return words;
 }
 
+void add_pool(const PoolConfig& pool, const std::vector<PoolConfig>& pools, Facts& facts) {
+  const Settings& s = pool.settings;
+  const auto put = [&](const std::string& what, std::string value) {
+    facts["pool " + pool.name + ": " + what] = std::move(value);
+  };
+  put("discovery", pool.discovery ? pool.discovery->toString() : "none, its boxes are told");
+  put("fallback", pool.fallback < 0 ? "none" : "pool " + pools[static_cast<std::size_t>(pool.fallback)].name);
+  put("list", s.list_on_request ? "asked" : "watched");
+  put("ask_every", ms(s.ask_every));
+  put("probing", yes(s.probing));
+  put("cancelling", yes(s.cancelling));
+  put("parallel", yes(s.parallel_attempts));
+  put("attempts", text(s.max_attempts));
+  put("connect_within", ms(s.connect_timeout));
+  put("idle", ms(pool.host.idle_timeout));
+  put("advise_wait", s.advise_wait ? ms(s.max_wait_advice) : "none");
+  put("zones", joined(pool.host.zones));
+  put("cold share", share(s.cold_share));
+  put("cold warm_up", ms(s.warm_up));
+  put("cold fall_multiple", text(s.fall_multiple));
+  put("cold fall_span", ms(s.fall_span));
+  put("probes per_second", s.most_probes > 0 ? text(s.most_probes, " rps") : "no ceiling");
+  put("probes per_box", s.most_probes_backend > 0 ? text(s.most_probes_backend, " rps") : "no ceiling");
+  if (pool.fleet.subset) {
+    put("subset size", text(pool.fleet.subset->target));
+    put("subset above", text(pool.fleet.subset->whole_up_to));
+    put("subset slack", share(pool.fleet.subset->slack));
+  }
+  if (pool.discovery) return;
+  for (const ListedBackend& box : pool.known.backends) {
+    std::string is = box.dial;
+    if (!box.site.empty()) is.append(", zone ").append(box.site);
+    is.append(", cell ").append(text(box.cell)).append(", size ").append(text(box.size));
+    put("box " + box.host, is + (box.health == "ready" ? "" : ", draining"));
+  }
+}
+
+// Pools that go on under another name: what is left of one kind on each side and says the same of itself.
+std::map<std::string, std::string> renamed(const Config& before, const Config& after) {
+  const std::vector<PoolConfig> old = pools_of(before);
+  const std::vector<PoolConfig> now = pools_of(after);
+  const auto has = [](const std::vector<PoolConfig>& pools, const std::string& name) {
+    return std::any_of(pools.begin(), pools.end(), [&](const PoolConfig& pool) { return pool.name == name; });
+  };
+  std::map<std::string, std::string> names;
+  std::vector<bool> taken(now.size());
+  for (const PoolConfig& was : old) {
+    if (has(now, was.name)) continue;
+    for (std::size_t n = 0; n < now.size(); ++n) {
+      if (taken[n] || has(old, now[n].name)) continue;
+      Facts a;
+      Facts b;
+      PoolConfig same = was;
+      same.name = now[n].name;
+      same.fallback = now[n].fallback;  // which may be called otherwise as well
+      add_pool(same, now, a);
+      add_pool(now[n], now, b);
+      if (a != b) continue;
+      names[was.name] = now[n].name;
+      taken[n] = true;
+      break;
+    }
+  }
+  return names;
+}
+
+// Of a pool that the other side does not have: that it is there, and its boxes; not every default of it.
+void come_or_gone(const std::vector<PoolConfig>& pools, const std::vector<PoolConfig>& others, Facts& facts) {
+  for (const PoolConfig& pool : pools) {
+    const auto same = [&pool](const PoolConfig& other) { return other.name == pool.name; };
+    if (std::any_of(others.begin(), others.end(), same)) continue;
+    const std::string start = "pool " + pool.name + ": ";
+    std::erase_if(facts, [&start](const auto& fact) {
+      return fact.first.starts_with(start) && !fact.first.starts_with(start + "box ");
+    });
+    facts["pool " + pool.name] = pool.discovery
+                                     ? "discovery " + pool.discovery->toString()
+                                     : text(static_cast<double>(pool.known.backends.size())) + " boxes";
+  }
+}
+
 Facts facts_of(const Config& config) {
   Facts facts;
   const Settings& s = config.settings;
+  const std::vector<PoolConfig> pools = pools_of(config);
   const auto put = [&facts](const char* what, std::string value) { facts[what] = std::move(value); };
   put("node: name", config.name);
   put("node: listen", config.listen.toString());
@@ -73,39 +155,28 @@
   put("node: memory", text(config.limits.memory_mb, " MiB"));
   put("node: nodes", text(s.instances));
   put("node: index", text(s.instance));
-  put("node: zone", text(s.zone));
-  put("pool: list", s.list_on_request ? "asked" : "watched");
-  put("pool: ask_every", ms(s.ask_every));
-  put("pool: probing", yes(s.probing));
-  put("pool: cancelling", yes(s.cancelling));
-  put("pool: parallel", yes(s.parallel_attempts));
-  put("pool: attempts", text(s.max_attempts));
-  put("pool: connect_within", ms(s.connect_timeout));
-  put("pool: idle", ms(config.host.idle_timeout));
-  put("pool: advise_wait", s.advise_wait ? ms(s.max_wait_advice) : "none");
-  put("pool: zones", joined(config.host.zones));
-  put("pool: cold share", share(s.cold_share));
-  put("pool: cold warm_up", ms(s.warm_up));
-  put("pool: cold fall_multiple", text(s.fall_multiple));
-  put("pool: cold fall_span", ms(s.fall_span));
-  put("pool: probes per_second", s.most_probes > 0 ? text(s.most_probes, " rps") : "no ceiling");
-  put("pool: probes per_box", s.most_probes_backend > 0 ? text(s.most_probes_backend, " rps") : "no ceiling");
-  if (config.fleet.subset) {
-    put("pool: subset size", text(config.fleet.subset->target));
-    put("pool: subset above", text(config.fleet.subset->whole_up_to));
-    put("pool: subset slack", share(config.fleet.subset->slack));
-  }
+  put("node: zone", s.zone < static_cast<int>(config.host.zones.size())
+                        ? config.host.zones[static_cast<std::size_t>(s.zone)]
+                        : text(s.zone));
   for (std::size_t n = 0; n < s.classes.size(); ++n) add_class(config.host.classes[n], s.classes[n], facts);
+  for (const PoolConfig& pool : pools) add_pool(pool, pools, facts);
   if (!config.routes) {
     put("routes", "the first part of the path is the class");
     return facts;
   }
   for (std::size_t n = 0; n < config.routes->rules.size(); ++n) {
     const routing::Rule& rule = config.routes->rules[n];
-    const std::string& to =
-        config.host.classes[static_cast<std::size_t>(config.routes->routes[n].request_class)];
-    if (rule.methods.empty()) facts[words_of(rule, "")] = "class " + to;
-    for (const std::string& method : rule.methods) facts[words_of(rule, method)] = "class " + to;
+    const routing::Route& route = config.routes->routes[n];
+    std::string to = "class " + config.host.classes[static_cast<std::size_t>(route.request_class)];
+    std::map<std::string, double> shares;
+    for (const routing::Arm& arm : route.arms) shares[arm.name] += arm.share;
+    for (const auto& [pool, part] : shares) {
+      to.append(", pool ").append(pool);
+      if (shares.size() > 1) to.append(" ").append(share(part));
+    }
+    if (shares.size() > 1) to.append(" by ").append(route.by);
+    if (rule.methods.empty()) facts[words_of(rule, "")] = to;
+    for (const std::string& method : rule.methods) facts[words_of(rule, method)] = to;
   }
   return facts;
 }
@@ -113,9 +184,29 @@
 }  // namespace
 
 std::vector<Difference> differences(const Config& before, const Config& after) {
-  const Facts old = facts_of(before);
-  const Facts now = facts_of(after);
+  Config same_names = before;
   std::vector<Difference> all;
+  for (const auto& [was, is] : renamed(before, after)) {
+    for (PoolConfig& pool : same_names.pools) {
+      if (pool.name == was) pool.name = is;
+    }
+    if (same_names.routes) {
+      auto routes = std::make_shared<Routes>();
+      routes->rules = same_names.routes->rules;
+      routes->routes = same_names.routes->routes;
+      for (routing::Route& route : routes->routes) {
+        for (routing::Arm& arm : route.arms) {
+          if (arm.name == was) arm.name = is;
+        }
+      }
+      same_names.routes = std::move(routes);
+    }
+    all.push_back({"pool " + was + ": name", was, is});
+  }
+  Facts old = facts_of(same_names);
+  Facts now = facts_of(after);
+  come_or_gone(pools_of(same_names), pools_of(after), old);
+  come_or_gone(pools_of(after), pools_of(same_names), now);
   auto a = old.begin();
   auto b = now.begin();
   while (a != old.end() || b != now.end()) {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -19,6 +19,11 @@
                      Listener listener, const Waits& waits)
     : loop_(loop), address_(address), listener_(std::move(listener)), waits_(waits), version_(version) {}
 
+Discovery::~Discovery() {
+  loop_.cancel(deadline_);
+  loop_.cancel(slice_);
+}
+
 void Discovery::watch() {
   if (stream_) return;
   ++opened_;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -34,6 +34,8 @@
   Discovery(Loop& loop, const Poco::Net::SocketAddress& address, std::uint64_t version, Listener listener,
             const Waits& waits);
 
+  ~Discovery() override;
+
   // Opens the watch anew from the version reached; nothing if it stands.
   void watch();
   // Discovery is now found there: leaves a watch on the old address without a word and opens one on the new,
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -200,7 +200,7 @@
     if (*number < named.size()) named[*number] = 1;
     Known& known = backends_[entry.backend];
     if (!listed->dial.empty()) known.dial = listed->dial;
-    const bool was = std::exchange(known.ready, entry.state == BackendState::kReady);
+    const bool was = set_ready(known, entry.state == BackendState::kReady);
     if (was && !known.ready) unwanted.push_back(*number);
     if (!was && known.ready) known.silences = 0;  // what was heard of it before says nothing now
     known.gone = false;
@@ -210,13 +210,20 @@
   for (BackendId number = 0; number < named.size(); ++number) {
     Known& known = backends_[number];
     if (named[number] || known.host.empty() || known.gone) continue;
-    if (std::exchange(known.ready, false)) unwanted.push_back(number);
+    if (set_ready(known, false)) unwanted.push_back(number);
     leave(number);
   }
   feed(update, now);
   return unwanted;
 }
 
+// Says whether it was ready before.
+bool Facade::set_ready(Known& known, bool ready) {
+  const bool was = std::exchange(known.ready, ready);
+  ready_ += (ready ? 1U : 0U) - (was ? 1U : 0U);
+  return was;
+}
+
 void Facade::leave(BackendId number) {
   Known& known = backends_[number];
   known.gone = true;
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -77,6 +77,8 @@
 struct FleetOptions {
   std::optional<subset::Options> subset;
   subset::Place place;
+
+  bool operator==(const FleetOptions&) const = default;
 };
 
 struct SubsetCounters {
@@ -114,6 +116,7 @@
 
   const std::string& dial(BackendId backend) const { return backends_.at(backend).dial; }
   bool wanted(BackendId backend) const { return backends_.at(backend).ready; }
+  std::size_t ready() const { return ready_; }  // of those known to the module
   std::size_t backends() const { return subset_ ? subset_->fleet() : numbers_.size(); }
   std::optional<SubsetCounters> subset_counters() const;
   std::size_t open_requests() const { return requests_.size(); }
@@ -146,6 +149,7 @@
   // Takes entries in and tells the module.
   std::vector<BackendId> take(const std::vector<const ListedBackend*>& entries, ListKind kind, Millis now);
   void leave(BackendId number);
+  bool set_ready(Known& known, bool ready);
   void settle_subset(ListKind kind, Millis now);
   void heard(BackendId backend, Outcome outcome);
   void erase(std::unordered_map<RequestId, Open>::iterator it);
@@ -156,6 +160,7 @@
   std::vector<Known> backends_;
   std::unordered_map<std::string, BackendId> numbers_;
   std::vector<BackendId> free_;
+  std::size_t ready_ = 0;
   std::vector<BackendId> leaving_;  // numbers of those that are gone, to be given back
   subset::Place place_;
   std::optional<subset::Subset> subset_;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kMostAhead = 131072;  // bytes taken of what follows the request at hand
 constexpr std::size_t kMostLeft = 1048576;  // and of what follows the last answer
 constexpr int kBacklog = 1024;
+constexpr std::size_t kMostPast = 16;  // generations kept for repeats; beyond, the oldest is forgotten
 
 const char* reason(int status) {
   switch (status) {
@@ -224,9 +225,9 @@
   std::size_t left = 0;  // bytes that came after the last answer
 };
 
-Front::Front(Loop& loop, const Poco::Net::SocketAddress& address, const Settings& settings,
-             const HostSettings& host, Listener listener, const Waits& waits)
-    : loop_(loop), settings_(settings), host_(host), listener_(std::move(listener)), waits_(waits) {
+Front::Front(Loop& loop, const Poco::Net::SocketAddress& address, std::shared_ptr<const Traffic> traffic,
+             Listener listener, const Waits& waits)
+    : loop_(loop), traffic_(std::move(traffic)), listener_(std::move(listener)), waits_(waits) {
   socket_ = std::make_unique<Poco::Net::ServerSocket>();
   socket_->bind(address, true, false);
   socket_->listen(kBacklog);
@@ -290,8 +291,9 @@
     return client.answer(ready ? 200 : 503, ready ? "ready" : "not ready", 0, false);
   }
   Ask ask;
+  Way way;
   const char* cause = "";
-  const int refusal = classify(message, ask, cause);
+  const int refusal = classify(message, ask, way, cause);
   if (refusal != 0) return client.answer(refusal, cause, 0, false);
   // Guards against another's request being taken for a repeat of this one, by a backend or by whoever reads
   // its records.
@@ -303,35 +305,72 @@
   client.request = ++last_request_;
   waiting_[client.request] = &client;
   ++counters_.taken;
-  listener_.request(client.request, ask, client.message);
+  listener_.request(client.request, ask, way, client.message);
 }
 
-// Reads of a request what the module is told of it; `due` holds the client's whole wait until the caller
-// knows better. Returns 0, or the status that it is refused with.
-std::optional<int> Front::class_of(const Message& message) const {
+void Front::go_by(std::shared_ptr<const Traffic> traffic) {
+  Millis window = 0;
+  for (const RequestClass& one : traffic_->classes) {
+    if (one.effect == Effect::kKeyed) window = std::max(window, one.dedup_window);
+  }
+  forget_past();
+  if (window > 0) past_.push_back({traffic_, loop_.now() + window});
+  if (past_.size() > kMostPast) past_.erase(past_.begin());
+  traffic_ = std::move(traffic);
+}
+
+void Front::forget_past() {
+  const Millis now = loop_.now();
+  std::erase_if(past_, [now](const Past& past) { return past.until <= now; });
+}
+
+// A client's repeat goes where its first try may have gone.
+std::optional<Way> Front::way_of(const Message& message) const {
+  if (!past_.empty() && message.value("x-retried") == "1" && !message.value("idempotency-key").empty()) {
+    const Millis now = loop_.now();
+    for (const Past& past : past_) {
+      if (past.until <= now) continue;
+      auto way = way_of(message, past.traffic);
+      if (way && way->traffic->classes[static_cast<std::size_t>(way->request_class)].effect == Effect::kKeyed)
+        return way;
+    }
+  }
+  return way_of(message, traffic_);
+}
+
+std::optional<Way> Front::way_of(const Message& message,
+                                 const std::shared_ptr<const Traffic>& traffic) const {
   const Head& head = message.head();
   const std::string_view raw = message.raw;
   std::string_view path = head.target.in(raw);
-  if (routes_) {
+  if (traffic->routes) {
     const std::function<std::string_view(std::string_view)> field = [&message](std::string_view name) {
       return message.value(name);
     };
-    const auto rule = routes_->table.find({message.value("host"), path, head.method.in(raw), &field});
-    return rule ? std::optional(routes_->routes[*rule].request_class) : std::nullopt;
+    const auto rule = traffic->routes->table.find({message.value("host"), path, head.method.in(raw), &field});
+    if (!rule) return std::nullopt;
+    const routing::Route& route = traffic->routes->routes[*rule];
+    std::string_view key = route.by.empty() ? std::string_view() : message.value(route.by);
+    if (key.empty()) key = message.value("idempotency-key");
+    if (key.empty()) key = message.value("x-request-id");
+    return Way{traffic, route.request_class, routing::arm_of(route, key)};
   }
   path = path.substr(1, std::min(path.find_first_of("/?#", 1), path.size()) - 1);
-  const auto known = std::find(host_.classes.begin(), host_.classes.end(), path);
-  if (known == host_.classes.end()) return std::nullopt;
-  return static_cast<int>(known - host_.classes.begin());
+  const auto known = std::find(traffic->names.begin(), traffic->names.end(), path);
+  if (known == traffic->names.end()) return std::nullopt;
+  return Way{traffic, static_cast<int>(known - traffic->names.begin()), 0};
 }
 
-int Front::classify(const Message& message, Ask& ask, const char*& cause) const {
+// Reads of a request what the module is told of it; `due` holds the client's whole wait until the caller
+// knows better. Returns 0, or the status that it is refused with.
+int Front::classify(const Message& message, Ask& ask, Way& way, const char*& cause) const {
   const Head& head = message.head();
   const std::string_view raw = message.raw;
-  const std::optional<int> found = class_of(message);
-  if (!found) return cause = routes_ ? "no route" : "unknown class", 404;
-  ask.request_class = *found;
-  const RequestClass& request_class = settings_.classes[static_cast<std::size_t>(ask.request_class)];
+  std::optional<Way> found = way_of(message);
+  if (!found) return cause = traffic_->routes ? "no route" : "unknown class", 404;
+  way = std::move(*found);
+  ask.request_class = way.request_class;
+  const RequestClass& request_class = way.traffic->classes[static_cast<std::size_t>(ask.request_class)];
   const std::string_view method = head.method.in(raw);
   const bool keyed = !message.value("idempotency-key").empty();
   const bool fits = request_class.effect == Effect::kSafe
@@ -355,9 +394,10 @@
     ask.due = static_cast<Millis>(*value);
   }
   const std::string_view tenant = message.value("x-tenant-id");
-  const auto named = std::find(host_.tenants.begin(), host_.tenants.end(), tenant);
-  if (!tenant.empty() && named != host_.tenants.end()) {
-    ask.tenant = static_cast<int>(named - host_.tenants.begin());
+  const auto& tenants = way.traffic->tenants;
+  const auto named = std::find(tenants.begin(), tenants.end(), tenant);
+  if (!tenant.empty() && named != tenants.end()) {
+    ask.tenant = static_cast<int>(named - tenants.begin());
   }
   if (const Field* cost = head.find(raw, "x-cost")) {
     const auto value = parse_decimal(cost->value.in(raw));
@@ -463,6 +503,7 @@
 
 // Guards against clients that hold a connection and ask for nothing, or never for all of it.
 void Front::sweep() {
+  forget_past();
   const Millis now = loop_.now();
   std::vector<std::shared_ptr<Client>> found;
   for (const auto& [client, hold] : clients_) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -17,6 +17,7 @@
 #include "node/config.h"
 #include "node/facade.h"
 #include "node/net.h"
+#include "node/traffic.h"
 
 namespace shorelead::node {
 
@@ -39,7 +40,7 @@
 class Front : public Watch::Handler {
  public:
   struct Listener {
-    std::function<void(RequestId, const Ask&, std::shared_ptr<const Message>)> request;
+    std::function<void(RequestId, const Ask&, const Way&, std::shared_ptr<const Message>)> request;
     std::function<void(RequestId)> gone;
     std::function<bool()> ready;
     std::function<bool()> crowded;                 // whether room is short
@@ -59,11 +60,11 @@
   };
 
   // Throws Poco::Exception where the address cannot be listened on.
-  Front(Loop& loop, const Poco::Net::SocketAddress& address, const Settings& settings,
-        const HostSettings& host, Listener listener)
-      : Front(loop, address, settings, host, std::move(listener), Waits()) {}
-  Front(Loop& loop, const Poco::Net::SocketAddress& address, const Settings& settings,
-        const HostSettings& host, Listener listener, const Waits& waits);
+  Front(Loop& loop, const Poco::Net::SocketAddress& address, std::shared_ptr<const Traffic> traffic,
+        Listener listener)
+      : Front(loop, address, std::move(traffic), std::move(listener), Waits()) {}
+  Front(Loop& loop, const Poco::Net::SocketAddress& address, std::shared_ptr<const Traffic> traffic,
+        Listener listener, const Waits& waits);
   ~Front() override;
 
   // Final answers. To a client that is gone they are nothing.
@@ -71,8 +72,9 @@
   void refuse(RequestId request, Millis wait);
   void fail(RequestId request, int status);
 
-  // From now on a request's class is told by these, or, where there are none, by the first part of its path.
-  void route_by(std::shared_ptr<const Routes> routes) { routes_ = std::move(routes); }
+  // Requests read from now on go by this generation; but a client's repeat of a keyed one, for the class's
+  // window, by the one before: there its key is known, and elsewhere it would run again.
+  void go_by(std::shared_ptr<const Traffic> traffic);
 
   bool evict_idle();  // closes the connection that was unused for longest
   // Says goodbye: not ready any more, every answer the last on its connection, unused connections closed.
@@ -95,17 +97,23 @@
   void look_for_room();
   void begin(Client& client);  // the request at hand
   void release(const Client& client);
-  int classify(const Message& message, Ask& ask, const char*& cause) const;
-  std::optional<int> class_of(const Message& message) const;
+  int classify(const Message& message, Ask& ask, Way& way, const char*& cause) const;
+  std::optional<Way> way_of(const Message& message, const std::shared_ptr<const Traffic>& traffic) const;
+  std::optional<Way> way_of(const Message& message) const;
+  void forget_past();
   void close_idle(bool only_used);
   bool overdue(const Client& client, Millis now) const;
   void forget(Client& client);
   void sweep();
 
   Loop& loop_;
-  const Settings& settings_;
-  const HostSettings& host_;
-  std::shared_ptr<const Routes> routes_;
+  struct Past {
+    std::shared_ptr<const Traffic> traffic;
+    Millis until = 0;
+  };
+
+  std::shared_ptr<const Traffic> traffic_;
+  std::vector<Past> past_;  // the oldest first
   Listener listener_;
   const Waits waits_;
   std::unique_ptr<Poco::Net::ServerSocket> socket_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -100,7 +100,7 @@
   return 0;
 }
 
-int check_file(const std::string& path) {
+int check_file(const std::string& path, bool strict) {
   const auto document = shorelead::language::check(path, shorelead::language::disk());
   for (const auto& problem : document.problems) std::cerr << problem.text();
   if (!document.problems.empty()) {
@@ -108,8 +108,14 @@
     return 1;
   }
   shorelead::node::load_shore(path, {}, shorelead::language::disk());  // what only the node can tell
+  for (const auto& doubt : document.warnings) std::cerr << doubt.text();
+  if (strict && !document.warnings.empty()) return 1;
   std::cout << path << ": " << document.sections.size() << " blocks in " << document.files.size()
-            << (document.files.size() == 1 ? " file" : " files") << ", no mistake\n";
+            << (document.files.size() == 1 ? " file" : " files") << ", no mistake";
+  if (!document.warnings.empty())
+    std::cout << ", " << document.warnings.size()
+              << (document.warnings.size() == 1 ? " warning" : " warnings");
+  std::cout << "\n";
   return 0;
 }
 
@@ -144,6 +150,33 @@
   return found.empty() ? 0 : 1;
 }
 
+// Where a route leads, and what a request's key makes of its shares.
+void to_pool(const Config& config, const shorelead::routing::Route& route,
+             const std::function<std::string_view(std::string_view)>& field) {
+  const auto name = [&config](int pool) { return config.pools[static_cast<std::size_t>(pool)].name; };
+  int to = route.arms.empty() ? 0 : route.arms.front().pool;
+  if (route.arms.size() > 1) {
+    std::string_view key = field(route.by);
+    if (key.empty()) key = field("idempotency-key");
+    if (key.empty()) key = field("x-request-id");
+    for (const auto& arm : route.arms)
+      std::cout << "split: pool " << arm.name << " " << arm.share * 100 << " %\n";
+    if (key.empty()) {
+      std::cout << "pool: by " << route.by << ", which was not told\n";
+      return;
+    }
+    to = shorelead::routing::arm_of(route, key);
+    std::cout << "pool " << name(to) << ": " << route.by << " \"" << key << "\" keeps it\n";
+  } else {
+    std::cout << "pool " << name(to) << "\n";
+  }
+  for (std::size_t steps = 0; steps < config.pools.size(); ++steps) {
+    to = config.pools[static_cast<std::size_t>(to)].fallback;
+    if (to < 0) break;
+    std::cout << "where nobody is ready there: pool " << name(to) << "\n";
+  }
+}
+
 // Which route, class and limits a request gets, and from which line. `request` is "METHOD host/path".
 int explain(const std::string& path, const std::string& request, const std::vector<std::string>& headers) {
   const Config config = shorelead::node::load_shore(path, {}, shorelead::language::disk());
@@ -170,6 +203,7 @@
     if (rule) {
       const auto& route = config.routes->routes[*rule];
       std::cout << "route " << route.name << " (" << route.place << ")\n";
+      to_pool(config, route, field);
       found = route.request_class;
     }
   } else {
@@ -206,8 +240,14 @@
     if (signal == SIGHUP) return server.reload([&options] { return load(options, true); });
     server.shut_down();
   });
-  spdlog::info("serving on {}, discovery at {}, list {} with {} backends", config.listen.toString(),
-               config.discovery.toString(), config.known.version, config.known.backends.size());
+  for (const std::string& warning : config.warnings) spdlog::warn("configuration: {}", warning);
+  if (config.pools.empty()) {
+    spdlog::info("serving on {}, discovery at {}, list {} with {} backends", config.listen.toString(),
+                 config.discovery.toString(), config.known.version, config.known.backends.size());
+  } else {
+    spdlog::info("serving on {}, {} pools, {} routes", config.listen.toString(), config.pools.size(),
+                 config.routes ? config.routes->routes.size() : 0);
+  }
   loop.run();
   server.log_counters();
   return 0;
@@ -233,6 +273,8 @@
     CLI::App* const check =
         config->add_subcommand("check", "say every mistake of a file and what it includes");
     check->add_option("file", file)->required();
+    bool strict = false;
+    check->add_flag("--strict", strict, "exit code 1 on warnings as well");
     CLI::App* const format = config->add_subcommand("format", "print a file in its one form");
     format->add_option("file", file)->required();
     auto* const checks =
@@ -259,7 +301,7 @@
       std::cout << "shorelead " << SHORELEAD_VERSION << "\n";
       return 0;
     }
-    if (check->parsed()) return check_file(file);
+    if (check->parsed()) return check_file(file, strict);
     if (explaining->parsed()) return explain(file, request, headers);
     if (diffing->parsed()) {
       try {
--- /dev/null
+++ b/src/node/pool.cpp
@@ -0,0 +1,232 @@
+#include "node/pool.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace shorelead::node {
+namespace {
+
+// Where the module does not say when to ask for the list.
+constexpr Millis kWatchWaitMin = 200;
+constexpr Millis kWatchWaitMax = 2000;
+
+std::string named(Ending e) { return std::string(name_of(e)); }
+
+// Whatever of a pool's configuration its module and its connections were made from.
+bool same_making(const PoolConfig& a, const PoolConfig& b) {
+  return a.settings == b.settings && a.host.zones == b.host.zones &&
+         a.host.idle_timeout == b.host.idle_timeout && a.host.tenants == b.host.tenants &&
+         a.host.classes == b.host.classes && a.fleet == b.fleet &&
+         a.discovery.has_value() == b.discovery.has_value();
+}
+
+}  // namespace
+
+Pool::Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, Host host)
+    : loop_(loop),
+      config_(config),
+      host_(std::move(host)),
+      facade_(config.settings, config.host, seed, config.fleet),
+      jitter_(seed) {
+  facade_.on_errand([this] {
+    if (std::exchange(settling_, true)) return;
+    loop_.later([this] { settle(); });
+  });
+  const auto purpose = [](bool probe) { return probe ? limits::Purpose::kProbe : limits::Purpose::kRequest; };
+  upstream_ = std::make_unique<Upstream>(
+      loop_, config.settings.connect_timeout, config.host.idle_timeout,
+      Upstream::Listener{[this](RequestId request, int attempt, const Result& result) {
+                           attempt_done(request, attempt, result);
+                         },
+                         [this](BackendId backend, const Result& result) {
+                           ++probe_endings_[result.ending];
+                           facade_.report_probe(backend, result.ending, result.elapsed,
+                                                result.load ? &*result.load : nullptr, loop_.now());
+                         },
+                         [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
+                         [this, purpose](bool probe) { return host_.keep(purpose(probe)); }});
+  if (!config.discovery) return;
+  discovery_ =
+      std::make_unique<Discovery>(loop_, *config.discovery, config.known.version,
+                                  Discovery::Listener{[this](const List& list) { list_changed(list); },
+                                                      [this](Ending ending) { watch_ended(ending); }});
+}
+
+Pool::~Pool() {
+  loop_.cancel(wake_);
+  loop_.cancel(rewatch_);
+}
+
+void Pool::start() {
+  facade_.start(config_.known, loop_.now());
+  if (!discovery_) return take_boxes();
+  if (!config_.settings.list_on_request) discovery_->watch();
+}
+
+// The list that stands in the configuration is all that there is to know.
+void Pool::take_boxes() {
+  List list = config_.known;
+  list.whole = true;
+  list_changed(list);
+}
+
+bool Pool::serves_as(const PoolConfig& config) const { return same_making(config_, config); }
+
+void Pool::follow(const PoolConfig& config) {
+  const bool boxes = config.known.backends != config_.known.backends;
+  if (config.name != config_.name) spdlog::info("pool {} is now called {}", config_.name, config.name);
+  config_ = config;
+  if (!discovery_) {
+    if (boxes) take_boxes();
+    return;
+  }
+  loop_.cancel(rewatch_);
+  watch_wait_ = 0;
+  discovery_->move(*config.discovery);
+  if (!config_.settings.list_on_request) discovery_->watch();  // the wait for it was just cancelled
+}
+
+bool Pool::idle() const {
+  return open_.empty() && facade_.open_requests() == 0 && upstream_->connections() == upstream_->idle();
+}
+
+bool Pool::told() const { return !discovery_ || discovery_->last_told() > 0; }
+
+void Pool::request(RequestId request, const Ask& ask, std::shared_ptr<const Message> message) {
+  open_[request].message = std::move(message);
+  carry_out(facade_.pick(request, ask, loop_.now()));
+}
+
+void Pool::gone(RequestId request) {
+  facade_.report_client_gone(request, loop_.now());
+  close(request);
+}
+
+void Pool::carry_out(const Choice& choice) {
+  const auto it = open_.find(choice.request);
+  switch (choice.kind) {
+    case Choice::Kind::kSend:
+      if (it == open_.end()) {
+        Result result;
+        return attempt_done(choice.request, choice.attempt, result);
+      }
+      ++sent_;
+      upstream_->send(choice.request, choice.attempt, choice.backend, facade_.dial(choice.backend),
+                      choice.until, it->second.message);
+      break;
+    case Choice::Kind::kRefuse:
+      host_.refuse(choice.request, choice.wait);
+      close(choice.request);
+      break;
+    case Choice::Kind::kFail: {
+      const bool late = it != open_.end() && it->second.last == Ending::kTimeout;
+      host_.fail(choice.request, late ? 504 : 502);
+      close(choice.request);
+      break;
+    }
+    case Choice::Kind::kHold:
+    case Choice::Kind::kPass:
+    case Choice::Kind::kOver:
+      break;
+  }
+}
+
+// The request is over. Guards against an attempt that is written after the final answer, where the settings
+// forbid to call it off: one that waits for a connection has not been sent yet.
+void Pool::close(RequestId request) {
+  open_.erase(request);
+  upstream_->stop_unsent(request);
+}
+
+// Does what fell due, and sees to it that the next is not missed.
+void Pool::settle() {
+  settling_ = false;
+  const Errands due = facade_.tick(loop_.now());
+  upstream_->withdraw(due.unwanted);
+  for (const Choice& choice : due.choices) carry_out(choice);
+  for (const auto& [request, attempt] : due.call_off) upstream_->call_off(request, attempt);
+  for (const BackendId backend : due.probes) probe(backend);
+  if (due.watch && discovery_) discovery_->watch();
+  if (due.next == wake_at_ && wake_ != 0) return;
+  loop_.cancel(wake_);
+  wake_at_ = due.next;
+  if (due.next > 0) {
+    wake_ = loop_.at(due.next, [this] {
+      wake_ = 0;
+      settle();
+    });
+  }
+}
+
+void Pool::probe(BackendId backend) {
+  if (left_) {
+    // Its boxes are probed by whoever has them now. Not from within settle(), which the answer would call.
+    loop_.later(
+        [this, backend] { facade_.report_probe(backend, Ending::kNotSent, 0, nullptr, loop_.now()); });
+    return;
+  }
+  ++probes_;
+  upstream_->probe(backend, facade_.dial(backend));
+}
+
+void Pool::attempt_done(RequestId request, int attempt, const Result& result) {
+  ++attempt_endings_[result.ending];
+  const auto it = open_.find(request);
+  if (it != open_.end()) it->second.last = result.ending;
+  const Choice choice = facade_.report(request, attempt, result.ending, result.elapsed,
+                                       result.load ? &*result.load : nullptr, loop_.now());
+  if (choice.kind == Choice::Kind::kPass) {
+    host_.serve(request, *result.answer);
+    close(request);
+    return;
+  }
+  carry_out(choice);
+}
+
+void Pool::list_changed(const List& list) {
+  watch_wait_ = 0;
+  std::size_t ready = 0;
+  std::size_t draining = 0;
+  for (const ListedBackend& backend : list.backends) {
+    ready += backend.health == "ready";
+    draining += backend.health == "draining";
+  }
+  spdlog::info("pool {}: list {}: {}, {} ready, {} draining, {} gone", name(), list.version,
+               list.whole ? "whole" : "changes", ready, draining, list.backends.size() - ready - draining);
+  upstream_->withdraw(facade_.report_list(list, ListSource::kWatch, loop_.now()));
+}
+
+void Pool::watch_ended(Ending ending) {
+  ++watch_endings_[ending];
+  spdlog::warn("pool {}: watch on the list ended: {}", name(), name_of(ending));
+  facade_.report_watch_ended(loop_.now());
+  if (config_.settings.list_on_request) return;
+  watch_wait_ = std::clamp(watch_wait_ * 2, kWatchWaitMin, kWatchWaitMax);
+  const double part = std::uniform_real_distribution<double>(0.5, 1.5)(jitter_);
+  rewatch_ = loop_.after(watch_wait_ * part, [this] {
+    rewatch_ = 0;
+    discovery_->watch();
+  });
+}
+
+void Pool::log_counters(const std::string& before) const {
+  const Millis now = loop_.now();
+  const Millis told = discovery_ ? discovery_->last_told() : now;
+  spdlog::info("counters: {}sent={} attempts {}", before, sent_, listed(attempt_endings_, named));
+  spdlog::info("counters: {}probes={} {}", before, probes_, listed(probe_endings_, named));
+  spdlog::info("counters: {}list version={} age_s={:.1f} watches={} {}", before,
+               discovery_ ? discovery_->version() : 0, told > 0 ? (now - told) / 1000 : -1.0,
+               discovery_ ? discovery_->opened() : 0, listed(watch_endings_, named));
+  spdlog::info("counters: {}boxes={} ready={} backends={} idle={} made={} reused={} open_requests={}", before,
+               facade_.backends(), facade_.ready(), upstream_->connections(), upstream_->idle(),
+               upstream_->opened(), upstream_->reused(), facade_.open_requests());
+  if (const auto subset = facade_.subset_counters()) {
+    spdlog::info("counters: {}subset fleet={} members={} lots={} borrowed={} drawings={} changes={}", before,
+                 subset->fleet, subset->members, subset->lots, subset->borrowed, subset->drawings,
+                 subset->changes);
+  }
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/pool.h
@@ -0,0 +1,112 @@
+// One pool of boxes: its decision module behind the facade, its connections, its source of lists, and the
+// requests that are with it. It owns these and their order. It must never speak to a client but through its
+// host, never see another pool, and never send anything new once it has been left, except for what it has.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "limits/descriptors.h"
+#include "node/config.h"
+#include "node/discovery.h"
+#include "node/facade.h"
+#include "node/net.h"
+#include "node/upstream.h"
+
+namespace shorelead::node {
+
+class Pool {
+ public:
+  // What a pool needs of the node. Each request gets one of the three answers, unless gone() came first.
+  struct Host {
+    std::function<void(RequestId, const Message&)> serve;
+    std::function<void(RequestId, Millis wait)> refuse;
+    std::function<void(RequestId, int status)> fail;
+    std::function<bool(limits::Purpose)> make_room;
+    std::function<bool(limits::Purpose)> keep;
+  };
+
+  Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, Host host);
+  ~Pool();
+  Pool(const Pool&) = delete;
+  Pool& operator=(const Pool&) = delete;
+
+  void start();
+  void request(RequestId request, const Ask& ask, std::shared_ptr<const Message> message);
+  void gone(RequestId request);  // its client is
+
+  // Whether a pool that is told so may go on as it is, with what it has learnt; then follow() brings it
+  // there.
+  bool serves_as(const PoolConfig& config) const;
+  void follow(const PoolConfig& config);
+  // No request comes any more. What is under way goes on, and so does the list; probes end.
+  void leave() { left_ = true; }
+  void rejoin() { left_ = false; }
+  bool idle() const;  // nothing is under way
+
+  const std::string& name() const { return config_.name; }
+  const PoolConfig& config() const { return config_; }
+  bool told() const;  // has its list of now
+  std::size_t backends() const { return facade_.backends(); }
+  bool anybody_ready() const { return facade_.ready() > 0; }
+  std::size_t open_requests() const { return facade_.open_requests(); }
+  std::size_t connections() const { return upstream_->connections(); }
+  std::size_t probing() const { return upstream_->probing(); }
+  Millis unused_since() const { return upstream_->unused_since(); }
+  bool evict_idle() { return upstream_->evict_idle(); }
+  void log_counters(const std::string& before) const;
+
+ private:
+  struct Open {
+    std::shared_ptr<const Message> message;
+    Ending last = Ending::kNotSent;  // of its attempts
+  };
+
+  void carry_out(const Choice& choice);
+  void close(RequestId request);
+  void settle();
+  void probe(BackendId backend);
+  void attempt_done(RequestId request, int attempt, const Result& result);
+  void list_changed(const List& list);
+  void watch_ended(Ending ending);
+  void take_boxes();
+
+  Loop& loop_;
+  PoolConfig config_;
+  const Host host_;
+  Facade facade_;
+  std::unique_ptr<Upstream> upstream_;
+  std::unique_ptr<Discovery> discovery_;  // none: the list stands in the configuration
+  std::unordered_map<RequestId, Open> open_;
+  bool settling_ = false;
+  bool left_ = false;
+  Loop::TimerId wake_ = 0;
+  Millis wake_at_ = 0;
+  Loop::TimerId rewatch_ = 0;
+  Millis watch_wait_ = 0;
+  std::mt19937_64 jitter_;
+  // counters
+  std::uint64_t sent_ = 0;
+  std::uint64_t probes_ = 0;
+  std::map<Ending, std::uint64_t> attempt_endings_;
+  std::map<Ending, std::uint64_t> probe_endings_;
+  std::map<Ending, std::uint64_t> watch_endings_;
+};
+
+// "200=5 503=1" from counts by some key; "none" where there are none.
+template <typename Counts, typename Name>
+std::string listed(const Counts& counts, const Name& name) {
+  std::string text;
+  for (const auto& [key, count] : counts) {
+    if (!text.empty()) text += ' ';
+    text.append(name(key)).append("=").append(std::to_string(count));
+  }
+  return text.empty() ? std::string("none") : text;
+}
+
+}  // namespace shorelead::node
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -1,21 +1,21 @@
-// One node: the parts wired together, its counters, its start and its end. It owns the parts and the order in
-// which they are told of each other. It must never parse, never decide, and never leave without having
-// answered what it had taken.
+// One node: the front and the pools wired together, its counters, its reloads, its start and its end. It owns
+// the parts and the order in which they are told of each other. It must never parse, never decide, never
+// leave without having answered what it had taken, and never let a reload touch what is under way.
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "limits/descriptors.h"
 #include "node/config.h"
-#include "node/discovery.h"
-#include "node/facade.h"
 #include "node/front.h"
 #include "node/net.h"
-#include "node/upstream.h"
+#include "node/pool.h"
+#include "node/traffic.h"
 
 namespace shorelead::node {
 
@@ -30,55 +30,57 @@
   ~Server();
 
   void shut_down();  // as on SIGTERM
-  // As on SIGHUP: what `read` brings counts from now on, where it can without a new start (discovery and the
-  // number of descriptors). Where it throws, all stays as it was.
+  // As on SIGHUP: what `read` brings counts from now on. Where it throws, all stays as it was. Of the
+  // platform's JSON only discovery, the number of descriptors and routes count without a new start; of a
+  // .shore file, classes, routes and pools as well: pools that are told as before go on with what they have
+  // learnt, new ones are waited for a little, and those no longer named end once nothing is with them.
   void reload(const std::function<Config()>& read);
   void log_counters() const;
   unsigned short port() const { return front_->port(); }
   const FrontCounters& counters() const { return front_->counters(); }
+  std::uint64_t generation() const { return traffic_->number; }
+  std::size_t pools() const { return pools_.size(); }
 
  private:
-  struct Open {
-    std::shared_ptr<const Message> message;
-    Ending last = Ending::kNotSent;  // of its attempts
+  // A generation that waits for the lists of its new pools before requests go by it.
+  struct Pending {
+    std::shared_ptr<Traffic> traffic;
+    std::vector<PoolConfig> told;  // by pool: what it is to follow once the generation is in force
+    Millis until = 0;
   };
 
-  void carry_out(const Choice& choice);
-  void close(RequestId request);
-  void settle();
-  void attempt_done(RequestId request, int attempt, const Result& result);
-  void list_changed(const List& list);
-  void watch_ended(Ending ending);
+  std::shared_ptr<Pool> make_pool(const PoolConfig& config, const Config& whole);
+  Pending make_traffic(const Config& config);
+  void put_in_force();  // what is pending, if it is time
+  void sweep_pools();
+  void take(RequestId request, Ask ask, const Way& way, std::shared_ptr<const Message> message);
+  std::shared_ptr<Pool> close(RequestId request);
+  bool ready() const;
   limits::Descriptors descriptors() const;
   int most_streams() const;
   // Frees a descriptor where that is to be; whether there is one.
   bool make_room(limits::Purpose purpose);
+  bool evict_of_pools();
   limits::DescriptorCounts descriptors_now() const;
+  std::size_t open_requests() const;
   void leave_when_empty(Millis until);
 
   Loop& loop_;
   const Config& config_;  // as at the start
   Limits limits_;
   const Waits waits_;
-  Facade facade_;
-  std::unique_ptr<Upstream> upstream_;
-  std::unique_ptr<Discovery> discovery_;
+  std::vector<std::shared_ptr<Pool>>
+      pools_;                               // all that live: in force, pending, or left with something to do
+  std::shared_ptr<const Traffic> traffic_;  // in force
+  std::optional<Pending> pending_;
+  std::unordered_map<RequestId, std::shared_ptr<Pool>> with_;
   std::unique_ptr<Front> front_;
-  std::unordered_map<RequestId, Open> open_;
-  bool settling_ = false;
-  Loop::TimerId wake_ = 0;
-  Millis wake_at_ = 0;
-  Loop::TimerId rewatch_ = 0;
-  Millis watch_wait_ = 0;
-  std::mt19937_64 jitter_;
+  Loop::TimerId look_ = 0;
+  Loop::TimerId sweep_ = 0;
   bool leaving_ = false;
   Millis started_ = 0;
   // counters
-  std::uint64_t sent_ = 0;
-  std::uint64_t probes_ = 0;
-  std::map<Ending, std::uint64_t> attempt_endings_;
-  std::map<Ending, std::uint64_t> probe_endings_;
-  std::map<Ending, std::uint64_t> watch_endings_;
+  std::uint64_t stood_in_ = 0;  // requests taken by a pool that stands in for another
   std::uint64_t reloads_ = 0;
   std::uint64_t bad_reloads_ = 0;
   int most_sockets_ = 0;
--- /dev/null
+++ b/src/node/traffic.h
@@ -0,0 +1,35 @@
+// One generation of the configuration as traffic meets it: classes, routes, and the pools behind them. Owns
+// its share of the pools, so that one lives for as long as any generation can send to it. It must never
+// change once requests are read by it: a reload makes another.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "node/config.h"
+
+namespace shorelead::node {
+
+class Pool;
+
+struct Traffic {
+  std::uint64_t number = 1;
+  std::vector<RequestClass> classes;
+  std::vector<std::string> names;  // of the classes
+  std::vector<std::string> tenants;
+  std::shared_ptr<const Routes> routes;  // none: the first part of the path is the class, all go to pool 0
+  std::vector<std::shared_ptr<Pool>> pools;
+  std::vector<std::vector<int>> class_in_pool;  // by pool and class; -1 = it never comes there
+  std::vector<int> fallbacks;                   // by pool; -1 = none
+};
+
+// Where a request goes by the generation that read it.
+struct Way {
+  std::shared_ptr<const Traffic> traffic;
+  int request_class = 0;
+  int pool = 0;
+};
+
+}  // namespace shorelead::node
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -398,6 +398,8 @@
   return true;
 }
 
+Millis Upstream::unused_since() const { return unused_.empty() ? 0 : unused_.front()->unused_since; }
+
 // Closes a link; it is freed once the handler at hand, which may be its own, is done.
 void Upstream::forget(Link& link) {
   const std::shared_ptr<Link> hold = link.shared_from_this();
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -67,7 +67,8 @@
   void probe(BackendId backend, const std::string& dial);
   // Nothing new may go to these backends: ends what was not yet written and the connections kept.
   void withdraw(const std::vector<BackendId>& unwanted);
-  bool evict_idle();  // closes the connection that was unused for longest
+  bool evict_idle();            // closes the connection that was unused for longest
+  Millis unused_since() const;  // of that connection; 0 = there is none
 
   std::size_t connections() const { return links_; }
   std::size_t idle() const { return unused_.size(); }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -31,10 +31,14 @@
   double worth = 1;
   double late_value = 0;  // share of the worth an answer between aim and deadline still earns
   bool streamed = false;
+
+  bool operator==(const RequestClass&) const = default;
 };
 
 struct Tenant {
   double quota_rps = 0;  // over all nodes; 0 = no quota
+
+  bool operator==(const Tenant&) const = default;
 };
 
 struct Settings {
@@ -61,6 +65,8 @@
   double probe_price = 0;          // taken off the result for each probe per request
   double most_probes = 0;          // a second, of this node; 0 = no ceiling
   double most_probes_backend = 0;  // a second, to one backend from all nodes; 0 = no ceiling
+
+  bool operator==(const Settings&) const = default;
 };
 
 // A backend's own load figures; a negative value was not reported.
--- /dev/null
+++ b/src/routing/plan.cpp
@@ -0,0 +1,55 @@
+#include "routing/plan.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <cmath>
+
+namespace shorelead::routing {
+namespace {
+
+// Of a key at a pool: uniform over (0, 1).
+double draw(const std::string& pool, std::string_view key) {
+  const XXH64_hash_t bits =
+      XXH3_64bits_withSeed(key.data(), key.size(), XXH3_64bits(pool.data(), pool.size()));
+  return (static_cast<double>(bits >> 11) + 0.5) * 0x1.0p-53;
+}
+
+}  // namespace
+
+int arm_of(const Route& route, std::string_view key) {
+  if (route.arms.empty()) return 0;
+  if (route.arms.size() == 1) return route.arms.front().pool;
+  const Arm* best = nullptr;
+  double most = 0;
+  for (const Arm& arm : route.arms) {
+    if (arm.share <= 0) continue;
+    const double score = -arm.share / std::log(draw(arm.name, key));
+    if (best != nullptr && score <= most) continue;
+    best = &arm;
+    most = score;
+  }
+  return best == nullptr ? route.arms.front().pool : best->pool;
+}
+
+int standing_in(const std::vector<int>& fallbacks, int pool, const std::function<bool(int)>& ready) {
+  int at = pool;
+  for (std::size_t steps = 0; at >= 0 && steps <= fallbacks.size(); ++steps) {
+    if (ready(at)) return at;
+    at = static_cast<std::size_t>(at) < fallbacks.size() ? fallbacks[static_cast<std::size_t>(at)] : -1;
+  }
+  return pool;
+}
+
+int circle(const std::vector<int>& fallbacks) {
+  for (std::size_t from = 0; from < fallbacks.size(); ++from) {
+    int at = fallbacks[from];
+    for (std::size_t steps = 0; at >= 0 && steps < fallbacks.size(); ++steps) {
+      if (at == static_cast<int>(from)) return at;
+      at = static_cast<std::size_t>(at) < fallbacks.size() ? fallbacks[static_cast<std::size_t>(at)] : -1;
+    }
+  }
+  return -1;
+}
+
+}  // namespace shorelead::routing
--- a/src/subset/lots.h
+++ b/src/subset/lots.h
@@ -30,6 +30,8 @@
   std::uint64_t name = 0;    // hash of the node's name
   std::optional<int> index;  // among the nodes, from 0 up; without it the lot is drawn by name
   int nodes = 0;             // how many there are; 0 = not known
+
+  bool operator==(const Place&) const = default;
 };
 
 struct Options {
@@ -38,6 +40,8 @@
   int least_holders =
       2;  // where the number of nodes is known, lots grow rather than have fewer nodes hold a box
   int whole_up_to = 0;  // a fleet of so many boxes at most is not divided
+
+  bool operator==(const Options&) const = default;
 };
 
 std::uint64_t hash_of(std::string_view text);
