A registry followed by watches: client, stand-in, kept list, a floor in the node

A node followed one form of discovery, believed an empty list at once, and could not start while its source was away.

Change: src/membership/registry (messages, follower, client) follows etcd v3's JSON gateway: pages at one revision, a watch from the next, resumed after cuts, a difference after compaction, members that lag left, deaf watches found by a check, new histories as epochs. Pools take a registry block, floor, hold, stale_after and keep; discovery named by a .shore file goes through the same view. The platform's JSON believes lists as they come, as before. The last good list is written whole, synced and renamed, checksummed. The lab gains a key store with revisions and a registry on sockets that cuts, compacts, lags, goes deaf, lies and loses history. Fuzz target of every reader.

Seen and mended: the count of ready boxes in the facade went wrong with each drain (unsigned arithmetic), so a pool with nobody ready kept its requests from its fallback; a test drains and readies twice.

--- /dev/null
+++ b/fuzz/registry_fuzz.cpp
@@ -0,0 +1,73 @@
+// What a registry may answer and what a disk may give back, under any bytes: read or refused with a cause; and
+// what was read as a box or a kept list is read the same when it is written again. The first byte chooses the
+// reader. Run by fuzz/run with a fixed number of inputs.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "membership/kept_list.h"
+#include "membership/registry/follower.h"
+#include "membership/registry/messages.h"
+
+using namespace shorelead::membership;
+
+namespace {
+
+void must(bool holds) {
+  if (!holds) std::abort();
+}
+
+// Two lines of a watch, or two pages, to a follower: whatever they say, it knows what to ask next.
+void follow(const std::string& text) {
+  View view;
+  registry::Follower follower(view, 0, "/b/", 2, 7);
+  const std::size_t half = text.find('\n');
+  std::string cause;
+  double now = 1000;
+  for (const std::string& part : {text.substr(0, half), half == std::string::npos ? "" : text.substr(half + 1)}) {
+    now += 100;
+    if (const auto page = registry::parse_page(part, cause)) {
+      follower.page(*page, now);
+    } else if (const auto line = registry::parse_line(part, cause)) {
+      follower.line(*line, now);
+    }
+    if (follower.leave()) follower.ended(now);
+    must(!follower.next().body.empty());
+    must(follower.next().at <= now + 10000);
+    must(view.ready() <= view.size());
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size == 0) return 0;
+  const std::string text(reinterpret_cast<const char*>(data) + 1, size - 1);
+  std::string cause;
+  switch (data[0] % 5) {
+    case 0:
+      must(registry::parse_page(text, cause) || !cause.empty());
+      break;
+    case 1:
+      must(registry::parse_line(text, cause) || !cause.empty());
+      break;
+    case 2: {
+      const auto member = registry::parse_member("h", text, cause);
+      must(member || !cause.empty());
+      if (!member) break;
+      const auto again = registry::parse_member("h", registry::member_value(*member), cause);
+      must(again && again->dial == member->dial && again->health == member->health);
+      break;
+    }
+    case 3: {
+      const auto list = read_kept(text, cause);
+      must(list || !cause.empty());
+      const auto bytes = registry::from_base64(text);
+      must(!bytes || registry::from_base64(registry::base64(*bytes)) == bytes);
+      break;
+    }
+    default:
+      follow(text);
+  }
+  return 0;
+}
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -535,6 +535,17 @@
     if (experiment.discovery.late_max < experiment.discovery.late_min) {
       discovery->bad("late_max", "\"late_max\" is less than \"late_min\"");
     }
+    static const std::array<std::string, 2> kKinds{"discovery", "registry"};
+    if (discovery->has("kind")) experiment.discovery.registry = discovery->word("kind", kKinds) == 1;
+    discovery->whole("members", experiment.discovery.members, 1, 9);
+    discovery->share("cuts", experiment.discovery.cuts);
+    discovery->time("compact_every", experiment.discovery.compact_every);
+    discovery->whole("lag", experiment.discovery.lag, 0, 1000);
+    discovery->share("deaf", experiment.discovery.deaf);
+    for (const char* const key : {"members", "cuts", "compact_every", "lag", "deaf"}) {
+      if (discovery->has(key) && !experiment.discovery.registry)
+        discovery->bad(key, std::string("\"") + key + "\" is of a registry: kind = \"registry\"");
+    }
     discovery->finish();
   }
   if (auto rules = in.table("rules")) {
@@ -580,6 +591,8 @@
     if (must->has("p99")) experiment.must.p99 = p99;
     must->finish();
   }
+  if (experiment.discovery.registry && experiment.nodes.shore.empty())
+    in.bad_here("a registry needs nodes with \"shore\": the platform's JSON knows discovery only");
   in.finish();
   return experiment;
 }
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -66,6 +66,13 @@
 struct DiscoverySpec {
   Millis late_min = 100;  // word of a change goes out this much after it came true
   Millis late_max = 300;
+  // A registry of keys in place of discovery, and its troubles.
+  bool registry = false;
+  int members = 3;
+  double cuts = 0;           // share of what it writes that is cut after some byte
+  Millis compact_every = 0;  // 0 = never
+  int lag = 0;               // changes that a member may be behind
+  double deaf = 0;           // watches that go deaf, a second each
 };
 
 struct ClientsSpec {
--- /dev/null
+++ b/src/lab/key_store.h
@@ -0,0 +1,79 @@
+// A key-value store with revisions, as published for etcd v3: every change has the next number, a watch may
+// begin at any number that has not been compacted away, and a lease takes its keys with it. In simulated
+// time, without I/O: the stand-in registry puts it on sockets, and model tests drive it alone. It must never
+// forget a change that it was not told to compact.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/millis.h"
+
+namespace shorelead::lab {
+
+struct StoredKey {
+  std::string value;
+  std::uint64_t created = 0;
+  std::uint64_t changed = 0;
+  std::uint64_t version = 0;
+  std::int64_t lease = 0;
+};
+
+struct KeyChange {
+  std::uint64_t revision = 0;
+  std::string key;
+  bool deleted = false;
+  StoredKey now;  // of a deletion only `changed` counts
+};
+
+class KeyStore {
+ public:
+  std::uint64_t put(const std::string& key, const std::string& value, std::int64_t lease = 0);
+  std::uint64_t remove(const std::string& key);  // 0 where there is none
+
+  void grant(std::int64_t lease, Millis length, Millis now);
+  bool keep_alive(std::int64_t lease, Millis now);
+  void expire(Millis now);  // leases that ran out take their keys with them
+
+  struct Range {
+    bool compacted = false;
+    std::vector<std::pair<std::string, StoredKey>> items;
+    bool more = false;
+    std::uint64_t count = 0;
+  };
+  // As it was at `revision` (0 = now); only those changed at `since` or later are given, and all are counted.
+  Range range(const std::string& from, const std::string& end, std::size_t limit, std::uint64_t revision,
+              std::uint64_t since = 0) const;
+
+  // What changed from `start` to `until`; nothing where that has been compacted.
+  std::optional<std::vector<KeyChange>> changes(std::uint64_t start, std::uint64_t until,
+                                                const std::string& from, const std::string& end) const;
+
+  void compact(std::uint64_t revision);
+  // Comes back as it was at `revision`, as from a copy: another cluster with an older history.
+  void restore(std::uint64_t revision);
+
+  std::uint64_t revision() const { return revision_; }
+  std::uint64_t compacted() const { return compacted_; }
+  std::uint64_t cluster() const { return cluster_; }
+
+ private:
+  struct Lease {
+    Millis length = 0;
+    Millis ends = 0;
+  };
+  std::map<std::string, StoredKey> at(std::uint64_t revision) const;
+  static bool within(const std::string& key, const std::string& from, const std::string& end);
+
+  std::map<std::string, StoredKey> keys_;
+  std::vector<KeyChange> log_;  // all of it, to answer for any revision
+  std::map<std::int64_t, Lease> leases_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t compacted_ = 0;
+  std::uint64_t cluster_ = 0x5e1f;
+};
+
+}  // namespace shorelead::lab
--- a/src/lab/registry.h
+++ b/src/lab/registry.h
@@ -12,28 +12,28 @@
 #include <string>
 #include <vector>
 
+#include "lab/list_source.h"
 #include "lab/records.h"
 
 namespace shorelead::lab {
 
-class Registry {
+class Registry : public ListSource {
  public:
   // dial(box, node) is where that node finds the box.
   Registry(boost::asio::io_context& context, int nodes, const std::vector<std::string>& addresses,
            std::function<std::string(int, int)> dial, const std::vector<BoxNote>& boxes,
            const std::vector<std::string>& zones);
-  ~Registry();
+  ~Registry() override;
 
-  // From now on the list says so.
-  void publish(int box, BoxState state);
-  std::string dial(int node) const;
-  std::string list(int node) const;  // whole, in discovery's form
+  void publish(int box, BoxState state) override;
+  std::string dial(int node) const override;
+  std::string list(int node) const override;
 
-  void down(bool on);
-  void restart();  // forgets its numbers and cuts all watches
-  void lie_empty(bool on);
+  void down(bool on) override;
+  void restart() override;  // forgets its numbers and cuts all watches
+  void lie_empty(bool on) override;
 
-  const std::vector<Told>& told() const { return told_; }
+  const std::vector<Told>& told() const override { return told_; }
   std::uint64_t watches() const { return watches_; }
 
  private:
--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "lab/box.h"
+#include "lab/etcd.h"
 #include "lab/registry.h"
 
 namespace shorelead::lab {
@@ -44,9 +45,13 @@
   std::vector<std::string> addresses;
   for (int node = 0; node < experiment.nodes.count; ++node) addresses.push_back(loopback(254, node + 1));
   for (std::size_t pool = 0; pool < std::max<std::size_t>(1, experiment.fleet.pools.size()); ++pool) {
-    registries_.push_back(std::make_unique<Registry>(
-        context, experiment.nodes.count, addresses, [this](int box, int node) { return box_dial(box, node); },
-        notes_, experiment.fleet.zones));
+    const auto dial = [this](int box, int node) { return box_dial(box, node); };
+    if (experiment.discovery.registry) {
+      registries_.push_back(std::make_unique<EtcdRegistry>(context, experiment, addresses[0], dial, notes_));
+      continue;
+    }
+    registries_.push_back(std::make_unique<Registry>(context, experiment.nodes.count, addresses, dial, notes_,
+                                                     experiment.fleet.zones));
   }
   slots_.resize(static_cast<std::size_t>(experiment.fleet.boxes));
   for (int slot = 0; slot < experiment.fleet.boxes; ++slot) {
--- a/src/lab/stand_ins.h
+++ b/src/lab/stand_ins.h
@@ -17,12 +17,12 @@
 
 #include "lab/clock.h"
 #include "lab/experiment.h"
+#include "lab/list_source.h"
 #include "lab/records.h"
 
 namespace shorelead::lab {
 
 class Box;
-class Registry;
 
 // What a box's machine shares with the others': the experiment, the ledger and the store of keys.
 struct World {
@@ -84,8 +84,8 @@
   std::vector<BoxNote> notes_;
   std::vector<int> slot_of_;  // by number of the box
   std::vector<Changed> changed_;
-  std::vector<std::unique_ptr<Registry>> registries_;  // by pool
-  int born_ = 0;                                       // boxes so far
+  std::vector<std::unique_ptr<ListSource>> registries_;  // by pool
+  int born_ = 0;                                         // boxes so far
 };
 
 }  // namespace shorelead::lab
--- a/src/language/check.cpp
+++ b/src/language/check.cpp
@@ -724,6 +724,16 @@
       }
     }
     const bool own = s.places.count("discovery") > 0;
+    const Section* const registry = s.find("registry");
+    if (registry != nullptr) {
+      one_registry(*registry);
+      if (first != nullptr || own) {
+        problem(registry->place, called(s) + " has a registry and another source of boxes",
+                "take one of them out")
+            .also.emplace_back(own ? s.places.at("discovery") : first->place, "here is the other");
+      }
+      return;
+    }
     if (first != nullptr && own) {
       problem(s.places.at("discovery"), called(s) + " has both boxes and a discovery", "take one of them out")
           .also.emplace_back(first->place, "here is a box");
@@ -740,6 +750,24 @@
     }
   }
 
+  void one_registry(const Section& s) {
+    std::set<std::string> told;
+    const auto endpoints = s.words.find("endpoints");
+    for (const std::string& one :
+         endpoints == s.words.end() ? std::vector<std::string>() : endpoints->second) {
+      if (!address(one)) {
+        problem(s.places.at("endpoints"), one + " is no address with a port",
+                "as in: endpoints 127.0.0.1:2379");
+      } else if (!told.insert(one).second) {
+        problem(s.places.at("endpoints"), one + " is told twice", "take one of them out");
+      }
+    }
+    if (s.places.count("prefix") > 0 && s.word("prefix").empty()) {
+      problem(s.places.at("prefix"), "an empty prefix would take every key for a box",
+              "as in: prefix \"/boxes/\"");
+    }
+  }
+
   void fallbacks() {
     std::set<std::string> told;
     for (const Section& s : document_.sections) {
--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -37,6 +37,14 @@
 constexpr Field kPool[] = {
     {"discovery", Type::kAddress, 0, 0, false, "",
      "where this pool's list is watched; the node's if not told, unless its boxes stand here"},
+    {"floor", Type::kShare, 0, 1, false, "",
+     "of the boxes ready, that stay so whatever vanishes from the list at once; 50 % if not told, 0 % is "
+     "none"},
+    {"hold", Type::kTime, 100, kDay, false, "",
+     "a loss beyond the floor is believed once it has lasted so long; 10 s if not told"},
+    {"stale_after", Type::kTime, 1000, kDay, false, "",
+     "a list of which nothing was heard for so long is called stale; 30 s if not told"},
+    {"keep", Type::kWord, 0, 0, false, "", "a file for the last good list, from which the node starts"},
     {"fallback", Type::kWord, 0, 0, false, "", "the pool that takes its requests where it has nobody ready"},
     {"list", Type::kWord, 0, 0, false, "watched|asked",
      "whether lists come by themselves or are asked for; asked if not told"},
@@ -62,6 +70,11 @@
     {"draining", Type::kFlag, 0, 0, false, "", "yes: it gets nothing new; no if not told"},
 };
 
+constexpr Field kRegistry[] = {
+    {"endpoints", Type::kWords, 0, 0, true, "", "addresses with ports of the registry's members"},
+    {"prefix", Type::kWord, 0, 0, true, "", "of the boxes' keys; the rest of a key is the box's name"},
+};
+
 constexpr Field kCold[] = {
     {"share", Type::kShare, 0.001, 1, true, "", "of its capacity, that a box starts with"},
     {"warm_up", Type::kTime, 1, kHour, true, "", "after which it is warm"},
@@ -101,6 +114,7 @@
      "which requests are of which class; without any, the first part of the path is the class"},
     {"pool", "", true, false, kPool, "boxes, and what is allowed before them"},
     {"box", "pool", true, false, kBox, "one box of a pool whose list stands in the file"},
+    {"registry", "pool", false, true, kRegistry, "boxes from a key-value registry (etcd v3's JSON gateway)"},
     {"cold", "pool", false, true, kCold, "the rule on boxes that have just started"},
     {"subset", "pool", false, true, kSubset, "work with a part of a large fleet"},
     {"probes", "pool", false, true, kProbes, "ceilings of probes"},
--- /dev/null
+++ b/src/membership/registry/client.h
@@ -0,0 +1,72 @@
+// A registry followed over sockets: the follower's questions asked, its answers brought to the view. Owns the
+// two calls, the one at hand and the check beside a watch. It must never decide what to ask, when, or what an
+// answer means.
+#pragma once
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "membership/registry/exchange.h"
+#include "membership/registry/follower.h"
+#include "membership/view.h"
+
+namespace shorelead::membership::registry {
+
+struct Spec {
+  std::vector<Poco::Net::SocketAddress> endpoints;
+  std::string prefix;
+
+  bool operator==(const Spec&) const = default;
+};
+
+class Client {
+ public:
+  struct Listener {
+    std::function<void(const Update&)> changed;  // only where there are changes
+    std::function<void()> synced;                // the first whole list is there
+    std::function<void(const std::string&)> trouble;
+  };
+
+  Client(net::Loop& loop, const Spec& spec, View& view, int source, std::uint64_t seed, Listener listener,
+         const FollowerOptions& options = {});
+  ~Client();
+
+  void start() { go_on(); }
+  bool synced() const { return follower_.synced(); }
+  const Follower& follower() const { return follower_; }
+
+ private:
+  void go_on();
+  void ask();
+  void answered(int status, std::string body);
+  void part(std::string text);
+  void ended(net::Ending ending);
+  void leave();
+  void take(const Update& update);
+  void plan_check();
+  void check();
+  void plan_tick();
+
+  net::Loop& loop_;
+  const Spec spec_;
+  View& view_;
+  const int source_;
+  Listener listener_;
+  Follower follower_;
+  std::unique_ptr<Exchange> call_;
+  int call_endpoint_ = -1;
+  std::unique_ptr<Exchange> check_;
+  std::string lines_;
+  std::size_t searched_ = 0;
+  bool told_synced_ = false;
+  net::Loop::TimerId ask_at_ = 0;
+  net::Loop::TimerId check_at_ = 0;
+  net::Loop::TimerId tick_at_ = 0;
+};
+
+}  // namespace shorelead::membership::registry
--- /dev/null
+++ b/src/membership/registry/exchange.h
@@ -0,0 +1,53 @@
+// One POST to a registry's gateway and its answer: whole, or as a stream that stays open. Owns its connection
+// and the framing. It must never know what is asked or answered, nor call anybody once it was closed.
+#pragma once
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/http.h"
+#include "net/loop.h"
+#include "net/stream.h"
+
+namespace shorelead::membership::registry {
+
+class Exchange : public net::Stream::Handler {
+ public:
+  struct Listener {
+    std::function<void(int status, std::string body)> answered;  // whole; the connection may be used again
+    std::function<void(std::string part)> part;                  // of a stream with status 200
+    std::function<void(net::Ending)> ended;                      // without, or behind, a whole answer
+  };
+
+  Exchange(net::Loop& loop, const Poco::Net::SocketAddress& address, Listener listener);
+  ~Exchange() override;
+
+  // `path` as in "/v3/kv/range"; with `stream` the body is passed on as it comes. `within` is for the whole
+  // answer, or of a stream for its head.
+  void post(const std::string& path, const std::string& body, bool stream, Millis within);
+  // From now on something has to come within so long; 0 = whenever.
+  void expect(Millis within);
+  bool usable() const { return stream_ && stream_->open() && !busy_; }
+
+ private:
+  void on_connected(net::Stream&) override;
+  void on_input(net::Stream& stream) override;
+  void on_end(net::Stream&, net::Ending ending) override;
+  void take(bool over);
+  void end(net::Ending ending);
+
+  net::Loop& loop_;
+  const Poco::Net::SocketAddress address_;
+  Listener listener_;
+  std::shared_ptr<net::Stream> stream_;
+  net::Parser parser_;
+  std::string request_;
+  bool streaming_ = false;
+  bool busy_ = false;
+  net::Loop::TimerId deadline_ = 0;
+};
+
+}  // namespace shorelead::membership::registry
--- /dev/null
+++ b/src/membership/registry/follower.cpp
@@ -0,0 +1,256 @@
+#include "membership/registry/follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shorelead::membership::registry {
+namespace {
+
+constexpr std::size_t kMostRoom = 1000000;
+
+}  // namespace
+
+Follower::Follower(View& view, int source, std::string prefix, int endpoints, std::uint64_t seed,
+                   const FollowerOptions& options)
+    : view_(view),
+      source_(source),
+      prefix_(std::move(prefix)),
+      end_(prefix_end(prefix_)),
+      endpoints_(endpoints),
+      options_(options),
+      random_(seed),
+      endpoint_(static_cast<int>(random_() % static_cast<std::uint64_t>(endpoints))),
+      page_from_(prefix_) {}
+
+Follower::Ask Follower::next() const {
+  Ask ask;
+  ask.kind = mode_ == Mode::kWatch ? Ask::Kind::kWatch : Ask::Kind::kRange;
+  ask.endpoint = endpoint_;
+  ask.at = at_;
+  ask.body = mode_ == Mode::kWatch ? watch_request(prefix_, end_, reached_ + 1)
+                                   : range_request(page_from_, end_, options_.page, page_revision_, 0);
+  return ask;
+}
+
+std::string Follower::host_of(const std::string& key) const {
+  return key.size() > prefix_.size() && key.compare(0, prefix_.size(), prefix_) == 0
+             ? key.substr(prefix_.size())
+             : std::string();
+}
+
+Entry Follower::entry_of(const KeyValue& item) {
+  Entry entry;
+  entry.revision = item.revision;
+  std::string cause;
+  if (auto member = parse_member(host_of(item.key), item.value, cause)) {
+    entry.member = std::move(*member);
+    return entry;
+  }
+  ++counters_.unreadable;
+  last_unreadable_ = item.key + ": " + cause;
+  entry.member.host = host_of(item.key);
+  entry.unreadable = true;
+  return entry;
+}
+
+// Everything anew, at whatever revision there is then.
+void Follower::resync() {
+  mode_ = Mode::kRange;
+  page_revision_ = 0;
+  page_from_ = prefix_;
+  paged_.clear();
+  fragment_.clear();
+  suspect_since_.reset();
+}
+
+// Whether the answer is of a history that ends before what was seen. Says so until every endpoint has been
+// for long enough.
+bool Follower::too_old(const Header& header, Millis now) {
+  if (cluster_ != 0 && header.cluster != cluster_) {
+    // Another cluster: its numbers say nothing beside the old ones.
+    ++counters_.epochs;
+    cluster_ = header.cluster;
+    salt_ = 0;
+    behind_since_.reset();
+    begin_anew();
+    return false;
+  }
+  cluster_ = header.cluster;
+  const std::uint64_t seen = std::max(reached_, page_revision_);
+  if (!synced_ || header.revision >= seen) {
+    behind_since_.reset();
+    behind_in_row_ = 0;
+    return false;
+  }
+  ++counters_.behind;
+  ++behind_in_row_;
+  if (!behind_since_) behind_since_ = now;
+  if (now - *behind_since_ < options_.behind_for || behind_in_row_ < endpoints_) return true;
+  ++counters_.epochs;
+  ++salt_;
+  behind_since_.reset();
+  behind_in_row_ = 0;
+  begin_anew();
+  return false;
+}
+
+// Nothing of what is under way is of use in another history, but a first page.
+void Follower::begin_anew() {
+  reached_ = 0;
+  if (mode_ == Mode::kRange && page_revision_ == 0) return;
+  resync();
+  leave_ = true;
+}
+
+Update Follower::page(const Page& page, Millis now) {
+  leave_ = false;
+  const bool first = page_revision_ == 0;
+  if (too_old(page.header, now)) leave_ = true;
+  if (leave_) return {};
+  if (first) {
+    ++counters_.ranges;
+    page_revision_ = std::max<std::uint64_t>(page.header.revision, 1);
+    paged_.reserve(std::min<std::size_t>(page.count, kMostRoom));
+  }
+  std::vector<Entry> entries;
+  entries.reserve(page.items.size());
+  for (const KeyValue& item : page.items) {
+    paged_.insert(item.key);
+    if (host_of(item.key).empty()) continue;
+    entries.push_back(entry_of(item));
+  }
+  const bool last = !page.more || page.items.empty();
+  Update update = view_.page(source_, cluster_ ^ (salt_ * 0x9E3779B97F4A7C15ULL), page_revision_, entries,
+                             {first, last, page.count}, now);
+  if (update.behind) {
+    leave_ = true;
+    return update;
+  }
+  if (!last) {
+    page_from_ = page.items.back().key + std::string(1, '\0');
+    at_ = now;
+    return update;
+  }
+  reached_ = page_revision_;
+  keys_ = std::move(paged_);
+  synced_ = true;
+  resync();
+  mode_ = Mode::kWatch;
+  at_ = now;
+  return update;
+}
+
+Update Follower::line(const WatchLine& line, Millis now) {
+  leave_ = false;
+  ++lines_;
+  if (line.canceled) {
+    leave_ = true;
+    if (line.compacted > 0) {
+      ++counters_.compacted;
+      resync();
+    } else {
+      ++counters_.failures;
+    }
+    return {};
+  }
+  if (line.created) {
+    ++counters_.watches;
+    counters_.resumed += began_ > 0 ? 1 : 0;
+    began_ = now;
+    check_at_ = now + options_.check_every;
+    suspect_since_.reset();
+  }
+  if (too_old(line.header, now)) leave_ = true;
+  if (leave_) return {};
+  view_.heard(source_, now);
+  failures_ = now - began_ >= options_.stood ? 0 : failures_;
+  fragment_.insert(fragment_.end(), line.events.begin(), line.events.end());
+  if (line.fragment) return {};
+  std::vector<View::Change> changes;
+  changes.reserve(fragment_.size());
+  for (const Event& event : std::exchange(fragment_, {})) {
+    const std::string host = host_of(event.item.key);
+    reached_ = std::max(reached_, event.item.revision);
+    event.deleted ? void(keys_.erase(event.item.key)) : void(keys_.insert(event.item.key));
+    if (host.empty()) continue;
+    View::Change change;
+    if (event.deleted) {
+      change.entry.member.host = host;
+      change.entry.member.health = "gone";
+      change.entry.revision = event.item.revision;
+      change.vanished = true;  // the registry does not say whether a lease ran out
+    } else {
+      change.entry = entry_of(event.item);
+    }
+    changes.push_back(std::move(change));
+  }
+  // A notice of progress, and the header that comes with events, say that nothing before was left out; the
+  // header of a watch just made does not.
+  if (line.events.empty() && !line.created) reached_ = std::max(reached_, line.header.revision);
+  return changes.empty() ? Update{} : view_.change(source_, changes, now);
+}
+
+void Follower::range_failed(bool compacted, Millis now) {
+  ++counters_.failures;
+  if (compacted) {
+    // The revision of the pages went while they were read: from the first one, at a newer.
+    ++counters_.compacted;
+    resync();
+  }
+  turn(now);
+}
+
+void Follower::turn(Millis now) {
+  endpoint_ = (endpoint_ + 1) % endpoints_;
+  Millis most = options_.backoff;
+  for (int n = 0; n < failures_ && most < options_.backoff_most; ++n) most *= 2;
+  ++failures_;
+  at_ = now + std::uniform_real_distribution<double>(0, std::min(most, options_.backoff_most))(random_);
+}
+
+void Follower::ended(Millis now) {
+  fragment_.clear();
+  suspect_since_.reset();
+  const bool stood = mode_ == Mode::kWatch && began_ > 0 && now - began_ >= options_.stood;
+  // Pages at one revision can go on elsewhere; a watch resumes behind what it has told.
+  if (!stood) return turn(now);
+  failures_ = 0;
+  endpoint_ = (endpoint_ + 1) % endpoints_;
+  at_ = now + std::uniform_real_distribution<double>(0, options_.spread)(random_);
+}
+
+std::optional<Millis> Follower::check_at() const {
+  if (mode_ != Mode::kWatch || began_ == 0 || options_.check_every <= 0) return std::nullopt;
+  return suspect_since_ ? std::min(check_at_, *suspect_since_ + options_.deaf_for) : check_at_;
+}
+
+std::string Follower::check_body() const { return range_request(prefix_, end_, 1, 0, reached_ + 1); }
+
+void Follower::check_begun(Millis now) {
+  check_at_ = now + options_.check_every;
+  check_lines_ = lines_;
+}
+
+// The watch is deaf if a check knows of a change, and no line has come since it knew for `deaf_for`.
+void Follower::checked(const Page& page, Millis now) {
+  if (mode_ != Mode::kWatch || page.header.cluster != cluster_) return;
+  const bool differs = !page.items.empty() || page.count != keys_.size();
+  if (!differs || page.header.revision < reached_) {
+    suspect_since_.reset();
+    return;
+  }
+  if (!suspect_since_ || suspect_lines_ != lines_) {
+    suspect_since_ = now;
+    suspect_lines_ = lines_;
+    check_at_ = now + options_.deaf_for;
+    return;
+  }
+  if (now - *suspect_since_ < options_.deaf_for) return;
+  ++counters_.deaf;
+  resync();
+  leave_ = true;
+}
+
+void Follower::check_failed(Millis now) { check_at_ = now + options_.check_every; }
+
+}  // namespace shorelead::membership::registry
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -6,6 +6,8 @@
 namespace shorelead::membership {
 namespace {
 
+constexpr std::size_t kMostRoom = 1000000;
+
 bool is_ready(const Member& m) { return m.health == "ready"; }
 bool is_draining(const Member& m) { return m.health == "draining"; }
 
@@ -20,8 +22,13 @@
 View::View(const Options& options, int sources)
     : options_(options), sources_(static_cast<std::size_t>(sources)) {}
 
-Update View::snapshot(int number, std::uint64_t epoch, std::uint64_t revision,
+Update View::snapshot(int source, std::uint64_t epoch, std::uint64_t revision,
                       const std::vector<Entry>& entries, Millis now) {
+  return page(source, epoch, revision, entries, Part{}, now);
+}
+
+Update View::page(int number, std::uint64_t epoch, std::uint64_t revision, const std::vector<Entry>& entries,
+                  const Part& part, Millis now) {
   Update update;
   Source& source = sources_[static_cast<std::size_t>(number)];
   if (source.known && epoch == source.epoch && revision < source.revision) {
@@ -29,28 +36,41 @@
     update.behind = true;
     return update;
   }
-  ++counters_.snapshots;
   source.heard = now;
-  source.known = true;
   source.epoch = epoch;
   source.revision = revision;
-  std::unordered_set<std::string_view> named;
-  named.reserve(entries.size());
+  if (part.first) {
+    ++source.round;
+    // Growing step by step would move all that is there, in the middle of some page.
+    const std::size_t room = std::min(part.expected, kMostRoom);
+    source.records.reserve(room);
+    shown_.reserve(room);
+    by_dial_.reserve(room);
+  }
   std::vector<std::string> touched;
   for (const Entry& entry : entries) {
-    named.insert(entry.member.host);
-    if (entry.unreadable) continue;
+    if (entry.unreadable) {
+      const auto it = source.records.find(entry.member.host);
+      if (it != source.records.end()) it->second.round = source.round;
+      continue;
+    }
     if (put(source, entry, true, now)) touched.push_back(entry.member.host);
+    source.records.at(entry.member.host).round = source.round;
   }
-  for (auto& [host, record] : source.records) {
-    if (!record.there || named.count(host) > 0) continue;
-    // Its revision stays that of its last change: the next snapshot may have it again as it was.
-    remove(source, record, record.revision, !is_draining(record.member), now);
-    touched.push_back(host);
+  if (part.last) {
+    ++counters_.snapshots;
+    source.known = true;
+    for (auto& [host, record] : source.records) {
+      if (!record.there || record.round == source.round) continue;
+      // Its revision stays that of its last change: the next snapshot may have it again as it was. One of
+      // another epoch says nothing in this one, where any news of it is newer.
+      remove(source, record, record.epoch == epoch ? record.revision : 0, !is_draining(record.member), now);
+      touched.push_back(host);
+    }
   }
   std::sort(touched.begin(), touched.end());
   settle(touched, now, update);
-  confirm(now, update);
+  if (part.last) confirm(now, update);
   return update;
 }
 
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -40,6 +40,8 @@
   Millis flap_window = 60000;
   Millis flap_wait = 5000;  // then it waits, twice as long each time
   Millis flap_most = 60000;
+
+  bool operator==(const Options&) const = default;
 };
 
 // One box in a source's words, at the revision at which it last changed there.
@@ -78,6 +80,15 @@
   // histories apart by.
   Update snapshot(int source, std::uint64_t epoch, std::uint64_t revision, const std::vector<Entry>& entries,
                   Millis now);
+  // The same in pages, so that no call takes long: all at one revision, the first and the last told. What a
+  // page says counts at once; what no page named is missing once the last is there.
+  struct Part {
+    bool first = true;
+    bool last = true;
+    std::size_t expected = 0;  // entries in all pages, as far as is known: room is made for them at once
+  };
+  Update page(int source, std::uint64_t epoch, std::uint64_t revision, const std::vector<Entry>& entries,
+              const Part& part, Millis now);
   // What changed, each with its revision; for one deleted only the host counts and the health "gone", and
   // `vanished` says that it went without its own word.
   struct Change {
@@ -111,11 +122,13 @@
     bool there = false;
     bool vanished = false;  // not there, without its own word
     Millis gone_at = 0;
+    std::uint64_t round = 0;  // the last snapshot that named it
   };
   struct Source {
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     bool known = false;
+    std::uint64_t round = 0;  // of snapshots
     Millis heard = 0;
     std::unordered_map<std::string, Record> records;
     std::deque<std::pair<Millis, std::string>> tombstones;
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "membership/registry/client.h"
+#include "membership/view.h"
 #include "node/facade.h"
 #include "routing/plan.h"
 #include "settings/settings.h"
@@ -29,7 +31,10 @@
 // Boxes with a decision module, connections and a source of lists of their own.
 struct PoolConfig {
   std::string name;
-  std::optional<Poco::Net::SocketAddress> discovery;  // none: the boxes are those in `known`
+  std::optional<Poco::Net::SocketAddress> discovery;
+  std::optional<membership::registry::Spec> registry;  // with neither, the boxes are those in `known`
+  std::optional<membership::Options> view;             // none: lists are believed as they come
+  std::string keep;                                    // a file for the last good list; empty = none
   List known;
   Settings settings;         // with the classes that may come to it
   std::vector<int> classes;  // the number that each of the node's classes has here; -1 = it never comes
--- a/src/node/difference.cpp
+++ b/src/node/difference.cpp
@@ -62,12 +62,26 @@
   return words;
 }
 
+std::string source_of(const PoolConfig& pool) {
+  if (pool.discovery) return "discovery " + pool.discovery->toString();
+  if (!pool.registry) return text(static_cast<double>(pool.known.backends.size())) + " boxes told";
+  std::string words = "registry " + pool.registry->prefix + " at";
+  for (const auto& endpoint : pool.registry->endpoints) words.append(" ").append(endpoint.toString());
+  return words;
+}
+
 void add_pool(const PoolConfig& pool, const std::vector<PoolConfig>& pools, Facts& facts) {
   const Settings& s = pool.settings;
   const auto put = [&](const std::string& what, std::string value) {
     facts["pool " + pool.name + ": " + what] = std::move(value);
   };
-  put("discovery", pool.discovery ? pool.discovery->toString() : "none, its boxes are told");
+  put("source", pool.discovery || pool.registry ? source_of(pool) : "its boxes are told");
+  if (pool.view) {
+    put("floor", share(pool.view->floor));
+    put("hold", ms(pool.view->hold));
+    put("stale_after", ms(pool.view->stale_after));
+    put("keep", pool.keep.empty() ? "none" : pool.keep);
+  }
   put("fallback", pool.fallback < 0 ? "none" : "pool " + pools[static_cast<std::size_t>(pool.fallback)].name);
   put("list", s.list_on_request ? "asked" : "watched");
   put("ask_every", ms(s.ask_every));
@@ -90,7 +104,7 @@
     put("subset above", text(pool.fleet.subset->whole_up_to));
     put("subset slack", share(pool.fleet.subset->slack));
   }
-  if (pool.discovery) return;
+  if (pool.discovery || pool.registry) return;
   for (const ListedBackend& box : pool.known.backends) {
     std::string is = box.dial;
     if (!box.site.empty()) is.append(", zone ").append(box.site);
@@ -137,9 +151,7 @@
     std::erase_if(facts, [&start](const auto& fact) {
       return fact.first.starts_with(start) && !fact.first.starts_with(start + "box ");
     });
-    facts["pool " + pool.name] = pool.discovery
-                                     ? "discovery " + pool.discovery->toString()
-                                     : text(static_cast<double>(pool.known.backends.size())) + " boxes";
+    facts["pool " + pool.name] = source_of(pool);
   }
 }
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -40,6 +40,12 @@
   expect(waits_.connect, Ending::kConnectTimeout);
 }
 
+void Discovery::watch_anew() {
+  version_ = 0;
+  if (stream_) leave();
+  watch();
+}
+
 void Discovery::move(const Poco::Net::SocketAddress& address) {
   if (address == address_) return;
   address_ = address;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -38,6 +38,8 @@
 
   // Opens the watch anew from the version reached; nothing if it stands.
   void watch();
+  // Leaves the watch and opens one for the whole list.
+  void watch_anew();
   // Discovery is now found there: leaves a watch on the old address without a word and opens one on the new,
   // from the version reached.
   void move(const Poco::Net::SocketAddress& address);
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -220,7 +220,7 @@
 // Says whether it was ready before.
 bool Facade::set_ready(Known& known, bool ready) {
   const bool was = std::exchange(known.ready, ready);
-  ready_ += (ready ? 1U : 0U) - (was ? 1U : 0U);
+  if (ready != was) ready ? ++ready_ : --ready_;
   return was;
 }
 
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -11,6 +11,8 @@
 // Where the module does not say when to ask for the list.
 constexpr Millis kWatchWaitMin = 200;
 constexpr Millis kWatchWaitMax = 2000;
+constexpr Millis kKeepEvery = 5000;  // the list goes to the disk at most so often
+constexpr Millis kViewEvery = 250;
 
 std::string named(Ending e) { return std::string(name_of(e)); }
 
@@ -18,8 +20,8 @@
 bool same_making(const PoolConfig& a, const PoolConfig& b) {
   return a.settings == b.settings && a.host.zones == b.host.zones &&
          a.host.idle_timeout == b.host.idle_timeout && a.host.tenants == b.host.tenants &&
-         a.host.classes == b.host.classes && a.fleet == b.fleet &&
-         a.discovery.has_value() == b.discovery.has_value();
+         a.host.classes == b.host.classes && a.fleet == b.fleet && a.view == b.view &&
+         a.registry == b.registry && a.keep == b.keep && a.discovery.has_value() == b.discovery.has_value();
 }
 
 }  // namespace
@@ -47,6 +49,19 @@
                          },
                          [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
                          [this, purpose](bool probe) { return host_.keep(purpose(probe)); }});
+  if (config.view) view_ = std::make_unique<membership::View>(*config.view);
+  if (!config.keep.empty()) keeper_ = std::make_unique<membership::Keeper>(config.keep);
+  if (config.registry) {
+    registry_ = std::make_unique<membership::registry::Client>(
+        loop_, *config.registry, *view_, 0, seed,
+        membership::registry::Client::Listener{
+            [this](const membership::Update& update) { tell(update); },
+            [this] {
+              spdlog::info("pool {}: the registry's list is there, {} boxes", name(), view_->size());
+            },
+            [this](const std::string& what) { spdlog::warn("pool {}: registry: {}", name(), what); }});
+    return;
+  }
   if (!config.discovery) return;
   discovery_ =
       std::make_unique<Discovery>(loop_, *config.discovery, config.known.version,
@@ -57,10 +72,15 @@
 Pool::~Pool() {
   loop_.cancel(wake_);
   loop_.cancel(rewatch_);
+  loop_.cancel(view_tick_);
+  loop_.cancel(keep_at_);
 }
 
 void Pool::start() {
   facade_.start(config_.known, loop_.now());
+  if (keeper_) start_from_disk();
+  if (view_) tick_view();
+  if (registry_) return registry_->start();
   if (!discovery_) return take_boxes();
   if (!config_.settings.list_on_request) discovery_->watch();
 }
@@ -78,6 +98,7 @@
   const bool boxes = config.known.backends != config_.known.backends;
   if (config.name != config_.name) spdlog::info("pool {} is now called {}", config_.name, config.name);
   config_ = config;
+  if (registry_) return;
   if (!discovery_) {
     if (boxes) take_boxes();
     return;
@@ -92,7 +113,106 @@
   return open_.empty() && facade_.open_requests() == 0 && upstream_->connections() == upstream_->idle();
 }
 
-bool Pool::told() const { return !discovery_ || discovery_->last_told() > 0; }
+bool Pool::told() const {
+  if (registry_) return registry_->synced();
+  return !discovery_ || discovery_->last_told() > 0;
+}
+
+// A list of which the module was told nothing may be old by any time; whatever is wrong with it the source
+// will tell, and until then attempts and probes do.
+void Pool::start_from_disk() {
+  std::string cause;
+  const auto kept = membership::load_kept(config_.keep, cause);
+  if (!kept) {
+    if (!cause.empty()) spdlog::error("pool {}: {} is not used: {}", name(), config_.keep, cause);
+    return;
+  }
+  spdlog::info("pool {}: starts from {}: {} boxes, {:.0f} s old", name(), config_.keep, kept->members.size(),
+               (loop_.now() - kept->written) / 1000);
+  List list;
+  list.whole = true;
+  list.backends = kept->members;
+  facade_.report_list(list, ListSource::kStored, loop_.now());
+}
+
+// Discovery's lists as the view has them. A whole list with a number below the last is of a discovery that
+// has lost its memory.
+membership::Update Pool::through_view(const List& list) {
+  const Millis now = loop_.now();
+  if (list.whole) {
+    std::vector<membership::Entry> entries;
+    entries.reserve(list.backends.size());
+    for (const ListedBackend& backend : list.backends) entries.push_back({backend, list.version, false});
+    if (view_->known(0) && list.version < view_->revision(0)) ++epoch_;
+    return view_->snapshot(0, epoch_, list.version, entries, now);
+  }
+  std::vector<membership::View::Change> changes;
+  changes.reserve(list.backends.size());
+  for (const ListedBackend& backend : list.backends)
+    changes.push_back({{backend, list.version, false}, false});
+  return view_->change(0, changes, now);
+}
+
+// What the view has made of it, to the module.
+void Pool::tell(const membership::Update& update) {
+  if (registry_ && registry_->follower().counters().unreadable !=
+                       std::exchange(unreadable_, registry_->follower().counters().unreadable)) {
+    spdlog::error("pool {}: a value in the registry is no box, which stays as it was: {}", name(),
+                  registry_->follower().last_unreadable());
+  }
+  List list;
+  list.version = ++list_number_;
+  list.backends = update.changes;
+  if (!update.changes.empty() || discovery_) {
+    upstream_->withdraw(facade_.report_list(list, ListSource::kWatch, loop_.now()));
+  }
+  if (view_->held() > 0) {
+    spdlog::warn("pool {}: {} boxes vanished at once and are held to be there until the source says so again",
+                 name(), view_->held());
+  }
+  if (keeper_ && !update.changes.empty()) {
+    changed_since_kept_ = true;
+    keep_list();
+  }
+}
+
+// Not for each change: the disk is slow, and a list some seconds old will do.
+void Pool::keep_list() {
+  if (keep_at_ != 0) return;
+  keep_at_ = loop_.after(kKeepEvery, [this] {
+    keep_at_ = 0;
+    if (const auto trouble = keeper_->trouble())
+      spdlog::error("pool {}: the list is not kept: {}", name(), *trouble);
+    if (!std::exchange(changed_since_kept_, false)) return;
+    if (keeper_->busy()) {
+      changed_since_kept_ = true;
+    } else {
+      keeper_->keep(membership::kept_text(view_->members(), loop_.now()));
+    }
+    keep_list();
+  });
+}
+
+// What the view holds or makes wait, and whether its source has gone quiet.
+void Pool::tick_view() {
+  view_tick_ = loop_.after(kViewEvery, [this] {
+    tick_view();
+    const Millis now = loop_.now();
+    const bool stale = view_->last_heard() > 0 && view_->stale(now);
+    if (stale != std::exchange(stale_, stale)) {
+      stale ? spdlog::error("pool {}: nothing heard of its list for {:.0f} s, it goes on with the last one",
+                            name(), (now - view_->last_heard()) / 1000)
+            : spdlog::info("pool {}: its list is heard of again", name());
+    }
+    if (registry_) return;  // it has a clock of its own for the view
+    const auto due = view_->next();
+    if (!due || *due > now) return;
+    const membership::Update update = view_->tick(now);
+    if (!update.changes.empty()) tell(update);
+    // A watch opened anew from nothing brings the whole list.
+    if (update.ask_again && discovery_) discovery_->watch_anew();
+  });
+}
 
 void Pool::request(RequestId request, const Ask& ask, std::shared_ptr<const Message> message) {
   open_[request].message = std::move(message);
@@ -195,6 +315,7 @@
   }
   spdlog::info("pool {}: list {}: {}, {} ready, {} draining, {} gone", name(), list.version,
                list.whole ? "whole" : "changes", ready, draining, list.backends.size() - ready - draining);
+  if (view_ && discovery_) return tell(through_view(list));
   upstream_->withdraw(facade_.report_list(list, ListSource::kWatch, loop_.now()));
 }
 
@@ -222,6 +343,24 @@
   spdlog::info("counters: {}boxes={} ready={} backends={} idle={} made={} reused={} open_requests={}", before,
                facade_.backends(), facade_.ready(), upstream_->connections(), upstream_->idle(),
                upstream_->opened(), upstream_->reused(), facade_.open_requests());
+  if (view_) {
+    const auto& v = view_->counters();
+    spdlog::info(
+        "counters: {}view boxes={} ready={} held={} stale={} heard_age_s={:.1f} snapshots={} changes={} "
+        "older={} "
+        "behind={} holds={} believed={} restored={} kept_out={} flaps={} moved={}",
+        before, view_->size(), view_->ready(), view_->held(), view_->stale(now) ? 1 : 0,
+        view_->last_heard() > 0 ? (now - view_->last_heard()) / 1000 : -1.0, v.snapshots, v.changes, v.older,
+        v.behind, v.held, v.believed, v.restored, v.kept_out, v.flaps, v.moved);
+  }
+  if (registry_) {
+    const auto& r = registry_->follower().counters();
+    spdlog::info(
+        "counters: {}registry revision={} ranges={} watches={} resumed={} compacted={} behind={} epochs={} "
+        "deaf={} unreadable={} failures={}",
+        before, view_->revision(0), r.ranges, r.watches, r.resumed, r.compacted, r.behind, r.epochs, r.deaf,
+        r.unreadable, r.failures);
+  }
   if (const auto subset = facade_.subset_counters()) {
     spdlog::info("counters: {}subset fleet={} members={} lots={} borrowed={} drawings={} changes={}", before,
                  subset->fleet, subset->members, subset->lots, subset->borrowed, subset->drawings,
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -12,6 +12,9 @@
 #include <unordered_map>
 
 #include "limits/descriptors.h"
+#include "membership/kept_list.h"
+#include "membership/registry/client.h"
+#include "membership/view.h"
 #include "node/config.h"
 #include "node/discovery.h"
 #include "node/facade.h"
@@ -75,13 +78,28 @@
   void list_changed(const List& list);
   void watch_ended(Ending ending);
   void take_boxes();
+  void tell(const membership::Update& update);
+  membership::Update through_view(const List& list);
+  void tick_view();
+  void keep_list();
+  void start_from_disk();
 
   Loop& loop_;
   PoolConfig config_;
   const Host host_;
   Facade facade_;
   std::unique_ptr<Upstream> upstream_;
-  std::unique_ptr<Discovery> discovery_;  // none: the list stands in the configuration
+  std::unique_ptr<membership::View> view_;
+  std::unique_ptr<Discovery> discovery_;  // without it and a registry the list stands in the configuration
+  std::unique_ptr<membership::registry::Client> registry_;
+  std::unique_ptr<membership::Keeper> keeper_;
+  bool changed_since_kept_ = false;
+  bool stale_ = false;
+  std::uint64_t unreadable_ = 0;  // told of in the log
+  std::uint64_t epoch_ = 1;        // of discovery's numbers
+  std::uint64_t list_number_ = 0;  // of what was told to the module, where there is no version
+  Loop::TimerId view_tick_ = 0;
+  Loop::TimerId keep_at_ = 0;
   std::unordered_map<RequestId, Open> open_;
   bool settling_ = false;
   bool left_ = false;
--- a/src/node/shore.cpp
+++ b/src/node/shore.cpp
@@ -192,6 +192,19 @@
   }
 }
 
+membership::registry::Spec registry_of(const Section& section) {
+  membership::registry::Spec spec;
+  spec.prefix = section.word("prefix");
+  for (const std::string& one : section.words.at("endpoints")) {
+    const auto endpoint = parse_address(one);
+    if (!endpoint) {
+      bad(section, "endpoints", one + " is no address of a machine (no names are looked up)");
+    }
+    spec.endpoints.push_back(*endpoint);
+  }
+  return spec;
+}
+
 void take_zone(const Section& node, const Section& section, PoolConfig& pool) {
   const std::string zone = node.word("zone");
   if (zone.empty()) return;
@@ -261,11 +274,22 @@
     pool.known = boxes_of(section);
     if (section.places.count("discovery") > 0) {
       pool.discovery = address(section, "discovery", "");
+    } else if (const Section* const registry = section.find("registry")) {
+      pool.registry = registry_of(*registry);
+      pool.settings.list_on_request = false;
     } else if (pool.known.backends.empty()) {
       pool.discovery = config.discovery;
     } else {
       pool.settings.list_on_request = false;
     }
+    if (pool.discovery || pool.registry) {
+      membership::Options options;
+      options.floor = section.number("floor").value_or(options.floor);
+      options.hold = section.number("hold").value_or(options.hold);
+      options.stale_after = section.number("stale_after").value_or(options.stale_after);
+      pool.view = options;
+      pool.keep = section.word("keep");
+    }
     if (const std::string other = section.word("fallback"); !other.empty()) {
       pool.fallback = number_of(names, other);
     }
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -64,7 +64,7 @@
 INSTANTIATE_TEST_SUITE_P(Node, Experiments,
                          testing::Values("calm", "deploy", "killed", "stalls", "black_hole", "discovery_down",
                                          "nodes_restarted", "overload", "bad_clients", "bad_answers",
-                                         "subsets", "reloads", "pools_apart"),
+                                         "subsets", "reloads", "pools_apart", "registry"),
                          [](const auto& info) { return std::string(info.param); });
 
 struct Flaw {
--- /dev/null
+++ b/tests/membership/kept_list_test.cpp
@@ -0,0 +1,100 @@
+// The last good list on disk: whole or refused with its cause, whatever became of the file.
+#include "membership/kept_list.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace shorelead::membership {
+namespace {
+
+std::vector<Member> three() {
+  std::vector<Member> all(3);
+  for (int n = 0; n < 3; ++n) {
+    Member& m = all[static_cast<std::size_t>(n)];
+    m.host = std::string("b\xc3\xa9 ").append(std::to_string(n));
+    m.dial = "127.0.0.1:900" + std::to_string(n);
+    m.health = n == 1 ? "draining" : "ready";
+    m.born = 1000 * n;
+  }
+  return all;
+}
+
+struct Folder {
+  Folder() {
+    std::string name = (std::filesystem::temp_directory_path() / "shorelead-kept-XXXXXX").string();
+    if (::mkdtemp(name.data()) != nullptr) path = name;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string file() const { return path + "/list"; }
+  std::string path;
+};
+
+TEST(KeptList, ComesBackAsItWasWritten) {
+  const Folder folder;
+  std::string cause;
+  EXPECT_FALSE(load_kept(folder.file(), cause));
+  EXPECT_EQ(cause, "");  // none was ever kept
+  {
+    Keeper keeper(folder.file());
+    keeper.keep(kept_text(three(), 123456));
+  }
+  const auto list = load_kept(folder.file(), cause);
+  ASSERT_TRUE(list) << cause;
+  EXPECT_EQ(list->members, three());
+  EXPECT_EQ(list->written, 123456);
+  EXPECT_FALSE(std::filesystem::exists(folder.file() + ".new"));
+}
+
+// A file cut at any byte, or with any byte changed, is refused; never a list with something missing.
+TEST(KeptList, TornAnywhereOrDamagedAnywhereIsRefused) {
+  const std::string text = kept_text(three(), 123456);
+  const std::size_t body = text.find('\n') + 1;
+  for (std::size_t size = 0; size < text.size(); ++size) {
+    std::string cause;
+    EXPECT_FALSE(read_kept(text.substr(0, size), cause)) << size;
+    EXPECT_FALSE(cause.empty()) << size;
+  }
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    for (const int bit : {1, 32, 128}) {
+      std::string hurt = text;
+      hurt[at] = static_cast<char>(hurt[at] ^ bit);
+      std::string cause;
+      const auto list = read_kept(hurt, cause);
+      // The age alone stands outside of the checksum.
+      EXPECT_TRUE(!list || (at < body && list->members == three())) << at;
+    }
+  }
+}
+
+TEST(KeptList, OtherFormsAreNamed) {
+  const std::pair<std::string, const char*> cases[] = {
+      {"", "no kept list"},
+      {"{\"seq\":1}\n", "no kept list"},
+      {"shorelead-list 2 0 0 0\n", "form is 2, this node knows 1"},
+      {"shorelead-list 1 x\n", "first line is damaged"},
+      {kept_text(three(), 1) + "more", "torn"}};
+  for (const auto& [text, words] : cases) {
+    std::string cause;
+    EXPECT_FALSE(read_kept(text, cause));
+    EXPECT_NE(cause.find(words), std::string::npos) << cause;
+  }
+}
+
+// A disk that takes nothing leaves the old file as it was, and says why.
+TEST(KeptList, WhatCannotBeWrittenLeavesTheOldOne) {
+  const Folder folder;
+  ASSERT_FALSE(store_kept(folder.file(), kept_text(three(), 1)));
+  std::filesystem::create_directory(folder.file() + ".new");  // in the way
+  const auto cause = store_kept(folder.file(), kept_text({}, 2));
+  ASSERT_TRUE(cause);
+  EXPECT_NE(cause->find("cannot be opened"), std::string::npos);
+  std::string none;
+  EXPECT_EQ(load_kept(folder.file(), none)->members.size(), 3U);
+}
+
+}  // namespace
+}  // namespace shorelead::membership
--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -279,6 +279,32 @@
   EXPECT_EQ(status(client), "200");
 }
 
+// The same where it had somebody and has nobody any more, and where it has again: a count that went wrong by
+// one drain would keep its requests.
+TEST(Pools, AnotherPoolStandsInForAsLongAsNobodyIsReady) {
+  Peer a;
+  Peer spare;
+  const auto text = [&](const std::string& drains) {
+    return kHead + pool("a", box(a, drains) + "; fallback b") + pool("b", box(spare)) +
+           route("look", "pool a");
+  };
+  Node node(text(""));
+  const auto goes_to = [&](Peer& peer) {
+    Line client = node.client();
+    client.write(ask("GET", "/look/1"));
+    Line there = peer.accept();
+    EXPECT_FALSE(there.request().empty());
+    there.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(status(client), "200");
+  };
+  for (int n = 0; n < 2; ++n) {
+    goes_to(a);
+    node.reload(text("; draining yes "));
+    goes_to(spare);
+    node.reload(text(""));
+  }
+}
+
 // Guards against a key that runs in two pools: after a swap a client's repeat of a keyed request goes where
 // its first try went, for the window; what is new goes by the new generation.
 TEST(Pools, ARepeatAfterASwapGoesWhereItsFirstTryWent) {
@@ -305,6 +331,29 @@
   EXPECT_EQ(status(again), "200");
 }
 
+// A node that starts while its registry is away serves from the list that it kept.
+TEST(Pools, StartsFromTheKeptListWhileTheRegistryIsAway) {
+  Peer a;
+  Peer nobody;
+  const std::string away = nobody.dial();
+  nobody.close();
+  const std::string path = testing::TempDir() + "/shorelead-kept-" + std::to_string(::getpid());
+  membership::Member kept;
+  kept.host = "s-1";
+  kept.dial = a.dial();
+  kept.health = "ready";
+  ASSERT_FALSE(membership::store_kept(path, membership::kept_text({kept}, 1000)));
+  Node node(kHead + pool("a", "registry { endpoints " + away + "; prefix \"/b/\" }; keep \"" + path + "\"") +
+            route("look", "pool a"));
+  Line client = node.client();
+  client.write(ask("GET", "/look/1"));
+  Line there = a.accept();
+  EXPECT_FALSE(there.request().empty());
+  there.write(kOk);
+  EXPECT_EQ(status(client), "200");
+  ::unlink(path.c_str());
+}
+
 // A client keeps its side of a split, by the header's value, over connections and reloads.
 TEST(Pools, ASplitKeepsItsClients) {
   Peer a;
