--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -95,7 +95,7 @@
   std::unique_ptr<membership::Keeper> keeper_;
   bool changed_since_kept_ = false;
   bool stale_ = false;
-  std::uint64_t unreadable_ = 0;  // told of in the log
+  std::uint64_t unreadable_ = 0;   // told of in the log
   std::uint64_t epoch_ = 1;        // of discovery's numbers
   std::uint64_t list_number_ = 0;  // of what was told to the module, where there is no version
   Loop::TimerId view_tick_ = 0;
