--- a/src/language/check.cpp
+++ b/src/language/check.cpp
@@ -762,6 +762,17 @@
         problem(s.places.at("endpoints"), one + " is told twice", "take one of them out");
       }
     }
+    for (const char* const field : {"certificate", "key", "name"}) {
+      if (s.places.count(field) > 0 && s.places.count("ca") == 0) {
+        problem(s.places.at(field), std::string("\"") + field + "\" says nothing without a \"ca\"",
+                "TLS needs to know whom to believe, as in: ca /etc/shorelead/ca.pem");
+        return;
+      }
+    }
+    const bool own = s.places.count("certificate") > 0;
+    if (own != (s.places.count("key") > 0)) {
+      problem(s.places.at(own ? "certificate" : "key"), "a certificate and its key go together");
+    }
     if (s.places.count("prefix") > 0 && s.word("prefix").empty()) {
       problem(s.places.at("prefix"), "an empty prefix would take every key for a box",
               "as in: prefix \"/boxes/\"");
--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -73,6 +73,11 @@
 constexpr Field kRegistry[] = {
     {"endpoints", Type::kWords, 0, 0, true, "", "addresses with ports of the registry's members"},
     {"prefix", Type::kWord, 0, 0, true, "", "of the boxes' keys; the rest of a key is the box's name"},
+    {"ca", Type::kWord, 0, 0, false, "", "file (PEM): TLS, with registries whose certificates come from it"},
+    {"certificate", Type::kWord, 0, 0, false, "", "file (PEM): this node's, where registries ask for it"},
+    {"key", Type::kWord, 0, 0, false, "", "file (PEM): its key"},
+    {"name", Type::kWord, 0, 0, false, "",
+     "that registries' certificates must have; their address if not told"},
 };
 
 constexpr Field kCold[] = {
--- a/src/membership/registry/client.cpp
+++ b/src/membership/registry/client.cpp
@@ -1,6 +1,7 @@
 #include "membership/registry/client.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 namespace shorelead::membership::registry {
@@ -19,7 +20,24 @@
       view_(view),
       source_(source),
       listener_(std::move(listener)),
-      follower_(view, source, spec.prefix, static_cast<int>(spec.endpoints.size()), seed, options) {}
+      follower_(view, source, spec.prefix, static_cast<int>(spec.endpoints.size()), seed, options) {
+  if (!spec.tls) return;
+  std::string cause = "this build has no TLS (cmake -DSHORELEAD_TLS=ON)";
+#ifdef SHORELEAD_TLS
+  tls_ = net::TlsContext::load(*spec.tls, net::TlsContext::Side::kClient, cause);
+#endif
+  if (!tls_) throw std::runtime_error(cause);
+}
+
+// As the files are now; the old ones where they are of no use.
+std::shared_ptr<const net::TlsContext> Client::keys() {
+#ifdef SHORELEAD_TLS
+  std::string cause;
+  if (tls_ && tls_->refresh(cause)) listener_.trouble("keys were read again");
+  if (!cause.empty()) listener_.trouble("keys were not read again: " + cause);
+#endif
+  return tls_;
+}
 
 Client::~Client() {
   loop_.cancel(ask_at_);
@@ -45,7 +63,8 @@
         loop_, spec_.endpoints[static_cast<std::size_t>(next.endpoint)],
         Exchange::Listener{[this](int status, std::string body) { answered(status, std::move(body)); },
                            [this](std::string text) { part(std::move(text)); },
-                           [this](net::Ending ending) { ended(ending); }});
+                           [this](net::Ending ending) { ended(ending); }},
+        keys());
   }
   lines_.clear();
   searched_ = 0;
@@ -108,7 +127,9 @@
 }
 
 void Client::ended(net::Ending ending) {
-  listener_.trouble(std::string("the registry's answer ended: ") + net::name_of(ending));
+  const std::string why = call_->trouble();
+  listener_.trouble(std::string("the registry's answer ended: ") + net::name_of(ending) +
+                    (why.empty() ? "" : ", " + why));
   loop_.later([call = std::shared_ptr<Exchange>(std::move(call_))] {});  // it is the one that called
   loop_.cancel(check_at_);
   follower_.ended(loop_.now());
@@ -184,7 +205,8 @@
                            follower_.check_failed(loop_.now());
                            over();
                            plan_check();
-                         }});
+                         }},
+      tls_);
   check_->post("/v3/kv/range", follower_.check_body(), false, kCheckWithin);
 }
 
--- a/src/membership/registry/client.h
+++ b/src/membership/registry/client.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 struct Spec {
   std::vector<Poco::Net::SocketAddress> endpoints;
   std::string prefix;
+  std::optional<net::TlsFiles> tls;
 
   bool operator==(const Spec&) const = default;
 };
@@ -32,6 +34,7 @@
     std::function<void(const std::string&)> trouble;
   };
 
+  // Throws std::runtime_error where keys are of no use.
   Client(net::Loop& loop, const Spec& spec, View& view, int source, std::uint64_t seed, Listener listener,
          const FollowerOptions& options = {});
   ~Client();
@@ -52,8 +55,11 @@
   void check();
   void plan_tick();
 
+  std::shared_ptr<const net::TlsContext> keys();
+
   net::Loop& loop_;
   const Spec spec_;
+  std::shared_ptr<net::TlsContext> tls_;
   View& view_;
   const int source_;
   Listener listener_;
--- a/src/membership/registry/exchange.cpp
+++ b/src/membership/registry/exchange.cpp
@@ -11,11 +11,13 @@
 
 }  // namespace
 
-Exchange::Exchange(net::Loop& loop, const Poco::Net::SocketAddress& address, Listener listener)
+Exchange::Exchange(net::Loop& loop, const Poco::Net::SocketAddress& address, Listener listener,
+                   std::shared_ptr<const net::TlsContext> tls)
     : loop_(loop),
       address_(address),
       listener_(std::move(listener)),
-      parser_(net::Parser::Kind::kResponse, kMostBody) {}
+      parser_(net::Parser::Kind::kResponse, kMostBody),
+      tls_(std::move(tls)) {}
 
 Exchange::~Exchange() {
   loop_.cancel(deadline_);
@@ -32,11 +34,7 @@
              "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
              "\r\n\r\n" + body;
   expect(within);
-  if (stream_) {
-    const std::array<std::string_view, 1> pieces = {request_};
-    stream_->send(pieces);
-    return;
-  }
+  if (stream_) return say();
   stream_ = std::make_shared<net::Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.cancel(deadline_);
@@ -49,18 +47,57 @@
   if (within > 0) deadline_ = loop_.after(within, [this] { end(net::Ending::kTimeout); });
 }
 
-void Exchange::on_connected(net::Stream& stream) {
-  const std::array<std::string_view, 1> pieces = {request_};
-  stream.send(pieces);
+void Exchange::on_connected(net::Stream&) {
+#ifdef SHORELEAD_TLS
+  if (tls_) session_ = std::make_unique<net::TlsSession>(*tls_, address_.host().toString());
+#endif
+  say();
+}
+
+void Exchange::say() {
+  std::string_view out = request_;
+#ifdef SHORELEAD_TLS
+  std::string encrypted;
+  if (session_) {
+    session_->write(request_);
+    encrypted = session_->take();
+    out = encrypted;
+  }
+#endif
+  const std::array<std::string_view, 1> pieces = {out};
+  stream_->send(pieces);
+}
+
+// What came in, through TLS; whether there is anything to be read, and the connection of use.
+bool Exchange::decrypt() {
+#ifdef SHORELEAD_TLS
+  const std::string came = std::exchange(stream_->input(), {});
+  const std::size_t before = plain_.size();
+  const bool good = session_ && session_->feed(came, plain_);
+  const std::string out = session_ ? session_->take() : std::string();
+  if (!out.empty()) {
+    const std::array<std::string_view, 1> pieces = {out};  // the handshake, or why it failed
+    stream_->send(pieces);
+  }
+  if (!good) {
+    trouble_ = "TLS: " + (session_ ? session_->cause() : std::string("it speaks first"));
+    end(net::Ending::kMalformed);
+    return false;
+  }
+  return plain_.size() > before;
+#else
+  return false;
+#endif
 }
 
 void Exchange::on_input(net::Stream&) {
+  if (tls_ && !decrypt()) return;
   if (!busy_) return end(net::Ending::kMalformed);  // it speaks unasked
   take(false);
 }
 
 void Exchange::take(bool over) {
-  std::string& input = stream_->input();
+  std::string& input = tls_ ? plain_ : stream_->input();
   net::Parser::State state = parser_.advance(input);
   if (over && state != net::Parser::State::kDone) state = parser_.finish();
   if (state == net::Parser::State::kBad) return end(net::Ending::kMalformed);
--- a/src/membership/registry/exchange.h
+++ b/src/membership/registry/exchange.h
@@ -11,6 +11,7 @@
 #include "net/http.h"
 #include "net/loop.h"
 #include "net/stream.h"
+#include "net/tls.h"
 
 namespace shorelead::membership::registry {
 
@@ -22,7 +23,9 @@
     std::function<void(net::Ending)> ended;                      // without, or behind, a whole answer
   };
 
-  Exchange(net::Loop& loop, const Poco::Net::SocketAddress& address, Listener listener);
+  // With `tls` nothing is said or heard but through it.
+  Exchange(net::Loop& loop, const Poco::Net::SocketAddress& address, Listener listener,
+           std::shared_ptr<const net::TlsContext> tls = nullptr);
   ~Exchange() override;
 
   // `path` as in "/v3/kv/range"; with `stream` the body is passed on as it comes. `within` is for the whole
@@ -30,6 +33,7 @@
   void post(const std::string& path, const std::string& body, bool stream, Millis within);
   // From now on something has to come within so long; 0 = whenever.
   void expect(Millis within);
+  const std::string& trouble() const { return trouble_; }  // of TLS, where that ended it
   bool usable() const { return stream_ && stream_->open() && !busy_; }
 
  private:
@@ -37,6 +41,8 @@
   void on_input(net::Stream& stream) override;
   void on_end(net::Stream&, net::Ending ending) override;
   void take(bool over);
+  void say();
+  bool decrypt();
   void end(net::Ending ending);
 
   net::Loop& loop_;
@@ -44,6 +50,10 @@
   Listener listener_;
   std::shared_ptr<net::Stream> stream_;
   net::Parser parser_;
+  const std::shared_ptr<const net::TlsContext> tls_;
+  std::unique_ptr<net::TlsSession> session_;
+  std::string plain_;  // what came in through TLS
+  std::string trouble_;
   std::string request_;
   bool streaming_ = false;
   bool busy_ = false;
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -299,7 +299,16 @@
   spdlog::info("configuration reloaded, {} sockets", limits_.sockets);
   // What was pending is overtaken; its pools go on where the newer one has them as well.
   const std::vector<std::shared_ptr<Pool>> before = pools_;
-  pending_ = make_traffic(*fresh);
+  try {
+    Pending made = make_traffic(*fresh);
+    pending_ = std::move(made);
+  } catch (const std::exception& error) {
+    // Keys that are of no use are seen only when a pool is made.
+    pools_ = before;
+    ++bad_reloads_;
+    spdlog::error("configuration not taken up, the old one stays: {}", error.what());
+    return;
+  }
   for (const auto& pool : pools_) {
     if (std::find(before.begin(), before.end(), pool) == before.end()) pool->start();
   }
--- a/src/node/shore.cpp
+++ b/src/node/shore.cpp
@@ -202,6 +202,13 @@
     }
     spec.endpoints.push_back(*endpoint);
   }
+  if (section.places.count("ca") > 0) {
+    spec.tls = net::TlsFiles{section.word("ca"), section.word("certificate"), section.word("key"),
+                             section.word("name")};
+#ifndef SHORELEAD_TLS
+    bad(section, "ca", "this build has no TLS (cmake -DSHORELEAD_TLS=ON)");
+#endif
+  }
   return spec;
 }
 
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -59,6 +59,12 @@
   std::string request() { return read(Parser::Kind::kRequest); }
   std::string answer() { return read(Parser::Kind::kResponse); }
 
+  // Whatever has come in, at least a byte; empty at the end of the connection.
+  std::string some() {
+    if (text_.empty()) more();
+    return std::exchange(text_, "");
+  }
+
   // Everything up to the end of the connection, however it ends.
   std::string rest() {
     while (more()) continue;
--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -257,6 +257,22 @@
   EXPECT_EQ(status(client), "200");
 }
 
+// The same where the mistake shows only when a pool is made: keys that cannot be read.
+TEST(Pools, KeysOfNoUseChangeNothing) {
+  Peer a;
+  Node node(kHead + pool("a", box(a)) + route("look", "pool a"));
+  node.reload(kHead + pool("b", "registry { endpoints 127.0.0.1:1; prefix /b/; ca /nowhere/ca.pem }") +
+              route("look", "pool b"));
+  EXPECT_EQ(node.generation, 1);
+  EXPECT_EQ(node.pools, 1);
+  Line client = node.client();
+  client.write(ask("GET", "/look/1"));
+  Line there = a.accept();
+  EXPECT_FALSE(there.request().empty());
+  there.write(kOk);
+  EXPECT_EQ(status(client), "200");
+}
+
 // Who stands in: for a pool with nobody ready, for new keys, but not for a client's repeat of a keyed
 // request, whose first try may have run where its own pool knows the key.
 TEST(Pools, AnotherPoolStandsInButNotForARepeat) {
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -26,7 +26,7 @@
   sanitize=OFF
   type=Release
   if [ "$kind" = sanitized ]; then sanitize=ON; type=Debug; fi
-  cmake -S . -B "$build" -DCMAKE_BUILD_TYPE="$type" -DSHORELEAD_TESTS=ON -DSHORELEAD_SANITIZE="$sanitize" \
+  cmake -S . -B "$build" -DCMAKE_BUILD_TYPE="$type" -DSHORELEAD_TESTS=ON -DSHORELEAD_TLS=ON -DSHORELEAD_SANITIZE="$sanitize" \
     >"$build.configure.log" 2>&1 || { cat "$build.configure.log"; exit 1; }
   rm -f "$build.configure.log"
   cmake --build "$build" -j"$jobs"
