Follower: lagging members, deaf watches and cut fragments each have a test of their own

Cause: of ten changes broken on purpose three were not caught: the model healed itself by other means (a check, the view's own order) or met the case too seldom.

Change: a test for each, and the model's store tells its whole revision with every line, as published.

--- a/tests/membership/follower_test.cpp
+++ b/tests/membership/follower_test.cpp
@@ -202,7 +202,6 @@
     }
     if (line.events.empty()) sent = std::max(sent, line.header.revision);
     line.fragment = fragment && line.events.size() == most && most > 0;
-    if (!line.events.empty() && line.events.size() < changes->size()) line.header.revision = sent;
     give(line);
   }
 
@@ -393,6 +392,82 @@
   EXPECT_EQ(client.follower.counters().compacted, 1U);
 }
 
+// Guards against waiting at a member that has not got as far as what was seen.
+TEST(Follower, AMemberThatLagsIsLeftForAnother) {
+  World world;
+  for (int n = 0; n < 8; ++n) world.store.put(kPrefix + host_of(n), value(host_of(n) + ":1", "ready", 0));
+  Following client(world, 3, {}, 3);
+  const auto go_on = [&] {
+    for (int n = 0; n < 20; ++n) {
+      world.now += 300;
+      client.act();
+      client.deliver(10, false);
+    }
+  };
+  go_on();
+  ASSERT_TRUE(client.open);
+  const int lags = (client.endpoint + 1) % 3;
+  world.lag[static_cast<std::size_t>(lags)] = 3;
+  client.cut();
+  go_on();
+  EXPECT_TRUE(client.open);
+  EXPECT_NE(client.endpoint, lags);
+  EXPECT_EQ(client.follower.counters().behind, 1U);
+}
+
+// Guards against taking the first part of a fragmented answer for all of it, where the rest never comes.
+TEST(Follower, AFragmentCutOffIsAskedForAgain) {
+  World world;
+  for (int n = 0; n < 8; ++n) world.store.put(kPrefix + host_of(n), value(host_of(n) + ":1", "ready", 0));
+  Following client(world, 3, {}, 3);
+  const auto go_on = [&] {
+    for (int n = 0; n < 20; ++n) {
+      world.now += 300;
+      client.act();
+      client.deliver(10, false);
+    }
+  };
+  go_on();
+  for (const char* host : {"b1", "b2"}) world.store.put(kPrefix + host, value("x:1", "draining", 0));
+  client.deliver(1, true);
+  client.cut();
+  go_on();
+  EXPECT_EQ(client.shown.at("b1").health, "draining");
+  EXPECT_EQ(client.shown.at("b2").health, "draining");
+}
+
+// Guards against a watch that stands and tells nothing: a check finds a change, or a deletion by the count of
+// keys, and the whole list is read again.
+TEST(Follower, ADeafWatchIsFoundOut) {
+  for (const bool deletion : {false, true}) {
+    World world;
+    for (int n = 0; n < 8; ++n) {
+      world.store.put(kPrefix + host_of(n), value(host_of(n) + ":1", "ready", 0));
+    }
+    Following client(world, 3, {}, 3);
+    const auto go_on = [&] {
+      for (int n = 0; n < 40; ++n) {
+        world.now += 300;
+        client.act();
+        client.deliver(10, false);
+        client.check();
+      }
+    };
+    go_on();
+    ASSERT_TRUE(client.open);
+    client.deaf = true;
+    if (deletion) {
+      world.store.remove(kPrefix + "b1");
+    } else {
+      world.store.put(kPrefix + "b1", value("b1:1", "draining", 0));
+    }
+    go_on();
+    EXPECT_EQ(client.follower.counters().deaf, 1U);
+    EXPECT_EQ(client.shown.count("b1") == 0 ? "gone" : client.shown.at("b1").health,
+              deletion ? "gone" : "draining");
+  }
+}
+
 // 200 clients of one registry that restarts: nobody comes before its lot, and the first second's worst tenth
 // sees no more than three times its share.
 TEST(Follower, ManyClientsDoNotComeBackTogether) {
