Read once more: a look for circles that only its test used goes, and a one-field struct

Cause: the checker names circles of fallbacks itself, with their chain; routing::circle was the same again, and View::Held one number. Change: both go. Result: the tests of routing and membership pass as before; no behaviour changes.

--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -213,7 +213,7 @@
     return;
   }
   if (held_.empty()) ++counters_.held;
-  for (const std::string& host : losses) held_[host] = {now};
+  for (const std::string& host : losses) held_[host] = now;
   update.ask_again = true;
   ask_at_ = now + options_.ask_every;
 }
@@ -230,7 +230,7 @@
 void View::confirm(Millis now, Update& update) {
   for (auto it = held_.begin(); it != held_.end();) {
     const std::string host = it->first;
-    if (now - it->second.since < options_.hold) {
+    if (now - it->second < options_.hold) {
       ++it;
       continue;
     }
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -138,10 +138,6 @@
     Millis ready_at = 0;         // a flapping box is shown draining until then
     std::deque<Millis> returns;  // when it came back, of late
   };
-  struct Held {
-    Millis since = 0;
-  };
-
   bool put(Source& source, const Entry& entry, bool in_snapshot, Millis now);
   void remove(Source& source, Record& record, std::uint64_t revision, bool vanished, Millis now);
   void bury(Source& source, const std::string& host, Millis now);
@@ -158,9 +154,9 @@
   std::unordered_map<std::string, Shown> shown_;
   std::unordered_map<std::string, std::string> by_dial_;         // who is ready at an address
   std::unordered_map<std::string, std::deque<Millis>> returns_;  // of those not shown now
-  std::map<std::string, Held> held_;
-  std::deque<Millis> losses_;                   // when those were lost that vanished
-  std::multimap<Millis, std::string> waiting_;  // flapping boxes, by when they come back
+  std::map<std::string, Millis> held_;                           // vanished beyond the floor, since when
+  std::deque<Millis> losses_;                                    // when those were lost that vanished
+  std::multimap<Millis, std::string> waiting_;                   // flapping boxes, by when they come back
   std::size_t ready_ = 0;
   Millis ask_at_ = 0;
   ViewCounters counters_;
--- a/src/routing/plan.cpp
+++ b/src/routing/plan.cpp
@@ -41,15 +41,4 @@
   return pool;
 }
 
-int circle(const std::vector<int>& fallbacks) {
-  for (std::size_t from = 0; from < fallbacks.size(); ++from) {
-    int at = fallbacks[from];
-    for (std::size_t steps = 0; at >= 0 && steps < fallbacks.size(); ++steps) {
-      if (at == static_cast<int>(from)) return at;
-      at = static_cast<std::size_t>(at) < fallbacks.size() ? fallbacks[static_cast<std::size_t>(at)] : -1;
-    }
-  }
-  return -1;
-}
-
 }  // namespace shorelead::routing
--- a/src/routing/plan.h
+++ b/src/routing/plan.h
@@ -49,7 +49,4 @@
 // `pool` itself where none has, which then says so in its own words.
 int standing_in(const std::vector<int>& fallbacks, int pool, const std::function<bool(int)>& ready);
 
-// A pool from which following those who stand in comes back to it; -1 = none.
-int circle(const std::vector<int>& fallbacks);
-
 }  // namespace shorelead::routing
