A door for operators with figures, backends out by hand, and one drain machine

Front's counters of endings gave way to the ledger. SIGTERM goes through the same drain machine: unused connections stay 0.35 s for one more request instead of closing at once.

--- /dev/null
+++ b/src/manage/drain.cpp
@@ -0,0 +1,44 @@
+#include "manage/drain.h"
+
+#include <algorithm>
+
+namespace shorelead::manage {
+
+const char* name_of(DrainState state) {
+  switch (state) {
+    case DrainState::kServing:
+      return "serving";
+    case DrainState::kDraining:
+      return "draining";
+    case DrainState::kDrained:
+      return "drained";
+  }
+  return "unknown";
+}
+
+void Drain::drain(Millis now) {
+  if (!serving()) return;
+  since_ = now;
+  unused_until_ = now + kUnusedByCall;
+}
+
+bool Drain::resume() {
+  if (leaving_) return false;
+  since_ = unused_until_ = 0;
+  return true;
+}
+
+void Drain::leave(Millis now) {
+  if (leaving_) return;
+  const Millis until = now + kUnusedAtEnd;
+  unused_until_ = serving() ? until : std::min(unused_until_, until);
+  if (serving()) since_ = now;
+  leaving_ = true;
+}
+
+DrainState Drain::state(Millis now) const {
+  if (serving()) return DrainState::kServing;
+  return now < unused_until_ ? DrainState::kDraining : DrainState::kDrained;
+}
+
+}  // namespace shorelead::manage
--- /dev/null
+++ b/src/manage/drain.h
@@ -0,0 +1,43 @@
+// How a node lets go of its clients: one machine for the door's call, for SIGTERM and for a successor that
+// took over. Pure: calls with the time in, and what is to be done with a connection out. It must never close
+// anything itself, and never end a request that was taken.
+#pragma once
+
+#include "base/millis.h"
+
+namespace shorelead::manage {
+
+enum class DrainState {
+  kServing,   // as always
+  kDraining,  // told to let go: not ready, every answer the last on its connection, unused connections may
+              // still bring one more request each
+  kDrained,   // unused connections are closed at once; what was taken goes on to its end
+};
+
+const char* name_of(DrainState state);
+
+class Drain {
+ public:
+  // By call the front stops within 0.2 s of the first no, and 4 s after the call nothing idle may be held,
+  // nor a request of the last 2 s: so unused connections have a second and a half for one more request, whose
+  // answer says that it is the last.
+  static constexpr Millis kUnusedByCall = 1500;
+  // Before an end, the last request needs its whole deadline before the kill 0.7 s after the longest one.
+  static constexpr Millis kUnusedAtEnd = 350;
+
+  void drain(Millis now);  // by call; nothing if it drains already
+  bool resume();           // by call; false if the process is about to end
+  void leave(Millis now);  // for good
+
+  DrainState state(Millis now) const;
+  bool serving() const { return since_ == 0; }
+  bool leaving() const { return leaving_; }
+  Millis until() const { return unused_until_; }  // when draining becomes drained; 0 while serving
+
+ private:
+  Millis since_ = 0;
+  Millis unused_until_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace shorelead::manage
--- /dev/null
+++ b/src/manage/figures.cpp
@@ -0,0 +1,63 @@
+#include "manage/figures.h"
+
+#include <string_view>
+
+namespace shorelead::manage {
+
+void Ledger::ended(const std::string& name, End end) {
+  Counts& counts = classes_[name];
+  --counts.in_progress;
+  switch (end) {
+    case End::kPassed:
+      ++counts.passed;
+      break;
+    case End::kDropped:
+      ++counts.dropped;
+      break;
+    case End::kBadGateway:
+      ++counts.bad_gateway;
+      break;
+    case End::kLeft:
+      ++counts.left;
+      break;
+  }
+}
+
+Ledger::Counts Ledger::all() const {
+  Counts sum;
+  for (const auto& [name, counts] : classes_) {
+    sum.passed += counts.passed;
+    sum.dropped += counts.dropped;
+    sum.bad_gateway += counts.bad_gateway;
+    sum.left += counts.left;
+    sum.in_progress += counts.in_progress;
+  }
+  return sum;
+}
+
+std::string figures_text(const Ledger& ledger, const Gauges& gauges) {
+  std::string text;
+  const auto line = [&text](const std::string& name, std::uint64_t value, const char* kind) {
+    text.append("node.")
+        .append(name)
+        .append(":")
+        .append(std::to_string(value))
+        .append("|")
+        .append(kind)
+        .append("\n");
+  };
+  for (const auto& [name, counts] : ledger.classes()) {
+    line("handled." + name + ".passed", counts.passed, "c");
+    line("handled." + name + ".dropped", counts.dropped, "c");
+    line("handled." + name + ".bad_gateway", counts.bad_gateway, "c");
+  }
+  line("upstream_tries", gauges.upstream_tries, "c");
+  line("loads", gauges.loads, "c");
+  line("load_errors", gauges.load_errors, "c");
+  line("in_progress", ledger.all().in_progress, "g");
+  line("known_backends", gauges.known_backends, "g");
+  line("skipped_backends", gauges.skipped_backends, "g");
+  return text;
+}
+
+}  // namespace shorelead::manage
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -81,6 +81,8 @@
   config.name = text_unless(overrides.name, document, "name");
   config.listen = address(text_unless(overrides.listen, document, "listen"), "listen");
   config.discovery = address(text_unless(overrides.discovery, document, "discovery"), "discovery");
+  if (!overrides.door.empty() || fields::find(document, "mgmt") != nullptr)
+    config.door = address(text_unless(overrides.door, document, "mgmt"), "mgmt");
   config.seed = parse_seed(fields::text(document, "seed"));
   if (fields::find(document, "limits") != nullptr) {
     config.limits = parse_limits(fields::object(document, "limits"));
@@ -111,7 +113,8 @@
 Overrides merge(const Overrides& flags, const Overrides& variables, bool again) {
   const auto first = [](const std::string& a, const std::string& b) { return a.empty() ? b : a; };
   return {first(flags.name, variables.name), first(flags.listen, variables.listen),
-          again ? flags.discovery : first(flags.discovery, variables.discovery)};
+          again ? flags.discovery : first(flags.discovery, variables.discovery),
+          first(flags.door, variables.door)};
 }
 
 Config load_config(const std::string& path, const Overrides& flags, const Overrides& variables, bool again) {
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -47,6 +47,7 @@
   std::string name;
   Poco::Net::SocketAddress listen;
   Poco::Net::SocketAddress discovery;
+  std::optional<Poco::Net::SocketAddress> door;  // for operators; none: there is no door
   std::uint64_t seed = 0;
   Limits limits;
   List known;
@@ -67,6 +68,7 @@
   std::string name;
   std::string listen;
   std::string discovery;
+  std::string door{};
 };
 
 // A flag wins over the variable of the same name; a variable tells of the start only, so where the file has
--- /dev/null
+++ b/src/node/door.h
@@ -0,0 +1,59 @@
+// The operators' door on a socket: callers' connections, one line in, one answer out. It owns them and their
+// bounds. It must never know what a call means, hold more than a few callers, let one that says nothing keep
+// out one that does, or touch the descriptors that clients and backends share: it has a reserve of its own.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "manage/calls.h"
+#include "node/net.h"
+
+namespace shorelead::node {
+
+class Door : public Watch::Handler {
+ public:
+  static constexpr std::size_t kMostCallers = 24;
+  static constexpr int kDescriptors =
+      static_cast<int>(kMostCallers) + 2;  // with the listener, one just accepted
+
+  struct Counters {
+    std::uint64_t calls = 0;
+    std::uint64_t refused = 0;  // lines that were no call
+    std::uint64_t cut = 0;      // callers that gave way to others
+    std::uint64_t silent = 0;   // and that took too long
+  };
+
+  using Answer = std::function<std::string(const manage::Call&)>;
+
+  // Throws Poco::Exception where the address cannot be listened on.
+  Door(Loop& loop, const Poco::Net::SocketAddress& address, Answer answer);
+  ~Door() override;
+
+  unsigned short port() const { return socket_.address().port(); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  class Caller;
+
+  void on_readable() override;
+  void forget(Caller& caller);
+  void make_room();
+  void sweep();
+
+  Loop& loop_;
+  Answer answer_;
+  Poco::Net::ServerSocket socket_;
+  std::unique_ptr<Watch> watch_;
+  std::list<std::shared_ptr<Caller>> callers_;  // the longest here first
+  Loop::TimerId sweep_ = 0;
+  Counters counters_;
+};
+
+}  // namespace shorelead::node
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -158,7 +158,8 @@
       fleet_.erase(listed.host);
       return;
     }
-    subset_->put({listed.host, zone_number(listed.site), listed.size, state == BackendState::kReady});
+    subset_->put({listed.host, zone_number(listed.site), listed.size,
+                  state_with_bans(listed) == BackendState::kReady});
     ListedBackend& known = fleet_[listed.host];
     const std::string dial = listed.dial.empty() ? known.dial : listed.dial;
     known = listed;
@@ -192,19 +193,20 @@
     if (!number) continue;
     BackendEntry entry;
     entry.backend = *number;
-    entry.state = state_of(listed->health);
+    entry.state = state_with_bans(*listed);
     entry.zone = zone_number(listed->site);
     entry.cell = listed->cell;
-    entry.started = listed->born;
+    entry.started = bans_.started(listed->host, listed->born);
     entry.size = listed->size;
     if (*number < named.size()) named[*number] = 1;
     Known& known = backends_[entry.backend];
     if (!listed->dial.empty()) known.dial = listed->dial;
+    if (&known.listed != listed) known.listed = *listed;
     const bool was = set_ready(known, entry.state == BackendState::kReady);
     if (was && !known.ready) unwanted.push_back(*number);
     if (!was && known.ready) known.silences = 0;  // what was heard of it before says nothing now
     known.gone = false;
-    if (entry.state == BackendState::kGone) leave(*number);
+    if (state_of(listed->health) == BackendState::kGone) leave(*number);
     update.entries.push_back(entry);
   }
   for (BackendId number = 0; number < named.size(); ++number) {
@@ -217,6 +219,51 @@
   return unwanted;
 }
 
+// What is out by hand is to the module as one that drains: nothing new, no probes, and fresh beliefs once it
+// is back.
+BackendState Facade::state_with_bans(const ListedBackend& listed) const {
+  const BackendState state = state_of(listed.health);
+  return state == BackendState::kReady && bans_.out(listed.host) ? BackendState::kDraining : state;
+}
+
+std::vector<BackendId> Facade::report_bans(const manage::BanSet& bans, Millis now) {
+  const manage::BanSet before = std::exchange(bans_, bans);
+  const auto changed = [&](const ListedBackend& listed) {
+    return before.out(listed.host) != bans.out(listed.host) ||
+           before.started(listed.host, listed.born) != bans.started(listed.host, listed.born);
+  };
+  std::vector<const ListedBackend*> entries;
+  for (const Known& known : backends_) {
+    if (!known.host.empty() && !known.gone && changed(known.listed)) entries.push_back(&known.listed);
+  }
+  for (const auto& [host, listed] : fleet_) {
+    if (!changed(listed)) continue;
+    subset_->put(
+        {host, zone_number(listed.site), listed.size, state_with_bans(listed) == BackendState::kReady});
+    unsettled_ = true;
+  }
+  return entries.empty() ? std::vector<BackendId>() : take(entries, ListKind::kDelta, now);
+}
+
+bool Facade::lists(const std::string& host) const {
+  if (subset_) return fleet_.count(host) > 0;
+  const auto it = numbers_.find(host);
+  return it != numbers_.end() && !backends_[it->second].gone;
+}
+
+std::size_t Facade::listed() const {
+  if (subset_) return fleet_.size();
+  return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(),
+                                                [](const Known& k) { return !k.host.empty() && !k.gone; }));
+}
+
+std::size_t Facade::skipped(Millis now) const {
+  std::size_t count = policy_.avoided(now);
+  if (!subset_) return count + listed() - ready_;
+  for (const auto& [host, listed] : fleet_) count += state_with_bans(listed) != BackendState::kReady;
+  return count;
+}
+
 // Says whether it was ready before.
 bool Facade::set_ready(Known& known, bool ready) {
   const bool was = std::exchange(known.ready, ready);
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "manage/bans.h"
 #include "membership/member.h"
 #include "node/net.h"
 #include "policy/policy.h"
@@ -98,6 +99,9 @@
   void report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load, Millis now);
   // Says which backends nothing new may go to from now on that it might have gone to before.
   std::vector<BackendId> report_list(const List& list, ListSource source, Millis now);
+  // What is out by hand counts from now on, whatever the list says. Says who is unwanted, as report_list()
+  // does.
+  std::vector<BackendId> report_bans(const manage::BanSet& bans, Millis now);
   void report_watch_ended(Millis now);
   void report_client_gone(RequestId request, Millis now);
   Errands tick(Millis now);
@@ -110,6 +114,10 @@
   bool wanted(BackendId backend) const { return backends_.at(backend).ready; }
   std::size_t ready() const { return ready_; }  // of those known to the module
   std::size_t backends() const { return subset_ ? subset_->fleet() : numbers_.size(); }
+  bool lists(const std::string& host) const;  // whether the list names it now
+  std::size_t listed() const;                 // how many it names
+  // Of these, how many are avoided now: out by hand, draining, or passed over by the module's choice.
+  std::size_t skipped(Millis now) const;
   std::optional<SubsetCounters> subset_counters() const;
   std::size_t open_requests() const { return requests_.size(); }
 
@@ -117,6 +125,7 @@
   struct Known {
     std::string host;  // empty: the number is free
     std::string dial;
+    ListedBackend listed;  // as the list last had it
     bool ready = false;
     bool gone = false;
     bool leaving = false;  // its number is to be given back
@@ -140,6 +149,7 @@
   void give_back_numbers();
   // Takes entries in and tells the module.
   std::vector<BackendId> take(const std::vector<const ListedBackend*>& entries, ListKind kind, Millis now);
+  BackendState state_with_bans(const ListedBackend& listed) const;
   void leave(BackendId number);
   bool set_ready(Known& known, bool ready);
   void settle_subset(ListKind kind, Millis now);
@@ -150,6 +160,7 @@
   std::vector<std::string> zones_;
   Policy policy_;
   std::vector<Known> backends_;
+  manage::BanSet bans_;
   std::unordered_map<std::string, BackendId> numbers_;
   std::vector<BackendId> free_;
   std::size_t ready_ = 0;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -155,7 +155,8 @@
   // would soon hold all that they may, and leave none to those who come and go.
   bool last() const {
     const bool stays = !answered_before && owner.listener_.many_unused(owner.unused_);
-    return !keep_alive || owner.draining_ || owner.paused_ || stays || owner.listener_.crowded();
+    return !keep_alive || owner.drain_ != manage::DrainState::kServing || owner.paused_ || stays ||
+           owner.listener_.crowded();
   }
 
   // Counts this connection among those that have asked and now stand unused, or no longer.
@@ -166,7 +167,6 @@
   }
 
   void answered(bool bye) {
-    owner.release(*this);
     request = 0;
     begun_at = 0;
     told_to_go_on = false;
@@ -200,8 +200,7 @@
     if (state == State::kWaiting) {
       spdlog::debug("client gone ({}) with request {} under way", name_of(ending), request);
       const RequestId gone = request;
-      owner.release(*this);
-      ++owner.counters_.client_gone;
+      owner.release(*this, manage::End::kLeft);
       owner.forget(*this);
       if (gone != 0) owner.listener_.gone(gone);
       return;
@@ -214,6 +213,7 @@
   State state = State::kReading;
   std::shared_ptr<Message> message = std::make_shared<Message>(Parser::Kind::kRequest);
   RequestId request = 0;
+  std::string class_name;  // of that request
   bool keep_alive = true;
   bool used = false;     // has carried a request
   bool counted = false;  // among the unused
@@ -231,6 +231,7 @@
   socket_ = std::make_unique<Poco::Net::ServerSocket>();
   socket_->bind(address, true, false);
   socket_->listen(kBacklog);
+  for (const std::string& name : traffic_->names) ledger_.name_class(name);
   socket_->setBlocking(false);
   watch_ = std::make_unique<Watch>(loop_, *socket_, *this, true, false);
   sweep();
@@ -287,7 +288,7 @@
   const Message& message = *client.message;
   const std::string_view target = message.head().target.in(message.raw);
   if (target == "/-/ready") {
-    const bool ready = !draining_ && listener_.ready();
+    const bool ready = drain_ == manage::DrainState::kServing && listener_.ready();
     return client.answer(ready ? 200 : 503, ready ? "ready" : "not ready", 0, false);
   }
   Ask ask;
@@ -304,7 +305,8 @@
   ask.due = client.begun_at + wait - std::min(kTransit, kTransitShare * wait);
   client.request = ++last_request_;
   waiting_[client.request] = &client;
-  ++counters_.taken;
+  client.class_name = way.traffic->names[static_cast<std::size_t>(way.request_class)];
+  ledger_.taken(client.class_name);
   listener_.request(client.request, ask, way, client.message);
 }
 
@@ -317,6 +319,7 @@
   if (window > 0) past_.push_back({traffic_, loop_.now() + window});
   if (past_.size() > kMostPast) past_.erase(past_.begin());
   traffic_ = std::move(traffic);
+  for (const std::string& name : traffic_->names) ledger_.name_class(name);
 }
 
 void Front::forget_past() {
@@ -409,30 +412,34 @@
 }
 
 // The request at hand has its answer, or nobody waits for it any more.
-void Front::release(const Client& client) {
+void Front::release(const Client& client, manage::End end) {
   if (waiting_.erase(client.request) == 0) return;
+  ledger_.ended(client.class_name, end);
   open_ids_.erase(std::string(client.message->value("x-request-id")));
 }
 
 void Front::serve(RequestId request, const Message& answer) {
   const auto it = waiting_.find(request);
   if (it == waiting_.end()) return;
-  ++counters_.served;
-  it->second->pass(answer);
+  Client& client = *it->second;
+  release(client, manage::End::kPassed);
+  client.pass(answer);
 }
 
 void Front::refuse(RequestId request, Millis wait) {
   const auto it = waiting_.find(request);
   if (it == waiting_.end()) return;
-  ++counters_.refused;
-  it->second->answer(503, "refused, trying again is harmless", wait, false);
+  Client& client = *it->second;
+  release(client, manage::End::kDropped);
+  client.answer(503, "refused, trying again is harmless", wait, false);
 }
 
 void Front::fail(RequestId request, int status) {
   const auto it = waiting_.find(request);
   if (it == waiting_.end()) return;
-  ++counters_.failed;
-  it->second->answer(status, "failed", 0, false);
+  Client& client = *it->second;
+  release(client, manage::End::kBadGateway);
+  client.answer(status, "failed", 0, false);
 }
 
 bool Front::evict_idle() {
@@ -459,9 +466,9 @@
   return false;
 }
 
-void Front::drain() {
-  draining_ = true;
-  close_idle(true);
+void Front::follow(manage::DrainState state) {
+  drain_ = state;
+  if (state == manage::DrainState::kDrained) close_idle(true);
 }
 
 void Front::close_idle(bool only_used) {
@@ -497,6 +504,7 @@
   if (client.state == Client::State::kWaiting) return false;
   if (client.state == Client::State::kClosing) return now - client.last_used >= kLinger;
   if (client.begun_at > 0) return now - client.begun_at >= waits_.request;
+  if (drain_ == manage::DrainState::kDrained) return client.used || now - client.last_used >= waits_.speak;
   const Millis most = !client.used ? waits_.request : listener_.roomy() ? waits_.idle : waits_.idle_crowded;
   return now - client.last_used >= most;
 }
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -1,6 +1,6 @@
 // The clients' side: the listening socket, clients' connections, their requests and the answers to them. It
-// owns the words of every answer and the order of requests on a connection. It must never answer a request
-// twice or, while it stands, not at all; and it must never ask who will serve it.
+// owns the words of every answer, the order of requests on a connection and the ledger of how each ended. It
+// must never answer a request twice or, while it stands, not at all; and it must never ask who will serve it.
 #pragma once
 
 #include <Poco/Net/ServerSocket.h>
@@ -14,6 +14,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "manage/drain.h"
+#include "manage/figures.h"
 #include "node/config.h"
 #include "node/facade.h"
 #include "node/net.h"
@@ -22,12 +24,7 @@
 namespace shorelead::node {
 
 struct FrontCounters {
-  std::uint64_t accepted = 0;  // connections
-  std::uint64_t taken = 0;     // requests
-  std::uint64_t served = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t client_gone = 0;
+  std::uint64_t accepted = 0;    // connections
   std::uint64_t left_early = 0;  // clients that were gone when their request was read; not taken
   std::uint64_t malformed = 0;   // answered with 400, 404, 408, 409, 413 or 431
   std::uint64_t silent = 0;      // connections closed that had never asked for anything
@@ -77,8 +74,9 @@
   void go_by(std::shared_ptr<const Traffic> traffic);
 
   bool evict_idle();  // closes the connection that was unused for longest
-  // Says goodbye: not ready any more, every answer the last on its connection, unused connections closed.
-  void drain();
+  // Lets go of clients, or takes them again, as the drain's state says: from draining on it is not ready and
+  // every answer is the last on its connection; once drained, unused connections are closed.
+  void follow(manage::DrainState state);
   void close_listener();  // after it has taken in all who had connected
   // Closes connections that have no request under way; true when none is left.
   bool empty();
@@ -86,6 +84,7 @@
   unsigned short port() const;
   std::size_t clients() const { return clients_.size(); }
   const FrontCounters& counters() const { return counters_; }
+  const manage::Ledger& ledger() const { return ledger_; }
 
  private:
   class Client;
@@ -96,7 +95,7 @@
   void pause_accepting();
   void look_for_room();
   void begin(Client& client);  // the request at hand
-  void release(const Client& client);
+  void release(const Client& client, manage::End end);
   int classify(const Message& message, Ask& ask, Way& way, const char*& cause) const;
   std::optional<Way> way_of(const Message& message, const std::shared_ptr<const Traffic>& traffic) const;
   std::optional<Way> way_of(const Message& message) const;
@@ -123,7 +122,8 @@
   std::unordered_set<std::string> open_ids_;  // X-Request-ID of those that wait
   std::size_t unused_ = 0;                    // clients that have asked and now stand unused
   RequestId last_request_ = 0;
-  bool draining_ = false;
+  manage::DrainState drain_ = manage::DrainState::kServing;
+  manage::Ledger ledger_;
   bool paused_ = false;
   Loop::TimerId resume_ = 0;
   Loop::TimerId sweep_ = 0;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -45,6 +45,7 @@
   command.add_option("--listen", options.flags.listen, "address:port for clients (variable NODE_LISTEN)");
   command.add_option("--discovery", options.flags.discovery,
                      "address:port of discovery (variable NODE_DISCOVERY, until the file is reloaded)");
+  command.add_option("--mgmt", options.flags.door, "address:port for operators' calls (variable NODE_MGMT)");
   command.add_option("--log-level", options.log_level, "debug, info, warning or error")
       ->envname("NODE_LOG_LEVEL")
       ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
@@ -57,7 +58,7 @@
 
 Config load(const Options& options, bool again) {
   const shorelead::node::Overrides variables{variable("NODE_NAME"), variable("NODE_LISTEN"),
-                                             variable("NODE_DISCOVERY")};
+                                             variable("NODE_DISCOVERY"), variable("NODE_MGMT")};
   if (shorelead::node::is_shore(options.config)) {
     if (!options.own.empty())
       throw shorelead::FieldError("--own goes with the platform's JSON: a .shore file says it itself");
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -55,6 +55,12 @@
   const std::string& name() const { return config_.name; }
   const PoolConfig& config() const { return config_; }
   bool told() const;  // has its list of now
+  // What is out by hand from now on; nothing that is not yet written goes there any more.
+  void ban(const manage::BanSet& bans) { upstream_->withdraw(facade_.report_bans(bans, loop_.now())); }
+  bool lists(const std::string& host) const { return facade_.lists(host); }
+  std::size_t in_list() const { return facade_.listed(); }
+  std::size_t skipped() const { return facade_.skipped(loop_.now()); }
+  std::uint64_t written() const { return upstream_->written(); }
   std::size_t backends() const { return facade_.backends(); }
   bool anybody_ready() const { return facade_.ready() > 0; }
   std::size_t open_requests() const { return facade_.open_requests(); }
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -44,11 +44,16 @@
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
           [this] { return make_room(limits::Purpose::kClient); }});
   for (const auto& pool : pools_) pool->start();
+  if (config.door) {
+    door_ =
+        std::make_unique<Door>(loop_, *config.door, [this](const manage::Call& told) { return call(told); });
+  }
 }
 
 Server::~Server() {
   loop_.cancel(look_);
   loop_.cancel(sweep_);
+  loop_.cancel(drain_at_);
 }
 
 std::shared_ptr<Pool> Server::make_pool(const PoolConfig& config, const Config& whole) {
@@ -162,6 +167,7 @@
       // Past generations hold theirs for repeats.
       const bool done = !wanted(pool) && pool.use_count() == 1 && pool->idle();
       if (done) spdlog::info("pool {} has ended", pool->name());
+      if (done) written_by_ended_ += pool->written();
       return done;
     });
     sweep_pools();
@@ -194,7 +200,7 @@
 
 bool Server::ready() const {
   // Lists of earlier will do if discovery takes its time.
-  if (leaving_) return false;
+  if (!drain_.serving()) return false;
   const auto& pools = traffic_->pools;
   if (std::all_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->told(); })) return true;
   const bool known =
@@ -202,7 +208,9 @@
   return known && loop_.now() - started_ >= kReadyWait;
 }
 
-int Server::most_streams() const { return limits_.sockets - kOwnDescriptors; }
+int Server::most_streams() const {
+  return limits_.sockets - kOwnDescriptors - (config_.door ? Door::kDescriptors : 0);
+}
 
 limits::Descriptors Server::descriptors() const { return limits::Descriptors(most_streams()); }
 
@@ -256,9 +264,10 @@
 }
 
 void Server::shut_down() {
-  if (std::exchange(leaving_, true)) return;
+  if (drain_.leaving()) return;
   spdlog::info("shutting down, {} requests under way", open_requests());
-  front_->drain();
+  drain_.leave(loop_.now());
+  let_go();
   Millis longest = 0;
   for (const RequestClass& request_class : traffic_->classes) {
     longest = std::max(longest, request_class.deadline);
@@ -270,6 +279,62 @@
   });
 }
 
+void Server::let_go() {
+  loop_.cancel(drain_at_);
+  const manage::DrainState state = drain_.state(loop_.now());
+  front_->follow(state);
+  spdlog::info("{}, {} requests under way, {} connections", manage::name_of(state), open_requests(),
+               front_->clients());
+  if (state == manage::DrainState::kDraining) drain_at_ = loop_.at(drain_.until(), [this] { let_go(); });
+}
+
+std::string Server::call(const manage::Call& call) {
+  switch (call.kind) {
+    case manage::CallKind::kReady:
+      return ready() ? manage::yes("ready") : manage::no(drain_.serving() ? "not ready yet" : "draining");
+    case manage::CallKind::kShowStat:
+      return manage::listing(figures());
+    case manage::CallKind::kDisable:
+    case manage::CallKind::kEnable:
+      return ban(call);
+    case manage::CallKind::kDrain:
+      drain_.drain(loop_.now());
+      let_go();
+      return manage::yes("draining");
+    case manage::CallKind::kResume:
+      if (!drain_.resume()) return manage::no("this process is about to end");
+      let_go();
+      return manage::yes("serving");
+  }
+  return manage::no("unknown call");
+}
+
+// A backend that is out stays known, whatever became of it in the list: else the call back would be refused.
+std::string Server::ban(const manage::Call& call) {
+  const bool listed =
+      std::any_of(pools_.begin(), pools_.end(), [&call](const auto& pool) { return pool->lists(call.id); });
+  if (!listed && !bans_.knows(call.id)) return manage::no("no backend " + call.id + " in the list");
+  const bool out = call.kind == manage::CallKind::kDisable;
+  const bool changed = out ? bans_.disable(call.id, loop_.now()) : bans_.enable(call.id, loop_.now());
+  if (!changed) return manage::yes(call.id + (out ? " was out already" : " was in already"));
+  spdlog::info("backend {} taken {} by hand", call.id, out ? "out" : "back in");
+  for (const auto& pool : pools_) pool->ban(bans_);
+  return manage::yes(call.id + (out ? " is out" : " is back"));
+}
+
+std::string Server::figures() const {
+  manage::Gauges gauges;
+  for (const auto& pool : pools_) {
+    gauges.upstream_tries += pool->written();
+    gauges.known_backends += pool->in_list();
+    gauges.skipped_backends += pool->skipped();
+  }
+  gauges.upstream_tries += written_by_ended_;
+  gauges.loads = reloads_;
+  gauges.load_errors = bad_reloads_;
+  return manage::figures_text(front_->ledger(), gauges);
+}
+
 void Server::reload(const std::function<Config()>& read) {
   std::optional<Config> fresh;
   try {
@@ -326,12 +391,13 @@
 
 void Server::log_counters() const {
   const FrontCounters& front = front_->counters();
+  const manage::Ledger::Counts all = front_->ledger().all();
   const auto status = [](int code) { return std::to_string(code); };
   const Millis now = loop_.now();
   spdlog::info(
       "counters: up_s={:.1f} taken={} served={} refused={} failed={} client_gone={} left_early={} "
       "malformed={} reloads={} bad_reloads={} generation={} pools={} stood_in={}",
-      (now - started_) / 1000, front.taken, front.served, front.refused, front.failed, front.client_gone,
+      (now - started_) / 1000, all.taken(), all.passed, all.dropped, all.bad_gateway, all.left,
       front.left_early, front.malformed, reloads_, bad_reloads_, traffic_->number, pools_.size(), stood_in_);
   spdlog::info("counters: answers {}", listed(front.by_status, status));
   for (const auto& pool : pools_) {
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -11,7 +11,11 @@
 #include <vector>
 
 #include "limits/descriptors.h"
+#include "manage/bans.h"
+#include "manage/calls.h"
+#include "manage/drain.h"
 #include "node/config.h"
+#include "node/door.h"
 #include "node/front.h"
 #include "node/net.h"
 #include "node/pool.h"
@@ -35,9 +39,12 @@
   // .shore file, classes, routes and pools as well: pools that are told as before go on with what they have
   // learnt, new ones are waited for a little, and those no longer named end once nothing is with them.
   void reload(const std::function<Config()>& read);
+  std::string call(const manage::Call& call);  // an operator's; the answer, whole
   void log_counters() const;
   unsigned short port() const { return front_->port(); }
+  unsigned short door_port() const { return door_ ? door_->port() : 0; }
   const FrontCounters& counters() const { return front_->counters(); }
+  const manage::Ledger& ledger() const { return front_->ledger(); }
   std::uint64_t generation() const { return traffic_->number; }
   std::size_t pools() const { return pools_.size(); }
 
@@ -64,6 +71,9 @@
   limits::DescriptorCounts descriptors_now() const;
   std::size_t open_requests() const;
   void leave_when_empty(Millis until);
+  void let_go();  // as the drain's state says, now and when it changes
+  std::string ban(const manage::Call& call);
+  std::string figures() const;
 
   Loop& loop_;
   const Config& config_;  // as at the start
@@ -75,14 +85,18 @@
   std::optional<Pending> pending_;
   std::unordered_map<RequestId, std::shared_ptr<Pool>> with_;
   std::unique_ptr<Front> front_;
+  std::unique_ptr<Door> door_;  // only where the configuration names one
+  manage::BanSet bans_;
+  manage::Drain drain_;
+  Loop::TimerId drain_at_ = 0;
   Loop::TimerId look_ = 0;
   Loop::TimerId sweep_ = 0;
-  bool leaving_ = false;
   Millis started_ = 0;
   // counters
   std::uint64_t stood_in_ = 0;  // requests taken by a pool that stands in for another
   std::uint64_t reloads_ = 0;
   std::uint64_t bad_reloads_ = 0;
+  std::uint64_t written_by_ended_ = 0;  // attempts of pools that have ended
   int most_sockets_ = 0;
 };
 
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -114,6 +114,7 @@
   std::shared_ptr<const Message> message;
   Loop::TimerId limit = 0;
   std::uint64_t serial = 0;
+  bool counted = false;  // among the attempts written whole
 };
 
 // One connection to a backend, with the job that it carries, if any.
@@ -149,8 +150,18 @@
     }
     stream.send(pieces);
     asked = true;
+    note_written();
   }
 
+  // Counts the attempt at hand once its last byte is written.
+  void note_written() {
+    if (!job || job->probe || job->counted || !written()) return;
+    job->counted = true;
+    ++owner.written_;
+  }
+
+  void on_flushed(Stream&) override { note_written(); }
+
   // Whether the backend can have begun what this link carries.
   bool written() const { return asked && stream.flushed(); }
 
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -97,6 +97,7 @@
   std::size_t probing() const {
     return probing_;
   }  // connections that now carry a probe and were opened for it
+  std::uint64_t written() const { return written_; }  // attempts, whole
   std::uint64_t opened() const { return opened_; }
   std::uint64_t reused() const { return reused_; }
 
@@ -128,6 +129,7 @@
   KeptRecord kept_;
   Loop::TimerId sweep_ = 0;
   std::uint64_t last_serial_ = 0;
+  std::uint64_t written_ = 0;
   std::uint64_t opened_ = 0;
   std::uint64_t reused_ = 0;
 };
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -218,6 +218,15 @@
     std::visit([this](const auto& e) { on(e); }, event);
   }
 
+  std::size_t avoided(Millis now) const {
+    const auto rests = [now](const Backend& b) {
+      return now < b.silences[0].resting_until || now < b.errors[0].resting_until;
+    };
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](const Backend& b) {
+      return b.state == BackendState::kReady && (b.dropped || rests(b));
+    }));
+  }
+
  private:
   using Held = std::unordered_map<RequestId, Request>::iterator;
 
@@ -1094,4 +1103,6 @@
   impl_->handle(event, now, actions);
 }
 
+std::size_t Policy::avoided(Millis now) const { return impl_->avoided(now); }
+
 }  // namespace shorelead
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -187,6 +187,9 @@
   // Takes one event at time `now` and appends what is to be done about it. The first event is `Started`.
   void handle(const Event& event, Millis now, std::vector<Action>& actions);
 
+  // How many ready backends it passes over now whatever is asked: dropped for the period, or resting. For figures.
+  std::size_t avoided(Millis now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -71,6 +71,7 @@
     return std::exchange(text_, "");
   }
 
+  void close_sending() { ::shutdown(fd_, SHUT_WR); }
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
