New settings at SIGHUP count whole or not at all; classes come, go and change under load

Need: classes added, dropped and with another effect, fewer attempts, broken files. Cause of the loss: Server::reload kept the classes of the start, so clients of a new class met 404, and took files that lacked keys or had a deadline of 0. The file is checked whole and against the keys in force.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -3,9 +3,11 @@
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace shorelead::node {
 namespace {
@@ -40,8 +42,56 @@
   return limits;
 }
 
+// Keys that only some classes have, by their effect.
+bool by_effect(std::string_view key) { return key == "Group" || key == "DedupWindow"; }
+
+std::set<std::string> keys_of(const Json& value, const std::string& path) {
+  std::set<std::string> keys;
+  if (value.IsObject()) {
+    for (const auto& member : value.GetObject()) {
+      const std::string name = path.empty() ? member.name.GetString() : path + "." + member.name.GetString();
+      if (name == "known" || member.value.IsNull()) continue;
+      keys.insert(name);
+      keys.merge(keys_of(member.value, name));
+    }
+  } else if (value.IsArray()) {
+    // Of its items, those that all have.
+    bool first = true;
+    for (const Json& item : value.GetArray()) {
+      const std::set<std::string> here = keys_of(item, path);
+      const auto absent = [&here](const std::string& key) { return here.count(key) == 0; };
+      if (std::exchange(first, false)) keys = here;
+      std::erase_if(keys, absent);
+    }
+    std::erase_if(keys, [](const std::string& key) { return by_effect(key.substr(key.rfind('.') + 1)); });
+  }
+  return keys;
+}
+
+// What a deployment cannot be run by, though each field is of its kind.
+void check(const Settings& settings, const HostSettings& host) {
+  if (settings.classes.empty()) fields::bad("Services", "names no class");
+  if (settings.max_attempts <= 0) fields::bad("MostTries", "is not over 0");
+  for (std::size_t n = 0; n < settings.classes.size(); ++n) {
+    const RequestClass& c = settings.classes[n];
+    if (!(c.deadline > 0)) fields::bad("GiveUp", ("of \"" + host.classes[n] + "\" is not over 0").c_str());
+    if (!(c.aim > 0)) fields::bad("Aim", ("of \"" + host.classes[n] + "\" is not over 0").c_str());
+    if (c.effect == Effect::kKeyed && !(c.dedup_window > 0))
+      fields::bad("DedupWindow", ("of \"" + host.classes[n] + "\" is missing or not over 0").c_str());
+    if (host.classes[n].empty()) fields::bad("Name", "of a class is empty");
+    if (std::count(host.classes.begin(), host.classes.end(), host.classes[n]) > 1)
+      fields::bad("Name", ("\"" + host.classes[n] + "\" stands twice").c_str());
+  }
+}
+
 }  // namespace
 
+void Shape::covers(const Shape& before) const {
+  for (const std::string& key : before.keys) {
+    if (keys.count(key) == 0) fields::bad(key.c_str(), "is missing, and the settings in force have it");
+  }
+}
+
 ListedBackend parse_backend(const Json& item) {
   if (!item.IsObject()) fields::bad("hosts", "holds something that is not an object");
   ListedBackend backend;
@@ -92,7 +142,8 @@
   const Json& settings = fields::object(document, "settings");
   config.settings = parse_settings(settings);
   config.host = parse_host_settings(settings);
-  if (config.settings.classes.empty()) fields::bad("Services", "names no class");
+  check(config.settings, config.host);
+  config.shape.keys = keys_of(document, "");
   return config;
 }
 
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,14 @@
   int sockets = 1024;
 };
 
+// The keys that a file of the platform's has, as paths; empty for other files.
+struct Shape {
+  std::set<std::string> keys;
+
+  // Throws FieldError with the first key that `before` has and this one has not.
+  void covers(const Shape& before) const;
+};
+
 // Which requests are of which class and go to which pool, where the first part of the path does not tell.
 using Routes = routing::Plan;
 
@@ -50,6 +59,7 @@
   std::optional<Poco::Net::SocketAddress> door;  // for operators; none: there is no door
   std::uint64_t seed = 0;
   Limits limits;
+  Shape shape;
   List known;
   Settings settings;
   HostSettings host;
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -67,7 +67,11 @@
 
 Facade::Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed,
                const FleetOptions& fleet)
-    : settings_(settings), zones_(host.zones), policy_(settings, seed), place_(fleet.place) {
+    : settings_(settings),
+      class_names_(host.classes),
+      zones_(host.zones),
+      policy_(settings, seed),
+      place_(fleet.place) {
   if (fleet.subset) subset_.emplace(*fleet.subset, fleet.place);
 }
 
@@ -76,8 +80,29 @@
   report_list(known, ListSource::kStored, now);
 }
 
+std::vector<int> Facade::adopt(const Settings& settings, const HostSettings& host, Millis now) {
+  Settings next = settings;
+  next.classes = settings_.classes;
+  std::vector<int> numbers;
+  for (std::size_t n = 0; n < settings.classes.size(); ++n) {
+    std::size_t at = 0;
+    while (at < next.classes.size() &&
+           (class_names_[at] != host.classes[n] || !(next.classes[at] == settings.classes[n])))
+      ++at;
+    if (at == next.classes.size()) {
+      next.classes.push_back(settings.classes[n]);
+      class_names_.push_back(host.classes[n]);
+    }
+    numbers.push_back(static_cast<int>(at));
+  }
+  settings_ = next;
+  feed(SettingsChanged{next}, now);
+  return numbers;
+}
+
 Choice Facade::pick(RequestId request, const Ask& ask, Millis now) {
   requests_[request].due = ask.due;
+  requests_[request].most_attempts = settings_.max_attempts;
   deadlines_.emplace(ask.due + kAfterDue, request);
   RequestArrived event;
   event.request = request;
@@ -450,7 +475,7 @@
   choice.until = send.stop_at > 0 ? std::min(send.stop_at, open.due) : open.due;
   open.attempts.push_back(send.backend);
   backends_.at(send.backend).uses += 1;
-  if (open.over || choice.until <= now || choice.attempt >= settings_.max_attempts) {
+  if (open.over || choice.until <= now || choice.attempt >= open.most_attempts) {
     AttemptEnded ended;
     ended.request = send.request;
     ended.backend = send.backend;
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -93,6 +93,9 @@
   // Call first, with the list that the node had before; empty where it had none.
   void start(const List& known, Millis now);
 
+  // New settings count from now on; says the number that each of their classes has here.
+  std::vector<int> adopt(const Settings& settings, const HostSettings& host, Millis now);
+
   Choice pick(RequestId request, const Ask& ask, Millis now);
   Choice report(RequestId request, int attempt, Ending ending, Millis elapsed, const LoadReport* load,
                 Millis now);
@@ -136,6 +139,7 @@
     Millis due = 0;
     std::vector<BackendId> attempts;
     int out = 0;
+    int most_attempts = 1;  // as the settings said when it came
     bool over = false;
   };
 
@@ -156,7 +160,8 @@
   void heard(BackendId backend, Outcome outcome);
   void erase(std::unordered_map<RequestId, Open>::iterator it);
 
-  const Settings settings_;
+  Settings settings_;  // with all classes that ever were
+  std::vector<std::string> class_names_;
   std::vector<std::string> zones_;
   Policy policy_;
   std::vector<Known> backends_;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -111,6 +111,13 @@
   if (!config_.settings.list_on_request) discovery_->watch();  // the wait for it was just cancelled
 }
 
+std::vector<int> Pool::adopt(const PoolConfig& config) {
+  config_.settings = config.settings;
+  config_.host = config.host;
+  upstream_->adopt(config.settings.connect_timeout, config.host.idle_timeout);
+  return facade_.adopt(config.settings, config.host, loop_.now());
+}
+
 bool Pool::idle() const {
   return open_.empty() && facade_.open_requests() == 0 && upstream_->connections() == upstream_->idle();
 }
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -47,6 +47,9 @@
   // there.
   bool serves_as(const PoolConfig& config) const;
   void follow(const PoolConfig& config);
+  // New settings for the same pool, of the platform's form. Says the number that each of their classes has
+  // here.
+  std::vector<int> adopt(const PoolConfig& config);
   // No request comes any more. What is under way goes on, and so does the list; probes end.
   void leave() { left_ = true; }
   void rejoin() { left_ = false; }
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -26,7 +26,12 @@
 }  // namespace
 
 Server::Server(Loop& loop, const Config& config, const Waits& waits)
-    : loop_(loop), config_(config), limits_(config.limits), waits_(waits), started_(loop.now()) {
+    : loop_(loop),
+      config_(config),
+      limits_(config.limits),
+      shape_(config.shape),
+      waits_(waits),
+      started_(loop.now()) {
   Pending first = make_traffic(config);
   traffic_ = first.traffic;
   front_ = std::make_unique<Front>(
@@ -339,6 +344,8 @@
   std::optional<Config> fresh;
   try {
     fresh = read();
+    fresh->shape.covers(shape_);
+    shape_ = fresh->shape;
   } catch (const std::exception& error) {
     ++bad_reloads_;
     spdlog::error("configuration not reloaded, the old one stays: {}", error.what());
@@ -347,17 +354,21 @@
   ++reloads_;
   limits_ = fresh->limits;
   if (fresh->pools.empty() && config_.pools.empty()) {
-    // The platform's form. Routes name classes by number, so they count only where the classes are those of
-    // the start.
-    const bool same_classes = fresh->host.classes == config_.host.classes;
-    if (!same_classes) spdlog::warn("the classes are other ones: routes and classes wait for the next start");
+    // The platform's form: one pool, which goes on with what it has learnt.
     auto next = std::make_shared<Traffic>(*traffic_);
-    if (same_classes) next->routes = fresh->routes;
     ++next->number;
+    next->classes = fresh->settings.classes;
+    next->names = fresh->host.classes;
+    next->tenants = fresh->host.tenants;
+    next->routes = fresh->routes;
     PoolConfig told = next->pools.front()->config();
     told.discovery = fresh->discovery;
-    spdlog::info("configuration reloaded: discovery at {}, {} sockets; the rest counts from the next start",
-                 fresh->discovery.toString(), limits_.sockets);
+    told.settings = fresh->settings;
+    told.host = fresh->host;
+    next->class_in_pool = {next->pools.front()->adopt(told)};
+    spdlog::info("configuration reloaded: discovery at {}, {} sockets, {} classes, {} attempts at most",
+                 fresh->discovery.toString(), limits_.sockets, next->names.size(),
+                 fresh->settings.max_attempts);
     pending_ = Pending{next, {told}, 0};
     return put_in_force();
   }
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -34,10 +34,11 @@
   ~Server();
 
   void shut_down();  // as on SIGTERM
-  // As on SIGHUP: what `read` brings counts from now on. Where it throws, all stays as it was. Of the
-  // platform's JSON only discovery, the number of descriptors and routes count without a new start; of a
-  // .shore file, classes, routes and pools as well: pools that are told as before go on with what they have
-  // learnt, new ones are waited for a little, and those no longer named end once nothing is with them.
+  // As on SIGHUP: what `read` brings counts from now on. Where it throws, or lacks a key that the file in
+  // force has, all stays as it was. Of the platform's JSON discovery, the number of descriptors, settings and
+  // routes count without a new start, and its pool goes on; of a .shore file, classes, routes and pools:
+  // pools that are told as before go on with what they have learnt, new ones are waited for a little, and
+  // those no longer named end once nothing is with them.
   void reload(const std::function<Config()>& read);
   std::string call(const manage::Call& call);  // an operator's; the answer, whole
   void log_counters() const;
@@ -78,6 +79,7 @@
   Loop& loop_;
   const Config& config_;  // as at the start
   Limits limits_;
+  Shape shape_;  // of the file in force
   const Waits waits_;
   std::vector<std::shared_ptr<Pool>>
       pools_;                               // all that live: in force, pending, or left with something to do
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -230,10 +230,8 @@
 };
 
 Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener)
-    : loop_(loop),
-      connect_wait_(connect_timeout > 0 ? connect_timeout : kConnectUntold),
-      most_idle_(idle_timeout > 0 ? kIdleShare * idle_timeout : kIdleUntold),
-      listener_(std::move(listener)) {
+    : loop_(loop), connect_wait_(kConnectUntold), most_idle_(kIdleUntold), listener_(std::move(listener)) {
+  adopt(connect_timeout, idle_timeout);
   sweep();
 }
 
@@ -246,6 +244,11 @@
   }
 }
 
+void Upstream::adopt(Millis connect_timeout, Millis idle_timeout) {
+  connect_wait_.state(connect_timeout > 0 ? connect_timeout : kConnectUntold);
+  most_idle_ = idle_timeout > 0 ? kIdleShare * idle_timeout : kIdleUntold;
+}
+
 void Upstream::send(RequestId request, int attempt, BackendId backend, const std::string& dial, Millis until,
                     std::shared_ptr<const Message> message) {
   auto job = std::make_unique<Job>();
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -53,6 +53,7 @@
 class ConnectWait {
  public:
   explicit ConnectWait(Millis most) : most_(most) {}
+  void state(Millis most) { most_ = most; }
 
   Millis limit(BackendId backend, bool probe) const;
   void came_up(BackendId backend, Millis took);
@@ -62,7 +63,7 @@
  private:
   Millis common() const;
 
-  const Millis most_;
+  Millis most_;
   Millis median_ = 0;  // moved a little by each; 0 = none came up yet
   std::unordered_set<BackendId> far_;
 };
@@ -81,6 +82,8 @@
   Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener);
   ~Upstream();
 
+  void adopt(Millis connect_timeout, Millis idle_timeout);  // times of new settings
+
   void send(RequestId request, int attempt, BackendId backend, const std::string& dial, Millis until,
             std::shared_ptr<const Message> message);
   void call_off(RequestId request, int attempt);
@@ -118,7 +121,7 @@
 
   Loop& loop_;
   ConnectWait connect_wait_;
-  const Millis most_idle_;
+  Millis most_idle_;
   Listener listener_;
   // No event walks all connections: they are found by backend, by request and by age.
   std::unordered_map<BackendId, std::vector<std::shared_ptr<Link>>> pools_;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -179,6 +179,7 @@
   int request_class = 0;
   Millis due = 0;
   Millis aim_at = 0;  // an answer after this is worth less or nothing
+  int most_attempts = 1;
   bool streaming = false;
   int looks = 0;          // asked for it so far
   Millis look_until = 0;  // it waits, or has waited, for their answers until then
@@ -206,9 +207,7 @@
     Millis shortest = 0;
     for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
-    class_ratio_.assign(s_.classes.size(), 1.0);
-    purses_.resize(s_.tenants.size());
-    for (const RequestClass& c : s_.classes) most_worth_ = std::max(most_worth_, c.worth);
+    on(SettingsChanged{settings});
     nodes_ = stated_nodes();
   }
 
@@ -230,6 +229,18 @@
  private:
   using Held = std::unordered_map<RequestId, Request>::iterator;
 
+  // What was learnt of backends and classes stays; a class not seen before is taken for an ordinary one.
+  void on(const SettingsChanged& changed) {
+    s_ = changed.settings;
+    class_ratio_.resize(s_.classes.size(), 1.0);
+    purses_.resize(s_.tenants.size());
+    for (const RequestClass& c : s_.classes) most_worth_ = std::max(most_worth_, c.worth);
+    for (Backend& b : backends_) {
+      b.silences.resize(s_.classes.size() + 1);
+      b.errors.resize(s_.classes.size() + 1);
+    }
+  }
+
   // ---- lists ----
 
   void on(const Started&) {
@@ -921,6 +932,7 @@
     Request r;
     r.request_class = e.request_class;
     r.due = e.due;
+    r.most_attempts = std::min(s_.max_attempts, kMostAttempts);
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
@@ -942,7 +954,7 @@
   }
 
   bool may_send(const Request& r) const {
-    if (static_cast<int>(r.attempts.size()) >= std::min(s_.max_attempts, kMostAttempts)) return false;
+    if (static_cast<int>(r.attempts.size()) >= r.most_attempts) return false;
     const RequestClass& c = class_of(r);
     if (now_ >= stop_at(r)) return false;
     if (!r.attempts.empty() && resends_ < 1) return false;
@@ -1050,7 +1062,7 @@
   void act(Action action) { out_->push_back(std::move(action)); }
   void timer(TimerKind kind, Millis at) { act(SetTimer{at, kind}); }
 
-  const Settings s_;
+  Settings s_;
   Random random_;
   Millis now_ = 0;
   std::vector<Action>* out_ = nullptr;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -141,11 +141,16 @@
   bool has_report = false;
   LoadReport report;
 };
+// New settings from now on. Classes keep their numbers; new ones stand behind them. Requests that are open
+// keep theirs, and the number of attempts under which they came.
+struct SettingsChanged {
+  Settings settings;
+};
 struct TimerFired {
   std::uint64_t cookie = 0;
 };
 using Event = std::variant<Started, ListUpdate, RequestArrived, StreamStarted, AttemptEnded, RequestGone,
-                           ProbeEnded, TimerFired>;
+                           ProbeEnded, TimerFired, SettingsChanged>;
 
 struct SendAttempt {
   RequestId request = 0;
@@ -187,7 +192,8 @@
   // Takes one event at time `now` and appends what is to be done about it. The first event is `Started`.
   void handle(const Event& event, Millis now, std::vector<Action>& actions);
 
-  // How many ready backends it passes over now whatever is asked: dropped for the period, or resting. For figures.
+  // How many ready backends it passes over now whatever is asked: dropped for the period, or resting. For
+  // figures.
   std::size_t avoided(Millis now) const;
 
  private:
