A process is replaced under load: its listening socket, list and bans pass to the next

Need: staff replace the program with clients on it. Cause of the loss: the second process could not listen (address in use) and exited with 1. Change: src/handover/ (Unix socket in TMPDIR, SCM_RIGHTS; ban file, renamed under a lock); the front can be held; the drain machine knows 'replaced'. Off without a door. Tests: handover_test (the old queue, a successor that ends early, a third refused, bans both ways, torn and foreign files).

--- /dev/null
+++ b/src/handover/handover.cpp
@@ -0,0 +1,208 @@
+#include "handover/handover.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+#include <string_view>
+#include <system_error>
+
+namespace shorelead::handover {
+namespace {
+
+// First line of an answer: the title and how many bytes of list follow, or the reason for a refusal.
+constexpr std::string_view kTitle = "shorelead handover 1 ";
+constexpr std::string_view kRefused = "shorelead refuses: ";
+constexpr std::string_view kServing = "serving\n";
+constexpr std::size_t kMostList = 131072;  // goes into the socket's buffer in one piece
+
+sockaddr_un address_of(const std::string& path) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  if (path.size() >= sizeof address.sun_path)
+    throw std::system_error(ENAMETOOLONG, std::generic_category(), path);
+  std::memcpy(address.sun_path, path.data(), path.size());
+  return address;
+}
+
+int checked(int result, const std::string& what) {
+  if (result < 0) throw std::system_error(errno, std::generic_category(), what);
+  return result;
+}
+
+bool send_with(int to, std::string_view text, int passed) {
+  iovec part{const_cast<char*>(text.data()), text.size()};
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  if (passed >= 0) {
+    message.msg_control = control.data();
+    message.msg_controllen = control.size();
+    cmsghdr* const head = CMSG_FIRSTHDR(&message);
+    head->cmsg_level = SOL_SOCKET;
+    head->cmsg_type = SCM_RIGHTS;
+    head->cmsg_len = CMSG_LEN(sizeof(int));
+    std::memcpy(CMSG_DATA(head), &passed, sizeof passed);
+  }
+  return ::sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(text.size());
+}
+
+// Bytes of the socket, and a descriptor if one came along.
+ssize_t receive_with(int from, std::array<char, 4096>& into, int& passed) {
+  iovec part{into.data(), into.size()};
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = control.data();
+  message.msg_controllen = control.size();
+  const ssize_t got = ::recvmsg(from, &message, MSG_CMSG_CLOEXEC);
+  for (cmsghdr* head = got > 0 ? CMSG_FIRSTHDR(&message) : nullptr; head != nullptr;
+       head = CMSG_NXTHDR(&message, head)) {
+    if (head->cmsg_level == SOL_SOCKET && head->cmsg_type == SCM_RIGHTS && passed < 0)
+      std::memcpy(&passed, CMSG_DATA(head), sizeof passed);
+  }
+  return got;
+}
+
+}  // namespace
+
+std::optional<Legacy> ask(const std::string& path, Millis wait) {
+  const sockaddr_un address = address_of(path);
+  net::Descriptor socket(checked(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0), "socket"));
+  timeval limit{};
+  limit.tv_sec = static_cast<time_t>(wait / 1000);
+  limit.tv_usec = static_cast<suseconds_t>((wait - 1000.0 * static_cast<double>(limit.tv_sec)) * 1000);
+  ::setsockopt(socket.fd(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (::connect(socket.fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    return std::nullopt;
+  std::string text;
+  int listener = -1;
+  std::size_t whole = std::string::npos;
+  const auto drop = [&listener] {
+    if (listener >= 0) ::close(listener);
+    return std::nullopt;
+  };
+  while (text.size() < whole) {
+    std::array<char, 4096> part{};
+    const ssize_t got = receive_with(socket.fd(), part, listener);
+    if (got <= 0) return drop();
+    text.append(part.data(), static_cast<std::size_t>(got));
+    const std::size_t end = text.find('\n');
+    if (end == std::string::npos) continue;
+    const std::string_view line = std::string_view(text).substr(0, end);
+    if (line.substr(0, kRefused.size()) == kRefused) {
+      drop();
+      throw std::runtime_error("the process that serves refuses: " +
+                               std::string(line.substr(kRefused.size())));
+    }
+    std::size_t size = 0;
+    if (line.substr(0, kTitle.size()) != kTitle) return drop();
+    const auto [rest, error] = std::from_chars(line.data() + kTitle.size(), line.data() + line.size(), size);
+    if (error != std::errc() || rest != line.data() + line.size() || size > kMostList) return drop();
+    whole = end + 1 + size;
+  }
+  if (listener < 0) return std::nullopt;
+  Legacy legacy;
+  legacy.listener = listener;
+  legacy.list = text.substr(text.find('\n') + 1, whole);
+  legacy.channel = checked(::fcntl(socket.fd(), F_DUPFD_CLOEXEC, 3), "fcntl");
+  return legacy;
+}
+
+// A successor, from its coming to its end.
+class Predecessor::Heir : public net::Watch::Handler {
+ public:
+  Heir(Predecessor& owner, int fd)
+      : owner(owner), socket(fd), watch(owner.loop_, socket, *this, true, false) {}
+
+  void on_readable() override {
+    std::array<char, 64> part{};
+    const ssize_t got = ::recv(socket.fd(), part.data(), part.size(), MSG_DONTWAIT);
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+    if (got <= 0) return owner.lose(*this);
+    said.append(part.data(), static_cast<std::size_t>(got));
+    if (said.size() > kServing.size() || kServing.substr(0, said.size()) != said) return owner.lose(*this);
+    if (said == kServing) owner.listener_.successor_serves();
+  }
+
+  Predecessor& owner;
+  net::Descriptor socket;
+  net::Watch watch;
+  std::string said;
+};
+
+Predecessor::Predecessor(net::Loop& loop, std::string path, Listener listener)
+    : loop_(loop), path_(std::move(path)), listener_(std::move(listener)) {
+  // Bound beside and renamed, so that whoever comes finds the old one or the new one, never none.
+  const std::string beside = path_ + "." + std::to_string(::getpid());
+  const sockaddr_un address = address_of(beside);
+  socket_ = std::make_unique<net::Descriptor>(
+      checked(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0), "socket"));
+  ::unlink(beside.c_str());
+  checked(::bind(socket_->fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address), beside);
+  checked(::listen(socket_->fd(), 4), beside);
+  checked(::rename(beside.c_str(), path_.c_str()), path_);
+  watch_ = std::make_unique<net::Watch>(loop_, *socket_, *this, true, false);
+}
+
+// The path stays: it may be the successor's by now, and nobody answers there otherwise.
+Predecessor::~Predecessor() = default;
+
+void Predecessor::on_readable() {
+  const int fd = ::accept4(socket_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (fd < 0) return;
+  net::Descriptor come(fd);
+  const int listener = listener_.listener();
+  std::string refusal = heir_ ? "a successor is here already" : listener_.refusal();
+  if (refusal.empty() && listener < 0) refusal = "it does not listen any more";
+  if (!refusal.empty()) {
+    send_with(fd, std::string(kRefused) + refusal + "\n", -1);
+    return;
+  }
+  std::string list = listener_.list();
+  if (list.size() > kMostList) list.clear();  // discovery will tell
+  const int room = static_cast<int>(2 * kMostList);
+  ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &room, sizeof room);
+  if (!send_with(fd, std::string(kTitle) + std::to_string(list.size()) + "\n" + list, listener)) return;
+  const int kept = ::fcntl(fd, F_DUPFD_CLOEXEC, 3);
+  if (kept < 0) return;
+  heir_ = std::make_shared<Heir>(*this, kept);
+  listener_.successor_came();
+}
+
+void Predecessor::lose(Heir& heir) {
+  if (heir_.get() != &heir) return;
+  loop_.later([hold = std::move(heir_)] {});
+  heir_ = nullptr;
+  listener_.successor_gone();
+}
+
+Successor::Successor(net::Loop& loop, int channel, std::function<void()> predecessor_gone)
+    : loop_(loop),
+      gone_(std::move(predecessor_gone)),
+      socket_(std::make_unique<net::Descriptor>(channel)),
+      watch_(std::make_unique<net::Watch>(loop, *socket_, *this, true, false)) {}
+
+void Successor::say_serving() {
+  if (watch_) send_with(socket_->fd(), kServing, -1);
+}
+
+void Successor::on_readable() {
+  std::array<char, 64> part{};
+  const ssize_t got = ::recv(socket_->fd(), part.data(), part.size(), MSG_DONTWAIT);
+  if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))) return;
+  watch_.reset();
+  socket_.reset();
+  gone_();
+}
+
+}  // namespace shorelead::handover
--- a/src/manage/drain.cpp
+++ b/src/manage/drain.cpp
@@ -22,6 +22,12 @@
   unused_until_ = now + kUnusedByCall;
 }
 
+void Drain::replaced(Millis now) {
+  if (!serving()) return;
+  since_ = now;
+  unused_until_ = kNever;
+}
+
 bool Drain::resume() {
   if (leaving_) return false;
   since_ = unused_until_ = 0;
--- a/src/manage/drain.h
+++ b/src/manage/drain.h
@@ -24,15 +24,18 @@
   static constexpr Millis kUnusedByCall = 1500;
   // Before an end, the last request needs its whole deadline before the kill 0.7 s after the longest one.
   static constexpr Millis kUnusedAtEnd = 350;
+  static constexpr Millis kNever = 1e18;
 
   void drain(Millis now);  // by call; nothing if it drains already
   bool resume();           // by call; false if the process is about to end
+  void replaced(
+      Millis now);         // a successor takes clients now: unused connections stay until it is time to leave
   void leave(Millis now);  // for good
 
   DrainState state(Millis now) const;
   bool serving() const { return since_ == 0; }
   bool leaving() const { return leaving_; }
-  Millis until() const { return unused_until_; }  // when draining becomes drained; 0 while serving
+  Millis until() const { return unused_until_; }  // when draining becomes drained, or kNever; 0 while serving
 
  private:
   Millis since_ = 0;
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -119,6 +119,13 @@
   return list;
 }
 
+List read_list(const std::string& text) {
+  rapidjson::Document document;
+  document.Parse(text.data(), text.size());
+  if (document.HasParseError()) throw FieldError("a list is broken JSON");
+  return parse_list(document);
+}
+
 Config parse_config(std::string text, const Overrides& overrides) {
   rapidjson::Document document;
   document.ParseInsitu(text.data());
@@ -173,7 +180,8 @@
   const Overrides overrides = merge(flags, variables, again);
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw FieldError("cannot read the configuration at \"" + path + "\"");
+  if (!file) throw FieldError("cannot read the configuration at \"" + path + "\"");
+  if (!(text << file.rdbuf())) throw FieldError("the configuration at \"" + path + "\" is empty");
   return parse_config(std::move(text).str(), overrides);
 }
 
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -90,6 +90,7 @@
 // Flags and variables, merged, win over the file.
 Config load_config(const std::string& path, const Overrides& flags, const Overrides& variables, bool again);
 List parse_list(const Json& object);
+List read_list(const std::string& text);
 ListedBackend parse_backend(const Json& item);  // one entry of it
 
 }  // namespace shorelead::node
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -1,5 +1,7 @@
 #include "node/facade.h"
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -270,6 +272,43 @@
   return entries.empty() ? std::vector<BackendId>() : take(entries, ListKind::kDelta, now);
 }
 
+std::string Facade::list_text() const {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> out(buffer);
+  const auto text = [&out](const char* key, const std::string& value) {
+    out.Key(key);
+    out.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  };
+  out.StartObject();
+  out.Key("seq");
+  out.Uint64(0);  // discovery is asked for the whole list
+  out.Key("whole");
+  out.Bool(true);
+  out.Key("hosts");
+  out.StartArray();
+  const auto put = [&](const ListedBackend& listed, const std::string& dial) {
+    out.StartObject();
+    text("host", listed.host);
+    text("dial", dial);
+    text("site", listed.site);
+    text("health", listed.health);
+    out.Key("block");
+    out.Int(listed.cell);
+    out.Key("share");
+    out.Double(listed.size);
+    out.Key("born_ms");
+    out.Double(listed.born);
+    out.EndObject();
+  };
+  for (const auto& [host, listed] : fleet_) put(listed, listed.dial);
+  for (const Known& known : backends_) {
+    if (!subset_ && !known.host.empty() && !known.gone) put(known.listed, known.dial);
+  }
+  out.EndArray();
+  out.EndObject();
+  return buffer.GetString();
+}
+
 bool Facade::lists(const std::string& host) const {
   if (subset_) return fleet_.count(host) > 0;
   const auto it = numbers_.find(host);
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -117,6 +117,7 @@
   bool wanted(BackendId backend) const { return backends_.at(backend).ready; }
   std::size_t ready() const { return ready_; }  // of those known to the module
   std::size_t backends() const { return subset_ ? subset_->fleet() : numbers_.size(); }
+  std::string list_text() const;              // in discovery's form
   bool lists(const std::string& host) const;  // whether the list names it now
   std::size_t listed() const;                 // how many it names
   // Of these, how many are avoided now: out by hand, draining, or passed over by the module's choice.
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -1,5 +1,6 @@
 #include "node/front.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
@@ -225,12 +226,17 @@
   std::size_t left = 0;  // bytes that came after the last answer
 };
 
-Front::Front(Loop& loop, const Poco::Net::SocketAddress& address, std::shared_ptr<const Traffic> traffic,
-             Listener listener, const Waits& waits)
+Front::Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener,
+             const Waits& waits)
     : loop_(loop), traffic_(std::move(traffic)), listener_(std::move(listener)), waits_(waits) {
-  socket_ = std::make_unique<Poco::Net::ServerSocket>();
-  socket_->bind(address, true, false);
-  socket_->listen(kBacklog);
+  if (entry.listening >= 0) {
+    socket_ = std::make_unique<net::Descriptor>(entry.listening);
+  } else {
+    auto socket = std::make_unique<Poco::Net::ServerSocket>();
+    socket->bind(entry.address, true, entry.shared);
+    socket->listen(kBacklog);
+    socket_ = std::move(socket);
+  }
   for (const std::string& name : traffic_->names) ledger_.name_class(name);
   socket_->setBlocking(false);
   watch_ = std::make_unique<Watch>(loop_, *socket_, *this, true, false);
@@ -247,7 +253,7 @@
 void Front::on_readable() { accept_all(); }
 
 void Front::accept_all() {
-  while (socket_) {
+  while (socket_ && !held_) {
     const int fd = ::accept4(socket_->impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
@@ -280,7 +286,14 @@
     return;
   }
   paused_ = false;
-  watch_->want_read(true);
+  watch_->want_read(!held_);
+  accept_all();
+}
+
+void Front::hold(bool held) {
+  held_ = held;
+  if (!watch_ || paused_) return;
+  watch_->want_read(!held);
   accept_all();
 }
 
@@ -288,7 +301,7 @@
   const Message& message = *client.message;
   const std::string_view target = message.head().target.in(message.raw);
   if (target == "/-/ready") {
-    const bool ready = drain_ == manage::DrainState::kServing && listener_.ready();
+    const bool ready = listener_.ready();
     return client.answer(ready ? 200 : 503, ready ? "ready" : "not ready", 0, false);
   }
   Ask ask;
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -3,7 +3,7 @@
 // must never answer a request twice or, while it stands, not at all; and it must never ask who will serve it.
 #pragma once
 
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/Socket.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <cstdint>
@@ -56,12 +56,20 @@
     Millis sweep = 250;  // how often all these are looked after
   };
 
+  // Where clients connect: an address to listen on, with another process of the node if `shared`, or a socket
+  // that listens there already, handed over by that process.
+  struct Entry {
+    Entry(const Poco::Net::SocketAddress& address) : address(address) {}  // NOLINT: an address is an entry
+    Poco::Net::SocketAddress address;
+    bool shared = false;
+    int listening = -1;
+  };
+
   // Throws Poco::Exception where the address cannot be listened on.
-  Front(Loop& loop, const Poco::Net::SocketAddress& address, std::shared_ptr<const Traffic> traffic,
-        Listener listener)
-      : Front(loop, address, std::move(traffic), std::move(listener), Waits()) {}
-  Front(Loop& loop, const Poco::Net::SocketAddress& address, std::shared_ptr<const Traffic> traffic,
-        Listener listener, const Waits& waits);
+  Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener)
+      : Front(loop, entry, std::move(traffic), std::move(listener), Waits()) {}
+  Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener,
+        const Waits& waits);
   ~Front() override;
 
   // Final answers. To a client that is gone they are nothing.
@@ -73,11 +81,16 @@
   // window, by the one before: there its key is known, and elsewhere it would run again.
   void go_by(std::shared_ptr<const Traffic> traffic);
 
+  // Whether to take in who connects: while held, whoever comes is left to the other process.
+  void hold(bool held);
+  bool held() const { return held_; }
+  int listening() const { return socket_ ? socket_->impl()->sockfd() : -1; }
+
   bool evict_idle();  // closes the connection that was unused for longest
   // Lets go of clients, or takes them again, as the drain's state says: from draining on it is not ready and
   // every answer is the last on its connection; once drained, unused connections are closed.
   void follow(manage::DrainState state);
-  void close_listener();  // after it has taken in all who had connected
+  void close_listener();  // after it has taken in all who had connected, unless they are left to the other
   // Closes connections that have no request under way; true when none is left.
   bool empty();
 
@@ -115,7 +128,7 @@
   std::vector<Past> past_;  // the oldest first
   Listener listener_;
   const Waits waits_;
-  std::unique_ptr<Poco::Net::ServerSocket> socket_;
+  std::unique_ptr<Poco::Net::Socket> socket_;
   std::unique_ptr<Watch> watch_;
   std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
   std::unordered_map<RequestId, Client*> waiting_;
@@ -125,6 +138,7 @@
   manage::DrainState drain_ = manage::DrainState::kServing;
   manage::Ledger ledger_;
   bool paused_ = false;
+  bool held_ = false;
   Loop::TimerId resume_ = 0;
   Loop::TimerId sweep_ = 0;
   FrontCounters counters_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -229,14 +229,38 @@
   return 0;
 }
 
+// The folder that one process of a node shares with the next, and what a process that serves hands over.
+shorelead::node::Server::Place take_place(Config& config) {
+  constexpr double kWait = 1500;  // ms, for the other process to answer
+  shorelead::node::Server::Place place;
+  place.folder = variable("TMPDIR");
+  if (place.folder.empty()) return place;
+  try {
+    place.legacy = shorelead::handover::ask(place.socket(), kWait);
+  } catch (const std::system_error& error) {
+    spdlog::warn("no other process can be asked: {}", error.what());
+  }
+  if (!place.legacy) return place;
+  spdlog::info("a process that serves has handed over its listening socket");
+  try {
+    const auto list = shorelead::node::read_list(place.legacy->list);
+    if (!list.backends.empty()) config.known = list;
+  } catch (const std::exception& error) {
+    spdlog::warn("its list is of no use, the configuration's stands: {}", error.what());
+  }
+  return place;
+}
+
 int serve(const Options& options) {
-  const Config config = load(options, false);
+  Config config = load(options, false);
   spdlog::set_default_logger(spdlog::stdout_logger_st(config.name));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %l %v");
   spdlog::set_level(spdlog::level::from_str(options.log_level));
   spdlog::flush_on(spdlog::level::info);
   shorelead::node::Loop loop;
-  shorelead::node::Server server(loop, config);
+  shorelead::node::Server::Place place;
+  if (config.door) place = take_place(config);
+  shorelead::node::Server server(loop, config, shorelead::node::Server::Waits(), place);
   loop.on_signals([&server, &options](int signal) {
     if (signal == SIGUSR1) return server.log_counters();
     if (signal == SIGHUP) return server.reload([&options] { return load(options, true); });
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -60,6 +60,7 @@
   bool told() const;  // has its list of now
   // What is out by hand from now on; nothing that is not yet written goes there any more.
   void ban(const manage::BanSet& bans) { upstream_->withdraw(facade_.report_bans(bans, loop_.now())); }
+  std::string list_text() const { return facade_.list_text(); }  // in discovery's form
   bool lists(const std::string& host) const { return facade_.lists(host); }
   std::size_t in_list() const { return facade_.listed(); }
   std::size_t skipped() const { return facade_.skipped(loop_.now()); }
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -16,8 +16,10 @@
     6;  // unused clients' connections are many where they take more than one in so many
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
 constexpr Millis kLeaveEvery = 20;
-constexpr Millis kLeaveAfter = 600;  // beyond the longest deadline, whatever is left
-constexpr Millis kReadyWait = 500;   // for the list of now, where one of earlier is known
+constexpr Millis kLeaveAfter = 600;        // beyond the longest deadline, whatever is left
+constexpr Millis kReadyWait = 500;         // for the list of now, where one of earlier is known
+constexpr Millis kReadyWaitBeside = 3000;  // the same where another process serves meanwhile
+constexpr Millis kLookAtBansEvery = 50;    // a fifth of the shortest grace in use
 constexpr Millis kListWait =
     3000;  // for the lists of new pools, before a generation comes in force without them
 constexpr Millis kLookEvery = 10;   // whether they are there
@@ -25,17 +27,21 @@
 
 }  // namespace
 
-Server::Server(Loop& loop, const Config& config, const Waits& waits)
+Server::Server(Loop& loop, const Config& config, const Waits& waits, const Place& place)
     : loop_(loop),
       config_(config),
       limits_(config.limits),
       shape_(config.shape),
+      place_(place),
       waits_(waits),
       started_(loop.now()) {
   Pending first = make_traffic(config);
   traffic_ = first.traffic;
+  Front::Entry entry(config.listen);
+  entry.shared = !place_.folder.empty();
+  if (place_.legacy) entry.listening = place_.legacy->listener;
   front_ = std::make_unique<Front>(
-      loop_, config.listen, traffic_,
+      loop_, entry, traffic_,
       Front::Listener{
           [this](RequestId request, const Ask& ask, const Way& way, std::shared_ptr<const Message> message) {
             take(request, ask, way, std::move(message));
@@ -48,7 +54,19 @@
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
           [this] { return make_room(limits::Purpose::kClient); }});
+  if (!place_.folder.empty()) {
+    ban_file_ = std::make_unique<handover::BanFile>(place_.bans());
+    look_at_bans();
+  }
   for (const auto& pool : pools_) pool->start();
+  if (place_.legacy) {
+    predecessor_ = std::make_unique<handover::Successor>(
+        loop_, place_.legacy->channel, [this] { spdlog::info("the process before this one has ended"); });
+    front_->hold(true);
+    look_if_it_could_serve();
+  } else {
+    wait_for_successor();
+  }
   if (config.door) {
     door_ =
         std::make_unique<Door>(loop_, *config.door, [this](const manage::Call& told) { return call(told); });
@@ -59,6 +77,8 @@
   loop_.cancel(look_);
   loop_.cancel(sweep_);
   loop_.cancel(drain_at_);
+  loop_.cancel(look_bans_);
+  loop_.cancel(look_serving_);
 }
 
 std::shared_ptr<Pool> Server::make_pool(const PoolConfig& config, const Config& whole) {
@@ -203,18 +223,97 @@
   return pool;
 }
 
+// The node's, not this process's alone: replaced, it speaks for the one that serves.
 bool Server::ready() const {
+  if (replaced_) return true;
+  return drain_.serving() && !front_->held() && could_serve();
+}
+
+bool Server::could_serve() const {
   // Lists of earlier will do if discovery takes its time.
-  if (!drain_.serving()) return false;
   const auto& pools = traffic_->pools;
   if (std::all_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->told(); })) return true;
   const bool known =
       std::any_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->backends() > 0; });
-  return known && loop_.now() - started_ >= kReadyWait;
+  return known && loop_.now() - started_ >= (predecessor_ ? kReadyWaitBeside : kReadyWait);
 }
 
 int Server::most_streams() const {
-  return limits_.sockets - kOwnDescriptors - (config_.door ? Door::kDescriptors : 0);
+  const int all = two_run() ? limits_.sockets / 2 : limits_.sockets;
+  return all - kOwnDescriptors - (config_.door ? Door::kDescriptors : 0);
+}
+
+// Two processes are one node: each keeps to half of what it may hold.
+bool Server::two_run() const {
+  return (successors_ && successors_->has_successor()) || (predecessor_ && predecessor_->predecessor_lives());
+}
+
+void Server::look_if_it_could_serve() {
+  if (!could_serve()) {
+    look_serving_ = loop_.after(kLookEvery, [this] { look_if_it_could_serve(); });
+    return;
+  }
+  spdlog::info("takes clients from now on, in place of the process before it");
+  front_->hold(false);
+  predecessor_->say_serving();
+  wait_for_successor();
+}
+
+void Server::wait_for_successor() {
+  if (place_.folder.empty()) return;
+  handover::Predecessor::Listener listener;
+  listener.listener = [this] { return front_->listening(); };
+  listener.list = [this] { return pools_.front()->list_text(); };
+  listener.refusal = [this] {
+    if (drain_.leaving()) return std::string("it is about to end");
+    return two_run() ? std::string("two processes run already") : std::string();
+  };
+  listener.successor_came = [this] {
+    spdlog::info("a successor has come, with the listening socket and the list");
+    trim();
+  };
+  listener.successor_serves = [this] { successor_serves(); };
+  listener.successor_gone = [this] { successor_gone(); };
+  try {
+    successors_ = std::make_unique<handover::Predecessor>(loop_, place_.socket(), std::move(listener));
+  } catch (const std::exception& error) {
+    spdlog::warn("no successor can be handed anything: {}", error.what());
+  }
+}
+
+void Server::successor_serves() {
+  if (replaced_) return;
+  spdlog::info("the successor takes clients from now on");
+  replaced_ = true;
+  front_->hold(true);
+  drain_.replaced(loop_.now());
+  let_go();
+}
+
+void Server::successor_gone() {
+  spdlog::warn("the successor has ended{}",
+               replaced_ ? ", this process takes clients again" : " before it served");
+  if (!std::exchange(replaced_, false) || !drain_.resume()) return;
+  front_->hold(false);
+  let_go();
+}
+
+// Down to what it may hold from now on, as far as connections stand unused.
+void Server::trim() {
+  while (Stream::open_count() > most_streams()) {
+    if (!evict_of_pools() && !front_->evict_idle()) return;
+  }
+}
+
+void Server::look_at_bans() {
+  look_bans_ = loop_.after(kLookAtBansEvery, [this] { look_at_bans(); });
+  std::string cause;
+  const auto fresh = ban_file_->read_if_new(cause);
+  if (!cause.empty()) spdlog::error("{}, not used", cause);
+  if (!fresh || *fresh == bans_) return;
+  spdlog::info("backends out by hand: {}, as told to the other process", fresh->count_out());
+  bans_ = *fresh;
+  for (const auto& pool : pools_) pool->ban(bans_);
 }
 
 limits::Descriptors Server::descriptors() const { return limits::Descriptors(most_streams()); }
@@ -278,6 +377,11 @@
     longest = std::max(longest, request_class.deadline);
   }
   const Millis until = loop_.now() + longest + kLeaveAfter;
+  if (replaced_) {
+    front_->close_listener();
+    loop_.after(manage::Drain::kUnusedAtEnd, [this, until] { leave_when_empty(until); });
+    return;
+  }
   loop_.after(waits_.accept_on, [this, until] {
     front_->close_listener();
     loop_.after(kLastCall, [this, until] { leave_when_empty(until); });
@@ -290,10 +394,15 @@
   front_->follow(state);
   spdlog::info("{}, {} requests under way, {} connections", manage::name_of(state), open_requests(),
                front_->clients());
-  if (state == manage::DrainState::kDraining) drain_at_ = loop_.at(drain_.until(), [this] { let_go(); });
+  if (state == manage::DrainState::kDraining && drain_.until() < manage::Drain::kNever)
+    drain_at_ = loop_.at(drain_.until(), [this] { let_go(); });
 }
 
 std::string Server::call(const manage::Call& call) {
+  const bool of_this_process = call.kind == manage::CallKind::kReady ||
+                               call.kind == manage::CallKind::kDrain ||
+                               call.kind == manage::CallKind::kResume;
+  if (replaced_ && of_this_process) return manage::no("replaced: another process serves");
   switch (call.kind) {
     case manage::CallKind::kReady:
       return ready() ? manage::yes("ready") : manage::no(drain_.serving() ? "not ready yet" : "draining");
@@ -320,7 +429,17 @@
       std::any_of(pools_.begin(), pools_.end(), [&call](const auto& pool) { return pool->lists(call.id); });
   if (!listed && !bans_.knows(call.id)) return manage::no("no backend " + call.id + " in the list");
   const bool out = call.kind == manage::CallKind::kDisable;
-  const bool changed = out ? bans_.disable(call.id, loop_.now()) : bans_.enable(call.id, loop_.now());
+  bool changed = false;
+  const auto change = [&](manage::BanSet& bans) {
+    changed = out ? bans.disable(call.id, loop_.now()) : bans.enable(call.id, loop_.now());
+  };
+  if (ban_file_) {
+    std::string cause;
+    bans_ = ban_file_->change(bans_, change, cause);
+    if (!cause.empty()) spdlog::error("{}: the next process will not know", cause);
+  } else {
+    change(bans_);
+  }
   if (!changed) return manage::yes(call.id + (out ? " was out already" : " was in already"));
   spdlog::info("backend {} taken {} by hand", call.id, out ? "out" : "back in");
   for (const auto& pool : pools_) pool->ban(bans_);
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -10,6 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "handover/ban_file.h"
+#include "handover/handover.h"
 #include "limits/descriptors.h"
 #include "manage/bans.h"
 #include "manage/calls.h"
@@ -29,8 +31,19 @@
     Millis accept_on = 600;  // after SIGTERM: clients go on coming for up to 0.4 s
   };
 
+  // What this process shares with others of its node, one after the other: a folder, and what the one before
+  // handed over. Without a folder it is alone.
+  struct Place {
+    std::string folder;
+    std::optional<handover::Legacy> legacy;
+
+    std::string socket() const { return folder + "/shorelead.sock"; }
+    std::string bans() const { return folder + "/shorelead.bans"; }
+  };
+
   Server(Loop& loop, const Config& config) : Server(loop, config, Waits()) {}
-  Server(Loop& loop, const Config& config, const Waits& waits);
+  Server(Loop& loop, const Config& config, const Waits& waits) : Server(loop, config, waits, Place()) {}
+  Server(Loop& loop, const Config& config, const Waits& waits, const Place& place);
   ~Server();
 
   void shut_down();  // as on SIGTERM
@@ -64,6 +77,14 @@
   void take(RequestId request, Ask ask, const Way& way, std::shared_ptr<const Message> message);
   std::shared_ptr<Pool> close(RequestId request);
   bool ready() const;
+  bool could_serve() const;
+  bool two_run() const;
+  void look_if_it_could_serve();
+  void wait_for_successor();
+  void successor_serves();
+  void successor_gone();
+  void trim();
+  void look_at_bans();
   limits::Descriptors descriptors() const;
   int most_streams() const;
   // Frees a descriptor where that is to be; whether there is one.
@@ -80,6 +101,7 @@
   const Config& config_;  // as at the start
   Limits limits_;
   Shape shape_;  // of the file in force
+  const Place place_;
   const Waits waits_;
   std::vector<std::shared_ptr<Pool>>
       pools_;                               // all that live: in force, pending, or left with something to do
@@ -87,6 +109,12 @@
   std::optional<Pending> pending_;
   std::unordered_map<RequestId, std::shared_ptr<Pool>> with_;
   std::unique_ptr<Front> front_;
+  std::unique_ptr<handover::BanFile> ban_file_;
+  std::unique_ptr<handover::Successor> predecessor_;   // the process before this one
+  std::unique_ptr<handover::Predecessor> successors_;  // where the next one comes
+  bool replaced_ = false;                              // it came, and takes clients
+  Loop::TimerId look_bans_ = 0;
+  Loop::TimerId look_serving_ = 0;
   std::unique_ptr<Door> door_;  // only where the configuration names one
   manage::BanSet bans_;
   manage::Drain drain_;
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,141 @@
+// What passes to the process that replaces one: the listening socket with those who wait in it, the list, the
+// bans.
+#include "handover/handover.h"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <future>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+#include "handover/ban_file.h"
+#include "peer.h"
+
+namespace shorelead::handover {
+namespace {
+
+// A folder of the test's own, gone with it.
+struct Folder {
+  std::string path = [] {
+    std::string name = testing::TempDir() + "shorelead-XXXXXX";
+    return std::string(::mkdtemp(name.data()));
+  }();
+  ~Folder() { std::system(("rm -rf " + path).c_str()); }
+  std::string at(const std::string& name) const { return path + "/" + name; }
+};
+
+// A predecessor with a loop in a thread of its own.
+struct Old {
+  Folder folder;
+  node::Peer clients;  // the listening socket
+  net::Loop loop;
+  std::string refusal;
+  std::promise<void> came, serves, gone;
+  Predecessor predecessor{loop,
+                          folder.at("s"),
+                          {[this] { return listening(); }, [] { return std::string(R"({"a":"list"})"); },
+                           [this] { return refusal; }, [this] { came.set_value(); },
+                           [this] { serves.set_value(); }, [this] { gone.set_value(); }}};
+  std::thread thread{[this] { loop.run(); }};
+  int listening() const { return clients.fd(); }
+  ~Old() {
+    loop.stop();
+    thread.join();
+  }
+};
+
+TEST(Handover, WhoWaitsInTheOldQueueIsTakenByTheNewProcess) {
+  Old old;
+  node::Line waits = node::Line::connect(old.clients.port());
+  waits.write("x");
+  const auto legacy = ask(old.folder.at("s"), 5000);
+  ASSERT_TRUE(legacy);
+  EXPECT_EQ(legacy->list, R"({"a":"list"})");
+  old.came.get_future().wait();
+  old.clients.close();  // the old process lets go
+  node::Line taken(::accept(legacy->listener, nullptr, nullptr));
+  EXPECT_EQ(taken.some(), "x");
+  node::Line later = node::Line::connect(node::port_of(legacy->listener));
+  ::close(legacy->listener);
+  net::Loop loop;
+  Successor successor(loop, legacy->channel, [] {});
+  successor.say_serving();
+  old.serves.get_future().wait();
+}
+
+TEST(Handover, ASuccessorThatEndsBeforeItServesIsToldAndAnotherMayCome) {
+  Old old;
+  const auto first = ask(old.folder.at("s"), 5000);
+  ASSERT_TRUE(first);
+  old.came.get_future().wait();
+  EXPECT_THROW(ask(old.folder.at("s"), 5000), std::runtime_error);  // a third process
+  ::close(first->channel);
+  ::close(first->listener);
+  old.gone.get_future().wait();
+  old.came = std::promise<void>();
+  const auto second = ask(old.folder.at("s"), 5000);
+  ASSERT_TRUE(second);
+  ::close(second->channel);
+  ::close(second->listener);
+}
+
+TEST(Handover, NobodyThereOrARefusal) {
+  const Folder empty;
+  EXPECT_FALSE(ask(empty.at("s"), 1000));
+  Old old;
+  old.refusal = "two processes run already";
+  try {
+    ask(old.folder.at("s"), 5000);
+    ADD_FAILURE();
+  } catch (const std::runtime_error& error) {
+    EXPECT_NE(std::string(error.what()).find("two processes run already"), std::string::npos);
+  }
+}
+
+// Each process's calls hold at the other, whatever the order; what is not whole is named and not used.
+TEST(BanFile, BothProcessesSeeACallMadeToEither) {
+  const Folder folder;
+  BanFile one(folder.at("bans"));
+  BanFile two(folder.at("bans"));
+  std::string cause;
+  EXPECT_FALSE(one.read_if_new(cause));  // no file yet: nothing is out, and nothing is wrong
+  EXPECT_EQ(cause, "");
+  manage::BanSet of_one = one.change(
+      {}, [](auto& set) { set.disable("s-1", 10); }, cause);
+  manage::BanSet of_two = two.change(
+      {}, [](auto& set) { set.disable("s-2", 20); }, cause);
+  EXPECT_TRUE(of_two.out("s-1")) << "what the other was told is not undone";
+  EXPECT_FALSE(two.read_if_new(cause)) << "its own change is no news";
+  const auto seen = one.read_if_new(cause);
+  ASSERT_TRUE(seen);
+  EXPECT_TRUE(seen->out("s-1") && seen->out("s-2"));
+  two.change(
+      of_two, [](auto& set) { set.enable("s-1", 30); }, cause);
+  EXPECT_FALSE(one.read_if_new(cause)->out("s-1"));
+  std::ofstream(folder.at("bans")) << "something else\n";
+  EXPECT_FALSE(one.read_if_new(cause));
+  EXPECT_NE(cause.find("is no file of bans"), std::string::npos) << cause;
+  cause.clear();
+  EXPECT_FALSE(one.read_if_new(cause));
+  EXPECT_EQ(cause, "") << "named once";
+  of_one = one.change(
+      *seen, [](auto& set) { set.disable("s-3", 40); }, cause);
+  EXPECT_TRUE(of_one.out("s-1") && of_one.out("s-3")) << "goes on from what it knows";
+}
+
+TEST(BanFile, AFolderThatCannotBeWrittenIsNamedAndTheBanHoldsHere) {
+  BanFile file("/nowhere/at/all/bans");
+  std::string cause;
+  EXPECT_TRUE(file.change(
+                      {}, [](auto& set) { set.disable("s-1", 10); }, cause)
+                  .out("s-1"));
+  EXPECT_NE(cause.find("/nowhere/at/all/bans"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace shorelead::handover
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -12,11 +12,12 @@
   [subset]="base subset"
   [limits]="base limits"
   [manage]="base manage"
+  [handover]="base net manage handover"
   [language]="base language"
   [routing]="base routing"
   [settings]="base policy settings"
   [membership]="base net membership"
-  [node]="base policy settings subset limits language manage routing membership net node"
+  [node]="base policy settings subset limits language manage handover routing membership net node"
   [drill]="base policy settings drill"
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -97,6 +97,13 @@
   std::string text_;
 };
 
+inline unsigned short port_of(int fd) {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  return ntohs(at.sin_port);
+}
+
 class Peer {
  public:
   explicit Peer(int backlog = 64) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
@@ -120,12 +127,8 @@
     return fd < 0 ? std::nullopt : std::optional<Line>(fd);
   }
   void stop() { ::shutdown(fd_, SHUT_RDWR); }
-  unsigned short port() const {
-    sockaddr_in at{};
-    socklen_t size = sizeof at;
-    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
-    return ntohs(at.sin_port);
-  }
+  int fd() const { return fd_; }
+  unsigned short port() const { return port_of(fd_); }
   std::string dial() const { return "127.0.0.1:" + std::to_string(port()); }
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
