--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -108,8 +108,8 @@
   state_ = State::kHead;
   head_ = Head{};
   scan_ = head_size_ = at_ = 0;
-  chunked_ = until_close_ = false;
-  length_ = body_size_ = chunk_left_ = 0;
+  chunked_ = until_close_ = false;  // what was asked stays as it was: interim answers come before it
+  length_ = body_size_ = chunk_left_ = taken_ = 0;
   decoded_.clear();
   chunk_ = Chunk::kSize;
   refusal_ = 400;
@@ -128,15 +128,34 @@
   if (chunked_) return advance_chunks(buffer);
   const std::size_t come = buffer.size() - head_size_;
   if (until_close_) {
-    if (come > most_body_) return bad(413, "body too large");
+    if (taken_ + come > most_length_) return bad(413, "body too large");
     at_ = buffer.size();
     return state_;
   }
-  at_ = head_size_ + std::min(come, length_);
-  if (come >= length_) state_ = State::kDone;
+  const std::uint64_t left = length_ - taken_;
+  at_ = head_size_ + static_cast<std::size_t>(std::min<std::uint64_t>(come, left));
+  if (come >= left) state_ = State::kDone;
   return state_;
 }
 
+bool Parser::large() const {
+  if (!has_head()) return false;
+  const std::size_t here = chunked_ ? decoded_.size() : at_ - head_size_;
+  return length_ > most_body_ || here > most_body_;
+}
+
+std::optional<std::uint64_t> Parser::length() const {
+  return chunked_ || until_close_ ? std::nullopt : std::optional(length_);
+}
+
+std::string Parser::take_body(std::string& buffer) {
+  std::string taken = chunked_ ? std::exchange(decoded_, {}) : buffer.substr(head_size_, at_ - head_size_);
+  buffer.erase(head_size_, at_ - head_size_);
+  at_ = head_size_;
+  taken_ += taken.size();
+  return taken;
+}
+
 Parser::State Parser::finish() {
   if (state_ == State::kBody && until_close_) return state_ = State::kDone;
   return state_ == State::kDone ? state_ : bad(400, "cut short");
@@ -261,7 +280,8 @@
     if (head_.minor == 0 || !same_name(encoding->value.in(buffer), "chunked")) {
       return bad(400, "unknown Transfer-Encoding"), false;
     }
-    chunked_ = true;
+    chunked_ = !no_body_;
+    if (no_body_) state_ = State::kDone;
     return true;
   }
   if (length != nullptr) {
@@ -269,11 +289,11 @@
     const auto value = parse_whole(text);
     const bool digits = std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
     if (!digits || text.empty()) return bad(400, "bad Content-Length"), false;
-    if (!value || *value > most_body_) return bad(413, "body too large"), false;
-    length_ = static_cast<std::size_t>(*value);
+    if (!value || *value > most_length_) return bad(413, "body too large"), false;
+    length_ = *value;
   }
   if (kind_ == Kind::kResponse) {
-    const bool bodiless = head_.status < 200 || head_.status == 204 || head_.status == 304;
+    const bool bodiless = no_body_ || head_.status < 200 || head_.status == 204 || head_.status == 304;
     if (bodiless) length_ = 0;
     until_close_ = length == nullptr && !bodiless;
     if (until_close_) head_.keep_alive = false;
@@ -284,7 +304,7 @@
 Parser::State Parser::advance_chunks(std::string_view buffer) {
   while (true) {
     if (chunk_ == Chunk::kData) {
-      const std::size_t take = std::min(chunk_left_, buffer.size() - at_);
+      const auto take = static_cast<std::size_t>(std::min<std::uint64_t>(chunk_left_, buffer.size() - at_));
       decoded_.append(buffer.substr(at_, take));
       at_ += take;
       chunk_left_ -= take;
@@ -305,10 +325,10 @@
     switch (chunk_) {
       case Chunk::kSize: {
         const std::string_view digits = line.substr(0, std::min(line.find(';'), line.size()));
-        std::size_t size = 0;
+        std::uint64_t size = 0;
         const auto [rest, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
         if (error != std::errc() || rest != digits.data() + digits.size()) return bad(400, "bad chunk");
-        if (size > most_body_ || body_size_ + size > most_body_) return bad(413, "body too large");
+        if (size > most_length_ || body_size_ + size > most_length_) return bad(413, "body too large");
         body_size_ += size;
         chunk_left_ = size;
         chunk_ = size > 0 ? Chunk::kData : Chunk::kTrailer;
@@ -328,7 +348,7 @@
 }
 
 std::string Parser::take_decoded() {
-  body_size_ -= std::min(body_size_, decoded_.size());
+  body_size_ -= std::min<std::uint64_t>(body_size_, decoded_.size());
   return std::exchange(decoded_, {});
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -5,15 +5,20 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "net/flow.h"
+
 namespace shorelead::net {
 
 constexpr std::size_t kMostHead = 16384;
-constexpr std::size_t kMostBody = 65536;
+constexpr std::size_t kMostBody = 65536;                    // kept whole
+constexpr std::uint64_t kMostLength = 64ULL * 1024 * 1024;  // and of a request's body at all
+constexpr std::uint64_t kAnyLength = 1ULL << 50;            // of an answer's: the backend's own affair
 
 // A place in the buffer that a message is parsed in; it stays right when the buffer grows or moves.
 struct Place {
@@ -47,8 +52,13 @@
   enum class Kind { kRequest, kResponse };
   enum class State { kHead, kBody, kDone, kBad };
 
-  explicit Parser(Kind kind, std::size_t most_body = kMostBody) : kind_(kind), most_body_(most_body) {}
+  // A body may be `most_body` long where it is kept whole. Up to `most_length` it is taken as well, but by
+  // parts: once large() says so, whoever reads it takes them with take_body().
+  explicit Parser(Kind kind, std::size_t most_body = kMostBody, std::uint64_t most_length = 0)
+      : kind_(kind), most_body_(most_body), most_length_(most_length > 0 ? most_length : most_body) {}
   void reset();
+  // Of a response: it is one to HEAD, so its head is all, whatever that says of a body.
+  void expect_no_body() { no_body_ = true; }
 
   State advance(std::string_view buffer);
   // The other side closed: completes a body that lasts until then; anything else unfinished is cut short.
@@ -64,6 +74,13 @@
   int refusal() const { return refusal_; }      // when bad: the status a request is refused with
   const char* cause() const { return cause_; }  // and why
 
+  // The body is longer than is kept whole, or what came of it is.
+  bool large() const;
+  // Its length, where the head tells.
+  std::optional<std::uint64_t> length() const;
+  // What has come of the body since the last call; goes out of the buffer, with its framing.
+  std::string take_body(std::string& buffer);
+
   // For a chunked body without end: what was decoded since the last call, and how many bytes after the head
   // it took; the caller drops those from its buffer.
   std::string take_decoded();
@@ -80,6 +97,7 @@
 
   Kind kind_;
   std::size_t most_body_;
+  std::uint64_t most_length_;
   State state_ = State::kHead;
   Head head_;
   std::size_t scan_ = 0;  // no end of the head before this
@@ -88,11 +106,13 @@
   // body
   bool chunked_ = false;
   bool until_close_ = false;
-  std::size_t length_ = 0;
-  std::size_t body_size_ = 0;
+  bool no_body_ = false;
+  std::uint64_t length_ = 0;
+  std::uint64_t taken_ = 0;      // of the body, with take_body()
+  std::uint64_t body_size_ = 0;  // of a chunked one, as far as sizes have come
   std::string decoded_;
   enum class Chunk { kSize, kData, kDataEnd, kTrailer } chunk_ = Chunk::kSize;
-  std::size_t chunk_left_ = 0;
+  std::uint64_t chunk_left_ = 0;
   int refusal_ = 400;
   const char* cause_ = "";
 };
@@ -104,8 +124,10 @@
 // One message with the bytes that it was parsed from.
 struct Message {
   explicit Message(Parser::Kind kind) : parser(kind) {}
+  Message(Parser::Kind kind, std::uint64_t most_length) : parser(kind, kMostBody, most_length) {}
   std::string raw;
   Parser parser;
+  std::shared_ptr<Flow> flow;  // the body, where it is not whole here
   const Head& head() const { return parser.head(); }
   std::string_view value(std::string_view name) const { return head().value(raw, name); }
   std::string_view body() const { return parser.body(raw); }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -150,6 +150,15 @@
   return true;
 }
 
+void Stream::reset_on_close() {
+  const linger hard{1, 0};
+  if (open()) ::setsockopt(fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+}
+
+void Stream::set_send_buffer(int bytes) {
+  if (open()) ::setsockopt(fd(), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 void Stream::close_sending() {
   if (open()) ::shutdown(fd(), SHUT_WR);
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -69,6 +69,7 @@
   Ending failure() const { return failure_; }  // of a stream that could not even be begun
 
   std::string& input() { return input_; }
+  std::size_t held() const { return input_.size(); }
   // Holds back, or again takes, what the other side sends; its end is not noticed meanwhile.
   void want_input(bool wanted);
 
@@ -88,7 +89,9 @@
   bool ended() const;
   // Closes if quiet, with next to no time in between: what came in then would be lost. False if it is not.
   bool close_quiet();
-  void close_sending();  // the other side sees the end; what it sends is still taken
+  void reset_on_close();            // the other side is to see that it was no orderly end
+  void set_send_buffer(int bytes);  // the system's
+  void close_sending();             // the other side sees the end; what it sends is still taken
   void close();
 
   static int open_count() { return open_count_; }
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -16,6 +16,9 @@
 // its last attempt, which falls on the same moment, is told to the module first.
 constexpr Millis kAfterDue = 1;
 
+// Of a request whose body is still coming.
+constexpr Millis kNotDue = 1e15;
+
 // Changes of the fleet are gathered for so long before a subset is drawn anew, since a drawing costs by the
 // fleet. A member that drains is told to the module at once; who takes its place comes well before its grace
 // ends.
@@ -103,9 +106,10 @@
 }
 
 Choice Facade::pick(RequestId request, const Ask& ask, Millis now) {
-  requests_[request].due = ask.due;
+  const Millis due = ask.body_comes ? kNotDue : ask.due;
+  requests_[request].due = due;
   requests_[request].most_attempts = settings_.max_attempts;
-  deadlines_.emplace(ask.due + kAfterDue, request);
+  deadlines_.emplace(due + kAfterDue, request);
   RequestArrived event;
   event.request = request;
   event.request_class = ask.request_class;
@@ -429,6 +433,15 @@
   feed(ListUpdate{ListKind::kFailed, {}}, now);
 }
 
+void Facade::body_whole(RequestId request, Millis due) {
+  const auto it = requests_.find(request);
+  if (it == requests_.end()) return;
+  deadlines_.erase({it->second.due + kAfterDue, request});
+  it->second.due = due;
+  if (!it->second.over) deadlines_.emplace(due + kAfterDue, request);
+  if (wake_) wake_();
+}
+
 void Facade::report_client_gone(RequestId request, Millis now) {
   const auto it = requests_.find(request);
   if (it == requests_.end() || it->second.over) return;
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -27,6 +27,8 @@
   Millis due = 0;
   double expected_work = -1;
   bool client_retry = false;
+  bool body_comes =
+      false;  // by parts: its time counts from body_whole(), and until then there is no due time
 };
 
 // What is to be done about a request now.
@@ -106,6 +108,7 @@
   // does.
   std::vector<BackendId> report_bans(const manage::BanSet& bans, Millis now);
   void report_watch_ended(Millis now);
+  void body_whole(RequestId request, Millis due);
   void report_client_gone(RequestId request, Millis now);
   Errands tick(Millis now);
 
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t kMostAhead = 131072;  // bytes taken of what follows the request at hand
 constexpr std::size_t kMostLeft = 1048576;  // and of what follows the last answer
 constexpr int kBacklog = 1024;
+constexpr double kLeastRate = 32;      // bytes a ms: of a body, what a client has to bring on the whole
+constexpr Millis kStandstill = 10000;  // for which a client may take nothing of an answer
+constexpr int kSendBuffer = 131072;    // the system's, for a large answer: else megabytes would count as gone
 constexpr std::size_t kMostPast = 16;  // generations kept for repeats; beyond, the oldest is forgotten
 
 const char* reason(int status) {
@@ -53,7 +56,7 @@
 
 class Front::Client : public Stream::Handler {
  public:
-  enum class State { kReading, kWaiting, kClosing };
+  enum class State { kReading, kWaiting, kPassing, kClosing };
 
   Client(Front& owner, int fd) : owner(owner), stream(owner.loop_, *this, fd) {
     last_used = input_at = owner.loop_.now();
@@ -73,12 +76,14 @@
     if (state == State::kClosing) {
       left += stream.input().size();
       stream.input().clear();
+      input_at = owner.loop_.now();
       // Guards against work for a client that sends on without end.
-      if (left > kMostLeft) owner.forget(*this);
+      if (left > most_left) owner.forget(*this);
       return;
     }
     input_at = owner.loop_.now() - stream.waited();
     if (state == State::kReading) return read();
+    if (uploading()) return take_upload();
     if (stream.input().size() > kMostAhead) stream.want_input(false);
   }
 
@@ -96,6 +101,7 @@
         const std::array<std::string_view, 1> pieces = {"HTTP/1.1 100 Continue\r\n\r\n"};
         stream.send(pieces);
       }
+      if (parsed == Parser::State::kBody && message->parser.large()) begin_upload();
       return;
     }
     // Guards against sending on for a client that left while its request lay unread: that end came right
@@ -117,6 +123,130 @@
     owner.begin(*this);
   }
 
+  // ---- a request's body that comes by parts ----
+
+  bool uploading() const { return upload != nullptr && !upload->ended(); }
+
+  void begin_upload() {
+    if (stream.ended()) {
+      ++owner.counters_.left_early;
+      return owner.forget(*this);
+    }
+    used = true;
+    stand_unused(false);
+    state = State::kWaiting;
+    most_left = net::kMostLength;
+    const auto& flows = owner.listener_.flows;
+    // Never sent on, so trying again is harmless.
+    if (!flows || !flows->room())
+      return answer(flows ? 503 : 413, "no memory for one more large body", 0, true);
+    message->raw = std::exchange(stream.input(), {});
+    std::string first = message->parser.take_body(message->raw);
+    keep_alive = message->head().keep_alive;
+    upload = message->flow = std::make_shared<net::Flow>(flows, message->parser.length());
+    upload->put(std::move(first));
+    upload->set_source({[this] {
+                          held += owner.loop_.now() - std::exchange(held_at, 0);
+                          stream.want_input(true);
+                        },
+                        {}});
+    owner.begin(*this);
+  }
+
+  void take_upload() {
+    const std::shared_ptr<Client> hold = owner.clients_.at(this);
+    const std::shared_ptr<net::Flow> flow = upload;
+    message->raw += std::exchange(stream.input(), {});
+    const Parser::State parsed = message->parser.advance(message->raw);
+    if (parsed == Parser::State::kBad) {
+      return owner.spoil(*this, message->parser.refusal(), message->parser.cause());
+    }
+    std::string part = message->parser.take_body(message->raw);
+    if (parsed == Parser::State::kDone) {
+      stream.input() = message->raw.substr(message->parser.size());
+      message->raw.resize(message->parser.size());
+      owner.whole(*this);
+      flow->put(std::move(part));
+      return flow->end();
+    }
+    flow->put(std::move(part));
+    if (!flow->full() || !uploading()) return;
+    held_at = owner.loop_.now();
+    stream.want_input(false);
+  }
+
+  // Whether the client brings less than the least rate, for what it has brought so far; while this node holds
+  // it back, time stands.
+  bool slow(Millis now) const {
+    if (held_at > 0) return false;
+    const auto come = static_cast<double>(upload ? upload->passed() : stream.held());
+    return now - begun_at - held >= owner.waits_.request + come / kLeastRate;
+  }
+
+  // ---- an answer that is passed on while it comes ----
+
+  void pass_on(const Message& answer, const std::shared_ptr<net::Flow>& flow) {
+    ++owner.counters_.by_status[200];
+    std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
+    pass_fields(answer.head(), answer.raw, pieces);
+    chunked = !flow->length() && message->head().minor == 1;
+    std::string own;
+    if (flow->length()) own = "Content-Length: " + std::to_string(*flow->length()) + "\r\n";
+    if (chunked) own = "Transfer-Encoding: chunked\r\n";
+    // Without a length and chunks the end of the connection is the end of the body.
+    last_here = last() || (!flow->length() && !chunked);
+    if (last_here) own += "Connection: close\r\n";
+    own += "\r\n";
+    pieces.push_back(own);
+    state = State::kPassing;
+    download = flow;
+    moved_at = owner.loop_.now();
+    stream.set_send_buffer(kSendBuffer);
+    stream.send(pieces);
+    download->set_sink({[this] { pump(); }, [this] { pump(); }});
+    pump();
+  }
+
+  void pump() {
+    if (state != State::kPassing || !stream.open() || !stream.flushed()) return;
+    const std::shared_ptr<net::Flow> flow = download;
+    const std::string part = flow->take();
+    const bool last_part = flow->ended() && flow->empty();
+    if (!part.empty() || last_part) {
+      moved_at = owner.loop_.now();
+      std::array<char, 32> size{};
+      std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+      std::array<std::string_view, 4> pieces{};
+      if (chunked && !part.empty()) pieces = {size.data(), part, "\r\n", last_part ? "0\r\n\r\n" : ""};
+      if (chunked && part.empty()) pieces[0] = "0\r\n\r\n";
+      if (!chunked) pieces[0] = part;
+      stream.send(pieces);
+    }
+    if (last_part) {
+      owner.release(*this, manage::End::kPassed);
+      return answered(last_here);
+    }
+    if (!flow->was_cut() || !stream.flushed()) return;
+    // The client must see that it is not whole: an end of the connection alone may be one of the body.
+    owner.release(*this, manage::End::kBadGateway);
+    if (!flow->length() && !chunked) stream.reset_on_close();
+    owner.forget(*this);
+  }
+
+  // Both bodies end with the request or the connection.
+  void leave_bodies() {
+    if (upload) {
+      upload->set_source({});
+      upload->cut();
+      upload.reset();
+    }
+    if (download) {
+      download->clear_sink();
+      download->leave();
+      download.reset();
+    }
+  }
+
   void answer(int status, std::string_view words, Millis wait, bool end) {
     ++owner.counters_.by_status[status];
     if (status / 100 == 4) ++owner.counters_.malformed;
@@ -141,6 +271,10 @@
     std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
     pass_fields(message.head(), message.raw, pieces);
     std::string own = "Content-Length: " + std::to_string(message.body().size()) + "\r\n";
+    if (this->message->head().method.in(this->message->raw) == "HEAD") {
+      const std::string_view stated = message.value("content-length");
+      own = stated.empty() ? std::string() : "Content-Length: " + std::string(stated) + "\r\n";
+    }
     const bool bye = last();
     if (bye) own += "Connection: close\r\n";
     own += "\r\n";
@@ -156,8 +290,8 @@
   // would soon hold all that they may, and leave none to those who come and go.
   bool last() const {
     const bool stays = !answered_before && owner.listener_.many_unused(owner.unused_);
-    return !keep_alive || owner.drain_ != manage::DrainState::kServing || owner.paused_ || stays ||
-           owner.listener_.crowded();
+    return !keep_alive || uploading() || owner.drain_ != manage::DrainState::kServing || owner.paused_ ||
+           stays || owner.listener_.crowded();
   }
 
   // Counts this connection among those that have asked and now stand unused, or no longer.
@@ -168,8 +302,9 @@
   }
 
   void answered(bool bye) {
+    leave_bodies();
     request = 0;
-    begun_at = 0;
+    begun_at = held = held_at = 0;
     told_to_go_on = false;
     last_used = owner.loop_.now();
     answered_before = true;
@@ -183,7 +318,7 @@
     }
     state = State::kReading;
     if (owner.paused_) owner.loop_.later([&front = owner] { front.look_for_room(); });
-    message = std::make_shared<Message>(Parser::Kind::kRequest);
+    message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMostLength);
     stream.want_input(true);
     if (!stream.input().empty()) {
       // The next request has come already; not from within this one's answer.
@@ -194,6 +329,7 @@
   }
 
   void on_flushed(Stream&) override {
+    if (state == State::kPassing) return pump();
     if (state == State::kClosing) stream.close_sending();
   }
 
@@ -206,13 +342,14 @@
       if (gone != 0) owner.listener_.gone(gone);
       return;
     }
+    if (state == State::kPassing) owner.release(*this, manage::End::kLeft);
     owner.forget(*this);
   }
 
   Front& owner;
   Stream stream;
   State state = State::kReading;
-  std::shared_ptr<Message> message = std::make_shared<Message>(Parser::Kind::kRequest);
+  std::shared_ptr<Message> message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMostLength);
   RequestId request = 0;
   std::string class_name;  // of that request
   bool keep_alive = true;
@@ -224,6 +361,16 @@
   Millis input_at = 0;  // when the system took in what was read last
   Millis last_used = 0;
   std::size_t left = 0;  // bytes that came after the last answer
+  std::size_t most_left = kMostLeft;
+  bool taken = false;                   // the request is in the ledger
+  Millis wait = 0;                      // that its client named
+  std::shared_ptr<net::Flow> upload;    // its body
+  Millis held = 0;                      // for so long this node held the body back
+  Millis held_at = 0;                   // and does since then
+  std::shared_ptr<net::Flow> download;  // the answer's
+  bool chunked = false;                 // and how it goes on
+  bool last_here = false;
+  Millis moved_at = 0;
 };
 
 Front::Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener,
@@ -315,11 +462,15 @@
     return client.answer(409, "a request with this X-Request-ID is open", 0, false);
   }
   const Millis wait = ask.due;
-  ask.due = client.begun_at + wait - std::min(kTransit, kTransitShare * wait);
+  // From its last byte, which came with what was read last.
+  client.wait = wait - std::min(kTransit, kTransitShare * wait);
+  ask.due = client.input_at + client.wait;
+  ask.body_comes = client.uploading();
   client.request = ++last_request_;
   waiting_[client.request] = &client;
   client.class_name = way.traffic->names[static_cast<std::size_t>(way.request_class)];
-  ledger_.taken(client.class_name);
+  client.taken = false;
+  if (!client.uploading()) take(client);
   listener_.request(client.request, ask, way, client.message);
 }
 
@@ -390,7 +541,7 @@
   const std::string_view method = head.method.in(raw);
   const bool keyed = !message.value("idempotency-key").empty();
   const bool fits = request_class.effect == Effect::kSafe
-                        ? method == "GET"
+                        ? method == "GET" || method == "HEAD"
                         : method == "POST" && keyed == (request_class.effect == Effect::kKeyed);
   if (!fits) return cause = "method or Idempotency-Key does not fit the class", 400;
   if (request_class.effect == Effect::kSafe && !message.body().empty()) {
@@ -425,16 +576,39 @@
 }
 
 // The request at hand has its answer, or nobody waits for it any more.
-void Front::release(const Client& client, manage::End end) {
+void Front::release(Client& client, manage::End end) {
   if (waiting_.erase(client.request) == 0) return;
-  ledger_.ended(client.class_name, end);
+  // One that was never whole and has no answer was none.
+  if (!client.taken && end != manage::End::kLeft) take(client);
+  if (std::exchange(client.taken, false)) ledger_.ended(client.class_name, end);
   open_ids_.erase(std::string(client.message->value("x-request-id")));
 }
 
-void Front::serve(RequestId request, const Message& answer) {
+void Front::take(Client& client) {
+  client.taken = true;
+  ledger_.taken(client.class_name);
+}
+
+void Front::whole(Client& client) {
+  if (waiting_.count(client.request) == 0) return;
+  take(client);
+  listener_.body_whole(client.request, client.input_at + client.wait);
+}
+
+// What came of the request at hand cannot become one, or takes too long: nothing of it may run.
+void Front::spoil(Client& client, int status, const char* cause) {
+  const RequestId gone = client.request;
+  release(client, manage::End::kLeft);
+  client.upload->cut();
+  client.answer(status, cause, 0, true);
+  if (gone != 0) listener_.gone(gone);
+}
+
+void Front::serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow) {
   const auto it = waiting_.find(request);
   if (it == waiting_.end()) return;
   Client& client = *it->second;
+  if (flow) return client.pass_on(answer, flow);
   release(client, manage::End::kPassed);
   client.pass(answer);
 }
@@ -505,6 +679,7 @@
 // Closes a connection; it is freed once the handler at hand, which may be its own, is done.
 void Front::forget(Client& client) {
   client.stream.close();
+  client.leave_bodies();
   client.stand_unused(false);
   const auto it = clients_.find(&client);
   if (it == clients_.end()) return;
@@ -514,9 +689,16 @@
 }
 
 bool Front::overdue(const Client& client, Millis now) const {
-  if (client.state == Client::State::kWaiting) return false;
-  if (client.state == Client::State::kClosing) return now - client.last_used >= kLinger;
-  if (client.begun_at > 0) return now - client.begun_at >= waits_.request;
+  if (client.state == Client::State::kWaiting) return client.uploading() && client.slow(now);
+  if (client.state == Client::State::kPassing)
+    return !client.stream.flushed() && now - client.moved_at >= kStandstill;
+  if (client.state == Client::State::kClosing) {
+    // One that was answered in the middle of its body may have to send for a while before it reads.
+    return now - (client.most_left > kMostLeft ? std::max(client.last_used, client.input_at)
+                                               : client.last_used) >=
+           kLinger;
+  }
+  if (client.begun_at > 0) return client.slow(now);
   if (drain_ == manage::DrainState::kDrained) return client.used || now - client.last_used >= waits_.speak;
   const Millis most = !client.used ? waits_.request : listener_.roomy() ? waits_.idle : waits_.idle_crowded;
   return now - client.last_used >= most;
@@ -531,8 +713,11 @@
     if (overdue(*client, now)) found.push_back(hold);
   }
   for (const auto& client : found) {
-    if (client->state == Client::State::kClosing) {
+    if (client->state == Client::State::kClosing || client->state == Client::State::kPassing) {
+      release(*client, manage::End::kLeft);
       forget(*client);
+    } else if (client->state == Client::State::kWaiting) {
+      spoil(*client, 408, "the body does not come");
     } else if (client->begun_at > 0) {
       client->answer(408, "request did not come whole", 0, true);
     } else if (client->stream.close_quiet()) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -44,12 +44,16 @@
     std::function<bool(std::size_t)> many_unused;  // whether so many unused connections of clients are many
     std::function<bool()> roomy;                   // whether there is plenty of room
     std::function<bool()> make_room;               // whether one more client may be taken in
+    // A request that was handed over with its body still coming is whole; its client waits until `due`.
+    std::function<void(RequestId, Millis due)> body_whole = [](RequestId, Millis) {};
+    std::shared_ptr<net::FlowBudget> flows;  // for bodies not kept whole; none: those are refused
   };
 
   struct Waits {
-    // For the first request on a connection, and for the rest of one that has begun. Whoever sends none of it
-    // for so long has none, or never will have all of it.
-    Millis request = 2000;
+    // For the first request on a connection, and for the head of one that has begun; its body has as much
+    // longer as it takes at the least rate. Slower clients than those of two seconds for a head are taken for
+    // dead.
+    Millis request = 2500;
     Millis idle = 300000;        // for the next one
     Millis idle_crowded = 2000;  // the same where many connections are open
     Millis speak = 250;  // a new client that has said nothing for so long gives way where room is short
@@ -73,7 +77,7 @@
   ~Front() override;
 
   // Final answers. To a client that is gone they are nothing.
-  void serve(RequestId request, const Message& answer);
+  void serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow);  // flow: of its body
   void refuse(RequestId request, Millis wait);
   void fail(RequestId request, int status);
 
@@ -108,7 +112,10 @@
   void pause_accepting();
   void look_for_room();
   void begin(Client& client);  // the request at hand
-  void release(const Client& client, manage::End end);
+  void release(Client& client, manage::End end);
+  void take(Client& client);   // into the ledger, once its last byte has come
+  void whole(Client& client);  // the body that came by parts is
+  void spoil(Client& client, int status, const char* cause);
   int classify(const Message& message, Ask& ask, Way& way, const char*& cause) const;
   std::optional<Way> way_of(const Message& message, const std::shared_ptr<const Traffic>& traffic) const;
   std::optional<Way> way_of(const Message& message) const;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -26,7 +26,8 @@
 
 }  // namespace
 
-Pool::Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, Host host)
+Pool::Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, std::shared_ptr<net::FlowBudget> flows,
+           Host host)
     : loop_(loop),
       config_(config),
       host_(std::move(host)),
@@ -38,7 +39,7 @@
   });
   const auto purpose = [](bool probe) { return probe ? limits::Purpose::kProbe : limits::Purpose::kRequest; };
   upstream_ = std::make_unique<Upstream>(
-      loop_, config.settings.connect_timeout, config.host.idle_timeout,
+      loop_, config.settings.connect_timeout, config.host.idle_timeout, std::move(flows),
       Upstream::Listener{[this](RequestId request, int attempt, const Result& result) {
                            attempt_done(request, attempt, result);
                          },
@@ -237,7 +238,8 @@
   const auto it = open_.find(choice.request);
   switch (choice.kind) {
     case Choice::Kind::kSend:
-      if (it == open_.end()) {
+      // Of a body that comes by parts, what was given to one backend is not there for another.
+      if (it == open_.end() || (it->second.message->flow && it->second.message->flow->touched())) {
         Result result;
         return attempt_done(choice.request, choice.attempt, result);
       }
@@ -311,7 +313,7 @@
   const Choice choice = facade_.report(request, attempt, result.ending, result.elapsed,
                                        result.load ? &*result.load : nullptr, loop_.now());
   if (choice.kind == Choice::Kind::kPass) {
-    host_.serve(request, *result.answer);
+    host_.serve(request, *result.answer, result.flow);
     close(request);
     return;
   }
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -27,14 +27,15 @@
  public:
   // What a pool needs of the node. Each request gets one of the three answers, unless gone() came first.
   struct Host {
-    std::function<void(RequestId, const Message&)> serve;
+    std::function<void(RequestId, const Message&, std::shared_ptr<net::Flow>)> serve;
     std::function<void(RequestId, Millis wait)> refuse;
     std::function<void(RequestId, int status)> fail;
     std::function<bool(limits::Purpose)> make_room;
     std::function<bool(limits::Purpose)> keep;
   };
 
-  Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, Host host);
+  Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, std::shared_ptr<net::FlowBudget> flows,
+       Host host);
   ~Pool();
   Pool(const Pool&) = delete;
   Pool& operator=(const Pool&) = delete;
@@ -42,6 +43,8 @@
   void start();
   void request(RequestId request, const Ask& ask, std::shared_ptr<const Message> message);
   void gone(RequestId request);  // its client is
+  // The body of one that came by parts is whole now; its client waits until `due`.
+  void body_whole(RequestId request, Millis due) { facade_.body_whole(request, due); }
 
   // Whether a pool that is told so may go on as it is, with what it has learnt; then follow() brings it
   // there.
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -9,9 +9,11 @@
 namespace {
 
 constexpr int kOwnDescriptors =
-    32;                      // standard streams, reactor, timers, signals, listener, watch, some spare
-constexpr int kCrowded = 8;  // room is short when less than one in so many descriptors is free
-constexpr int kRoomy = 2;    // and plentiful when less than one in so many is in use
+    32;  // standard streams, reactor, timers, signals, listener, watch, some spare
+constexpr double kFlowShare = 0.25;    // of the node's memory, for bodies that are not kept whole
+constexpr double kMemoryUntold = 256;  // MB, where the configuration does not tell
+constexpr int kCrowded = 8;            // room is short when less than one in so many descriptors is free
+constexpr int kRoomy = 2;              // and plentiful when less than one in so many is in use
 constexpr int kManyUnused =
     6;  // unused clients' connections are many where they take more than one in so many
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
@@ -35,6 +37,7 @@
       place_(place),
       waits_(waits),
       started_(loop.now()) {
+  flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
   Pending first = make_traffic(config);
   traffic_ = first.traffic;
   Front::Entry entry(config.listen);
@@ -53,15 +56,22 @@
           [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
-          [this] { return make_room(limits::Purpose::kClient); }});
+          [this] { return make_room(limits::Purpose::kClient); },
+          [this](RequestId request, Millis due) {
+            const auto it = with_.find(request);
+            if (it != with_.end()) it->second->body_whole(request, due);
+          },
+          flows_});
   if (!place_.folder.empty()) {
     ban_file_ = std::make_unique<handover::BanFile>(place_.bans());
     look_at_bans();
   }
   for (const auto& pool : pools_) pool->start();
   if (place_.legacy) {
-    predecessor_ = std::make_unique<handover::Successor>(
-        loop_, place_.legacy->channel, [this] { spdlog::info("the process before this one has ended"); });
+    predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, [this] {
+      spdlog::info("the process before this one has ended");
+      flows_->state(flow_bytes());
+    });
     front_->hold(true);
     look_if_it_could_serve();
   } else {
@@ -83,9 +93,9 @@
 
 std::shared_ptr<Pool> Server::make_pool(const PoolConfig& config, const Config& whole) {
   Pool::Host host;
-  host.serve = [this](RequestId request, const Message& answer) {
+  host.serve = [this](RequestId request, const Message& answer, const std::shared_ptr<net::Flow>& flow) {
     close(request);
-    front_->serve(request, answer);
+    front_->serve(request, answer, flow);
   };
   host.refuse = [this](RequestId request, Millis wait) {
     close(request);
@@ -99,7 +109,7 @@
   host.keep = [this](limits::Purpose purpose) { return descriptors().keep(purpose, descriptors_now()); };
   // Pools of one node must not draw the same numbers; a node of one pool draws as it always has.
   const std::uint64_t seed = whole.pools.size() <= 1 ? whole.seed : whole.seed ^ subset::hash_of(config.name);
-  return std::make_shared<Pool>(loop_, config, seed, std::move(host));
+  return std::make_shared<Pool>(loop_, config, seed, flows_, std::move(host));
 }
 
 // Pools that are told as they are now go on, under another name if need be; the others are made.
@@ -243,6 +253,11 @@
   return all - kOwnDescriptors - (config_.door ? Door::kDescriptors : 0);
 }
 
+std::size_t Server::flow_bytes() const {
+  const double mb = limits_.memory_mb > 0 ? limits_.memory_mb : kMemoryUntold;
+  return static_cast<std::size_t>(mb * 1048576 * kFlowShare / (two_run() ? 2 : 1));
+}
+
 // Two processes are one node: each keeps to half of what it may hold.
 bool Server::two_run() const {
   return (successors_ && successors_->has_successor()) || (predecessor_ && predecessor_->predecessor_lives());
@@ -293,6 +308,7 @@
 void Server::successor_gone() {
   spdlog::warn("the successor has ended{}",
                replaced_ ? ", this process takes clients again" : " before it served");
+  flows_->state(flow_bytes());
   if (!std::exchange(replaced_, false) || !drain_.resume()) return;
   front_->hold(false);
   let_go();
@@ -300,6 +316,7 @@
 
 // Down to what it may hold from now on, as far as connections stand unused.
 void Server::trim() {
+  flows_->state(flow_bytes());
   while (Stream::open_count() > most_streams()) {
     if (!evict_of_pools() && !front_->evict_idle()) return;
   }
@@ -472,6 +489,7 @@
   }
   ++reloads_;
   limits_ = fresh->limits;
+  flows_->state(flow_bytes());
   if (fresh->pools.empty() && config_.pools.empty()) {
     // The platform's form: one pool, which goes on with what it has learnt.
     auto next = std::make_shared<Traffic>(*traffic_);
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -87,6 +87,7 @@
   void look_at_bans();
   limits::Descriptors descriptors() const;
   int most_streams() const;
+  std::size_t flow_bytes() const;
   // Frees a descriptor where that is to be; whether there is one.
   bool make_room(limits::Purpose purpose);
   bool evict_of_pools();
@@ -107,6 +108,7 @@
       pools_;                               // all that live: in force, pending, or left with something to do
   std::shared_ptr<const Traffic> traffic_;  // in force
   std::optional<Pending> pending_;
+  std::shared_ptr<net::FlowBudget> flows_;  // memory for bodies that are not kept whole
   std::unordered_map<RequestId, std::shared_ptr<Pool>> with_;
   std::unique_ptr<Front> front_;
   std::unique_ptr<handover::BanFile> ban_file_;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdio>
 #include <iterator>
 #include <map>
 #include <tuple>
@@ -22,6 +23,10 @@
 constexpr double kMedianStep = 1.1;      // by which one of them moves the median
 constexpr Millis kConnectTiniest = 0.1;  // and how low
 constexpr Millis kSweepEvery = 1000;
+constexpr Millis kStandstill = 30000;     // of an answer that has begun: then its backend will not go on
+constexpr Millis kLookAtBody = 250;       // how often a request's body that goes out is looked after
+constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of it
+constexpr int kSendBuffer = 131072;    // the system's, for a large body: else megabytes would count as gone
 constexpr double kMostLoad = 1e5;      // in any figure of a load report: no machine has so many in hand
 constexpr std::size_t kMostIdle = 32;  // connections kept for one backend
 // KeptRecord
@@ -124,10 +129,10 @@
        const std::optional<Poco::Net::SocketAddress>& address)
       : owner(owner), backend(backend), dial(std::move(dial)), stream(owner.loop_, *this, address) {}
 
-  bool idle() const { return stream.open() && job == nullptr; }
+  bool idle() const { return stream.open() && job == nullptr && answer_flow == nullptr; }
 
   void write_request() {
-    answer = Message(Parser::Kind::kResponse);
+    answer = Message(Parser::Kind::kResponse, net::kAnyLength);
     std::vector<std::string_view> pieces;
     std::string own;
     if (job->probe) {
@@ -141,7 +146,11 @@
       pass_fields(head, raw, pieces);
       const auto wait = static_cast<long>(std::ceil(std::max(1.0, job->until - owner.loop_.now())));
       own = "X-Timeout-Ms: " + std::to_string(wait) + "\r\n";
-      if (!message.body().empty() || head.method.in(raw) != "GET") {
+      if (head.method.in(raw) == "HEAD") answer.parser.expect_no_body();
+      if (message.flow) {
+        own += message.flow->length() ? "Content-Length: " + std::to_string(*message.flow->length()) + "\r\n"
+                                      : std::string("Transfer-Encoding: chunked\r\n");
+      } else if (!message.body().empty() || head.method.in(raw) != "GET") {
         own += "Content-Length: " + std::to_string(message.body().size()) + "\r\n";
       }
       own += "\r\n";
@@ -150,9 +159,53 @@
     }
     stream.send(pieces);
     asked = true;
+    if (!job->probe && job->message->flow) begin_body();
     note_written();
   }
 
+  // ---- a request's body that comes by parts ----
+
+  void begin_body() {
+    body = job->message->flow;
+    stream.set_send_buffer(kSendBuffer);
+    body->set_sink({[this] { send_body(); },
+                    [this] {
+                      // Its client left, or spoilt it: what the backend has is not whole, so it cannot run.
+                      owner.loop_.later([hold = shared_from_this(), serial = job ? job->serial : 0] {
+                        Link& link = *hold;
+                        if (link.job && link.job->serial == serial)
+                          link.owner.finish(link, Ending::kStoppedUnsent, nullptr, false);
+                      });
+                    }});
+    body_moved = owner.loop_.now();
+    send_body();
+  }
+
+  void send_body() {
+    if (!job || !body || body_sent || !stream.open() || !stream.flushed()) return;
+    const std::string part = body->take();
+    const bool chunked = !body->length();
+    const bool last = body->ended() && body->empty();
+    if (part.empty() && !last) return;
+    body_moved = owner.loop_.now();
+    body_sent = last;
+    std::array<char, 32> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    std::array<std::string_view, 4> pieces{};
+    if (chunked && !part.empty()) pieces = {size.data(), part, "\r\n", last ? "0\r\n\r\n" : ""};
+    if (chunked && part.empty()) pieces[0] = "0\r\n\r\n";
+    if (!chunked) pieces[0] = part;
+    stream.send(pieces);
+    if (last) owner.body_limit(shared_from_this());
+    note_written();
+  }
+
+  void leave_body() {
+    if (body) body->clear_sink();
+    body.reset();
+    body_sent = false;
+  }
+
   // Counts the attempt at hand once its last byte is written.
   void note_written() {
     if (!job || job->probe || job->counted || !written()) return;
@@ -160,10 +213,13 @@
     ++owner.written_;
   }
 
-  void on_flushed(Stream&) override { note_written(); }
+  void on_flushed(Stream&) override {
+    if (body && !body_sent) return send_body();
+    note_written();
+  }
 
   // Whether the backend can have begun what this link carries.
-  bool written() const { return asked && stream.flushed(); }
+  bool written() const { return asked && stream.flushed() && (!body || body_sent); }
 
   void on_connected(Stream&) override {
     if (!job) return;
@@ -171,7 +227,40 @@
     write_request();
   }
 
+  // ---- an answer that goes on coming while it is passed on ----
+
+  // Whether more is to come, or it has ended; tells the flow.
+  void flow_on() {
+    const std::shared_ptr<Link> hold = shared_from_this();
+    moved_at = owner.loop_.now();
+    answer.raw += std::exchange(stream.input(), {});
+    const Parser::State state = answer.parser.advance(answer.raw);
+    const std::shared_ptr<net::Flow> flow = answer_flow;
+    if (state != Parser::State::kBad) flow->put(answer.parser.take_body(answer.raw));
+    if (!answer_flow) return;  // nobody wants it any more
+    if (state == Parser::State::kBad) return end_flow(false);
+    if (state == Parser::State::kDone) return end_flow(true);
+    if (flow->full()) stream.want_input(false);
+  }
+
+  void end_flow(bool whole) {
+    const std::shared_ptr<Link> hold = shared_from_this();
+    const std::shared_ptr<net::Flow> flow = std::exchange(answer_flow, nullptr);
+    flow->set_source({});
+    owner.passing_ -= 1;
+    const bool keep = whole && answer.head().keep_alive && answer.raw.size() == answer.parser.size() &&
+                      clean && !withdrawn && stream.open() && owner.listener_.keep(false);
+    if (keep) {
+      stream.want_input(true);
+      owner.rest(*this);
+    } else {
+      owner.forget(*this);
+    }
+    whole ? flow->end() : flow->cut();
+  }
+
   void on_input(Stream&) override {
+    if (answer_flow) return flow_on();
     if (!job) return owner.forget(*this);  // it says something unasked: never to be used again
     answer.raw = std::exchange(stream.input(), {});
     Parser::State state = answer.parser.advance(answer.raw);
@@ -182,11 +271,16 @@
       state = answer.parser.advance(answer.raw);
     }
     if (state == Parser::State::kBad) return owner.finish(*this, Ending::kMalformed, nullptr, false);
+    const int status = answer.head().status;
+    if (state == Parser::State::kBody && answer.parser.large()) {
+      // Of any but a 200 the rest does not matter.
+      if (status != 200 || job->probe) return owner.finish(*this, judge(status), nullptr, false);
+      return owner.pass_on(*this);
+    }
     if (state != Parser::State::kDone) {
       stream.input() = std::move(answer.raw);
       return;
     }
-    const int status = answer.head().status;
     if (status == 101) return owner.finish(*this, Ending::kMalformed, nullptr, false);
     // Bytes beyond the answer leave it open what the next one would be.
     const bool keep = answer.head().keep_alive && answer.raw.size() == answer.parser.size() && written();
@@ -194,6 +288,9 @@
   }
 
   void on_end(Stream&, Ending ending) override {
+    if (answer_flow) {
+      return end_flow(ending == Ending::kPeerClosed && answer.parser.finish() == Parser::State::kDone);
+    }
     if (!job) return owner.forget(*this);
     answer.raw = std::move(stream.input());
     if (ending == Ending::kPeerClosed && answer.parser.finish() == Parser::State::kDone) {
@@ -220,8 +317,14 @@
   const std::string dial;
   Stream stream;
   std::unique_ptr<Job> job;
-  bool asked = false;             // the request of this job was handed to the stream
-  bool opened_for_probe = false;  // and it carries that probe still
+  std::shared_ptr<net::Flow> body;  // of the request at hand, if it comes by parts
+  bool body_sent = false;           // and its last byte was handed to the stream
+  Millis body_moved = 0;
+  std::shared_ptr<net::Flow> answer_flow;  // the answer is being passed on
+  bool clean = false;                      // the request before it was written whole
+  Millis moved_at = 0;                     // when some of it last came
+  bool asked = false;                      // the request of this job was handed to the stream
+  bool opened_for_probe = false;           // and it carries that probe still
   bool withdrawn = false;  // not to be kept: its backend was withdrawn, and its number may go to another
   Message answer{Parser::Kind::kResponse};
   Millis unused_since = 0;
@@ -229,8 +332,13 @@
   Millis age = 0;                                    // for how long it had stood unused before this job
 };
 
-Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener)
-    : loop_(loop), connect_wait_(kConnectUntold), most_idle_(kIdleUntold), listener_(std::move(listener)) {
+Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout,
+                   std::shared_ptr<net::FlowBudget> flows, Listener listener)
+    : loop_(loop),
+      connect_wait_(kConnectUntold),
+      most_idle_(kIdleUntold),
+      listener_(std::move(listener)),
+      flows_(std::move(flows)) {
   adopt(connect_timeout, idle_timeout);
   sweep();
 }
@@ -240,6 +348,8 @@
   for (const auto& [backend, pool] : pools_) {
     for (const auto& link : pool) {
       if (link->job) loop_.cancel(link->job->limit);
+      link->leave_body();
+      if (link->answer_flow) std::exchange(link->answer_flow, nullptr)->set_source({});
     }
   }
 }
@@ -328,9 +438,50 @@
 
 void Upstream::time_limit(const std::shared_ptr<Link>& link) {
   if (over_by_now(*link)) return;
+  if (link->job->message && link->job->message->flow && link->body && !link->body_sent)
+    return body_limit(link);
   finish(*link, link->written() ? Ending::kTimeout : Ending::kStoppedUnsent, nullptr, false);
 }
 
+// While a request's body comes, its time stands: what counts is that the backend takes what there is. From
+// the last byte on the attempt has as long as it was given.
+void Upstream::body_limit(const std::shared_ptr<Link>& link) {
+  Job& job = *link->job;
+  loop_.cancel(job.limit);
+  const Millis now = loop_.now();
+  if (link->body_sent) {
+    // What is told of its length is the backend's time: were the client's with its body in it, every backend would
+    // look slow, and requests be refused for it.
+    job.until = now + std::max(job.until - std::exchange(job.started, now), 1.0);
+    job.limit = loop_.at(job.until, [this, link] { time_limit(link); });
+    return;
+  }
+  const bool stuck = !link->stream.flushed() && now - link->body_moved >= kBodyStandstill;
+  if (stuck) return finish(*link, Ending::kStoppedUnsent, nullptr, false);
+  job.limit = loop_.at(now + kLookAtBody, [this, link] { time_limit(link); });
+}
+
+// The answer at hand is long: from its first bytes on it goes to whoever asked, and the attempt is over.
+void Upstream::pass_on(Link& link) {
+  const std::shared_ptr<Link> hold = link.shared_from_this();
+  if (!flows_->room()) {
+    spdlog::warn("no memory for one more large answer, {} are under way", flows_->open());
+    return finish(link, Ending::kErred, nullptr, false);
+  }
+  const auto flow = std::make_shared<net::Flow>(flows_, link.answer.parser.length());
+  link.answer_flow = flow;
+  link.clean = link.written();
+  link.moved_at = loop_.now();
+  ++passing_;
+  flow->put(link.answer.parser.take_body(link.answer.raw));
+  flow->set_source({[&link] { link.stream.want_input(true); },
+                    [this, hold] {
+                      if (hold->answer_flow) hold->end_flow(false);
+                    }});
+  finish(link, Ending::kServed, &link.answer, false);
+  if (link.answer_flow && !flow->has_sink()) link.end_flow(false);  // its request had been answered before
+}
+
 std::shared_ptr<Upstream::Link> Upstream::take_idle(BackendId backend, const std::string& dial) {
   // The one used last first, so that those beyond need grow old and go.
   while (true) {
@@ -371,6 +522,8 @@
     if (!result.load && job->probe) result.load = parse_load(answer->body());
   }
   result.answer = answer;
+  result.flow = link.answer_flow;
+  link.leave_body();
   if (link.asked) kept_.note(link.age, ending == Ending::kBroken && link.answer.raw.empty(), loop_.now());
   link.asked = false;
   if (std::exchange(link.opened_for_probe, false)) --probing_;
@@ -379,7 +532,9 @@
     working_.erase(std::find_if(first, last, [&link](const auto& one) { return one.second == &link; }));
   }
   const std::shared_ptr<Link> hold = link.shared_from_this();  // the answer is the link's
-  if (keep && !link.withdrawn && listener_.keep(job->probe)) {
+  if (link.answer_flow) {
+    // Goes on carrying it.
+  } else if (keep && !link.withdrawn && listener_.keep(job->probe)) {
     rest(link);
   } else {
     forget(link);
@@ -465,6 +620,17 @@
     Link& link = **it++;
     if (now - link.unused_since >= most_idle_ || ++kept[link.backend] > kMostIdle) forget(link);
   }
+  std::vector<std::shared_ptr<Link>> still;
+  for (const auto& [backend, pool] : pools_) {
+    for (const auto& link : pool) {
+      // One that is held back for its client's sake is not its backend's fault.
+      if (link->answer_flow && !link->answer_flow->full() && now - link->moved_at >= kStandstill)
+        still.push_back(link);
+    }
+  }
+  for (const auto& link : still) {
+    if (link->answer_flow) link->end_flow(false);
+  }
   sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
 }
 
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -25,6 +25,8 @@
   Millis elapsed = 0;
   std::optional<LoadReport> load;
   const Message* answer = nullptr;
+  std::shared_ptr<net::Flow>
+      flow;  // the answer's body, where it goes on coming; whoever passes it on is its sink
 };
 
 // For how long a connection that stands unused is good, learned from what became of the requests on them:
@@ -79,7 +81,9 @@
     std::function<bool(bool probe)> keep;
   };
 
-  Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Listener listener);
+  // `flows`: the memory for bodies that are not kept whole.
+  Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, std::shared_ptr<net::FlowBudget> flows,
+           Listener listener);
   ~Upstream();
 
   void adopt(Millis connect_timeout, Millis idle_timeout);  // times of new settings
@@ -90,6 +94,7 @@
   // The request is over: an attempt at it that waits for a connection is not to be written any more.
   void stop_unsent(RequestId request);
   void probe(BackendId backend, const std::string& dial);
+  std::size_t passing() const { return passing_; }  // connections on which an answer goes on coming
   // Nothing new may go to these backends: ends what was not yet written and the connections kept.
   void withdraw(const std::vector<BackendId>& unwanted);
   bool evict_idle();            // closes the connection that was unused for longest
@@ -113,6 +118,8 @@
   bool over_by_now(Link& link);
   void connect_limit(const std::shared_ptr<Link>& link);
   void time_limit(const std::shared_ptr<Link>& link);
+  void body_limit(const std::shared_ptr<Link>& link);
+  void pass_on(Link& link);
   void finish(Link& link, Ending ending, const Message* answer, bool keep);
   void rest(Link& link);  // it stands unused from now on
   void use(Link& link);   // and no longer
@@ -123,12 +130,14 @@
   ConnectWait connect_wait_;
   Millis most_idle_;
   Listener listener_;
+  const std::shared_ptr<net::FlowBudget> flows_;
   // No event walks all connections: they are found by backend, by request and by age.
   std::unordered_map<BackendId, std::vector<std::shared_ptr<Link>>> pools_;
   std::unordered_multimap<RequestId, Link*> working_;  // those that carry an attempt
   std::list<Link*> unused_;                            // the longest unused first
   std::size_t links_ = 0;
   std::size_t probing_ = 0;
+  std::size_t passing_ = 0;
   KeptRecord kept_;
   Loop::TimerId sweep_ = 0;
   std::uint64_t last_serial_ = 0;
--- /dev/null
+++ b/tests/bulk_test.cpp
@@ -0,0 +1,179 @@
+// Large bodies, both ways: bounded, whole or visibly cut, and no trouble to small ones.
+#include <gtest/gtest.h>
+
+#include <future>
+#include <string>
+#include <thread>
+
+#include "node_case.h"
+
+namespace shorelead::node {
+namespace {
+
+constexpr std::size_t kLarge = 32U << 20;
+
+std::string pattern(std::size_t size) {
+  std::string text(size, ' ');
+  for (std::size_t n = 0; n < size; ++n) text[n] = static_cast<char>('a' + (n * 7 + n / 251) % 26);
+  return text;
+}
+
+std::string long_post(const std::string& fields) {
+  return "POST /unsafe HTTP/1.1\r\nHost: a\r\n" + id_field() + fields + "\r\n";
+}
+
+// The rest of a message of `size` bytes behind its head.
+std::string read_to(Line& line, std::size_t size) {
+  std::string text;
+  while (text.size() < size) {
+    const std::string part = line.some();
+    if (part.empty()) break;
+    text += part;
+  }
+  return text;
+}
+
+TEST(Bulk, ALongAnswerGoesOnWhileItComes) {
+  Served served;
+  auto& [backend, node, client] = served;
+  const std::string body = pattern(kLarge);
+  client.write(get("/safe"));
+  Line there = backend.accept();
+  there.request();
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLarge) + "\r\n\r\n";
+  there.write(head + body.substr(0, 100000));
+  std::string got = client.some();  // before the rest is there
+  EXPECT_EQ(status_of(got), "HTTP/1.1 200");
+  std::thread rest([&] { there.write(body.substr(100000)); });
+  const std::size_t at = got.find("\r\n\r\n");
+  ASSERT_NE(at, std::string::npos);
+  EXPECT_TRUE(holds(got, "Content-Length: " + std::to_string(kLarge)));
+  got = got.substr(at + 4) + read_to(client, at + 4 + kLarge - got.size());
+  rest.join();
+  EXPECT_TRUE(got == body);
+  // Both connections are as good as before.
+  client.write(get("/safe"));
+  EXPECT_FALSE(there.request().empty());
+  there.write(kOk);
+  EXPECT_TRUE(client.answer().ends_with("body"));
+  EXPECT_EQ(node.server->ledger().all().passed, 2U);
+}
+
+TEST(Bulk, AnAnswerInChunksGoesOnInChunks) {
+  Served served;
+  auto& [backend, node, client] = served;
+  const std::string body = pattern(300000);
+  client.write(get("/safe"));
+  Line there = backend.accept();
+  there.request();
+  std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t at = 0; at < body.size(); at += 7777) {
+    const std::string part = body.substr(at, 7777);
+    std::array<char, 32> size{};
+    std::snprintf(size.data(), size.size(), "%zx;x=y\r\n", part.size());
+    text += size.data() + part + "\r\n";
+  }
+  std::thread writes([&] { there.write(text + "0\r\nTrailer: t\r\n\r\n"); });
+  Parser parser(Parser::Kind::kResponse, 1U << 20);
+  std::string got;
+  while (parser.advance(got) != Parser::State::kDone) {
+    const std::string part = client.some();
+    ASSERT_FALSE(part.empty() || parser.advance(got) == Parser::State::kBad);
+    got += part;
+  }
+  writes.join();
+  EXPECT_TRUE(parser.body(got) == body);
+}
+
+TEST(Bulk, AnAnswerThatBreaksOffIsCutWhereTheClientSeesIt) {
+  for (const std::string framing : {"Content-Length: 1000000\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    Served served;
+    auto& [backend, node, client] = served;
+    client.write(get("/safe"));
+    Line there = backend.accept();
+    there.request();
+    const std::string chunk = holds(framing, "chunked") ? "186A0\r\n" : "";
+    there.write("HTTP/1.1 200 OK\r\n" + framing + "\r\n" + chunk + pattern(100000));
+    EXPECT_EQ(status_of(client.some()), "HTTP/1.1 200");
+    there.reset();
+    const std::string rest = client.rest();
+    EXPECT_FALSE(rest.ends_with("0\r\n\r\n")) << framing;
+    while (node.server->ledger().all().in_progress > 0) std::this_thread::yield();
+    EXPECT_EQ(node.server->ledger().all().bad_gateway, 1U);
+  }
+}
+
+TEST(Bulk, ALongBodyGoesOnWhileItComesAndIsTakenWithItsLastByte) {
+  for (const bool chunked : {false, true}) {
+    Served served;
+    auto& [backend, node, client] = served;
+    const std::string body = pattern(kLarge);
+    client.write(long_post(chunked ? std::string("Transfer-Encoding: chunked\r\n")
+                                   : "Content-Length: " + std::to_string(kLarge) + "\r\n"));
+    const auto put = [&client = client, chunked](const std::string& part) {
+      std::array<char, 32> size{};
+      std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+      client.write(chunked ? size.data() + part + "\r\n" : part);
+    };
+    put(body.substr(0, 200000));
+    Line there = backend.accept();  // before the rest is there
+    EXPECT_EQ(node.server->ledger().all().taken(), 0U);
+    std::thread writes([&] {
+      put(body.substr(200000));
+      if (chunked) client.write("0\r\n\r\n");
+    });
+    Parser parser(Parser::Kind::kRequest, 2 * kLarge);
+    std::string got;
+    while (parser.advance(got) != Parser::State::kDone) {
+      const std::string part = there.some();
+      ASSERT_FALSE(part.empty() || parser.advance(got) == Parser::State::kBad) << parser.cause();
+      got += part;
+    }
+    writes.join();
+    EXPECT_TRUE(parser.body(got) == body);
+    there.write(kOk);
+    EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+    client.write(get("/safe"));
+    EXPECT_FALSE(there.request().empty());
+    there.write(kOk);
+    EXPECT_TRUE(client.answer().ends_with("body"));
+  }
+}
+
+// A client that leaves, or spoils its body, in the middle: the backend's copy stays unfinished, and nothing is kept.
+TEST(Bulk, ABodyThatIsNeverWholeNeverRuns) {
+  Served served;
+  auto& [backend, node, client] = served;
+  for (int n = 0; n < 20; ++n) {
+    Line leaving = node.client();
+    leaving.write(long_post("Transfer-Encoding: chunked\r\n") + "30D40\r\n" + pattern(200000) + "\r\n");
+    Line there = backend.accept();
+    if (n % 2 == 0) {
+      leaving.close();
+    } else {
+      leaving.write("no size\r\n");
+      EXPECT_EQ(status_of(leaving.answer()), "HTTP/1.1 400");
+    }
+    EXPECT_FALSE(there.rest().ends_with("0\r\n\r\n"));
+  }
+  client.write(get("/safe"));
+  Line there = backend.accept();
+  EXPECT_FALSE(there.request().empty());
+  there.write(kOk);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+  EXPECT_EQ(node.server->ledger().all().taken(), 1U);
+}
+
+// Refused while its body still comes: the answer gets there, and the body goes nowhere else.
+TEST(Bulk, ABodyOfWhichAPartIsGoneIsNotSentAgain) {
+  Served served;
+  auto& [backend, node, client] = served;
+  client.write(long_post("Content-Length: 1000000\r\n") + pattern(200000));
+  Line there = backend.accept();
+  there.some();
+  there.reset();
+  EXPECT_EQ(status_of(client.some()), "HTTP/1.1 503");  // not whole anywhere: harmless
+}
+
+}  // namespace
+}  // namespace shorelead::node
