--- a/fuzz/language_fuzz.cpp
+++ b/fuzz/language_fuzz.cpp
@@ -1,5 +1,5 @@
-// The configuration language under any bytes: read to the end, formatted to its own form where it has no mistake, and
-// checked. A broken promise aborts. Run by fuzz/run with a fixed number of inputs.
+// The configuration language under any bytes: read to the end, formatted to its own form where it has no
+// mistake, and checked. A broken promise aborts. Run by fuzz/run with a fixed number of inputs.
 #include <cstdint>
 #include <cstdlib>
 #include <string>
--- a/fuzz/registry_fuzz.cpp
+++ b/fuzz/registry_fuzz.cpp
@@ -1,6 +1,6 @@
-// What a registry may answer and what a disk may give back, under any bytes: read or refused with a cause; and
-// what was read as a box or a kept list is read the same when it is written again. The first byte chooses the
-// reader. Run by fuzz/run with a fixed number of inputs.
+// What a registry may answer and what a disk may give back, under any bytes: read or refused with a cause;
+// and what was read as a box or a kept list is read the same when it is written again. The first byte chooses
+// the reader. Run by fuzz/run with a fixed number of inputs.
 #include <cstdint>
 #include <cstdlib>
 #include <string>
@@ -24,7 +24,8 @@
   const std::size_t half = text.find('\n');
   std::string cause;
   double now = 1000;
-  for (const std::string& part : {text.substr(0, half), half == std::string::npos ? "" : text.substr(half + 1)}) {
+  for (const std::string& part :
+       {text.substr(0, half), half == std::string::npos ? "" : text.substr(half + 1)}) {
     now += 100;
     if (const auto page = registry::parse_page(part, cause)) {
       follower.page(*page, now);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -23,8 +23,9 @@
 constexpr double kMedianStep = 1.1;      // by which one of them moves the median
 constexpr Millis kConnectTiniest = 0.1;  // and how low
 constexpr Millis kSweepEvery = 1000;
-constexpr Millis kStandstill = 30000;     // of an answer that has begun: then its backend will not go on
-constexpr Millis kLookAtBody = 250;       // how often a request's body that goes out is looked after
+constexpr Millis kStandstill = 30000;  // of an answer that has begun: then its backend will not go on
+constexpr double kHoldBegun = 0.7;     // of an attempt's time, for which an answer of unknown length is kept
+constexpr Millis kLookAtBody = 250;    // how often a request's body that goes out is looked after
 constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of it
 constexpr int kSendBuffer = 131072;    // the system's, for a large body: else megabytes would count as gone
 constexpr double kMostLoad = 1e5;      // in any figure of a load report: no machine has so many in hand
@@ -120,6 +121,7 @@
   Loop::TimerId limit = 0;
   std::uint64_t serial = 0;
   bool counted = false;  // among the attempts written whole
+  bool begun = false;    // an answer of unknown length is coming
 };
 
 // One connection to a backend, with the job that it carries, if any.
@@ -279,6 +281,10 @@
     }
     if (state != Parser::State::kDone) {
       stream.input() = std::move(answer.raw);
+      // Of unknown length, and it may be a long one: its first bytes must not wait until much of it is here.
+      if (state == Parser::State::kBody && status == 200 && !job->probe && !answer.parser.length() &&
+          written())
+        owner.begun(shared_from_this());
       return;
     }
     if (status == 101) return owner.finish(*this, Ending::kMalformed, nullptr, false);
@@ -450,8 +456,8 @@
   loop_.cancel(job.limit);
   const Millis now = loop_.now();
   if (link->body_sent) {
-    // What is told of its length is the backend's time: were the client's with its body in it, every backend would
-    // look slow, and requests be refused for it.
+    // What is told of its length is the backend's time: were the client's with its body in it, every backend
+    // would look slow, and requests be refused for it.
     job.until = now + std::max(job.until - std::exchange(job.started, now), 1.0);
     job.limit = loop_.at(job.until, [this, link] { time_limit(link); });
     return;
@@ -461,6 +467,18 @@
   job.limit = loop_.at(now + kLookAtBody, [this, link] { time_limit(link); });
 }
 
+// Kept for most of the attempt's time, as a short one is better whole: until then it can still be another's.
+void Upstream::begun(const std::shared_ptr<Link>& link) {
+  Job& job = *link->job;
+  if (std::exchange(job.begun, true)) return;
+  loop_.cancel(job.limit);
+  job.limit = loop_.at(job.started + kHoldBegun * (job.until - job.started), [this, link] {
+    if (over_by_now(*link)) return;
+    link->answer.raw = std::exchange(link->stream.input(), {});
+    pass_on(*link);
+  });
+}
+
 // The answer at hand is long: from its first bytes on it goes to whoever asked, and the attempt is over.
 void Upstream::pass_on(Link& link) {
   const std::shared_ptr<Link> hold = link.shared_from_this();
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -119,6 +119,7 @@
   void connect_limit(const std::shared_ptr<Link>& link);
   void time_limit(const std::shared_ptr<Link>& link);
   void body_limit(const std::shared_ptr<Link>& link);
+  void begun(const std::shared_ptr<Link>& link);
   void pass_on(Link& link);
   void finish(Link& link, Ending ending, const Message* answer, bool keep);
   void rest(Link& link);  // it stands unused from now on
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -140,7 +140,8 @@
   }
 }
 
-// A client that leaves, or spoils its body, in the middle: the backend's copy stays unfinished, and nothing is kept.
+// A client that leaves, or spoils its body, in the middle: the backend's copy stays unfinished, and nothing
+// is kept.
 TEST(Bulk, ABodyThatIsNeverWholeNeverRuns) {
   Served served;
   auto& [backend, node, client] = served;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -106,6 +106,65 @@
   refused(config("\"Allowed\"", "\"Other\""), "\"Allowed\" is missing");
 }
 
+// Every way in which a file can be broken, each refused with words that name the place; what stands is not
+// touched.
+TEST(Config, BrokenSettingsAreRefusedWithTheKeyAndTheReason) {
+  const Config in_force = parse_config(config(), {});
+  const auto refused = [&in_force](const std::string& text, const std::string& words) {
+    try {
+      parse_config(text, {}).shape.covers(in_force.shape);
+      ADD_FAILURE() << "accepted: " << text;
+    } catch (const FieldError& error) {
+      EXPECT_NE(std::string(error.what()).find(words), std::string::npos) << error.what();
+    }
+  };
+  int count = 0;
+  const std::string whole = config();
+  for (std::size_t cut = 0; cut < whole.size(); cut += whole.size() / 40, ++count)
+    refused(whole.substr(0, cut), "broken JSON");
+  const std::vector<std::pair<std::string, std::string>> without = {
+      {R"("Aim":400,)", "Aim"},
+      {R"("GiveUp":1000,)", "GiveUp"},
+      {R"(,"Effect":"side_effect")", "Effect"},
+      {R"("Name":"check",)", "Name"},
+      {R"(,"DedupWindow":800)", "DedupWindow"},
+      {R"("MostTries":3,)", "MostTries"},
+      {R"(,"ConnectTimeout":200)", "ConnectTimeout"},
+      {R"("Probing":true,)", "Probing"},
+      {R"("Cancel":true,)", "Cancel"},
+      {R"("ColdShare":0.3,)", "ColdShare"},
+      {R"("WarmUp":9000,)", "WarmUp"},
+      {R"("FallMultiple":3,)", "FallMultiple"},
+      {R"(,"AskEvery":10000)", "AskEvery"},
+      {R"("Instances":2,)", "Instances"},
+      {R"("RegistryMode":"subscribe",)", "RegistryMode"},
+      {R"("seed":"8c1f30d27a5be964",)", "seed"},
+      {R"("Azs":["a","b"],)", "Azs"},
+      {R"(,"sockets":1024)", "sockets"}};
+  for (const auto& [key, name] : without) refused(config(key, ""), name), ++count;
+  const std::vector<std::tuple<std::string, std::string, std::string>> wrong = {
+      {"\"GiveUp\":1000", "\"GiveUp\":0", "\"GiveUp\" of \"check\" is not over 0"},
+      {"\"GiveUp\":1000", "\"GiveUp\":-5", "\"GiveUp\" of \"check\" is not over 0"},
+      {"\"GiveUp\":1000", "\"GiveUp\":\"1000\"", "\"GiveUp\" is not a number"},
+      {"\"GiveUp\":1000", "\"GiveUp\":null", "\"GiveUp\" is missing"},
+      {"\"Aim\":400", "\"Aim\":0", "\"Aim\" of \"check\" is not over 0"},
+      {"\"MostTries\":3", "\"MostTries\":0", "\"MostTries\" is not over 0"},
+      {"\"MostTries\":3", "\"MostTries\":-1", "\"MostTries\""},
+      {"\"MostTries\":3", "\"MostTries\":2.5", "\"MostTries\""},
+      {"\"DedupWindow\":800", "\"DedupWindow\":0", "\"DedupWindow\""},
+      {"\"Name\":\"charge\"", "\"Name\":\"check\"", "\"check\" stands twice"},
+      {"\"Name\":\"charge\"", "\"Name\":\"\"", "\"Name\" of a class is empty"},
+      {"\"Group\":\"zone\"", "\"Group\":\"planet\"", "unknown Group"},
+      {"\"Effect\":\"token\"", "\"Effect\":5", "\"Effect\""},
+      {"\"Probing\":true", "\"Probing\":1", "\"Probing\""}};
+  for (const auto& [from, to, words] : wrong) refused(config(from, to), words), ++count;
+  EXPECT_GE(count, 60);
+  // Other classes with other effects are no broken file, whatever keys only some of the old ones had.
+  EXPECT_NO_THROW(
+      parse_config(config(R"("Effect":"token","Group":"zone","DedupWindow":800)", R"("Effect":"pure")"), {})
+          .shape.covers(in_force.shape));
+}
+
 TEST(Config, AFileThatIsNotThereIsNamed) {
   try {
     load_config("/nonexistent/config.json", {}, {}, false);
