--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -544,7 +544,7 @@
                         ? method == "GET" || method == "HEAD"
                         : method == "POST" && keyed == (request_class.effect == Effect::kKeyed);
   if (!fits) return cause = "method or Idempotency-Key does not fit the class", 400;
-  if (request_class.effect == Effect::kSafe && !message.body().empty()) {
+  if (request_class.effect == Effect::kSafe && (message.flow || !message.body().empty())) {
     return cause = "a body does not fit the class", 400;
   }
   if (message.value("x-request-id").empty()) return cause = "X-Request-ID is missing", 400;
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -46,7 +46,7 @@
     std::function<bool()> make_room;               // whether one more client may be taken in
     // A request that was handed over with its body still coming is whole; its client waits until `due`.
     std::function<void(RequestId, Millis due)> body_whole = [](RequestId, Millis) {};
-    std::shared_ptr<net::FlowBudget> flows;  // for bodies not kept whole; none: those are refused
+    std::shared_ptr<net::FlowBudget> flows = nullptr;  // for bodies not kept whole; none: those are refused
   };
 
   struct Waits {
