--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <utility>
 
 namespace shorelead::net {
@@ -34,6 +35,18 @@
 
 }  // namespace
 
+FramedPart::FramedPart(std::string_view part, bool chunked, bool last) {
+  if (!chunked) {
+    pieces_[0] = part;
+    return;
+  }
+  if (!part.empty()) {
+    std::snprintf(size_.data(), size_.size(), "%zx\r\n", part.size());
+    pieces_ = {size_.data(), part, "\r\n", ""};
+  }
+  if (last) pieces_[3] = "0\r\n\r\n";
+}
+
 std::string_view trim(std::string_view text) {
   while (!text.empty() && blank(text.front())) text.remove_prefix(1);
   while (!text.empty() && blank(text.back())) text.remove_suffix(1);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -3,6 +3,7 @@
 // read past the message it is at, and never guess where framing is in doubt: that is an error.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -136,6 +137,20 @@
 // Appends the header fields that go on to the other side, as runs of whole lines.
 void pass_fields(const Head& head, std::string_view buffer, std::vector<std::string_view>& pieces);
 
+// A part of a body as it goes out, `last` or not: in chunks as one of them, else as it is; views of `part`
+// and of itself. An empty part that is not the last has no form.
+class FramedPart {
+ public:
+  FramedPart(std::string_view part, bool chunked, bool last);
+  FramedPart(const FramedPart&) = delete;
+  FramedPart& operator=(const FramedPart&) = delete;
+  const std::array<std::string_view, 4>& pieces() const { return pieces_; }
+
+ private:
+  std::array<char, 32> size_{};
+  std::array<std::string_view, 4> pieces_;
+};
+
 // Fields that say how one connection is used and are not passed on, nor those that the proxy writes anew.
 bool hop_by_hop(std::string_view name);
 std::optional<std::uint64_t> parse_whole(std::string_view text);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr std::size_t kReadSize = 16384;
-constexpr Millis kClearWait = 10;        // the system counts such times in steps of some milliseconds
+constexpr Millis kClearWait = 10;  // the system counts such times in steps of some milliseconds
+constexpr int kSendBuffer = 131072;
 constexpr std::size_t kMostPieces = 64;  // in one call; the rest is copied
 
 }  // namespace
@@ -155,8 +156,8 @@
   if (open()) ::setsockopt(fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
 }
 
-void Stream::set_send_buffer(int bytes) {
-  if (open()) ::setsockopt(fd(), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+void Stream::bound_send_buffer() {
+  if (open()) ::setsockopt(fd(), SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof kSendBuffer);
 }
 
 void Stream::close_sending() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -89,9 +89,9 @@
   bool ended() const;
   // Closes if quiet, with next to no time in between: what came in then would be lost. False if it is not.
   bool close_quiet();
-  void reset_on_close();            // the other side is to see that it was no orderly end
-  void set_send_buffer(int bytes);  // the system's
-  void close_sending();             // the other side sees the end; what it sends is still taken
+  void reset_on_close();     // the other side is to see that it was no orderly end
+  void bound_send_buffer();  // the system's: else megabytes would count as gone
+  void close_sending();      // the other side sees the end; what it sends is still taken
   void close();
 
   static int open_count() { return open_count_; }
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -23,7 +23,6 @@
 constexpr int kBacklog = 1024;
 constexpr double kLeastRate = 32;      // bytes a ms: of a body, what a client has to bring on the whole
 constexpr Millis kStandstill = 10000;  // for which a client may take nothing of an answer
-constexpr int kSendBuffer = 131072;    // the system's, for a large answer: else megabytes would count as gone
 constexpr std::size_t kMostPast = 16;  // generations kept for repeats; beyond, the oldest is forgotten
 
 const char* reason(int status) {
@@ -201,7 +200,7 @@
     state = State::kPassing;
     download = flow;
     moved_at = owner.loop_.now();
-    stream.set_send_buffer(kSendBuffer);
+    stream.bound_send_buffer();
     stream.send(pieces);
     download->set_sink({[this] { pump(); }, [this] { pump(); }});
     pump();
@@ -214,13 +213,7 @@
     const bool last_part = flow->ended() && flow->empty();
     if (!part.empty() || last_part) {
       moved_at = owner.loop_.now();
-      std::array<char, 32> size{};
-      std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
-      std::array<std::string_view, 4> pieces{};
-      if (chunked && !part.empty()) pieces = {size.data(), part, "\r\n", last_part ? "0\r\n\r\n" : ""};
-      if (chunked && part.empty()) pieces[0] = "0\r\n\r\n";
-      if (!chunked) pieces[0] = part;
-      stream.send(pieces);
+      stream.send(net::FramedPart(part, chunked, last_part).pieces());
     }
     if (last_part) {
       owner.release(*this, manage::End::kPassed);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -27,9 +27,8 @@
 constexpr double kHoldBegun = 0.7;     // of an attempt's time, for which an answer of unknown length is kept
 constexpr Millis kLookAtBody = 250;    // how often a request's body that goes out is looked after
 constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of it
-constexpr int kSendBuffer = 131072;    // the system's, for a large body: else megabytes would count as gone
-constexpr double kMostLoad = 1e5;      // in any figure of a load report: no machine has so many in hand
-constexpr std::size_t kMostIdle = 32;  // connections kept for one backend
+constexpr double kMostLoad = 1e5;         // in any figure of a load report: no machine has so many in hand
+constexpr std::size_t kMostIdle = 32;     // connections kept for one backend
 // KeptRecord
 constexpr Millis kYoung = 25;        // unused for less, a connection is as good as in use
 constexpr double kBrokeGain = 0.1;   // weight of one request
@@ -169,7 +168,7 @@
 
   void begin_body() {
     body = job->message->flow;
-    stream.set_send_buffer(kSendBuffer);
+    stream.bound_send_buffer();
     body->set_sink({[this] { send_body(); },
                     [this] {
                       // Its client left, or spoilt it: what the backend has is not whole, so it cannot run.
@@ -186,18 +185,11 @@
   void send_body() {
     if (!job || !body || body_sent || !stream.open() || !stream.flushed()) return;
     const std::string part = body->take();
-    const bool chunked = !body->length();
     const bool last = body->ended() && body->empty();
     if (part.empty() && !last) return;
     body_moved = owner.loop_.now();
     body_sent = last;
-    std::array<char, 32> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
-    std::array<std::string_view, 4> pieces{};
-    if (chunked && !part.empty()) pieces = {size.data(), part, "\r\n", last ? "0\r\n\r\n" : ""};
-    if (chunked && part.empty()) pieces[0] = "0\r\n\r\n";
-    if (!chunked) pieces[0] = part;
-    stream.send(pieces);
+    stream.send(net::FramedPart(part, !body->length(), last).pieces());
     if (last) owner.body_limit(shared_from_this());
     note_written();
   }
@@ -249,7 +241,7 @@
     const std::shared_ptr<Link> hold = shared_from_this();
     const std::shared_ptr<net::Flow> flow = std::exchange(answer_flow, nullptr);
     flow->set_source({});
-    owner.passing_ -= 1;
+    owner.passing_.erase(this);
     const bool keep = whole && answer.head().keep_alive && answer.raw.size() == answer.parser.size() &&
                       clean && !withdrawn && stream.open() && owner.listener_.keep(false);
     if (keep) {
@@ -490,7 +482,7 @@
   link.answer_flow = flow;
   link.clean = link.written();
   link.moved_at = loop_.now();
-  ++passing_;
+  passing_.insert(&link);
   flow->put(link.answer.parser.take_body(link.answer.raw));
   flow->set_source({[&link] { link.stream.want_input(true); },
                     [this, hold] {
@@ -639,12 +631,10 @@
     if (now - link.unused_since >= most_idle_ || ++kept[link.backend] > kMostIdle) forget(link);
   }
   std::vector<std::shared_ptr<Link>> still;
-  for (const auto& [backend, pool] : pools_) {
-    for (const auto& link : pool) {
-      // One that is held back for its client's sake is not its backend's fault.
-      if (link->answer_flow && !link->answer_flow->full() && now - link->moved_at >= kStandstill)
-        still.push_back(link);
-    }
+  for (Link* const link : passing_) {
+    // One that is held back for its client's sake is not its backend's fault.
+    if (!link->answer_flow->full() && now - link->moved_at >= kStandstill)
+      still.push_back(link->shared_from_this());
   }
   for (const auto& link : still) {
     if (link->answer_flow) link->end_flow(false);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -94,7 +94,6 @@
   // The request is over: an attempt at it that waits for a connection is not to be written any more.
   void stop_unsent(RequestId request);
   void probe(BackendId backend, const std::string& dial);
-  std::size_t passing() const { return passing_; }  // connections on which an answer goes on coming
   // Nothing new may go to these backends: ends what was not yet written and the connections kept.
   void withdraw(const std::vector<BackendId>& unwanted);
   bool evict_idle();            // closes the connection that was unused for longest
@@ -138,7 +137,7 @@
   std::list<Link*> unused_;                            // the longest unused first
   std::size_t links_ = 0;
   std::size_t probing_ = 0;
-  std::size_t passing_ = 0;
+  std::unordered_set<Link*> passing_;  // those on which an answer goes on coming
   KeptRecord kept_;
   Loop::TimerId sweep_ = 0;
   std::uint64_t last_serial_ = 0;
--- a/tests/bulk_test.cpp
+++ b/tests/bulk_test.cpp
@@ -85,6 +85,29 @@
   EXPECT_TRUE(parser.body(got) == body);
 }
 
+// Of unknown length and not yet long: its first bytes must not wait for more than is kept whole.
+TEST(Bulk, AnAnswerOfUnknownLengthGoesOnBeforeTheAttemptsTimeIsUp) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  node.config.settings.classes[0].aim = 300;
+  node.start();
+  Line client = node.client();
+  client.write(get("/safe"));
+  Line there = backend.accept();
+  there.request();
+  there.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n");
+  std::string got = client.some();  // the backend sends no more until this is there
+  EXPECT_EQ(status_of(got), "HTTP/1.1 200");
+  there.write("0\r\n\r\n");
+  while (!got.ends_with("0\r\n\r\n")) {
+    const std::string part = client.some();
+    ASSERT_FALSE(part.empty());
+    got += part;
+  }
+  EXPECT_TRUE(holds(got, "2\r\nok\r\n"));
+}
+
 TEST(Bulk, AnAnswerThatBreaksOffIsCutWhereTheClientSeesIt) {
   for (const std::string framing : {"Content-Length: 1000000\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
     Served served;
