Nodes tell keepers what they have out; candidates are looked at before each attempt

Change: where only probes bring reports, candidates are looked at first: by probes where three are cheap, else by asking fellow nodes that keep what all tell of a backend; preferred by key where backends keep keys warm; cost hints count as work.

--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -1,5 +1,8 @@
+#define XXH_INLINE_ALL
 #include "drill/wire.h"
 
+#include <xxhash.h>
+
 #include <cmath>
 #include <limits>
 
@@ -79,11 +82,29 @@
     entry.cell = index_or(item, "Bay", 0);
     entry.started = number_or(item, "StartTime", 0);
     entry.size = number_or(item, "Units", 1);
+    const std::string_view address = text(item, "Backend");
+    entry.tag = static_cast<std::uint32_t>(XXH3_64bits(address.data(), address.size()));
     update.entries.push_back(entry);
   }
   return update;
 }
 
+int hex_digit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  bad("Raw", "is not hex digits");
+}
+
+std::string parse_hex(std::string_view digits) {
+  if (digits.size() % 2 != 0) bad("Raw", "has an odd number of hex digits");
+  std::string bytes;
+  for (std::size_t n = 0; n < digits.size(); n += 2) {
+    bytes.push_back(static_cast<char>(hex_digit(digits[n]) * 16 + hex_digit(digits[n + 1])));
+  }
+  return bytes;
+}
+
 }  // namespace
 
 BackendId BackendNames::learn(std::string_view address) {
@@ -116,6 +137,10 @@
     event.due = number(line, "Due");
     event.expected_work = number_or(line, "Expected", -1);
     event.client_retry = bool_or(line, "AgainByClient", false);
+    if (find(line, "Key") != nullptr) {
+      const std::string_view key = text(line, "Key");
+      event.key = XXH3_64bits(key.data(), key.size());
+    }
     return event;
   }
   if (message == "ReportBack") {
@@ -147,6 +172,9 @@
   if (message == "Accepted") {
     return StreamStarted{request_field(line), as_index(need(line, "Trial"), "Trial")};
   }
+  if (message == "Inbox") {
+    return PeerTold{as_index(need(line, "Neighbour"), "Neighbour"), parse_hex(text(line, "Raw"))};
+  }
   throw FieldError("unknown message \"" + std::string(message) + "\"");
 }
 
@@ -212,6 +240,18 @@
     number("Moment", timer->at);
     writer_.Key("Cookie");
     writer_.Uint64(timer->cookie);
+  } else if (const auto* tell = std::get_if<TellPeer>(&action)) {
+    static constexpr char kDigits[] = "0123456789abcdef";
+    std::string raw;
+    for (const char c : tell->bytes) {
+      raw.push_back(kDigits[static_cast<unsigned char>(c) >> 4]);
+      raw.push_back(kDigits[static_cast<unsigned char>(c) & 15]);
+    }
+    open("Publish");
+    text("NodeId", instance);
+    writer_.Key("Recipient");
+    writer_.Int(tell->peer);
+    text("Raw", raw);
   } else if (const auto* note = std::get_if<Note>(&action)) {
     open("Debug");
     text("NodeId", instance);
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <initializer_list>
 #include <optional>
 #include <stdexcept>
 #include <unordered_map>
@@ -52,6 +53,15 @@
 constexpr double kLookPrice = 0.02;  // most that they may cost together, a request
 constexpr Millis kLookTime = 10;     // slower probes than this are not waited for
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
+// Fellows: what nodes tell one another, where reports come only with probes and probes are dear.
+constexpr int kAsks = 3;               // backends whose keepers are asked for one request
+constexpr double kAskWait = 0.06;      // of the aim: longest that a request is held for their answers
+constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
+constexpr double kToldStep = 8;        // parts of a mean request in which work is told
+constexpr int kFirstLooks = 2;
+constexpr double kWarmRank = 1.3;
+constexpr double kToldGain = 0.15;     // weight of one outcome that a fellow told
+constexpr unsigned char kToldForm = 0x10;  // version 1, above the kind of message
 constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
 constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
 constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
@@ -130,11 +140,24 @@
   Millis rest = 0;
 };
 
+struct Out {
+  Millis sent = 0;
+  double work = 1;
+};
+
+// What one node said that it has out at a backend.
+struct ToldWork {
+  int peer = 0;
+  double work = 0;
+  Millis at = 0;
+};
+
 struct Backend : BackendEntry {
   Backend() { state = BackendState::kGone; }  // till a list names it
   // ALBL
   bool probe_out = false;
   bool look_out = false;               // asked out of turn
+  Millis ask_until = 0;
   Millis asked_at = 0;                 // last probe that counts for its round
   bool missed = false;                 // and it was not served in time
   bool dropped = false;                // gets nothing this period
@@ -143,7 +166,7 @@
   double share = 0;
   double credit = 0;
   // own traffic
-  std::vector<Millis> sent_times;  // of our attempts out there
+  std::vector<Out> outs;           // our attempts out there
   Millis answered = 0;             // when the last of them that was served was sent
   Millis doubted_until = 0;        // its reports are not believed until then
   std::vector<Millis> cold_sends;  // while cold: sends that still count in its budget
@@ -163,12 +186,21 @@
   bool heard = false;        // an answer, or a time-out, told of its speed this period
   double service_ratio = 1;  // its service time over the fleet's
 
-  double outstanding() const { return static_cast<double>(sent_times.size()); }
+  double out_work = 0;       // of this node, in mean requests
+  // as the keeper of what all nodes tell of it
+  std::vector<ToldWork> told;
+  double told_ratio = 0;     // 0 = nobody told yet
+  double told_failing = 0;
+  // as its keeper told it
+  double failing = 0;
+
+  double outstanding() const { return out_work; }
 };
 
 struct Attempt {
   BackendId backend = 0;
   Millis sent = 0;
+  double work = 1;
   double crowd = 1;   // the backend's expected load when it was sent, in service times
   double warmth = 1;  // and its share of full speed
   bool out = true;
@@ -180,6 +212,9 @@
   Millis due = 0;
   Millis aim_at = 0;  // an answer after this is worth less or nothing
   int most_attempts = 1;
+  double work = 1;  // of a mean request, by its hint
+  std::uint64_t key = 0;
+  std::vector<BackendId> asked;  // candidates whose news it waits for
   bool streaming = false;
   int looks = 0;          // asked for it so far
   Millis look_until = 0;  // it waits, or has waited, for their answers until then
@@ -197,6 +232,8 @@
   Millis at = 0;
 };
 
+enum ToldKind : unsigned char { kAskKind, kAnswerKind, kTellKind };
+
 enum TimerKind : std::uint64_t { kTickTimer, kListTimer, kLookTimer };
 
 }  // namespace
@@ -206,6 +243,7 @@
   Impl(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {
     Millis shortest = 0;
     for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
+    shortest_aim_ = shortest;
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
     on(SettingsChanged{settings});
     nodes_ = stated_nodes();
@@ -273,6 +311,7 @@
                             (b.state != BackendState::kReady || b.started != entry.started);
       static_cast<BackendEntry&>(b) = entry;
       b.size = entry.size > 0 ? entry.size : 1;
+      by_tag_[entry.tag] = entry.backend;
       if (returned) welcome(b);
       if (b.state != BackendState::kReady) b.share = b.credit = 0;
     }
@@ -295,7 +334,7 @@
     Backend fresh;
     static_cast<BackendEntry&>(fresh) = b;
     fresh.probe_out = b.probe_out, fresh.look_out = b.look_out;
-    fresh.sent_times = std::move(b.sent_times);
+    fresh.outs = std::move(b.outs), fresh.out_work = b.out_work;
     fresh.asked_at = now_ - random_.unit() * kLongestRound;
     fresh.cold_turns = random_.unit(), fresh.cold_at = now_;
     b = std::move(fresh);
@@ -596,6 +635,177 @@
     return true;
   }
 
+  // Where only probes bring reports, every report is old: some are looked at before each attempt.
+  bool asks() const { return s_.peer_messages && s_.instances > 1 && too_dear(kLooks); }
+
+  bool look_first(Held it) {
+    Request& r = it->second;
+    if (s_.reports_with_answers || (!asks() && (too_dear(kFirstLooks) || !s_.probing))) return false;
+    if (r.looks > 0) return false;
+    r.looks = 1;
+    const std::size_t most = static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
+    if (s_.warm_keys && r.key != 0) {
+      prefer(r, most);
+    } else {
+      candidates(r, most);
+    }
+    bool open = false;
+    for (const BackendId i : r.asked) {
+      Backend& b = backends_[i];
+      if (asks()) {
+        if (ask(b)) open = true;
+        continue;
+      }
+      open = true;
+      if (std::exchange(b.look_out, true)) continue;
+      ++looks_out_;
+      if (!b.probe_out) act(SendProbe{i});
+      if (now_ - b.asked_at >= kPeriod) b.probe_out = true, b.asked_at = now_;
+    }
+    if (!open) return false;
+    looking_.push_back(it->first);
+    timer(kLookTimer, r.look_until = now_ + kAskWait * s_.classes[static_cast<std::size_t>(r.request_class)].aim);
+    return true;
+  }
+
+  // The next in the rotation, at most so many.
+  void candidates(Request& r, std::size_t most) {
+    for (int round = 0; round < 2 && r.asked.size() < most; ++round) {
+      std::size_t kept = 0;
+      std::size_t n = 0;
+      for (; n < rotation_.size() && r.asked.size() < most; ++n) {
+        const BackendId i = rotation_[n];
+        if (!usable(backends_[i])) continue;
+        const bool may = allowed(r, i) && std::find(r.asked.begin(), r.asked.end(), i) == r.asked.end();
+        if (may) r.asked.push_back(i);
+        else rotation_[kept++] = i;
+      }
+      take_turns(kept, n);
+      if (r.asked.size() < most && kept < backends_.size()) deal();
+    }
+  }
+
+  // Those that most likely have met the key: each node draws the same order for it, weighted by the shares
+  // (weighted rendezvous hashing).
+  void prefer(Request& r, std::size_t most) {
+    std::vector<std::pair<double, BackendId>> order;
+    for (BackendId i = 0; i < backends_.size(); ++i) {
+      const Backend& b = backends_[i];
+      if (!usable(b) || b.share <= 0 || !allowed(r, i)) continue;
+      Random draw(r.key ^ (b.tag * 0x9e3779b97f4a7c15ULL));
+      order.emplace_back(-std::log(1 - draw.unit()) / b.share, i);
+    }
+    const std::size_t n = std::min(most, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end());
+    for (std::size_t k = 0; k < n; ++k) r.asked.push_back(order[k].second);
+  }
+
+  std::optional<BackendId> best_asked(const Request& r) {
+    std::optional<BackendId> best;
+    std::pair<bool, Millis> least;
+    double rank = 1;
+    for (const BackendId i : r.asked) {
+      const Backend& b = backends_[i];
+      if (!usable(b) || !allowed(r, i)) continue;
+      const std::pair<bool, Millis> one{now_ - b.reported_at > 2 * (kAskWait * class_of(r).aim), expected_answer(r, b) * rank};
+      if (s_.warm_keys && r.key != 0) rank *= kWarmRank;
+      if (!best || one < least) best = i, least = one;
+    }
+    const double worth = kWorthless + (1 - kWorthless) * class_of(r).worth / most_worth_;
+    if (!best || least.second > kRefuseShare * worth * (r.aim_at - now_)) return std::nullopt;
+    return best;
+  }
+
+  // ---- fellows ----
+
+  int keeper(const Backend& b) const {
+    return static_cast<int>(Random(b.tag).next() % static_cast<std::uint64_t>(s_.instances));
+  }
+
+  static std::string message(unsigned char kind, std::uint32_t tag, std::initializer_list<unsigned char> rest) {
+    std::string bytes{static_cast<char>(kToldForm | kind)};
+    for (int n = 0; n < 4; ++n) bytes.push_back(static_cast<char>(tag >> (8 * n)));
+    for (const unsigned char c : rest) bytes.push_back(static_cast<char>(c));
+    return bytes;
+  }
+
+  static unsigned char work_code(double work) {
+    return static_cast<unsigned char>(std::min(255.0, std::ceil(work * kToldStep)));
+  }
+  static unsigned char ratio_code(double ratio) {
+    return static_cast<unsigned char>(std::clamp(std::round(128 + 16 * std::log2(ratio)), 2.0, 255.0));
+  }
+
+  // Asks the backend's keeper for news of it; true if an answer is to come.
+  bool ask(Backend& b) {
+    const int k = keeper(b);
+    if (k == s_.instance) {
+      learn_told(b, work_told(b, k), b.told_ratio, b.told_failing);
+      return false;
+    }
+    if (now_ < b.ask_until) return true;
+    b.ask_until = now_ + kAskWait * shortest_aim_;
+    act(TellPeer{k, message(kAskKind, b.tag, {})});
+    return true;
+  }
+
+  // Tells the backend's keeper what this node has out there, and how an attempt ended.
+  void tell(Backend& b, unsigned char ending) {
+    if (!asks() || s_.reports_with_answers) return;
+    const int k = keeper(b);
+    if (k == s_.instance) return keep(b, k, b.out_work, ending);
+    act(TellPeer{k, message(kTellKind, b.tag, {work_code(b.out_work), ending})});
+  }
+
+  void keep(Backend& b, int peer, double work, unsigned char ending) {
+    const auto it = std::find_if(b.told.begin(), b.told.end(), [peer](const ToldWork& t) { return t.peer == peer; });
+    if (it != b.told.end()) *it = {peer, work, now_};
+    else if (work > 0) b.told.push_back({peer, work, now_});
+    if (ending == 0) return;
+    const bool failed = ending == 1;
+    b.told_failing += kToldGain * ((failed ? 1 : 0) - b.told_failing);
+    if (failed) return;
+    const double ratio = std::exp2((ending - 128) / 16.0);
+    b.told_ratio += (b.told_ratio > 0 ? kToldGain : 1) * (ratio - b.told_ratio);
+  }
+
+  double work_told(Backend& b, int but) {
+    std::erase_if(b.told, [this](const ToldWork& t) { return t.work <= 0 || now_ - t.at > kToldLife; });
+    double work = 0;
+    for (const ToldWork& t : b.told) work += t.peer == but ? 0 : t.work;
+    return work;
+  }
+
+  void learn_told(Backend& b, double work, double ratio, double failing) {
+    learn_others(b, work);
+    b.failing = failing;
+    if (ratio > 0) b.service_ratio = ratio * unit() / service_, b.heard = true;
+  }
+
+  // What a fellow calls one: a mean request's hinted work, or the time that the fleet takes for it.
+  double unit() const { return mean_hint_ > 0 ? mean_hint_ : service_; }
+
+  void on(const PeerTold& e) {
+    const auto at = [&e](std::size_t n) { return static_cast<unsigned char>(e.bytes[n]); };
+    if (e.bytes.size() < 5 || e.peer < 0 || e.peer >= s_.instances || e.peer == s_.instance) return;
+    std::uint32_t tag = 0;
+    for (std::size_t n = 0; n < 4; ++n) tag |= std::uint32_t{at(n + 1)} << (8 * n);
+    const auto found = by_tag_.find(tag);
+    if (found == by_tag_.end()) return;
+    Backend& b = backends_[found->second];
+    if (at(0) == (kToldForm | kAskKind) && e.bytes.size() == 5) {
+      const unsigned char ratio = b.told_ratio > 0 ? ratio_code(b.told_ratio) : 0;
+      act(TellPeer{e.peer, message(kAnswerKind, tag, {work_code(work_told(b, e.peer)), ratio,
+                                   static_cast<unsigned char>(b.told_failing * 255)})});
+    } else if (at(0) == (kToldForm | kTellKind) && e.bytes.size() == 7) {
+      keep(b, e.peer, at(5) / kToldStep, at(6));
+    } else if (at(0) == (kToldForm | kAnswerKind) && e.bytes.size() == 8) {
+      b.ask_until = 0;
+      learn_told(b, at(5) / kToldStep, at(6) > 0 ? std::exp2((at(6) - 128) / 16.0) : 0, at(7) / 255.0);
+      if (!looking_.empty()) look_again(false);
+    }
+  }
+
   bool too_dear(int looks) const { return s_.probe_price * looks > kLookPrice; }
 
   // Whether a probe of this backend would bring news in time.
@@ -613,8 +823,20 @@
     bool tried = false;
     for (const RequestId id : waiting) {
       const Held it = requests_.find(id);
-      if (it == requests_.end() || !it->second.attempts.empty()) continue;
+      if (it == requests_.end() || any_out(it->second)) continue;
       const bool overdue = now_ > it->second.look_until - kTimerSlack;
+      if (!it->second.asked.empty()) {
+        const auto& asked = it->second.asked;
+        const bool open = std::any_of(asked.begin(), asked.end(), [this](BackendId i) {
+          return backends_[i].look_out || now_ < backends_[i].ask_until - kTimerSlack;
+        });
+        if (open && !overdue && may_send(it->second)) {
+          looking_.push_back(id);
+        } else {
+          proceed(it);
+        }
+        continue;
+      }
       // In a large fleet where the first of them finds nobody among so many, one answer more clears no other.
       const bool vain = std::exchange(tried, true) && weighed_ >= kMostWeighed;
       if (last || overdue || !may_send(it->second)) {
@@ -650,11 +872,13 @@
   bool reports_told() const { return reports_ > 0 && wrong_reports_ < kWrongShare; }
 
   // How many service times one more request would take there.
-  double crowd(const Backend& b) const { return std::max(1.0, (in_hand(b) + 1) / b.lanes); }
+  double crowd(const Backend& b, double work = 1) const {
+    return std::max(work, (in_hand(b) + work) / b.lanes);
+  }
 
   Millis expected_answer(const Request& r, const Backend& b) const {
     const double ratio = class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio;
-    return service_ * stretch_ * ratio * crowd(b) / warmth(b);
+    return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b) / std::max(0.1, 1 - b.failing);
   }
 
   // Exception "doubt": a report that leaves out requests which this node has had there for long is not of
@@ -663,8 +887,9 @@
   void check_report(Backend& b, const LoadReport& report) {
     if (report.in_hand < 0) return;
     const Millis before = now_ - kSettled * service_;
-    const auto own = std::count_if(b.sent_times.begin(), b.sent_times.end(),
-                                   [before, &b](Millis sent) { return sent <= before && sent > b.answered; });
+    const auto own = std::count_if(b.outs.begin(), b.outs.end(), [before, &b](const Out& out) {
+      return out.sent <= before && out.sent > b.answered;
+    });
     if (own == 0) return;
     const bool wrong = report.in_hand + kSomeWaiting < static_cast<double>(own);
     wrong_reports_ += kWrongGain * ((wrong ? 1.0 : 0.0) - wrong_reports_);
@@ -672,16 +897,13 @@
   }
 
   void learn_report(Backend& b, const LoadReport& report) {
+    if (asks() && !s_.reports_with_answers) return;
     check_report(b, report);
-    const bool reported_before = b.others >= 0;
     b.busy = report.busy;
     b.rate = report.rate;
     b.reported_at = now_;
     if (report.in_hand >= 0) {
-      b.others = std::max(0.0, report.in_hand - b.outstanding());
-      b.usual_others += (reported_before ? kCrowdGain : 1) * (b.others - b.usual_others);
-      reports_ += 1;
-      mean_others_ += std::max(kFleetGain, 1 / (1 + reports_)) * (b.others - mean_others_);
+      learn_others(b, std::max(0.0, report.in_hand - b.outstanding()));
       if (report.waiting > kSomeWaiting) {
         b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
         b.lanes_known = true;
@@ -697,6 +919,14 @@
     }
   }
 
+  void learn_others(Backend& b, double others) {
+    const bool before = std::exchange(b.others, others) >= 0;
+    b.reported_at = now_;
+    b.usual_others += (before ? kCrowdGain : 1) * (b.others - b.usual_others);
+    reports_ += 1;
+    mean_others_ += std::max(kFleetGain, 1 / (1 + reports_)) * (b.others - mean_others_);
+  }
+
   // A served answer tells the backend's speed once the crowd that it met is taken out. An attempt that got no
   // answer says that it is slower than so, and counts only then: else a backend that answers nobody in time
   // would teach nothing. The fleet's mean is learned from answers that met no crowd.
@@ -714,7 +944,7 @@
     if (!served && ratio <= b.service_ratio) return;
     b.heard = true;
     b.service_ratio += kServiceGain * (ratio - b.service_ratio);
-    if (!served || a.crowd > 1 || b.busy > kCrowdedShare) return;
+    if (!served || a.crowd > r.work || b.busy > kCrowdedShare) return;
     class_ratio += kFleetGain * (alone / (service_ * b.service_ratio) - class_ratio);
     service_ += kFleetGain * (alone / (class_ratio * b.service_ratio) - service_);
   }
@@ -934,6 +1164,12 @@
     r.due = e.due;
     r.most_attempts = std::min(s_.max_attempts, kMostAttempts);
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
+    r.key = e.key;
+    if (e.expected_work > 0) {
+      hints_ += 1;
+      mean_hint_ += std::max(kFleetGain, 1 / hints_) * (e.expected_work - mean_hint_);
+      r.work = std::clamp(e.expected_work / mean_hint_, 0.1, 10.0);
+    }
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
@@ -945,6 +1181,11 @@
   void proceed(Held it) {
     Request& r = it->second;
     if (may_send(r)) {
+      if (look_first(it)) return;
+      if (!r.asked.empty()) {
+        if (const auto best = best_asked(r)) return send(it, *best);
+        return finish(it);
+      }
       std::optional<BackendId> i = propose(r);
       if (!i && look(it)) return;
       if (!i) i = soonest(r);
@@ -979,7 +1220,8 @@
     Request& r = it->second;
     Backend& b = backends_[i];
     if (cold(b)) b.cold_sends.push_back(now_), b.cold_used = std::floor(b.cold_turns);
-    r.attempts.push_back({i, now_, crowd(b), warmth(b), true, true});
+    r.asked.clear(), r.looks = 0;
+    r.attempts.push_back({i, now_, crowd(b, r.work), warmth(b), true, true});
     if (r.attempts.size() > 1) resends_ -= 1;
     // Exception "early end": answers get lost, this one is expected before, and somebody else may have it.
     const Millis early = kEarlyEnd * (stop_at(r) - now_);
@@ -988,7 +1230,9 @@
                         return usable(o) && allowed(r, static_cast<BackendId>(&o - backends_.data()));
                       });
     act(SendAttempt{it->first, i, ends ? now_ + early : stop_at(r)});
-    b.sent_times.push_back(now_);
+    b.outs.push_back({now_, r.work});
+    b.out_work += r.work;
+    tell(b, 0);
   }
 
   // The final answer of a request that will not be served: a refusal where that is harmless, else a failure.
@@ -998,7 +1242,11 @@
     const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
                           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
     const Refuse refusal{it->first, s_.advise_wait ? s_.max_wait_advice : 0};
-    act(harmless ? Action{refusal} : Action{Fail{it->first}});
+    if (harmless) {
+      act(refusal);
+    } else {
+      act(Fail{it->first});
+    }
     drop(it);
   }
 
@@ -1015,6 +1263,15 @@
   void on(const AttemptEnded& e) {
     Backend& b = backends_.at(e.backend);
     forget_send(b, now_ - e.elapsed);
+    const Held held = requests_.find(e.request);
+    const bool bad = e.outcome == Outcome::kError || e.outcome == Outcome::kConnectionLost || e.outcome == Outcome::kNoAnswer || e.outcome == Outcome::kNoConnection;
+    unsigned char ending = bad ? 1 : 0;
+    if (e.outcome == Outcome::kServed && held != requests_.end()) {
+      const Attempt& a = held->second.attempts.at(static_cast<std::size_t>(e.attempt));
+      const double ratio = class_ratio_[static_cast<std::size_t>(held->second.request_class)];
+      ending = ratio_code(std::clamp(e.elapsed / a.crowd * a.warmth / (unit() * (mean_hint_ > 0 ? 1 : ratio)), 0.02, 50.0));
+    }
+    tell(b, ending);
     if (e.has_report) learn_report(b, e.report);
     const bool served = e.outcome == Outcome::kServed;
     const bool full = e.outcome == Outcome::kTurnedAway;
@@ -1043,10 +1300,12 @@
 
   // An attempt is over: the one on record that was sent nearest to then.
   static void forget_send(Backend& b, Millis sent) {
-    if (b.sent_times.empty()) return;
-    b.sent_times.erase(std::min_element(b.sent_times.begin(), b.sent_times.end(), [sent](Millis x, Millis y) {
-      return std::abs(x - sent) < std::abs(y - sent);
+    if (b.outs.empty()) return;
+    b.outs.erase(std::min_element(b.outs.begin(), b.outs.end(), [sent](const Out& x, const Out& y) {
+      return std::abs(x.sent - sent) < std::abs(y.sent - sent);
     }));
+    b.out_work = 0;
+    for (const Out& out : b.outs) b.out_work += out.work;
   }
 
   void on(const StreamStarted& e) {
@@ -1074,6 +1333,10 @@
   std::vector<Median> medians_;                      // by record, class and figure
   std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
+  Millis shortest_aim_ = 0;
+  double hints_ = 0;
+  double mean_hint_ = 0;
+  std::unordered_map<std::uint32_t, BackendId> by_tag_;
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
   double pace_per_size_ = 0;   // requests that they finish in a mean service time, likewise
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -65,6 +65,12 @@
   double probe_price = 0;          // taken off the result for each probe per request
   double most_probes = 0;          // a second, of this node; 0 = no ceiling
   double most_probes_backend = 0;  // a second, to one backend from all nodes; 0 = no ceiling
+  bool reports_with_answers = true;  // else only probes bring load reports
+  bool warm_keys = false;            // a backend does less work for a key that it has lately met
+  bool peer_messages = false;        // nodes may send one another short messages, which may be lost
+  double peer_price = 0;             // taken off the result for each 256 bytes delivered per request
+  double kept_promises = 0;  // weight of worth by class and 5 s that counts in full while few miss the aim
+  double borne_misses = 0;   // that many, as a share; at five times of it that worth counts nothing
 
   bool operator==(const Settings&) const = default;
 };
@@ -99,6 +105,7 @@
   int cell = 0;
   Millis started = 0;  // 0 = long past
   double size = 1;
+  std::uint32_t tag = 0;  // of its address, the same on every node
 };
 
 enum class ListKind { kDelta, kFull, kStored, kFailed };
@@ -116,6 +123,7 @@
   Millis due = 0;             // the client gives this try up then
   double expected_work = -1;  // on a standard core; negative = unknown
   bool client_retry = false;
+  std::uint64_t key = 0;  // of what it concerns, the same on every node; 0 = none
 };
 struct StreamStarted {
   RequestId request = 0;
@@ -141,6 +149,11 @@
   bool has_report = false;
   LoadReport report;
 };
+// A message of another node, as it came. Nothing in it is trusted.
+struct PeerTold {
+  int peer = 0;
+  std::string bytes;
+};
 // New settings from now on. Classes keep their numbers; new ones stand behind them. Requests that are open
 // keep theirs, and the number of attempts under which they came.
 struct SettingsChanged {
@@ -150,7 +163,7 @@
   std::uint64_t cookie = 0;
 };
 using Event = std::variant<Started, ListUpdate, RequestArrived, StreamStarted, AttemptEnded, RequestGone,
-                           ProbeEnded, TimerFired, SettingsChanged>;
+                           ProbeEnded, TimerFired, SettingsChanged, PeerTold>;
 
 struct SendAttempt {
   RequestId request = 0;
@@ -172,6 +185,12 @@
   BackendId backend = 0;
 };
 struct SubscribeList {};
+// At most kMostPeerBytes to another node; it may be lost.
+inline constexpr std::size_t kMostPeerBytes = 256;
+struct TellPeer {
+  int peer = 0;
+  std::string bytes;
+};
 struct SetTimer {
   Millis at = 0;
   std::uint64_t cookie = 0;
@@ -180,7 +199,7 @@
   std::string text;
 };
 using Action =
-    std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer, Note>;
+    std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer, Note, TellPeer>;
 
 class Policy {
  public:
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -27,6 +27,13 @@
   throw FieldError("unknown Group \"" + std::string(group) + "\"");
 }
 
+// Whether reports come with answers; where there are none at all, nobody waits for them.
+bool parse_source(std::string_view source) {
+  if (source == "answers" || source == "none") return true;
+  if (source == "probe") return false;
+  throw FieldError("unknown Source \"" + std::string(source) + "\"");
+}
+
 RequestClass parse_class(const Json& item) {
   if (!item.IsObject()) bad("Services", "holds something that is not an object");
   RequestClass request_class;
@@ -89,8 +96,24 @@
   settings.warm_up = number_or(rules, "WarmUp", 0);
   settings.fall_multiple = number_or(rules, "FallMultiple", 1);
   settings.fall_span = number_or(rules, "Fall", 0);
+  settings.peer_messages = bool_or(allowed, "PeerMessages", false);
   if (find(object, "Costs") != nullptr) {
     settings.probe_price = number_or(fields::object(object, "Costs"), "Probe", 0);
+    settings.peer_price = number_or(fields::object(object, "Costs"), "Peer", 0);
+  }
+  if (find(object, "Report") != nullptr) {
+    const Json& report = fields::object(object, "Report");
+    if (const Json* source = find(report, "Source")) {
+      settings.reports_with_answers = parse_source(as_text(*source, "Source"));
+    }
+  }
+  if (find(object, "Specifics") != nullptr) {
+    settings.warm_keys = bool_or(fields::object(object, "Specifics"), "WarmKeys", false);
+  }
+  if (find(object, "ScoringMix") != nullptr) {
+    const Json& mix = fields::object(object, "ScoringMix");
+    settings.kept_promises = number_or(mix, "KeptPromises", 0);
+    settings.borne_misses = number_or(mix, "BorneMisses", 0);
   }
   return settings;
 }
