Up to three rounds of looks before a request is refused; first guess from hints

Cause: two or three candidates that happened to be crowded ended a request (best_asked), and the first guess of the service time was a quarter of the shortest aim, three times the true one.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -54,11 +54,12 @@
 constexpr Millis kLookTime = 10;     // slower probes than this are not waited for
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
 // Fellows: what nodes tell one another, where reports come only with probes and probes are dear.
-constexpr int kAsks = 3;               // backends whose keepers are asked for one request
+constexpr int kAsks = 4;               // backends whose keepers are asked for one request
 constexpr double kAskWait = 0.06;      // of the aim: longest that a request is held for their answers
 constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
 constexpr double kToldStep = 8;        // parts of a mean request in which work is told
 constexpr int kFirstLooks = 2;
+constexpr int kLookRounds = 3;
 constexpr double kWarmRank = 1.3;
 constexpr double kToldGain = 0.15;     // weight of one outcome that a fellow told
 constexpr unsigned char kToldForm = 0x10;  // version 1, above the kind of message
@@ -591,8 +592,7 @@
       const bool better = !best || (usable(b) != usable(backends_[*best]) ? usable(b) : expected < least);
       if (better) best = i, least = expected;
     }
-    const double worth = kWorthless + (1 - kWorthless) * class_of(r).worth / most_worth_;
-    if (!best || least > kRefuseShare * worth * (r.aim_at - now_)) return std::nullopt;
+    if (!best || least > admitted(r)) return std::nullopt;
     backends_[*best].credit -= 1;  // a turn taken early
     return best;
   }
@@ -638,19 +638,23 @@
   // Where only probes bring reports, every report is old: some are looked at before each attempt.
   bool asks() const { return s_.peer_messages && s_.instances > 1 && too_dear(kLooks); }
 
+  bool looks_first() const {
+    return !s_.reports_with_answers && (asks() || (!too_dear(kFirstLooks) && s_.probing));
+  }
+
   bool look_first(Held it) {
     Request& r = it->second;
-    if (s_.reports_with_answers || (!asks() && (too_dear(kFirstLooks) || !s_.probing))) return false;
-    if (r.looks > 0) return false;
-    r.looks = 1;
-    const std::size_t most = static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
+    r.looks += 1;
+    const std::size_t old = r.asked.size();
+    const std::size_t most = old + static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
     if (s_.warm_keys && r.key != 0) {
       prefer(r, most);
     } else {
       candidates(r, most);
     }
     bool open = false;
-    for (const BackendId i : r.asked) {
+    for (std::size_t n = old; n < r.asked.size(); ++n) {
+      const BackendId i = r.asked[n];
       Backend& b = backends_[i];
       if (asks()) {
         if (ask(b)) open = true;
@@ -662,7 +666,7 @@
       if (!b.probe_out) act(SendProbe{i});
       if (now_ - b.asked_at >= kPeriod) b.probe_out = true, b.asked_at = now_;
     }
-    if (!open) return false;
+    if (!open) return r.asked.size() > old ? (proceed(it), true) : false;
     looking_.push_back(it->first);
     timer(kLookTimer, r.look_until = now_ + kAskWait * s_.classes[static_cast<std::size_t>(r.request_class)].aim);
     return true;
@@ -692,28 +696,36 @@
     for (BackendId i = 0; i < backends_.size(); ++i) {
       const Backend& b = backends_[i];
       if (!usable(b) || b.share <= 0 || !allowed(r, i)) continue;
+      if (std::find(r.asked.begin(), r.asked.end(), i) != r.asked.end()) continue;
       Random draw(r.key ^ (b.tag * 0x9e3779b97f4a7c15ULL));
       order.emplace_back(-std::log(1 - draw.unit()) / b.share, i);
     }
-    const std::size_t n = std::min(most, order.size());
+    const std::size_t n = std::min(most - r.asked.size(), order.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(n), order.end());
     for (std::size_t k = 0; k < n; ++k) r.asked.push_back(order[k].second);
   }
 
-  std::optional<BackendId> best_asked(const Request& r) {
+  // The best of those looked at, and when it is expected to answer.
+  std::pair<std::optional<BackendId>, Millis> best_asked(const Request& r) {
     std::optional<BackendId> best;
     std::pair<bool, Millis> least;
+    Millis expected = 0;
     double rank = 1;
     for (const BackendId i : r.asked) {
       const Backend& b = backends_[i];
       if (!usable(b) || !allowed(r, i)) continue;
-      const std::pair<bool, Millis> one{now_ - b.reported_at > 2 * (kAskWait * class_of(r).aim), expected_answer(r, b) * rank};
+      const Millis one = expected_answer(r, b);
+      const std::pair<bool, Millis> key{now_ - b.reported_at > 2 * kAskWait * class_of(r).aim, one * rank};
       if (s_.warm_keys && r.key != 0) rank *= kWarmRank;
-      if (!best || one < least) best = i, least = one;
+      if (!best || key < least) best = i, least = key, expected = one;
     }
+    return {best, expected};
+  }
+
+  // Exception "admission": the time within which an answer must be expected, less for what is worth less.
+  Millis admitted(const Request& r) const {
     const double worth = kWorthless + (1 - kWorthless) * class_of(r).worth / most_worth_;
-    if (!best || least.second > kRefuseShare * worth * (r.aim_at - now_)) return std::nullopt;
-    return best;
+    return kRefuseShare * worth * (r.aim_at - now_);
   }
 
   // ---- fellows ----
@@ -876,9 +888,14 @@
     return std::max(work, (in_hand(b) + work) / b.lanes);
   }
 
+  double zone_failing(const Backend& b) const {
+    const auto zone = static_cast<std::size_t>(b.zone);
+    return zone < zone_failing_.size() ? zone_failing_[zone] : 0;
+  }
+
   Millis expected_answer(const Request& r, const Backend& b) const {
     const double ratio = class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio;
-    return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b) / std::max(0.1, 1 - b.failing);
+    return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b) / std::max(0.1, 1 - std::max(b.failing, zone_failing(b)));
   }
 
   // Exception "doubt": a report that leaves out requests which this node has had there for long is not of
@@ -945,6 +962,7 @@
     b.heard = true;
     b.service_ratio += kServiceGain * (ratio - b.service_ratio);
     if (!served || a.crowd > r.work || b.busy > kCrowdedShare) return;
+    learnt_ = true;
     class_ratio += kFleetGain * (alone / (service_ * b.service_ratio) - class_ratio);
     service_ += kFleetGain * (alone / (class_ratio * b.service_ratio) - service_);
   }
@@ -955,6 +973,7 @@
   void forget() {
     const double held = rate() * mean_share_ * kRecordSpan;
     slowness_ = std::pow(slowness_, 1 - kForgetting);
+    for (double& failing : zone_failing_) failing *= 1 - kForgetting;
     stretch_ = std::pow(std::max(1.0, slowness_), 1 / (1 + held * held));
     // Exception "guess": where answers meet a crowd from the first moment on, none teaches the fleet's
     // service time. But if over half of all backends told of theirs, and each is well below it, it cannot be
@@ -1017,6 +1036,9 @@
     const bool unreachable = outcome == Outcome::kNoConnection;
     const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
     if (!silent && !error && outcome != Outcome::kServed) return;
+    const auto zone = static_cast<std::size_t>(b.zone);
+    if (zone >= zone_failing_.size()) zone_failing_.resize(zone + 1);
+    zone_failing_[zone] += kToldGain * ((silent || unreachable) - zone_failing_[zone]);
     ++outcomes_;
     for (const std::size_t n : {std::size_t{0}, static_cast<std::size_t>(request_class) + 1}) {
       judge(&Backend::silences, b, n, silent, kHealthGain);
@@ -1168,6 +1190,7 @@
     if (e.expected_work > 0) {
       hints_ += 1;
       mean_hint_ += std::max(kFleetGain, 1 / hints_) * (e.expected_work - mean_hint_);
+      if (!learnt_) service_ = std::max(1.0, mean_hint_);
       r.work = std::clamp(e.expected_work / mean_hint_, 0.1, 10.0);
     }
     arrived_ += 1;
@@ -1181,10 +1204,12 @@
   void proceed(Held it) {
     Request& r = it->second;
     if (may_send(r)) {
-      if (look_first(it)) return;
-      if (!r.asked.empty()) {
-        if (const auto best = best_asked(r)) return send(it, *best);
-        return finish(it);
+      if (looks_first()) {
+        const auto [best, expected] = best_asked(r);
+        const bool good = best && expected <= kSkipShare * (r.aim_at - now_);
+        if (!good && r.looks < kLookRounds && look_first(it)) return;
+        if (best && expected <= admitted(r)) return send(it, *best);
+        if (!r.asked.empty()) return finish(it);
       }
       std::optional<BackendId> i = propose(r);
       if (!i && look(it)) return;
@@ -1334,6 +1359,8 @@
   std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis shortest_aim_ = 0;
+  bool learnt_ = false;
+  std::vector<double> zone_failing_;
   double hints_ = 0;
   double mean_hint_ = 0;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
