Second copies of overdue attempts; the fleet's time from hints; quotas not in equal parts

Log lines: refusals at a node's equal part of a tenant's quota, though a few nodes carry most traffic; service times between 30 and 435 ms on nodes alike, since answers teach little at 15 requests a second. Ruled out: crowds (mean others under 2). Change: hints give the fleet's time; equal parts of quotas are not held where nodes ask one another; a second copy goes out when an attempt takes three times what was expected.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -58,6 +58,9 @@
 constexpr double kAskWait = 0.06;      // of the aim: longest that a request is held for their answers
 constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
 constexpr double kToldStep = 8;        // parts of a mean request in which work is told
+constexpr double kOverdue = 3;
+constexpr double kHintGain = 0.003;
+constexpr double kLeastTold = 0.5;
 constexpr int kFirstLooks = 2;
 constexpr int kLookRounds = 3;
 constexpr double kWarmRank = 1.3;
@@ -235,7 +238,8 @@
 
 enum ToldKind : unsigned char { kAskKind, kAnswerKind, kTellKind };
 
-enum TimerKind : std::uint64_t { kTickTimer, kListTimer, kLookTimer };
+// A timer for one request has its number above the kind.
+enum TimerKind : std::uint64_t { kTickTimer, kListTimer, kLookTimer, kCopyTimer };
 
 }  // namespace
 
@@ -361,6 +365,8 @@
       case kListTimer:
         ask_for_list();
         break;
+      default:
+        second_copy(static_cast<RequestId>(fired.cookie >> 8));
     }
   }
 
@@ -745,7 +751,7 @@
     return static_cast<unsigned char>(std::min(255.0, std::ceil(work * kToldStep)));
   }
   static unsigned char ratio_code(double ratio) {
-    return static_cast<unsigned char>(std::clamp(std::round(128 + 16 * std::log2(ratio)), 2.0, 255.0));
+    return static_cast<unsigned char>(std::clamp(std::round(128 + 16 * std::log2(ratio)), 3.0, 255.0));
   }
 
   // Asks the backend's keeper for news of it; true if an answer is to come.
@@ -776,7 +782,7 @@
     if (ending == 0) return;
     const bool failed = ending == 1;
     b.told_failing += kToldGain * ((failed ? 1 : 0) - b.told_failing);
-    if (failed) return;
+    if (ending <= 2) return;
     const double ratio = std::exp2((ending - 128) / 16.0);
     b.told_ratio += (b.told_ratio > 0 ? kToldGain : 1) * (ratio - b.told_ratio);
   }
@@ -791,12 +797,9 @@
   void learn_told(Backend& b, double work, double ratio, double failing) {
     learn_others(b, work);
     b.failing = failing;
-    if (ratio > 0) b.service_ratio = ratio * unit() / service_, b.heard = true;
+    if (ratio > 0) b.service_ratio = ratio, b.heard = true;
   }
 
-  // What a fellow calls one: a mean request's hinted work, or the time that the fleet takes for it.
-  double unit() const { return mean_hint_ > 0 ? mean_hint_ : service_; }
-
   void on(const PeerTold& e) {
     const auto at = [&e](std::size_t n) { return static_cast<unsigned char>(e.bytes[n]); };
     if (e.bytes.size() < 5 || e.peer < 0 || e.peer >= s_.instances || e.peer == s_.instance) return;
@@ -835,7 +838,7 @@
     bool tried = false;
     for (const RequestId id : waiting) {
       const Held it = requests_.find(id);
-      if (it == requests_.end() || any_out(it->second)) continue;
+      if (it == requests_.end()) continue;
       const bool overdue = now_ > it->second.look_until - kTimerSlack;
       if (!it->second.asked.empty()) {
         const auto& asked = it->second.asked;
@@ -890,7 +893,8 @@
 
   double zone_failing(const Backend& b) const {
     const auto zone = static_cast<std::size_t>(b.zone);
-    return zone < zone_failing_.size() ? zone_failing_[zone] : 0;
+    if (zone >= zone_failing_.size()) return 0;
+    return zone_failing_[zone] - *std::min_element(zone_failing_.begin(), zone_failing_.end());
   }
 
   Millis expected_answer(const Request& r, const Backend& b) const {
@@ -960,9 +964,8 @@
     const double ratio = std::clamp(alone / (service_ * class_ratio * stretch_), 0.1, 10.0);
     if (!served && ratio <= b.service_ratio) return;
     b.heard = true;
-    b.service_ratio += kServiceGain * (ratio - b.service_ratio);
-    if (!served || a.crowd > r.work || b.busy > kCrowdedShare) return;
-    learnt_ = true;
+    if (!asks()) b.service_ratio += kServiceGain * (ratio - b.service_ratio);
+    if (!served || a.crowd > r.work || b.busy > kCrowdedShare || hints_ > 0) return;
     class_ratio += kFleetGain * (alone / (service_ * b.service_ratio) - class_ratio);
     service_ += kFleetGain * (alone / (class_ratio * b.service_ratio) - service_);
   }
@@ -1189,14 +1192,14 @@
     r.key = e.key;
     if (e.expected_work > 0) {
       hints_ += 1;
-      mean_hint_ += std::max(kFleetGain, 1 / hints_) * (e.expected_work - mean_hint_);
-      if (!learnt_) service_ = std::max(1.0, mean_hint_);
+      mean_hint_ += std::max(kHintGain, 1 / hints_) * (e.expected_work - mean_hint_);
+      service_ = mean_hint_;
       r.work = std::clamp(e.expected_work / mean_hint_, 0.1, 10.0);
     }
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
-    if (!within_allowance(e.tenant)) return finish(it);
+    if (!asks() && !within_allowance(e.tenant)) return finish(it);
     proceed(it);
   }
 
@@ -1209,6 +1212,7 @@
         const bool good = best && expected <= kSkipShare * (r.aim_at - now_);
         if (!good && r.looks < kLookRounds && look_first(it)) return;
         if (best && expected <= admitted(r)) return send(it, *best);
+        if (any_out(r)) return;
         if (!r.asked.empty()) return finish(it);
       }
       std::optional<BackendId> i = propose(r);
@@ -1216,7 +1220,17 @@
       if (!i) i = soonest(r);
       if (i) return send(it, *i);
     }
-    finish(it);
+    if (!any_out(r)) finish(it);
+  }
+
+  // Exception "second copy": an attempt is out for far longer than was expected.
+  void second_copy(RequestId id) {
+    const Held it = requests_.find(id);
+    if (it == requests_.end()) return;
+    Request& r = it->second;
+    if (!r.attempts.back().out || r.streaming || now_ >= r.aim_at || !may_send(r)) return;
+    r.looks = 0, r.asked.clear();
+    proceed(it);
   }
 
   bool may_send(const Request& r) const {
@@ -1244,6 +1258,7 @@
   void send(Held it, BackendId i) {
     Request& r = it->second;
     Backend& b = backends_[i];
+    const Millis expected = expected_answer(r, b);
     if (cold(b)) b.cold_sends.push_back(now_), b.cold_used = std::floor(b.cold_turns);
     r.asked.clear(), r.looks = 0;
     r.attempts.push_back({i, now_, crowd(b, r.work), warmth(b), true, true});
@@ -1255,6 +1270,10 @@
                         return usable(o) && allowed(r, static_cast<BackendId>(&o - backends_.data()));
                       });
     act(SendAttempt{it->first, i, ends ? now_ + early : stop_at(r)});
+    if (looks_first() && s_.parallel_attempts && class_of(r).effect != Effect::kUnsafe) {
+      const Millis left = r.aim_at - now_;
+      act(SetTimer{now_ + std::min(kOverdue * expected, std::max(expected, left / 2)), kCopyTimer | std::uint64_t{it->first} << 8});
+    }
     b.outs.push_back({now_, r.work});
     b.out_work += r.work;
     tell(b, 0);
@@ -1280,6 +1299,8 @@
     const Request& r = it->second;
     for (std::size_t n = 0; n < r.attempts.size(); ++n) {
       const bool call_off = r.attempts[n].out && !r.streaming && s_.cancelling;
+      // Overtaken by a copy sent later: lost or stuck.
+      if (r.attempts[n].out && n + 1 < r.attempts.size()) tell(backends_[r.attempts[n].backend], 1);
       if (call_off) act(CancelAttempt{it->first, static_cast<int>(n)});
     }
     requests_.erase(it);
@@ -1294,7 +1315,7 @@
     if (e.outcome == Outcome::kServed && held != requests_.end()) {
       const Attempt& a = held->second.attempts.at(static_cast<std::size_t>(e.attempt));
       const double ratio = class_ratio_[static_cast<std::size_t>(held->second.request_class)];
-      ending = ratio_code(std::clamp(e.elapsed / a.crowd * a.warmth / (unit() * (mean_hint_ > 0 ? 1 : ratio)), 0.02, 50.0));
+      ending = a.crowd < kLeastTold ? 2 : ratio_code(std::clamp(e.elapsed / a.crowd * a.warmth / (service_ * ratio), 0.02, 50.0));
     }
     tell(b, ending);
     if (e.has_report) learn_report(b, e.report);
@@ -1359,7 +1380,6 @@
   std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis shortest_aim_ = 0;
-  bool learnt_ = false;
   std::vector<double> zone_failing_;
   double hints_ = 0;
   double mean_hint_ = 0;
