Queues bounded by requests held; attempts overtaken by answers no longer count

Change: a backend with more than three times the root of its cores waiting gets nothing more, sooner for what is worth less; keepers tell requests beside work; an attempt with more answers after it than were before it is held no longer.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -10,6 +10,7 @@
 #include <initializer_list>
 #include <optional>
 #include <stdexcept>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -58,9 +59,12 @@
 constexpr double kAskWait = 0.06;      // of the aim: longest that a request is held for their answers
 constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
 constexpr double kToldStep = 8;        // parts of a mean request in which work is told
-constexpr double kOverdue = 3;
+constexpr double kOverdue = 4;
+constexpr double kMostQueue = 3;
 constexpr double kHintGain = 0.003;
 constexpr double kLeastTold = 0.5;
+constexpr double kPromise = 0.25;
+constexpr std::uint64_t kOvertaken = 2;
 constexpr int kFirstLooks = 2;
 constexpr int kLookRounds = 3;
 constexpr double kWarmRank = 1.3;
@@ -153,7 +157,10 @@
 struct ToldWork {
   int peer = 0;
   double work = 0;
+  int held = 0;
   Millis at = 0;
+  Millis promised = 0;
+  std::uint64_t overtaken = 0;  // once so many answers came, those before it and it should have
 };
 
 struct Backend : BackendEntry {
@@ -190,9 +197,12 @@
   bool heard = false;        // an answer, or a time-out, told of its speed this period
   double service_ratio = 1;  // its service time over the fleet's
 
+  int out_held = 0;
   double out_work = 0;       // of this node, in mean requests
   // as the keeper of what all nodes tell of it
   std::vector<ToldWork> told;
+  double others_held = 0;
+  std::uint64_t answers = 0;
   double told_ratio = 0;     // 0 = nobody told yet
   double told_failing = 0;
   // as its keeper told it
@@ -204,8 +214,8 @@
 struct Attempt {
   BackendId backend = 0;
   Millis sent = 0;
-  double work = 1;
   double crowd = 1;   // the backend's expected load when it was sent, in service times
+  bool overdue = false;
   double warmth = 1;  // and its share of full speed
   bool out = true;
   bool may_have_run = true;  // until an outcome proves that it never ran
@@ -714,24 +724,33 @@
   // The best of those looked at, and when it is expected to answer.
   std::pair<std::optional<BackendId>, Millis> best_asked(const Request& r) {
     std::optional<BackendId> best;
-    std::pair<bool, Millis> least;
+    std::tuple<bool, bool, Millis> least;
     Millis expected = 0;
     double rank = 1;
     for (const BackendId i : r.asked) {
       const Backend& b = backends_[i];
       if (!usable(b) || !allowed(r, i)) continue;
       const Millis one = expected_answer(r, b);
-      const std::pair<bool, Millis> key{now_ - b.reported_at > 2 * kAskWait * class_of(r).aim, one * rank};
+      const std::tuple<bool, bool, Millis> key{now_ - b.reported_at > 2 * kAskWait * class_of(r).aim, full(r, b), one * rank / std::max(0.1, 1 - std::max(b.failing, zone_failing(b)))};
       if (s_.warm_keys && r.key != 0) rank *= kWarmRank;
       if (!best || key < least) best = i, least = key, expected = one;
     }
     return {best, expected};
   }
 
+  // Exception "far more waiting than cores": such a backend has been seen to turn slow for long.
+  bool full(const Request& r, const Backend& b) const {
+    const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
+    return requests > kMostQueue * std::sqrt(b.lanes) * worth(r) + b.lanes;
+  }
+
+  double worth(const Request& r) const {
+    return kWorthless + (1 - kWorthless) * class_of(r).worth / most_worth_;
+  }
+
   // Exception "admission": the time within which an answer must be expected, less for what is worth less.
   Millis admitted(const Request& r) const {
-    const double worth = kWorthless + (1 - kWorthless) * class_of(r).worth / most_worth_;
-    return kRefuseShare * worth * (r.aim_at - now_);
+    return kRefuseShare * worth(r) * (r.aim_at - now_);
   }
 
   // ---- fellows ----
@@ -758,7 +777,8 @@
   bool ask(Backend& b) {
     const int k = keeper(b);
     if (k == s_.instance) {
-      learn_told(b, work_told(b, k), b.told_ratio, b.told_failing);
+      const auto [work, held] = work_told(b, k);
+      learn_told(b, work, held, b.told_ratio, b.told_failing);
       return false;
     }
     if (now_ < b.ask_until) return true;
@@ -771,14 +791,19 @@
   void tell(Backend& b, unsigned char ending) {
     if (!asks() || s_.reports_with_answers) return;
     const int k = keeper(b);
-    if (k == s_.instance) return keep(b, k, b.out_work, ending);
-    act(TellPeer{k, message(kTellKind, b.tag, {work_code(b.out_work), ending})});
+    if (k == s_.instance) return keep(b, k, b.out_work, b.out_held, ending);
+    act(TellPeer{k, message(kTellKind, b.tag, {work_code(b.out_work), static_cast<unsigned char>(std::min(255, b.out_held)), ending})});
   }
 
-  void keep(Backend& b, int peer, double work, unsigned char ending) {
+  void keep(Backend& b, int peer, double work, int held, unsigned char ending) {
+    if (ending >= 2) ++b.answers;
+    drop_told(b);
     const auto it = std::find_if(b.told.begin(), b.told.end(), [peer](const ToldWork& t) { return t.peer == peer; });
-    if (it != b.told.end()) *it = {peer, work, now_};
-    else if (work > 0) b.told.push_back({peer, work, now_});
+    if (it != b.told.end()) *it = {peer, work, held, now_, 0, 0};
+    else if (work > 0) b.told.push_back({peer, work, held, now_, 0, 0});
+    int all = 0;
+    for (const ToldWork& t : b.told) all += t.held;
+    for (ToldWork& t : b.told) if (t.peer == peer) t.overtaken = b.answers + static_cast<std::uint64_t>(all) + kOvertaken;
     if (ending == 0) return;
     const bool failed = ending == 1;
     b.told_failing += kToldGain * ((failed ? 1 : 0) - b.told_failing);
@@ -787,15 +812,31 @@
     b.told_ratio += (b.told_ratio > 0 ? kToldGain : 1) * (ratio - b.told_ratio);
   }
 
-  double work_told(Backend& b, int but) {
-    std::erase_if(b.told, [this](const ToldWork& t) { return t.work <= 0 || now_ - t.at > kToldLife; });
+  void drop_told(Backend& b) {
+    std::erase_if(b.told, [this, &b](const ToldWork& t) { return (t.work <= 0 || now_ - t.at > kToldLife || b.answers > t.overtaken) && now_ > t.promised; });
+  }
+
+  std::pair<double, double> work_told(Backend& b, int but) {
+    drop_told(b);
     double work = 0;
-    for (const ToldWork& t : b.told) work += t.peer == but ? 0 : t.work;
-    return work;
+    double held = 0;
+    ToldWork* own = nullptr;
+    for (ToldWork& t : b.told) {
+      if (t.peer == but) own = &t;
+      else {
+        const double promise = now_ < t.promised ? kPromise : 0;
+        work += t.work + promise;
+        held += t.held + promise;
+      }
+    }
+    if (own == nullptr) own = &b.told.emplace_back(but, 0, 0, now_, 0, 0);
+    own->promised = now_ + kAskWait * shortest_aim_;
+    return {work, held};
   }
 
-  void learn_told(Backend& b, double work, double ratio, double failing) {
+  void learn_told(Backend& b, double work, double held, double ratio, double failing) {
     learn_others(b, work);
+    b.others_held = held;
     b.failing = failing;
     if (ratio > 0) b.service_ratio = ratio, b.heard = true;
   }
@@ -810,13 +851,14 @@
     Backend& b = backends_[found->second];
     if (at(0) == (kToldForm | kAskKind) && e.bytes.size() == 5) {
       const unsigned char ratio = b.told_ratio > 0 ? ratio_code(b.told_ratio) : 0;
-      act(TellPeer{e.peer, message(kAnswerKind, tag, {work_code(work_told(b, e.peer)), ratio,
+      const auto [work, held] = work_told(b, e.peer);
+      act(TellPeer{e.peer, message(kAnswerKind, tag, {work_code(work), work_code(held), ratio,
                                    static_cast<unsigned char>(b.told_failing * 255)})});
-    } else if (at(0) == (kToldForm | kTellKind) && e.bytes.size() == 7) {
-      keep(b, e.peer, at(5) / kToldStep, at(6));
-    } else if (at(0) == (kToldForm | kAnswerKind) && e.bytes.size() == 8) {
+    } else if (at(0) == (kToldForm | kTellKind) && e.bytes.size() == 8) {
+      keep(b, e.peer, at(5) / kToldStep, at(6), at(7));
+    } else if (at(0) == (kToldForm | kAnswerKind) && e.bytes.size() == 9) {
       b.ask_until = 0;
-      learn_told(b, at(5) / kToldStep, at(6) > 0 ? std::exp2((at(6) - 128) / 16.0) : 0, at(7) / 255.0);
+      learn_told(b, at(5) / kToldStep, at(6) / kToldStep, at(7) > 0 ? std::exp2((at(7) - 128) / 16.0) : 0, at(8) / 255.0);
       if (!looking_.empty()) look_again(false);
     }
   }
@@ -899,7 +941,7 @@
 
   Millis expected_answer(const Request& r, const Backend& b) const {
     const double ratio = class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio;
-    return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b) / std::max(0.1, 1 - std::max(b.failing, zone_failing(b)));
+    return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b);
   }
 
   // Exception "doubt": a report that leaves out requests which this node has had there for long is not of
@@ -1209,9 +1251,9 @@
     if (may_send(r)) {
       if (looks_first()) {
         const auto [best, expected] = best_asked(r);
-        const bool good = best && expected <= kSkipShare * (r.aim_at - now_);
+        const bool good = best && !full(r, backends_[*best]) && expected <= kSkipShare * (r.aim_at - now_);
         if (!good && r.looks < kLookRounds && look_first(it)) return;
-        if (best && expected <= admitted(r)) return send(it, *best);
+        if (best && !full(r, backends_[*best]) && expected <= admitted(r)) return send(it, *best);
         if (any_out(r)) return;
         if (!r.asked.empty()) return finish(it);
       }
@@ -1228,7 +1270,12 @@
     const Held it = requests_.find(id);
     if (it == requests_.end()) return;
     Request& r = it->second;
-    if (!r.attempts.back().out || r.streaming || now_ >= r.aim_at || !may_send(r)) return;
+    Attempt& a = r.attempts.back();
+    if (!a.out || a.overdue || r.streaming) return;
+    Backend& b = backends_[a.backend];
+    a.overdue = true;
+    tell(b, 1);
+    if (now_ >= r.aim_at || !may_send(r)) return;
     r.looks = 0, r.asked.clear();
     proceed(it);
   }
@@ -1261,7 +1308,7 @@
     const Millis expected = expected_answer(r, b);
     if (cold(b)) b.cold_sends.push_back(now_), b.cold_used = std::floor(b.cold_turns);
     r.asked.clear(), r.looks = 0;
-    r.attempts.push_back({i, now_, crowd(b, r.work), warmth(b), true, true});
+    r.attempts.push_back({i, now_, crowd(b, r.work), false, warmth(b), true, true});
     if (r.attempts.size() > 1) resends_ -= 1;
     // Exception "early end": answers get lost, this one is expected before, and somebody else may have it.
     const Millis early = kEarlyEnd * (stop_at(r) - now_);
@@ -1271,11 +1318,10 @@
                       });
     act(SendAttempt{it->first, i, ends ? now_ + early : stop_at(r)});
     if (looks_first() && s_.parallel_attempts && class_of(r).effect != Effect::kUnsafe) {
-      const Millis left = r.aim_at - now_;
-      act(SetTimer{now_ + std::min(kOverdue * expected, std::max(expected, left / 2)), kCopyTimer | std::uint64_t{it->first} << 8});
+      act(SetTimer{now_ + kOverdue * std::max(expected, service_), kCopyTimer | std::uint64_t{it->first} << 8});
     }
     b.outs.push_back({now_, r.work});
-    b.out_work += r.work;
+    count_out(b);
     tell(b, 0);
   }
 
@@ -1299,8 +1345,6 @@
     const Request& r = it->second;
     for (std::size_t n = 0; n < r.attempts.size(); ++n) {
       const bool call_off = r.attempts[n].out && !r.streaming && s_.cancelling;
-      // Overtaken by a copy sent later: lost or stuck.
-      if (r.attempts[n].out && n + 1 < r.attempts.size()) tell(backends_[r.attempts[n].backend], 1);
       if (call_off) act(CancelAttempt{it->first, static_cast<int>(n)});
     }
     requests_.erase(it);
@@ -1308,10 +1352,12 @@
 
   void on(const AttemptEnded& e) {
     Backend& b = backends_.at(e.backend);
-    forget_send(b, now_ - e.elapsed);
     const Held held = requests_.find(e.request);
+    const bool overdue = held != requests_.end() && held->second.attempts.at(static_cast<std::size_t>(e.attempt)).overdue;
+    if (e.outcome == Outcome::kServed) b.answered = std::max(b.answered, now_ - e.elapsed);
+    forget_send(b, now_ - e.elapsed);
     const bool bad = e.outcome == Outcome::kError || e.outcome == Outcome::kConnectionLost || e.outcome == Outcome::kNoAnswer || e.outcome == Outcome::kNoConnection;
-    unsigned char ending = bad ? 1 : 0;
+    unsigned char ending = bad && !overdue ? 1 : 0;
     if (e.outcome == Outcome::kServed && held != requests_.end()) {
       const Attempt& a = held->second.attempts.at(static_cast<std::size_t>(e.attempt));
       const double ratio = class_ratio_[static_cast<std::size_t>(held->second.request_class)];
@@ -1345,13 +1391,23 @@
   }
 
   // An attempt is over: the one on record that was sent nearest to then.
-  static void forget_send(Backend& b, Millis sent) {
+  void forget_send(Backend& b, Millis sent) {
     if (b.outs.empty()) return;
     b.outs.erase(std::min_element(b.outs.begin(), b.outs.end(), [sent](const Out& x, const Out& y) {
       return std::abs(x.sent - sent) < std::abs(y.sent - sent);
     }));
+    count_out(b);
+  }
+
+  // One sent before another that was answered is lost, as it seems, and in nobody's hands.
+  void count_out(Backend& b) {
     b.out_work = 0;
-    for (const Out& out : b.outs) b.out_work += out.work;
+    b.out_held = 0;
+    for (const Out& out : b.outs) {
+      if (asks() && out.sent < b.answered) continue;
+      b.out_work += out.work;
+      b.out_held += 1;
+    }
   }
 
   void on(const StreamStarted& e) {
