Tenants' rates told; bound for what is worth little falls as the fleet fills

Change: each tenant's rates go to a keeper once a second, its quota is parted as the traffic is, what is beyond counts as worth little; the bound on requests held by a backend is less for such the fuller the fleet is.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -228,6 +228,7 @@
   int most_attempts = 1;
   double work = 1;  // of a mean request, by its hint
   std::uint64_t key = 0;
+  bool over_share = false;  // beyond its tenant's share
   std::vector<BackendId> asked;  // candidates whose news it waits for
   bool streaming = false;
   int looks = 0;          // asked for it so far
@@ -242,11 +243,15 @@
 };
 
 struct Purse {
+  double came = 0;  // in this period
+  double rate = 0;  // in the last one, of this node
+  double all = 0;   // and of all, as its keeper told
+  std::vector<ToldWork> told;
   double tokens = 0;
   Millis at = 0;
 };
 
-enum ToldKind : unsigned char { kAskKind, kAnswerKind, kTellKind };
+enum ToldKind : unsigned char { kAskKind, kAnswerKind, kTellKind, kRateKind, kAllKind };
 
 // A timer for one request has its number above the kind.
 enum TimerKind : std::uint64_t { kTickTimer, kListTimer, kLookTimer, kCopyTimer };
@@ -404,6 +409,7 @@
   void close_period() {
     set_shares();
     set_allowance();
+    tell_rates();
     learn_lanes();
     count_nodes();
     forget();
@@ -741,12 +747,15 @@
   // Exception "far more waiting than cores": such a backend has been seen to turn slow for long.
   bool full(const Request& r, const Backend& b) const {
     const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
-    return requests > kMostQueue * std::sqrt(b.lanes) * worth(r) + b.lanes;
+    const double most = kMostQueue * std::sqrt(b.lanes);
+    return requests > b.lanes + most * (1 - (1 - value(r)) * std::min(1.0, mean_others_ / most));
   }
 
-  double worth(const Request& r) const {
-    return kWorthless + (1 - kWorthless) * class_of(r).worth / most_worth_;
+  // Of the dearest class within its tenant's share.
+  double value(const Request& r) const {
+    return class_of(r).worth / most_worth_ * (r.over_share ? s_.over_share_worth : 1);
   }
+  double worth(const Request& r) const { return kWorthless + (1 - kWorthless) * value(r); }
 
   // Exception "admission": the time within which an answer must be expected, less for what is worth less.
   Millis admitted(const Request& r) const {
@@ -755,8 +764,9 @@
 
   // ---- fellows ----
 
-  int keeper(const Backend& b) const {
-    return static_cast<int>(Random(b.tag).next() % static_cast<std::uint64_t>(s_.instances));
+  int keeper(const Backend& b) const { return keeper_of(b.tag); }
+  int keeper_of(std::uint32_t tag) const {
+    return static_cast<int>(Random(tag).next() % static_cast<std::uint64_t>(s_.instances));
   }
 
   static std::string message(unsigned char kind, std::uint32_t tag, std::initializer_list<unsigned char> rest) {
@@ -846,6 +856,17 @@
     if (e.bytes.size() < 5 || e.peer < 0 || e.peer >= s_.instances || e.peer == s_.instance) return;
     std::uint32_t tag = 0;
     for (std::size_t n = 0; n < 4; ++n) tag |= std::uint32_t{at(n + 1)} << (8 * n);
+    const auto rate = [&at] { return static_cast<double>(at(5) + at(6) * 256); };
+    if (at(0) == (kToldForm | kRateKind) && e.bytes.size() == 7 && tag < purses_.size()) {
+      Purse& p = purses_[tag];
+      keep_rate(p, e.peer, rate());
+      const unsigned all = static_cast<unsigned>(std::min(65535.0, p.all));
+      return act(TellPeer{e.peer, message(kAllKind, tag, {static_cast<unsigned char>(all & 255), static_cast<unsigned char>(all >> 8)})});
+    }
+    if (at(0) == (kToldForm | kAllKind) && e.bytes.size() == 7 && tag < purses_.size()) {
+      purses_[tag].all = rate();
+      return;
+    }
     const auto found = by_tag_.find(tag);
     if (found == by_tag_.end()) return;
     Backend& b = backends_[found->second];
@@ -1205,6 +1226,43 @@
     nodes_ += kNodesGain * (std::clamp(all / served_mean_, 1.0, kMostNodes * stated_nodes()) - nodes_);
   }
 
+  // Where nodes tell one another their rates, a tenant's quota is parted as its traffic is.
+  bool within_share(int tenant) {
+    if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
+    Purse& p = purses_[static_cast<std::size_t>(tenant)];
+    p.came += 1;
+    const double quota = s_.tenants[static_cast<std::size_t>(tenant)].quota_rps;
+    if (quota <= 0 || p.all <= quota || p.rate <= 0) return true;
+    const double rate = quota * p.rate / p.all;
+    p.tokens = std::min(std::max(kLeastBurst, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
+    p.at = now_;
+    if (p.tokens < 1) return false;
+    p.tokens -= 1;
+    return true;
+  }
+
+  void tell_rates() {
+    for (std::size_t n = 0; asks() && n < purses_.size(); ++n) {
+      Purse& p = purses_[n];
+      p.rate = std::exchange(p.came, 0) * 1000 / kPeriod;
+      const std::uint32_t tag = static_cast<std::uint32_t>(n);
+      const int k = keeper_of(tag);
+      if (k == s_.instance) {
+        keep_rate(p, k, p.rate);
+      } else if (p.rate > 0) {
+        const unsigned rate = static_cast<unsigned>(std::min(65535.0, p.rate));
+        act(TellPeer{k, message(kRateKind, tag, {static_cast<unsigned char>(rate & 255), static_cast<unsigned char>(rate >> 8)})});
+      }
+    }
+  }
+
+  void keep_rate(Purse& p, int peer, double rate) {
+    std::erase_if(p.told, [this, peer](const ToldWork& t) { return t.peer == peer || now_ - t.at > kToldLife; });
+    p.told.push_back({peer, rate, 0, now_, 0, 0});
+    p.all = 0;
+    for (const ToldWork& t : p.told) p.all += t.work;
+  }
+
   // Whether the tenant's request is within this node's part of its allowance (a token bucket).
   bool within_allowance(int tenant) {
     if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
@@ -1240,6 +1298,7 @@
     }
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
+    r.over_share = asks() && !within_share(e.tenant);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
     if (!asks() && !within_allowance(e.tenant)) return finish(it);
     proceed(it);
