--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -64,7 +64,7 @@
 constexpr double kHintGain = 0.003;
 constexpr double kLeastTold = 0.5;
 constexpr double kPromise = 0.2;
-constexpr std::uint64_t kOvertaken = 2;
+constexpr std::uint64_t kOvertaken = 0;
 constexpr int kFirstLooks = 2;
 constexpr int kLookRounds = 2;
 constexpr double kWarmRank = 1.3;
@@ -151,6 +151,7 @@
 struct Out {
   Millis sent = 0;
   double work = 1;
+  bool overdue = false;
 };
 
 // What one node said that it has out at a backend.
@@ -1330,11 +1331,15 @@
     if (it == requests_.end()) return;
     Request& r = it->second;
     Attempt& a = r.attempts.back();
-    if (!a.out || a.overdue || r.streaming) return;
-    Backend& b = backends_[a.backend];
-    a.overdue = true;
-    tell(b, 1);
-    if (now_ >= r.aim_at || !may_send(r)) return;
+    if (!a.out || r.streaming || now_ >= r.aim_at) return;
+    if (!std::exchange(a.overdue, true)) {
+      Backend& b = backends_[a.backend];
+      for (Out& out : b.outs) out.overdue = out.overdue || out.sent == a.sent;
+      count_out(b);
+      tell(b, 1);
+    }
+    act(SetTimer{now_ + service_, kCopyTimer | std::uint64_t{id} << 8});  // if it does not come to it now
+    if (!may_send(r) || now_ < r.look_until - kTimerSlack) return;
     r.looks = 0, r.asked.clear();
     proceed(it);
   }
@@ -1379,7 +1384,7 @@
     if (looks_first() && s_.parallel_attempts && class_of(r).effect != Effect::kUnsafe) {
       act(SetTimer{now_ + kOverdue * std::max(expected, service_), kCopyTimer | std::uint64_t{it->first} << 8});
     }
-    b.outs.push_back({now_, r.work});
+    b.outs.push_back({now_, r.work, false});
     count_out(b);
     tell(b, 0);
   }
@@ -1463,7 +1468,7 @@
     b.out_work = 0;
     b.out_held = 0;
     for (const Out& out : b.outs) {
-      if (asks() && out.sent < b.answered) continue;
+      if (asks() && (out.overdue || out.sent < b.answered)) continue;
       b.out_work += out.work;
       b.out_held += 1;
     }
