No look past the client's time; idle connections closed where tables are full

With 187 nodes each keeping an idle connection or two to each of 291 one-core backends, tables of 300 to 470 were full. Change: no look where its end would pass the client's time; after a connection turned down at once idle ones are closed, for as long as idle ones live.

--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -240,6 +240,10 @@
     number("Moment", timer->at);
     writer_.Key("Cookie");
     writer_.Uint64(timer->cookie);
+  } else if (const auto* idle = std::get_if<CloseIdle>(&action)) {
+    open("CloseIdle");
+    text("NodeId", instance);
+    text("Backend", names.address(idle->backend));
   } else if (const auto* tell = std::get_if<TellPeer>(&action)) {
     static constexpr char kDigits[] = "0123456789abcdef";
     std::string raw;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -667,6 +667,8 @@
 
   bool look_first(Held it) {
     Request& r = it->second;
+    const Millis wait = kAskWait * class_of(r).aim;
+    if (now_ + wait >= r.due) return false;  // the answers might come after the client's time
     r.looks += 1;
     const std::size_t old = r.asked.size();
     const std::size_t most = old + static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
@@ -691,7 +693,7 @@
     }
     if (!open) return r.asked.size() > old ? (proceed(it), true) : false;
     looking_.push_back(it->first);
-    timer(kLookTimer, r.look_until = now_ + kAskWait * s_.classes[static_cast<std::size_t>(r.request_class)].aim);
+    timer(kLookTimer, r.look_until = now_ + wait);
     return true;
   }
 
@@ -1428,6 +1430,8 @@
       ending = a.crowd < kLeastTold ? 2 : ratio_code(std::clamp(e.elapsed / a.crowd * a.warmth / (service_ * ratio), 0.02, 50.0));
     }
     tell(b, ending);
+    if (e.outcome == Outcome::kNoConnection && e.elapsed < s_.connect_timeout / 2) full_table();
+    if (now_ < tables_full_until_ && b.outs.empty()) act(CloseIdle{e.backend});
     if (e.has_report) learn_report(b, e.report);
     const bool served = e.outcome == Outcome::kServed;
     const bool full = e.outcome == Outcome::kTurnedAway;
@@ -1463,6 +1467,17 @@
     count_out(b);
   }
 
+  // Exception "tables full": a connection is turned down at once. Where each client has a node, the idle ones
+  // of all nodes fill a backend's table of connections, and what is never used keeps out what is needed.
+  void full_table() {
+    if (now_ >= tables_full_until_) {
+      for (BackendId i = 0; i < backends_.size(); ++i) {
+        if (backends_[i].state == BackendState::kReady) act(CloseIdle{i});
+      }
+    }
+    tables_full_until_ = now_ + std::max(kPeriod, s_.idle_timeout);
+  }
+
   // One sent before another that was answered is lost, as it seems, and in nobody's hands.
   void count_out(Backend& b) {
     b.out_work = 0;
@@ -1501,6 +1516,7 @@
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis shortest_aim_ = 0;
   std::vector<double> zone_failing_;
+  Millis tables_full_until_ = 0;
   double hints_ = 0;
   double mean_hint_ = 0;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -57,6 +57,7 @@
   int max_attempts = 1;
   Millis ask_every = 0;  // without a subscription, a list older than this counts as told anew
   Millis connect_timeout = 0;
+  Millis idle_timeout = 0;  // an idle connection closes by itself after this
   Millis warm_up = 0;  // a started backend is warm no later than this
   double cold_share = 1;
   double fall_multiple = 1;        // a cold backend sent more than this multiple of its present capacity
@@ -184,6 +185,10 @@
 struct SendProbe {
   BackendId backend = 0;
 };
+// The node's idle connections to a backend are to be closed.
+struct CloseIdle {
+  BackendId backend = 0;
+};
 struct SubscribeList {};
 // At most kMostPeerBytes to another node; it may be lost.
 inline constexpr std::size_t kMostPeerBytes = 256;
@@ -199,7 +204,8 @@
   std::string text;
 };
 using Action =
-    std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer, Note, TellPeer>;
+    std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer, Note, TellPeer,
+                            CloseIdle>;
 
 class Policy {
  public:
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -90,6 +90,7 @@
   settings.max_wait_advice = number_or(allowed, "MaxRetryAfter", 0);
   settings.max_attempts = index_or(allowed, "MostTries", 1);
   settings.connect_timeout = number_or(allowed, "ConnectTimeout", 0);
+  settings.idle_timeout = number_or(allowed, "ConnIdle", 0);
   const Json& rules = fields::object(object, "Invariants");
   settings.ask_every = number_or(rules, "AskEvery", 0);
   settings.cold_share = number_or(rules, "ColdShare", 1);
