A keeper's promise counts as often as those who ask do send

Counted from the wire: 145 asks a second to each backend, so promises of 0.2 for 72 ms added two requests to what each was taken to hold. Change: the weight is the share of asks that were followed by a send, learned by the keeper.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -63,7 +63,7 @@
 constexpr double kMostQueue = 3;
 constexpr double kHintGain = 0.003;
 constexpr double kLeastTold = 0.5;
-constexpr double kPromise = 0.2;
+constexpr double kTakenGain = 0.03;
 constexpr std::uint64_t kOvertaken = 0;
 constexpr int kFirstLooks = 2;
 constexpr int kLookRounds = 2;
@@ -203,6 +203,7 @@
   // as the keeper of what all nodes tell of it
   std::vector<ToldWork> told;
   double others_held = 0;
+  double taken = 0.2;  // of those who asked, the share that sent
   std::uint64_t answers = 0;
   double told_ratio = 0;     // 0 = nobody told yet
   double told_failing = 0;
@@ -810,6 +811,7 @@
 
   void keep(Backend& b, int peer, double work, int held, unsigned char ending) {
     if (ending >= 2) ++b.answers;
+    if (ending == 0) b.taken += kTakenGain;
     drop_told(b);
     const auto it = std::find_if(b.told.begin(), b.told.end(), [peer](const ToldWork& t) { return t.peer == peer; });
     if (it != b.told.end()) *it = {peer, work, held, now_, 0, 0};
@@ -837,13 +839,14 @@
     for (ToldWork& t : b.told) {
       if (t.peer == but) own = &t;
       else {
-        const double promise = now_ < t.promised ? kPromise : 0;
+        const double promise = now_ < t.promised ? b.taken : 0;
         work += t.work + promise;
         held += t.held + promise;
       }
     }
     if (own == nullptr) own = &b.told.emplace_back(but, 0, 0, now_, 0, 0);
     own->promised = now_ + kAskWait * shortest_aim_;
+    b.taken -= kTakenGain * b.taken;
     return {work, held};
   }
 
