--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -230,6 +230,7 @@
   int most_attempts = 1;
   double work = 1;  // of a mean request, by its hint
   std::uint64_t key = 0;
+  bool client_retry = false;
   bool over_share = false;  // beyond its tenant's share
   std::vector<BackendId> asked;  // candidates whose news it waits for
   bool streaming = false;
@@ -757,7 +758,8 @@
 
   // Of the dearest class within its tenant's share.
   double value(const Request& r) const {
-    return class_of(r).worth / most_worth_ * (r.over_share ? s_.over_share_worth : 1);
+    const RequestClass& c = class_of(r);
+    return c.worth / most_worth_ * (r.over_share ? s_.over_share_worth : 1) * (r.client_retry ? c.late_value : 1);
   }
   double worth(const Request& r) const { return kWorthless + (1 - kWorthless) * value(r); }
 
@@ -1304,7 +1306,8 @@
     }
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
-    r.over_share = asks() && !within_share(e.tenant);
+    r.client_retry = e.client_retry;
+    r.over_share = asks() && !e.client_retry && !within_share(e.tenant);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
     if (!asks() && !within_allowance(e.tenant)) return finish(it);
     proceed(it);
