Refused within their share: told to come back after a fifth of the aim

Change: a wait of a fifth of the aim for what is within its tenant's share, where no part of the result counts misses among what was not refused (there a late answer costs more than a refusal).

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -65,6 +65,7 @@
 constexpr double kLeastTold = 0.5;
 constexpr double kTakenGain = 0.03;
 constexpr std::uint64_t kOvertaken = 0;
+constexpr double kComeBack = 0.2;
 constexpr int kFirstLooks = 2;
 constexpr int kLookRounds = 2;
 constexpr double kWarmRank = 1.3;
@@ -1403,7 +1404,7 @@
     const RequestClass& c = class_of(r);
     const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
                           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
-    const Refuse refusal{it->first, s_.advise_wait ? s_.max_wait_advice : 0};
+    const Refuse refusal{it->first, s_.advise_wait ? (looks_first() && s_.kept_promises <= 0 && !r.over_share ? std::min(s_.max_wait_advice, kComeBack * c.aim) : s_.max_wait_advice) : 0};
     if (harmless) {
       act(refusal);
     } else {
