--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -62,6 +62,7 @@
 constexpr double kOverdue = 4;
 constexpr double kMostQueue = 3;
 constexpr double kHintGain = 0.003;
+constexpr double kHintTrust = 0.6;  // power of a hint: it is rough, so far ones lie nearer to the mean
 constexpr double kLeastTold = 0.5;
 constexpr double kTakenGain = 0.03;
 constexpr std::uint64_t kOvertaken = 0;
@@ -1303,7 +1304,9 @@
       hints_ += 1;
       mean_hint_ += std::max(kHintGain, 1 / hints_) * (e.expected_work - mean_hint_);
       service_ = mean_hint_;
-      r.work = std::clamp(e.expected_work / mean_hint_, 0.1, 10.0);
+      const double work = std::pow(e.expected_work, kHintTrust);
+      mean_work_ += std::max(kHintGain, 1 / hints_) * (work - mean_work_);
+      r.work = std::clamp(work / mean_work_, 0.1, 10.0);
     }
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
@@ -1526,6 +1529,7 @@
   Millis tables_full_until_ = 0;
   double hints_ = 0;
   double mean_hint_ = 0;
+  double mean_work_ = 0;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
   Millis service_ = 1;                               // mean time a backend spends on one request
   std::vector<double> class_ratio_;                  // each class's service time over that mean
