--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -45,7 +45,8 @@
       instances_.erase(it);
       return;
     }
-    deliver(id, it->second, parse_event(message, document, it->second.names));
+    const std::optional<Event> event = parse_event(message, document, it->second.names);
+    if (event) deliver(id, it->second, *event);
   }
 
  private:
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <limits>
 
+#include "peers/form.h"
+
 namespace shorelead::drill {
 namespace {
 
@@ -128,7 +130,7 @@
   return value.GetUint64();
 }
 
-Event parse_event(std::string_view message, const Json& line, BackendNames& names) {
+std::optional<Event> parse_event(std::string_view message, const Json& line, BackendNames& names) {
   if (message == "Knock") {
     RequestArrived event;
     event.request = request_field(line);
@@ -173,7 +175,9 @@
     return StreamStarted{request_field(line), as_index(need(line, "Trial"), "Trial")};
   }
   if (message == "Inbox") {
-    return PeerTold{as_index(need(line, "Neighbour"), "Neighbour"), parse_hex(text(line, "Raw"))};
+    const auto told = peers::read(parse_hex(text(line, "Raw")));
+    if (!told) return std::nullopt;
+    return PeerTold{as_index(need(line, "Neighbour"), "Neighbour"), *told};
   }
   throw FieldError("unknown message \"" + std::string(message) + "\"");
 }
@@ -247,7 +251,7 @@
   } else if (const auto* tell = std::get_if<TellPeer>(&action)) {
     static constexpr char kDigits[] = "0123456789abcdef";
     std::string raw;
-    for (const char c : tell->bytes) {
+    for (const char c : peers::write(tell->message)) {
       raw.push_back(kDigits[static_cast<unsigned char>(c) >> 4]);
       raw.push_back(kDigits[static_cast<unsigned char>(c) & 15]);
     }
--- a/src/drill/wire.h
+++ b/src/drill/wire.h
@@ -7,6 +7,7 @@
 #include <rapidjson/writer.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,8 +30,9 @@
 };
 
 std::uint64_t parse_seed(const Json& line);
-// The event that a line holds. Init, Stop, Clock and End are the host's and not accepted here.
-Event parse_event(std::string_view message, const Json& line, BackendNames& names);
+// The event that a line holds; none where it is a node's message in a form that this one does not know. Init,
+// Stop, Clock and End are the host's and not accepted here.
+std::optional<Event> parse_event(std::string_view message, const Json& line, BackendNames& names);
 
 class ReplyWriter {
  public:
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -54,24 +54,22 @@
 constexpr double kLookPrice = 0.02;  // most that they may cost together, a request
 constexpr Millis kLookTime = 10;     // slower probes than this are not waited for
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
-// Fellows: what nodes tell one another, where reports come only with probes and probes are dear.
-constexpr int kAsks = 3;               // backends whose keepers are asked for one request
-constexpr double kAskWait = 0.06;      // of the aim: longest that a request is held for their answers
+// Look first and fellows: where only probes bring reports.
+constexpr int kFirstLooks = 2;         // backends probed before an attempt, in each round
+constexpr int kAsks = 3;               // or whose keepers are asked
+constexpr int kLookRounds = 2;         // rounds for one request
+constexpr double kLookShare = 0.06;    // of the aim: longest that it is held for their answers
 constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
-constexpr double kToldStep = 8;        // parts of a mean request in which work is told
-constexpr double kOverdue = 4;
-constexpr double kMostQueue = 3;
-constexpr double kHintGain = 0.003;
-constexpr double kHintTrust = 0.6;  // power of a hint: it is rough, so far ones lie nearer to the mean
-constexpr double kLeastTold = 0.5;
-constexpr double kTakenGain = 0.03;
-constexpr std::uint64_t kOvertaken = 0;
-constexpr double kComeBack = 0.2;
-constexpr int kFirstLooks = 2;
-constexpr int kLookRounds = 2;
-constexpr double kWarmRank = 1.3;
-constexpr double kToldGain = 0.15;     // weight of one outcome that a fellow told
-constexpr unsigned char kToldForm = 0x10;  // version 1, above the kind of message
+constexpr double kToldGain = 0.15;     // weight of one attempt that a fellow told of
+constexpr double kLeastTold = 0.5;     // mean requests: a shorter stay tells no speed, but of the way there
+constexpr double kTakenGain = 0.03;    // weight of one ask in the share that is followed by a send
+constexpr double kWarmRank = 1.3;      // each further backend in a key's order must be so much better
+constexpr double kLeastServing = 0.1;  // share of attempts, so that one that fails all has a finite cost
+constexpr double kMostQueue = 3;       // times the root of its cores that may wait at a backend
+constexpr double kOverdue = 4;         // times what was expected: the attempt is lost or stuck
+constexpr double kComeBack = 0.2;      // of the aim: when a refused client may still be served in time
+constexpr double kHintGain = 0.003;    // weight of one hint in the mean
+constexpr double kHintTrust = 0.6;     // power of a hint: it is rough, so far ones lie nearer to the mean
 constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
 constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
 constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
@@ -82,11 +80,8 @@
 constexpr Millis kDoubt = 2000;          // for which a backend found wrong is not believed
 constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
 constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
-constexpr double kCrowdGain = 0.3;       // weight of one report in what a backend usually has in hand
-constexpr Millis kCrowdLife = 2000;      // in which that loses most of its meaning
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
 constexpr double kSomeWaiting = 0.5;     // requests: reports are noisy, so less than this is none
-constexpr double kLeastBusyShare = 0.2;  // a backend less busy than this says little of its capacity
 constexpr double kSlowGain = 0.1;        // weight of one answer in the slowness of all
 constexpr double kRecordSpan = 5;        // seconds: a backend's own record holds what came in them
 constexpr double kGuessShare = 0.5;      // of the fleet's service time: where all are below, it is wrong
@@ -107,16 +102,9 @@
 constexpr int kMostAttempts = 3;            // for one request
 constexpr double kLosing = 0.05;            // of attempts lost, above which
 constexpr double kEarlyEnd = 0.5;           // an attempt ends after this part of its time
-// Tenants: the allowance is a multiple of a tenant's quota; it moves with how busy the backends are.
-constexpr int kRatePeriods = 3;        // a rate reported longer ago than this many periods is not counted
-constexpr double kNodesGain = 0.3;     // weight of one period in the count of nodes
-constexpr double kFellowsDown = 0.6;   // of the stated nodes: fewer than that, and some are taken to be down
-constexpr double kMostNodes = 2;       // times the stated number of nodes
-constexpr double kBusyTarget = 0.7;    // of the backends' cores: above it the allowances shrink
-constexpr double kMostAllowance = 16;  // while there is room
-constexpr double kAllowanceRise = 1.25;  // most that the allowance grows in a period
-constexpr double kQuotaBurst = 2;        // seconds of its allowance that a tenant may send at once
-constexpr double kLeastBurst = 5;        // requests that it may send at once however small its allowance
+// Tenants.
+constexpr double kQuotaBurst = 2;  // seconds of its quota that a tenant may send at once
+constexpr double kLeastBurst = 5;  // requests that it may send at once however small its quota
 
 // SplitMix64: the same on every platform, unlike the standard distributions.
 class Random {
@@ -156,14 +144,20 @@
   bool overdue = false;
 };
 
-// What one node said that it has out at a backend.
-struct ToldWork {
+// What one node said that it has out at a backend, told to the backend's keeper.
+struct ToldOut {
   int peer = 0;
   double work = 0;
-  int held = 0;
+  double held = 0;
+  Millis at = 0;
+  Millis promised = 0;   // it asked, and may send till then
+  double overtaken = 0;  // once so many answers came, its requests should have had theirs
+};
+
+struct ToldRate {
+  int peer = 0;
+  double rate = 0;
   Millis at = 0;
-  Millis promised = 0;
-  std::uint64_t overtaken = 0;  // once so many answers came, those before it and it should have
 };
 
 struct Backend : BackendEntry {
@@ -191,10 +185,8 @@
   std::vector<Health> errors;
   // what its reports and our own outcomes say
   double others = -1;  // requests of other nodes in its hands at its last report; negative = never reported
-  double usual_others = 0;  // the same over several reports
   Millis reported_at = 0;
   double busy = -1;          // share of its cores in use at its last report; negative = never reported
-  double rate = -1;          // requests it serves a second, likewise
   double lanes = 1;          // requests it works on at once without slowing
   bool lanes_known = false;  // its reports have told; else they are guessed from warm backends of like size
   bool heard = false;        // an answer, or a time-out, told of its speed this period
@@ -203,10 +195,10 @@
   int out_held = 0;
   double out_work = 0;       // of this node, in mean requests
   // as the keeper of what all nodes tell of it
-  std::vector<ToldWork> told;
+  std::vector<ToldOut> told;
   double others_held = 0;
   double taken = 0.2;  // of those who asked, the share that sent
-  std::uint64_t answers = 0;
+  double answers = 0;    // that all told of
   double told_ratio = 0;     // 0 = nobody told yet
   double told_failing = 0;
   // as its keeper told it
@@ -251,13 +243,11 @@
   double came = 0;  // in this period
   double rate = 0;  // in the last one, of this node
   double all = 0;   // and of all, as its keeper told
-  std::vector<ToldWork> told;
+  std::vector<ToldRate> told;
   double tokens = 0;
   Millis at = 0;
 };
 
-enum ToldKind : unsigned char { kAskKind, kAnswerKind, kTellKind, kRateKind, kAllKind };
-
 // A timer for one request has its number above the kind.
 enum TimerKind : std::uint64_t { kTickTimer, kListTimer, kLookTimer, kCopyTimer };
 
@@ -271,7 +261,6 @@
     shortest_aim_ = shortest;
     service_ = std::max(1.0, kFirstWorkGuess * shortest);
     on(SettingsChanged{settings});
-    nodes_ = stated_nodes();
   }
 
   void handle(const Event& event, Millis now, std::vector<Action>& actions) {
@@ -380,7 +369,7 @@
         if (s_.probing) probe_due();
         break;
       case kLookTimer:
-        look_again(false);
+        look_again();
         break;
       case kListTimer:
         ask_for_list();
@@ -393,9 +382,9 @@
   void on(const ProbeEnded& ended) {
     Backend& b = backends_.at(ended.backend);
     const bool counts = std::exchange(b.probe_out, false);
-    if (std::exchange(b.look_out, false)) --looks_out_;
+    b.look_out = false;
     if (ended.has_report) learn_report(b, ended.report);
-    if (!looking_.empty()) look_again(looks_out_ == 0);
+    if (!looking_.empty()) look_again();
     // One that this node had no descriptor for says nothing of the backend.
     if (!counts || ended.outcome == Outcome::kNotSent) return;
     b.missed = ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout;
@@ -413,10 +402,8 @@
 
   void close_period() {
     set_shares();
-    set_allowance();
     tell_rates();
     learn_lanes();
-    count_nodes();
     forget();
     set_round();
   }
@@ -624,108 +611,88 @@
     return best;
   }
 
-  // ---- looking again ----
+  // ---- looking first ----
 
-  // Exception "look": nobody in the rotation passes for want of fresh news. Where a probe brings the load
-  // within milliseconds at a small price, ask some, then some others, and hold the request for the answers.
-  bool look(Held it) {
-    Request& r = it->second;
-    const bool late = r.looks > 0 && now_ > r.look_until - kTimerSlack;
-    if (late || too_dear(r.looks + kLooks) || !r.attempts.empty() || !s_.probing) return false;
-    // Those whose turn comes first, but for what old news still tells: were ties broken in any fixed order,
-    // all nodes would ask the same few.
-    std::vector<std::pair<double, BackendId>> stale;
-    const std::size_t most = std::min(rotation_.size(), kMostWeighed);
-    for (std::size_t n = 0; n < most; ++n) {
-      const BackendId i = rotation_[n];
-      const Backend& b = backends_[i];
-      if (!may_look(b) || !allowed(r, i)) continue;
-      const std::pair<double, BackendId> one{std::round(crowd(b) * kLookSteps), i};
-      if (std::find(stale.begin(), stale.end(), one) != stale.end()) continue;
-      const auto behind =
-          std::find_if(stale.begin(), stale.end(), [&](auto x) { return x.first > one.first; });
-      stale.insert(behind, one);
-      if (stale.size() > static_cast<std::size_t>(kLooks)) stale.pop_back();
-    }
-    if (stale.empty()) return false;
-    for (const auto& [level, i] : stale) {
-      Backend& b = backends_[i];
-      if (std::exchange(b.look_out, true)) continue;
-      ++looks_out_;
-      if (!b.probe_out) act(SendProbe{i});  // else that answer will do
-      // A look at a backend that was not probed for a period is its probe as well.
-      if (now_ - b.asked_at >= kPeriod) b.probe_out = true, b.asked_at = now_;
-    }
-    looking_.push_back(it->first);
-    if (r.looks == 0) timer(kLookTimer, r.look_until = now_ + kLookWait);
-    r.looks += kLooks;
-    return true;
+  // Exception "look first": where only probes bring reports, all that a node holds is old news, and each has
+  // few requests: some are looked at before each attempt. By probes where those are cheap; else by asking the
+  // fellow that keeps what all nodes tell of a backend.
+  bool looks_first() const {
+    return !s_.reports_with_answers && (asks() || (s_.probing && !too_dear(kFirstLooks)));
   }
 
-  // Where only probes bring reports, every report is old: some are looked at before each attempt.
-  bool asks() const { return s_.peer_messages && s_.instances > 1 && too_dear(kLooks); }
-
-  bool looks_first() const {
-    return !s_.reports_with_answers && (asks() || (!too_dear(kFirstLooks) && s_.probing));
+  bool asks() const {
+    return !s_.reports_with_answers && s_.peer_messages && s_.instances > 1 && too_dear(kLooks);
   }
 
-  bool look_first(Held it) {
+  bool too_dear(int looks) const { return s_.probe_price * looks > kLookPrice; }
+
+  // Asks for news of some that were not looked at yet, and holds the request for it. False: no use, or no time.
+  // Exception "look", with reports in answers: only if nobody in the rotation passes for want of fresh news.
+  bool look(Held it) {
     Request& r = it->second;
-    const Millis wait = kAskWait * class_of(r).aim;
-    if (now_ + wait >= r.due) return false;  // the answers might come after the client's time
-    r.looks += 1;
+    const Millis wait = looks_first() ? kLookShare * class_of(r).aim : kLookWait;
+    if (now_ + wait >= r.due) return false;  // the news might come after the client's time
     const std::size_t old = r.asked.size();
-    const std::size_t most = old + static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
-    if (s_.warm_keys && r.key != 0) {
-      prefer(r, most);
+    if (looks_first()) {
+      if (r.looks >= kLookRounds) return false;
+      const std::size_t most = old + static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
+      s_.warm_keys && r.key != 0 ? prefer(r, most) : next_turns(r, most);
     } else {
-      candidates(r, most);
+      const bool late = r.looks > 0 && now_ > r.look_until - kTimerSlack;
+      if (late || too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !s_.probing) return false;
+      stalest(r);
     }
+    if (r.asked.size() == old) return false;
     bool open = false;
     for (std::size_t n = old; n < r.asked.size(); ++n) {
-      const BackendId i = r.asked[n];
-      Backend& b = backends_[i];
-      if (asks()) {
-        if (ask(b)) open = true;
-        continue;
-      }
-      open = true;
-      if (std::exchange(b.look_out, true)) continue;
-      ++looks_out_;
-      if (!b.probe_out) act(SendProbe{i});
-      if (now_ - b.asked_at >= kPeriod) b.probe_out = true, b.asked_at = now_;
+      if (asks() ? ask(backends_[r.asked[n]]) : probe(r.asked[n])) open = true;
     }
-    if (!open) return r.asked.size() > old ? (proceed(it), true) : false;
-    looking_.push_back(it->first);
-    timer(kLookTimer, r.look_until = now_ + wait);
+    if (looks_first() || r.looks == 0) r.look_until = now_ + (open ? wait : 0);
+    if (open && r.look_until == now_ + wait) timer(kLookTimer, r.look_until);
+    r.looks += 1;
+    if (open) return looking_.push_back(it->first), true;
+    return proceed(it), true;
+  }
+
+  bool probe(BackendId i) {
+    Backend& b = backends_[i];
+    if (std::exchange(b.look_out, true)) return true;
+    if (!b.probe_out) act(SendProbe{i});  // else that answer will do
+    // A look at a backend that was not probed for a period is its probe as well.
+    if (now_ - b.asked_at >= kPeriod) b.probe_out = true, b.asked_at = now_;
     return true;
   }
 
-  // The next in the rotation, at most so many.
-  void candidates(Request& r, std::size_t most) {
+  // The next in the rotation; they lose their turns.
+  void next_turns(Request& r, std::size_t most) {
     for (int round = 0; round < 2 && r.asked.size() < most; ++round) {
       std::size_t kept = 0;
       std::size_t n = 0;
       for (; n < rotation_.size() && r.asked.size() < most; ++n) {
         const BackendId i = rotation_[n];
         if (!usable(backends_[i])) continue;
-        const bool may = allowed(r, i) && std::find(r.asked.begin(), r.asked.end(), i) == r.asked.end();
-        if (may) r.asked.push_back(i);
-        else rotation_[kept++] = i;
+        if (allowed(r, i) && !was_asked(r, i)) {
+          r.asked.push_back(i);
+        } else {
+          rotation_[kept++] = i;
+        }
       }
       take_turns(kept, n);
       if (r.asked.size() < most && kept < backends_.size()) deal();
     }
   }
 
-  // Those that most likely have met the key: each node draws the same order for it, weighted by the shares
-  // (weighted rendezvous hashing).
+  static bool was_asked(const Request& r, BackendId i) {
+    return std::find(r.asked.begin(), r.asked.end(), i) != r.asked.end();
+  }
+
+  // Exception "keys": those that most likely have met the key. Each node draws the same order for it, in which
+  // a backend stands first as often as its share says (weighted rendezvous hashing).
   void prefer(Request& r, std::size_t most) {
     std::vector<std::pair<double, BackendId>> order;
     for (BackendId i = 0; i < backends_.size(); ++i) {
       const Backend& b = backends_[i];
-      if (!usable(b) || b.share <= 0 || !allowed(r, i)) continue;
-      if (std::find(r.asked.begin(), r.asked.end(), i) != r.asked.end()) continue;
+      if (!usable(b) || b.share <= 0 || was_asked(r, i) || !allowed(r, i)) continue;
       Random draw(r.key ^ (b.tag * 0x9e3779b97f4a7c15ULL));
       order.emplace_back(-std::log(1 - draw.unit()) / b.share, i);
     }
@@ -734,207 +701,183 @@
     for (std::size_t k = 0; k < n; ++k) r.asked.push_back(order[k].second);
   }
 
-  // The best of those looked at, and when it is expected to answer.
-  std::pair<std::optional<BackendId>, Millis> best_asked(const Request& r) {
+  // Those whose turn comes first, but for what old news still tells: were ties broken in any fixed order, all
+  // nodes would ask the same few.
+  void stalest(Request& r) {
+    std::vector<std::pair<double, BackendId>> stale;
+    const std::size_t most = std::min(rotation_.size(), kMostWeighed);
+    for (std::size_t n = 0; n < most; ++n) {
+      const BackendId i = rotation_[n];
+      const Backend& b = backends_[i];
+      if (!may_look(b) || !allowed(r, i)) continue;
+      const std::pair<double, BackendId> one{std::round(crowd(b) * kLookSteps), i};
+      if (std::find(stale.begin(), stale.end(), one) != stale.end()) continue;
+      const auto behind = std::find_if(stale.begin(), stale.end(), [&](auto x) { return x.first > one.first; });
+      stale.insert(behind, one);
+      if (stale.size() > static_cast<std::size_t>(kLooks)) stale.pop_back();
+    }
+    for (const auto& [level, i] : stale) r.asked.push_back(i);
+  }
+
+  // Whether a probe of this backend would bring news in time.
+  bool may_look(const Backend& b) const {
+    return usable(b) && reports_told() && now_ >= b.doubted_until &&
+           (b.response_times.empty() || b.response_times.back() <= kLookTime) &&
+           (b.others < 0 || now_ - b.reported_at >= kLookAge * service_);
+  }
+
+  // News came in, or the time to wait for it is up: serve those who waited.
+  void look_again() {
+    std::vector<RequestId> waiting;
+    waiting.swap(looking_);
+    bool tried = false;
+    for (const RequestId id : waiting) {
+      const Held it = requests_.find(id);
+      if (it == requests_.end()) continue;
+      const Request& r = it->second;
+      const bool open = std::any_of(r.asked.begin(), r.asked.end(), [this](BackendId i) {
+        return backends_[i].look_out || now_ < backends_[i].ask_until - kTimerSlack;
+      });
+      if (!open || now_ > r.look_until - kTimerSlack || !may_send(r)) {
+        proceed(it);
+        continue;
+      }
+      // In a large fleet where the first of them finds nobody among so many, one answer more clears no other.
+      const bool vain = looks_first() || (std::exchange(tried, true) && weighed_ >= kMostWeighed);
+      if (const auto i = vain ? std::nullopt : propose(r)) {
+        send(it, *i);
+      } else {
+        looking_.push_back(id);
+      }
+    }
+  }
+
+  // Who of those looked at is best, if there is one that may have the request.
+  std::optional<BackendId> best_asked(const Request& r) {
     std::optional<BackendId> best;
     std::tuple<bool, bool, Millis> least;
-    Millis expected = 0;
     double rank = 1;
     for (const BackendId i : r.asked) {
       const Backend& b = backends_[i];
       if (!usable(b) || !allowed(r, i)) continue;
-      const Millis one = expected_answer(r, b);
-      const std::tuple<bool, bool, Millis> key{now_ - b.reported_at > 2 * kAskWait * class_of(r).aim, full(r, b), one * rank / std::max(0.1, 1 - std::max(b.failing, zone_failing(b)))};
+      const bool silent = now_ - b.reported_at > 2 * kLookShare * class_of(r).aim;
+      const double failing = std::max(b.failing, zone_failing(b));
+      const Millis cost = expected_answer(r, b) * rank / std::max(kLeastServing, 1 - failing);
+      const std::tuple<bool, bool, Millis> one{silent, full(r, b), cost};
       if (s_.warm_keys && r.key != 0) rank *= kWarmRank;
-      if (!best || key < least) best = i, least = key, expected = one;
+      if (!best || one < least) best = i, least = one;
     }
-    return {best, expected};
+    return best;
   }
 
-  // Exception "far more waiting than cores": such a backend has been seen to turn slow for long.
+  // Exception "full": far more waiting than cores. Such a backend was seen to turn slow for long, so all nodes
+  // together keep it under that; what is worth little is turned away sooner, the more so the fuller the fleet.
   bool full(const Request& r, const Backend& b) const {
     const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
     const double most = kMostQueue * std::sqrt(b.lanes);
     return requests > b.lanes + most * (1 - (1 - value(r)) * std::min(1.0, mean_others_ / most));
   }
 
-  // Of the dearest class within its tenant's share.
+  // Its worth beside the dearest class within its tenant's share, in time.
   double value(const Request& r) const {
     const RequestClass& c = class_of(r);
-    return c.worth / most_worth_ * (r.over_share ? s_.over_share_worth : 1) * (r.client_retry ? c.late_value : 1);
+    const double late = r.client_retry ? c.late_value : 1;  // its time for the aim ran with the first try
+    return c.worth / most_worth_ * late * (r.over_share ? s_.over_share_worth : 1);
   }
-  double worth(const Request& r) const { return kWorthless + (1 - kWorthless) * value(r); }
 
-  // Exception "admission": the time within which an answer must be expected, less for what is worth less.
+  // Exception "admission": an answer must be expected in this time, less for what is worth less.
   Millis admitted(const Request& r) const {
-    return kRefuseShare * worth(r) * (r.aim_at - now_);
+    return kRefuseShare * (kWorthless + (1 - kWorthless) * value(r)) * (r.aim_at - now_);
   }
 
   // ---- fellows ----
 
-  int keeper(const Backend& b) const { return keeper_of(b.tag); }
-  int keeper_of(std::uint32_t tag) const {
-    return static_cast<int>(Random(tag).next() % static_cast<std::uint64_t>(s_.instances));
-  }
-
-  static std::string message(unsigned char kind, std::uint32_t tag, std::initializer_list<unsigned char> rest) {
-    std::string bytes{static_cast<char>(kToldForm | kind)};
-    for (int n = 0; n < 4; ++n) bytes.push_back(static_cast<char>(tag >> (8 * n)));
-    for (const unsigned char c : rest) bytes.push_back(static_cast<char>(c));
-    return bytes;
-  }
-
-  static unsigned char work_code(double work) {
-    return static_cast<unsigned char>(std::min(255.0, std::ceil(work * kToldStep)));
-  }
-  static unsigned char ratio_code(double ratio) {
-    return static_cast<unsigned char>(std::clamp(std::round(128 + 16 * std::log2(ratio)), 3.0, 255.0));
+  // One of the nodes keeps what all of them tell of a backend, or of a tenant: each works out the same.
+  int keeper(std::uint32_t about) const {
+    return static_cast<int>(Random(about).next() % static_cast<std::uint64_t>(s_.instances));
   }
 
-  // Asks the backend's keeper for news of it; true if an answer is to come.
+  // True if an answer is to come.
   bool ask(Backend& b) {
-    const int k = keeper(b);
-    if (k == s_.instance) {
-      const auto [work, held] = work_told(b, k);
-      learn_told(b, work, held, b.told_ratio, b.told_failing);
-      return false;
-    }
+    const int k = keeper(b.tag);
+    if (k == s_.instance) return learn_told(b, known_of(b, k)), false;
     if (now_ < b.ask_until) return true;
-    b.ask_until = now_ + kAskWait * shortest_aim_;
-    act(TellPeer{k, message(kAskKind, b.tag, {})});
+    b.ask_until = now_ + kLookShare * shortest_aim_;
+    act(TellPeer{k, {PeerMessage::Kind::kAsk, b.tag}});
     return true;
   }
 
-  // Tells the backend's keeper what this node has out there, and how an attempt ended.
-  void tell(Backend& b, unsigned char ending) {
-    if (!asks() || s_.reports_with_answers) return;
-    const int k = keeper(b);
-    if (k == s_.instance) return keep(b, k, b.out_work, b.out_held, ending);
-    act(TellPeer{k, message(kTellKind, b.tag, {work_code(b.out_work), static_cast<unsigned char>(std::min(255, b.out_held)), ending})});
+  // Tells the keeper what this node has out there, and how an attempt ended.
+  void tell(Backend& b, PeerMessage::Ending ending, double ratio = 0) {
+    if (!asks()) return;
+    const double held = b.out_held;
+    const PeerMessage m{PeerMessage::Kind::kTell, b.tag, b.out_work, held, ratio, 0, ending};
+    const int k = keeper(b.tag);
+    k == s_.instance ? keep(b, k, m) : act(TellPeer{k, m});
   }
 
-  void keep(Backend& b, int peer, double work, int held, unsigned char ending) {
-    if (ending >= 2) ++b.answers;
-    if (ending == 0) b.taken += kTakenGain;
+  void keep(Backend& b, int peer, const PeerMessage& m) {
+    b.answers += m.ending == PeerMessage::Ending::kAnswered;
+    if (m.ending == PeerMessage::Ending::kSent) b.taken += kTakenGain;
+    std::erase_if(b.told, [peer](const ToldOut& t) { return t.peer == peer; });
     drop_told(b);
-    const auto it = std::find_if(b.told.begin(), b.told.end(), [peer](const ToldWork& t) { return t.peer == peer; });
-    if (it != b.told.end()) *it = {peer, work, held, now_, 0, 0};
-    else if (work > 0) b.told.push_back({peer, work, held, now_, 0, 0});
-    int all = 0;
-    for (const ToldWork& t : b.told) all += t.held;
-    for (ToldWork& t : b.told) if (t.peer == peer) t.overtaken = b.answers + static_cast<std::uint64_t>(all) + kOvertaken;
-    if (ending == 0) return;
-    const bool failed = ending == 1;
-    b.told_failing += kToldGain * ((failed ? 1 : 0) - b.told_failing);
-    if (ending <= 2) return;
-    const double ratio = std::exp2((ending - 128) / 16.0);
-    b.told_ratio += (b.told_ratio > 0 ? kToldGain : 1) * (ratio - b.told_ratio);
+    double all = m.held;
+    for (const ToldOut& t : b.told) all += t.held;
+    if (m.held > 0) b.told.push_back({peer, m.work, m.held, now_, 0, b.answers + all});
+    if (m.ending == PeerMessage::Ending::kSent) return;
+    b.told_failing += kToldGain * ((m.ending == PeerMessage::Ending::kFailed) - b.told_failing);
+    if (m.ratio > 0) b.told_ratio += (b.told_ratio > 0 ? kToldGain : 1) * (m.ratio - b.told_ratio);
   }
 
+  // Word is dropped when it is old, or when more answers came than were before its requests: they are lost.
   void drop_told(Backend& b) {
-    std::erase_if(b.told, [this, &b](const ToldWork& t) { return (t.work <= 0 || now_ - t.at > kToldLife || b.answers > t.overtaken) && now_ > t.promised; });
+    std::erase_if(b.told, [this, &b](const ToldOut& t) {
+      return (t.held <= 0 || now_ - t.at > kToldLife || b.answers > t.overtaken) && now_ > t.promised;
+    });
   }
 
-  std::pair<double, double> work_told(Backend& b, int but) {
+  // What others have out there. Who asks may send: that counts as often as those who ask do send.
+  PeerMessage known_of(Backend& b, int asker) {
     drop_told(b);
-    double work = 0;
-    double held = 0;
-    ToldWork* own = nullptr;
-    for (ToldWork& t : b.told) {
-      if (t.peer == but) own = &t;
-      else {
-        const double promise = now_ < t.promised ? b.taken : 0;
-        work += t.work + promise;
-        held += t.held + promise;
-      }
+    PeerMessage m{PeerMessage::Kind::kAnswer, b.tag, 0, 0, b.told_ratio, b.told_failing};
+    ToldOut* own = nullptr;
+    for (ToldOut& t : b.told) {
+      if (t.peer == asker) own = &t;
+      const double promise = now_ < t.promised ? b.taken : 0;
+      if (t.peer != asker) m.work += t.work + promise, m.held += t.held + promise;
     }
-    if (own == nullptr) own = &b.told.emplace_back(but, 0, 0, now_, 0, 0);
-    own->promised = now_ + kAskWait * shortest_aim_;
+    if (own == nullptr) own = &b.told.emplace_back(asker);
+    own->promised = now_ + kLookShare * shortest_aim_;
     b.taken -= kTakenGain * b.taken;
-    return {work, held};
+    return m;
   }
 
-  void learn_told(Backend& b, double work, double held, double ratio, double failing) {
-    learn_others(b, work);
-    b.others_held = held;
-    b.failing = failing;
-    if (ratio > 0) b.service_ratio = ratio, b.heard = true;
+  void learn_told(Backend& b, const PeerMessage& m) {
+    told_at_ = now_;
+    learn_others(b, m.work);
+    b.others_held = m.held;
+    b.failing = m.failing;
+    if (m.ratio > 0) b.service_ratio = m.ratio, b.heard = true;
   }
 
   void on(const PeerTold& e) {
-    const auto at = [&e](std::size_t n) { return static_cast<unsigned char>(e.bytes[n]); };
-    if (e.bytes.size() < 5 || e.peer < 0 || e.peer >= s_.instances || e.peer == s_.instance) return;
-    std::uint32_t tag = 0;
-    for (std::size_t n = 0; n < 4; ++n) tag |= std::uint32_t{at(n + 1)} << (8 * n);
-    const auto rate = [&at] { return static_cast<double>(at(5) + at(6) * 256); };
-    if (at(0) == (kToldForm | kRateKind) && e.bytes.size() == 7 && tag < purses_.size()) {
-      Purse& p = purses_[tag];
-      keep_rate(p, e.peer, rate());
-      const unsigned all = static_cast<unsigned>(std::min(65535.0, p.all));
-      return act(TellPeer{e.peer, message(kAllKind, tag, {static_cast<unsigned char>(all & 255), static_cast<unsigned char>(all >> 8)})});
+    const PeerMessage& m = e.message;
+    if (!asks() || e.peer < 0 || e.peer >= s_.instances || e.peer == s_.instance) return;
+    if (m.kind == PeerMessage::Kind::kRate || m.kind == PeerMessage::Kind::kTotal) {
+      if (m.about >= purses_.size()) return;
+      Purse& p = purses_[m.about];
+      if (m.kind == PeerMessage::Kind::kTotal) return void(p.all = m.rate);
+      keep_rate(p, e.peer, m.rate);
+      return act(TellPeer{e.peer, {.kind = PeerMessage::Kind::kTotal, .about = m.about, .rate = p.all}});
     }
-    if (at(0) == (kToldForm | kAllKind) && e.bytes.size() == 7 && tag < purses_.size()) {
-      purses_[tag].all = rate();
-      return;
-    }
-    const auto found = by_tag_.find(tag);
+    const auto found = by_tag_.find(m.about);
     if (found == by_tag_.end()) return;
     Backend& b = backends_[found->second];
-    if (at(0) == (kToldForm | kAskKind) && e.bytes.size() == 5) {
-      const unsigned char ratio = b.told_ratio > 0 ? ratio_code(b.told_ratio) : 0;
-      const auto [work, held] = work_told(b, e.peer);
-      act(TellPeer{e.peer, message(kAnswerKind, tag, {work_code(work), work_code(held), ratio,
-                                   static_cast<unsigned char>(b.told_failing * 255)})});
-    } else if (at(0) == (kToldForm | kTellKind) && e.bytes.size() == 8) {
-      keep(b, e.peer, at(5) / kToldStep, at(6), at(7));
-    } else if (at(0) == (kToldForm | kAnswerKind) && e.bytes.size() == 9) {
-      b.ask_until = 0;
-      learn_told(b, at(5) / kToldStep, at(6) / kToldStep, at(7) > 0 ? std::exp2((at(7) - 128) / 16.0) : 0, at(8) / 255.0);
-      if (!looking_.empty()) look_again(false);
-    }
-  }
-
-  bool too_dear(int looks) const { return s_.probe_price * looks > kLookPrice; }
-
-  // Whether a probe of this backend would bring news in time.
-  bool may_look(const Backend& b) const {
-    return usable(b) && reports_told() && now_ >= b.doubted_until &&
-           (b.response_times.empty() || b.response_times.back() <= kLookTime) &&
-           (b.others < 0 || now_ - b.reported_at >= kLookAge * service_);
-  }
-
-  // News came in, the last that is under way (`last`), or the time to wait for it is up: serve those who
-  // waited.
-  void look_again(bool last) {
-    std::vector<RequestId> waiting;
-    waiting.swap(looking_);
-    bool tried = false;
-    for (const RequestId id : waiting) {
-      const Held it = requests_.find(id);
-      if (it == requests_.end()) continue;
-      const bool overdue = now_ > it->second.look_until - kTimerSlack;
-      if (!it->second.asked.empty()) {
-        const auto& asked = it->second.asked;
-        const bool open = std::any_of(asked.begin(), asked.end(), [this](BackendId i) {
-          return backends_[i].look_out || now_ < backends_[i].ask_until - kTimerSlack;
-        });
-        if (open && !overdue && may_send(it->second)) {
-          looking_.push_back(id);
-        } else {
-          proceed(it);
-        }
-        continue;
-      }
-      // In a large fleet where the first of them finds nobody among so many, one answer more clears no other.
-      const bool vain = std::exchange(tried, true) && weighed_ >= kMostWeighed;
-      if (last || overdue || !may_send(it->second)) {
-        proceed(it);
-      } else if (const auto i = vain ? std::nullopt : propose(it->second)) {
-        send(it, *i);
-      } else {
-        looking_.push_back(id);
-      }
-    }
+    if (m.kind == PeerMessage::Kind::kTell) return keep(b, e.peer, m);
+    if (m.kind == PeerMessage::Kind::kAsk) return act(TellPeer{e.peer, known_of(b, e.peer)});
+    b.ask_until = 0;
+    learn_told(b, m);
+    if (!looking_.empty()) look_again();
   }
 
   // ---- what is known of a backend ----
@@ -948,13 +891,10 @@
     if (reports_told()) {
       const bool heard = b.others >= 0 && now_ >= b.doubted_until;
       const double fresh = !heard ? 0 : std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
-      const double all = cold(b) ? 0 : mean_others_;
-      const double known =
-          b.others < 0 || !too_dear(kLooks) ? 0 : std::exp(-(now_ - b.reported_at) / kCrowdLife);
-      const double usual = all + (b.usual_others - all) * known;
+      const double usual = cold(b) ? 0 : mean_others_;
       return b.outstanding() + usual + (b.others - usual) * fresh;
     }
-    return b.outstanding() * std::max(1.0, nodes_ * sharers() / stated_nodes());
+    return b.outstanding() * std::max(1.0, sharers());
   }
 
   bool reports_told() const { return reports_ > 0 && wrong_reports_ < kWrongShare; }
@@ -979,7 +919,7 @@
   // now. Load figures have been seen to stand still for half a minute, drawing all traffic to whoever stood
   // at nothing.
   void check_report(Backend& b, const LoadReport& report) {
-    if (report.in_hand < 0) return;
+    if (report.in_hand < 0 || asks()) return;
     const Millis before = now_ - kSettled * service_;
     const auto own = std::count_if(b.outs.begin(), b.outs.end(), [before, &b](const Out& out) {
       return out.sent <= before && out.sent > b.answered;
@@ -991,10 +931,9 @@
   }
 
   void learn_report(Backend& b, const LoadReport& report) {
-    if (asks() && !s_.reports_with_answers) return;
+    if (asks() && now_ - told_at_ < kToldLife) return;  // keepers' word is newer
     check_report(b, report);
     b.busy = report.busy;
-    b.rate = report.rate;
     b.reported_at = now_;
     if (report.in_hand >= 0) {
       learn_others(b, std::max(0.0, report.in_hand - b.outstanding()));
@@ -1007,16 +946,12 @@
         b.lanes = std::round(report.in_hand);
         b.lanes_known = true;
       }
-    } else if (report.rate > 0 && report.busy >= kLeastBusyShare && !cold(b)) {
-      b.lanes_known = true;
-      b.lanes = std::max(1.0, report.rate / report.busy * service_ * b.service_ratio / 1000);
     }
   }
 
   void learn_others(Backend& b, double others) {
-    const bool before = std::exchange(b.others, others) >= 0;
+    b.others = others;
     b.reported_at = now_;
-    b.usual_others += (before ? kCrowdGain : 1) * (b.others - b.usual_others);
     reports_ += 1;
     mean_others_ += std::max(kFleetGain, 1 / (1 + reports_)) * (b.others - mean_others_);
   }
@@ -1202,41 +1137,9 @@
 
   // ---- tenants ----
 
-  // While the backends are busier than they should be, each tenant's allowance shrinks towards its quota, so
-  // that what goes is the traffic beyond it, which is worth little; with room it grows back.
-  void set_allowance() {
-    // Busy as this node's own traffic met it: an idle backend that hardly gets any is no room for more.
-    const double busy = answers_ > 0 ? busy_sum_ / answers_ : 0;
-    busy_sum_ = answers_ = 0;
-    allowance_ = std::clamp(allowance_ * std::clamp(kBusyTarget / std::max(busy, 0.01), 0.5, kAllowanceRise),
-                            1.0, kMostAllowance);
-  }
-
-  double stated_nodes() const { return std::max(1, s_.instances); }
-
-  // How many of them each of these backends has before it.
-  double sharers() const { return sharing_ > 0 ? sharing_ : stated_nodes(); }
-
-  // How many nodes like this one the traffic amounts to: all that the backends serve over what this node got
-  // served. Tells a node in a busy zone, and one whose fellows are down, that its part is larger. Where
-  // reports carry no rates, all nodes are taken to be up and alike.
-  void count_nodes() {
-    double rates = 0;
-    double heard = 0;
-    for (const Backend& b : backends_) {
-      if (!usable(b) || b.rate < 0 || now_ - b.reported_at >= kRatePeriods * kPeriod) continue;
-      rates += b.rate;
-      heard += 1;
-    }
-    served_mean_ += kNodesGain * (served_ * 1000 / kPeriod - served_mean_);
-    served_ = 0;
-    if (rates <= 0 || served_mean_ <= 0) return;
-    // Those not heard of lately are taken to serve as much: at little traffic a node hears of few in time.
-    const double all = rates / heard / mean_share_ * stated_nodes() / sharers();
-    nodes_ += kNodesGain * (std::clamp(all / served_mean_, 1.0, kMostNodes * stated_nodes()) - nodes_);
-  }
-
-  // Where nodes tell one another their rates, a tenant's quota is parted as its traffic is.
+  // Exception "shares": with a node at each client no node carries an equal part of a tenant's traffic. Each
+  // tells the tenant's keeper its own rate and hears that of all; the quota is parted as the traffic is (a
+  // token bucket). What is beyond is worth little, and is turned away first where backends are full.
   bool within_share(int tenant) {
     if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
     Purse& p = purses_[static_cast<std::size_t>(tenant)];
@@ -1252,41 +1155,31 @@
   }
 
   void tell_rates() {
-    for (std::size_t n = 0; asks() && n < purses_.size(); ++n) {
+    for (std::uint32_t n = 0; asks() && n < purses_.size(); ++n) {
       Purse& p = purses_[n];
       p.rate = std::exchange(p.came, 0) * 1000 / kPeriod;
-      const std::uint32_t tag = static_cast<std::uint32_t>(n);
-      const int k = keeper_of(tag);
+      const int k = keeper(n);
       if (k == s_.instance) {
         keep_rate(p, k, p.rate);
       } else if (p.rate > 0) {
-        const unsigned rate = static_cast<unsigned>(std::min(65535.0, p.rate));
-        act(TellPeer{k, message(kRateKind, tag, {static_cast<unsigned char>(rate & 255), static_cast<unsigned char>(rate >> 8)})});
+        act(TellPeer{k, {.kind = PeerMessage::Kind::kRate, .about = n, .rate = p.rate}});
       }
     }
   }
 
   void keep_rate(Purse& p, int peer, double rate) {
-    std::erase_if(p.told, [this, peer](const ToldWork& t) { return t.peer == peer || now_ - t.at > kToldLife; });
-    p.told.push_back({peer, rate, 0, now_, 0, 0});
+    std::erase_if(p.told, [this, peer](const ToldRate& t) {
+      return t.peer == peer || now_ - t.at > kToldLife;
+    });
+    p.told.push_back({peer, rate, now_});
     p.all = 0;
-    for (const ToldWork& t : p.told) p.all += t.work;
+    for (const ToldRate& t : p.told) p.all += t.rate;
   }
 
-  // Whether the tenant's request is within this node's part of its allowance (a token bucket).
-  bool within_allowance(int tenant) {
-    if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
-    const double quota = s_.tenants[static_cast<std::size_t>(tenant)].quota_rps;
-    if (quota <= 0) return true;
-    const double nodes = nodes_ < kFellowsDown * stated_nodes() ? nodes_ : stated_nodes();
-    const double rate = allowance_ * quota / nodes;
-    Purse& p = purses_[static_cast<std::size_t>(tenant)];
-    p.tokens = std::min(std::max(kLeastBurst, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
-    p.at = now_;
-    if (p.tokens < 1) return false;
-    p.tokens -= 1;
-    return true;
-  }
+  double stated_nodes() const { return std::max(1, s_.instances); }
+
+  // How many of them each of these backends has before it.
+  double sharers() const { return sharing_ > 0 ? sharing_ : stated_nodes(); }
 
   // ---- requests ----
 
@@ -1313,7 +1206,6 @@
     r.client_retry = e.client_retry;
     r.over_share = asks() && !e.client_retry && !within_share(e.tenant);
     const auto it = requests_.insert_or_assign(e.request, std::move(r)).first;
-    if (!asks() && !within_allowance(e.tenant)) return finish(it);
     proceed(it);
   }
 
@@ -1321,22 +1213,20 @@
   void proceed(Held it) {
     Request& r = it->second;
     if (may_send(r)) {
-      if (looks_first()) {
-        const auto [best, expected] = best_asked(r);
-        const bool good = best && !full(r, backends_[*best]) && expected <= kSkipShare * (r.aim_at - now_);
-        if (!good && r.looks < kLookRounds && look_first(it)) return;
-        if (best && !full(r, backends_[*best]) && expected <= admitted(r)) return send(it, *best);
-        if (any_out(r)) return;
-        if (!r.asked.empty()) return finish(it);
-      }
-      std::optional<BackendId> i = propose(r);
+      std::optional<BackendId> i = looks_first() ? best_asked(r) : propose(r);
+      if (i && looks_first() && !suits(r, *i, kSkipShare * (r.aim_at - now_)) && look(it)) return;
       if (!i && look(it)) return;
-      if (!i) i = soonest(r);
+      if (i && looks_first() && !suits(r, *i, admitted(r))) i.reset();
+      if (!i && (r.asked.empty() || !looks_first())) i = soonest(r);
       if (i) return send(it, *i);
     }
     if (!any_out(r)) finish(it);
   }
 
+  bool suits(const Request& r, BackendId i, Millis within) const {
+    return !full(r, backends_[i]) && expected_answer(r, backends_[i]) <= within;
+  }
+
   // Exception "second copy": an attempt is out for far longer than was expected.
   void second_copy(RequestId id) {
     const Held it = requests_.find(id);
@@ -1348,7 +1238,7 @@
       Backend& b = backends_[a.backend];
       for (Out& out : b.outs) out.overdue = out.overdue || out.sent == a.sent;
       count_out(b);
-      tell(b, 1);
+      tell(b, PeerMessage::Ending::kFailed);
     }
     act(SetTimer{now_ + service_, kCopyTimer | std::uint64_t{id} << 8});  // if it does not come to it now
     if (!may_send(r) || now_ < r.look_until - kTimerSlack) return;
@@ -1398,7 +1288,7 @@
     }
     b.outs.push_back({now_, r.work, false});
     count_out(b);
-    tell(b, 0);
+    tell(b, PeerMessage::Ending::kSent);
   }
 
   // The final answer of a request that will not be served: a refusal where that is harmless, else a failure.
@@ -1428,29 +1318,15 @@
 
   void on(const AttemptEnded& e) {
     Backend& b = backends_.at(e.backend);
-    const Held held = requests_.find(e.request);
-    const bool overdue = held != requests_.end() && held->second.attempts.at(static_cast<std::size_t>(e.attempt)).overdue;
     if (e.outcome == Outcome::kServed) b.answered = std::max(b.answered, now_ - e.elapsed);
     forget_send(b, now_ - e.elapsed);
-    const bool bad = e.outcome == Outcome::kError || e.outcome == Outcome::kConnectionLost || e.outcome == Outcome::kNoAnswer || e.outcome == Outcome::kNoConnection;
-    unsigned char ending = bad && !overdue ? 1 : 0;
-    if (e.outcome == Outcome::kServed && held != requests_.end()) {
-      const Attempt& a = held->second.attempts.at(static_cast<std::size_t>(e.attempt));
-      const double ratio = class_ratio_[static_cast<std::size_t>(held->second.request_class)];
-      ending = a.crowd < kLeastTold ? 2 : ratio_code(std::clamp(e.elapsed / a.crowd * a.warmth / (service_ * ratio), 0.02, 50.0));
-    }
-    tell(b, ending);
+    const Held it = requests_.find(e.request);
+    tell_end(b, e, it);
     if (e.outcome == Outcome::kNoConnection && e.elapsed < s_.connect_timeout / 2) full_table();
     if (now_ < tables_full_until_ && b.outs.empty()) act(CloseIdle{e.backend});
     if (e.has_report) learn_report(b, e.report);
     const bool served = e.outcome == Outcome::kServed;
-    const bool full = e.outcome == Outcome::kTurnedAway;
-    if (served) served_ += 1;
-    if (full || (e.has_report && e.report.busy >= 0)) {
-      busy_sum_ += full ? 1 : e.report.busy;
-      answers_ += 1;
-    }
-    const Held it = requests_.find(e.request);
+    const bool turned_away = e.outcome == Outcome::kTurnedAway;
     if (it == requests_.end()) return;
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
@@ -1460,14 +1336,28 @@
     // is dropped as if its probe had gone unanswered, or it would draw the further attempts of one request
     // after another until there are none left, while others are idle.
     const bool idle = e.report.busy >= 0 && e.report.busy < 1 && e.report.waiting == 0;
-    if (full && e.has_report && idle && s_.probing && now_ >= b.doubted_until) b.missed = b.dropped = true;
+    if (turned_away && e.has_report && idle && s_.probing && now_ >= b.doubted_until) b.missed = b.dropped = true;
     learn_health(b, r.request_class, e.outcome);
     if (served || e.outcome == Outcome::kNoAnswer) learn_service(r, a, e.elapsed, served);
-    a.may_have_run = !(full || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
+    a.may_have_run = !(turned_away || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
     if (e.request_over) return drop(it);
     if (!any_out(r)) proceed(it);
   }
 
+  void tell_end(Backend& b, const AttemptEnded& e, Held it) {
+    if (!asks()) return;
+    const bool served = e.outcome == Outcome::kServed;
+    const bool failed = e.outcome == Outcome::kError || e.outcome == Outcome::kConnectionLost ||
+                        e.outcome == Outcome::kNoAnswer || e.outcome == Outcome::kNoConnection;
+    const Attempt* a = nullptr;
+    if (it != requests_.end()) a = &it->second.attempts.at(static_cast<std::size_t>(e.attempt));
+    if (failed && !(a && a->overdue)) return tell(b, PeerMessage::Ending::kFailed);
+    if (!served || !a) return tell(b, PeerMessage::Ending::kSent);
+    const double usual = service_ * class_ratio_[static_cast<std::size_t>(it->second.request_class)];
+    const double ratio = a->crowd < kLeastTold ? 0 : e.elapsed / a->crowd * a->warmth / usual;
+    tell(b, PeerMessage::Ending::kAnswered, ratio);
+  }
+
   // An attempt is over: the one on record that was sent nearest to then.
   void forget_send(Backend& b, Millis sent) {
     if (b.outs.empty()) return;
@@ -1525,6 +1415,7 @@
   std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis shortest_aim_ = 0;
+  Millis told_at_ = 0;  // a keeper answered last
   std::vector<double> zone_failing_;
   Millis tables_full_until_ = 0;
   double hints_ = 0;
@@ -1542,14 +1433,7 @@
   double mean_others_ = 1;     // over all reports; until they come nobody is taken to be idle
   double reports_ = 0;         // of requests in hand
   std::vector<Purse> purses_;  // of each tenant
-  double busy_sum_ = 0;        // over this period's answers
-  double answers_ = 0;
   double losing_ = 0;               // share of attempts lost, of late
-  double served_ = 0;               // in this period
-  double served_mean_ = 0;          // a second, over the last few
-  double nodes_ = 1;                // as many nodes like this one would make up the traffic
-  double allowance_ = 1;            // multiple of its quota that each tenant may send
-  int looks_out_ = 0;               // probes out of turn under way
   std::vector<RequestId> looking_;  // held for fresh news, in order
   double resends_ = kMostResends;   // left in the retry budget
   Millis list_wait_ = 0;
