Ledgers, buckets and random numbers in packages of their own; one walk along the rotation

Change: what nodes told is added up in peers/ledger (it chooses and refuses nothing), SplitMix64, median and the token bucket go to base/, propose and the first looks share one walk.

--- a/src/peers/form.cpp
+++ b/src/peers/form.cpp
@@ -42,7 +42,6 @@
     case PeerMessage::Kind::kAsk:
       return 5;
     case PeerMessage::Kind::kAnswer:
-      return 9;
     case PeerMessage::Kind::kTell:
       return 8;
     case PeerMessage::Kind::kRate:
@@ -66,7 +65,6 @@
       put(part(message.work, kStep));
       put(part(message.held, kStep));
       put(ratio_code(message.ratio));
-      put(static_cast<unsigned>(std::clamp(message.failing, 0.0, 1.0) * 255));
       break;
     case PeerMessage::Kind::kTell:
       put(part(message.work, kStep));
@@ -99,7 +97,6 @@
       message.work = at(5) / kStep;
       message.held = at(6) / kStep;
       message.ratio = ratio_of(at(7));
-      message.failing = at(8) / 255.0;
       break;
     case PeerMessage::Kind::kTell:
       message.work = at(5) / kStep;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -7,13 +7,17 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <initializer_list>
 #include <optional>
 #include <stdexcept>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
 
+#include "base/numbers.h"
+#include "base/random.h"
+#include "base/token_bucket.h"
+#include "peers/ledger.h"
+
 namespace shorelead {
 namespace {
 
@@ -50,7 +54,6 @@
 constexpr double kWorthless = 0.5;  // of that bound, for a request worth nothing beside the dearest class
 // Look: who is asked out of turn, and when.
 constexpr int kLooks = 3;            // backends asked at once for one request
-constexpr double kLookSteps = 4;     // a service time: old news is told apart no finer
 constexpr double kLookPrice = 0.02;  // most that they may cost together, a request
 constexpr Millis kLookTime = 10;     // slower probes than this are not waited for
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
@@ -60,11 +63,8 @@
 constexpr int kLookRounds = 2;         // rounds for one request
 constexpr double kLookShare = 0.06;    // of the aim: longest that it is held for their answers
 constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
-constexpr double kToldGain = 0.15;     // weight of one attempt that a fellow told of
 constexpr double kLeastTold = 0.5;     // mean requests: a shorter stay tells no speed, but of the way there
-constexpr double kTakenGain = 0.03;    // weight of one ask in the share that is followed by a send
 constexpr double kWarmRank = 1.3;      // each further backend in a key's order must be so much better
-constexpr double kLeastServing = 0.1;  // share of attempts, so that one that fails all has a finite cost
 constexpr double kMostQueue = 3;       // times the root of its cores that may wait at a backend
 constexpr double kOverdue = 4;         // times what was expected: the attempt is lost or stuck
 constexpr double kComeBack = 0.2;      // of the aim: when a refused client may still be served in time
@@ -106,30 +106,6 @@
 constexpr double kQuotaBurst = 2;  // seconds of its quota that a tenant may send at once
 constexpr double kLeastBurst = 5;  // requests that it may send at once however small its quota
 
-// SplitMix64: the same on every platform, unlike the standard distributions.
-class Random {
- public:
-  explicit Random(std::uint64_t seed) : state_(seed) {}
-  std::uint64_t next() {
-    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15ULL);
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-    return z ^ (z >> 31);
-  }
-  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
-  std::size_t below(std::size_t n) { return static_cast<std::size_t>(next() % n); }
-
- private:
-  std::uint64_t state_;
-};
-
-double median(std::vector<double> values) {
-  if (values.empty()) return 0;
-  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
-  return *middle;
-}
-
 // How often attempts failed of late, and the rest that followed.
 struct Health {
   double failing = 0;
@@ -144,22 +120,6 @@
   bool overdue = false;
 };
 
-// What one node said that it has out at a backend, told to the backend's keeper.
-struct ToldOut {
-  int peer = 0;
-  double work = 0;
-  double held = 0;
-  Millis at = 0;
-  Millis promised = 0;   // it asked, and may send till then
-  double overtaken = 0;  // once so many answers came, its requests should have had theirs
-};
-
-struct ToldRate {
-  int peer = 0;
-  double rate = 0;
-  Millis at = 0;
-};
-
 struct Backend : BackendEntry {
   Backend() { state = BackendState::kGone; }  // till a list names it
   // ALBL
@@ -192,17 +152,10 @@
   bool heard = false;        // an answer, or a time-out, told of its speed this period
   double service_ratio = 1;  // its service time over the fleet's
 
-  int out_held = 0;
-  double out_work = 0;       // of this node, in mean requests
-  // as the keeper of what all nodes tell of it
-  std::vector<ToldOut> told;
-  double others_held = 0;
-  double taken = 0.2;  // of those who asked, the share that sent
-  double answers = 0;    // that all told of
-  double told_ratio = 0;     // 0 = nobody told yet
-  double told_failing = 0;
-  // as its keeper told it
-  double failing = 0;
+  int out_held = 0;     // requests of this node in its hands,
+  double out_work = 0;  // and in mean requests
+  peers::BackendLedger ledger;  // as its keeper
+  double others_held = 0;       // requests of others in its hands, as its keeper told
 
   double outstanding() const { return out_work; }
 };
@@ -243,9 +196,8 @@
   double came = 0;  // in this period
   double rate = 0;  // in the last one, of this node
   double all = 0;   // and of all, as its keeper told
-  std::vector<ToldRate> told;
-  double tokens = 0;
-  Millis at = 0;
+  peers::RateLedger ledger;  // as its keeper
+  TokenBucket bucket;
 };
 
 // A timer for one request has its number above the kind.
@@ -395,11 +347,6 @@
     push(b.response_times, sum / static_cast<double>(b.probe_times.size()), kDelayPeriods);
   }
 
-  static void push(std::vector<Millis>& window, Millis value, std::size_t length) {
-    if (window.size() == length) window.erase(window.begin());
-    window.push_back(value);
-  }
-
   void close_period() {
     set_shares();
     tell_rates();
@@ -557,31 +504,41 @@
 
   // ---- choosing a backend ----
 
-  // The next backend in the rotation that the rules allow for this request and that is not known to be unable
-  // to answer in time (exception "skip"; one passed over so loses its turn).
-  std::optional<BackendId> propose(const Request& r) {
-    const Millis patience = kSkipShare * (r.aim_at - now_);
+  // Goes along the rotation, with another round where it ends, till a turn is taken.
+  enum class Turn { kTaken, kKept, kLost };
+  template <typename Visit>
+  void walk(Visit visit) {
     weighed_ = 0;
     for (int round = 0; round < 2 && weighed_ < kMostWeighed; ++round) {
       std::size_t kept = 0;
+      bool taken = false;
       std::size_t n = 0;
-      for (; n < rotation_.size() && weighed_ < kMostWeighed; ++n) {
+      for (; n < rotation_.size() && weighed_ < kMostWeighed && !taken; ++n) {
         const BackendId i = rotation_[n];
         if (!usable(backends_[i])) continue;
         ++weighed_;
-        const bool may = allowed(r, i);
-        if (!may || expected_answer(r, backends_[i]) > patience) {
-          // It keeps its turn for another request, as does one that a look may clear.
-          if (!may || may_look(backends_[i])) rotation_[kept++] = i;
-          continue;
-        }
-        take_turns(kept, n + 1);
-        return i;
+        const Turn turn = visit(i);
+        if (turn == Turn::kKept) rotation_[kept++] = i;
+        taken = turn == Turn::kTaken;
       }
       take_turns(kept, n);
+      if (taken) return;
       if (weighed_ < kMostWeighed && kept < backends_.size()) deal();
     }
-    return std::nullopt;
+  }
+
+  // The next backend in the rotation that the rules allow for this request and that is not known to be unable
+  // to answer in time (exception "skip"; one passed over so loses its turn).
+  std::optional<BackendId> propose(const Request& r) {
+    const Millis patience = kSkipShare * (r.aim_at - now_);
+    std::optional<BackendId> pick;
+    walk([&](BackendId i) {
+      const bool may = allowed(r, i);
+      if (may && expected_answer(r, backends_[i]) <= patience) return pick = i, Turn::kTaken;
+      // It keeps its turn for another request, as does one that a look may clear.
+      return !may || may_look(backends_[i]) ? Turn::kKept : Turn::kLost;
+    });
+    return pick;
   }
 
   // The turns from `kept` up to `n` are taken. Costs by `kept`, as a deque gives way at its nearer end.
@@ -640,7 +597,7 @@
     } else {
       const bool late = r.looks > 0 && now_ > r.look_until - kTimerSlack;
       if (late || too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !s_.probing) return false;
-      stalest(r);
+      stale_turns(r, old + kLooks);
     }
     if (r.asked.size() == old) return false;
     bool open = false;
@@ -665,21 +622,11 @@
 
   // The next in the rotation; they lose their turns.
   void next_turns(Request& r, std::size_t most) {
-    for (int round = 0; round < 2 && r.asked.size() < most; ++round) {
-      std::size_t kept = 0;
-      std::size_t n = 0;
-      for (; n < rotation_.size() && r.asked.size() < most; ++n) {
-        const BackendId i = rotation_[n];
-        if (!usable(backends_[i])) continue;
-        if (allowed(r, i) && !was_asked(r, i)) {
-          r.asked.push_back(i);
-        } else {
-          rotation_[kept++] = i;
-        }
-      }
-      take_turns(kept, n);
-      if (r.asked.size() < most && kept < backends_.size()) deal();
-    }
+    walk([&](BackendId i) {
+      if (was_asked(r, i) || !allowed(r, i)) return Turn::kKept;
+      r.asked.push_back(i);
+      return r.asked.size() < most ? Turn::kLost : Turn::kTaken;
+    });
   }
 
   static bool was_asked(const Request& r, BackendId i) {
@@ -701,22 +648,12 @@
     for (std::size_t k = 0; k < n; ++k) r.asked.push_back(order[k].second);
   }
 
-  // Those whose turn comes first, but for what old news still tells: were ties broken in any fixed order, all
-  // nodes would ask the same few.
-  void stalest(Request& r) {
-    std::vector<std::pair<double, BackendId>> stale;
-    const std::size_t most = std::min(rotation_.size(), kMostWeighed);
-    for (std::size_t n = 0; n < most; ++n) {
+  // Those of old news whose turn comes first; they keep it.
+  void stale_turns(Request& r, std::size_t most) {
+    for (std::size_t n = 0; n < std::min(rotation_.size(), kMostWeighed) && r.asked.size() < most; ++n) {
       const BackendId i = rotation_[n];
-      const Backend& b = backends_[i];
-      if (!may_look(b) || !allowed(r, i)) continue;
-      const std::pair<double, BackendId> one{std::round(crowd(b) * kLookSteps), i};
-      if (std::find(stale.begin(), stale.end(), one) != stale.end()) continue;
-      const auto behind = std::find_if(stale.begin(), stale.end(), [&](auto x) { return x.first > one.first; });
-      stale.insert(behind, one);
-      if (stale.size() > static_cast<std::size_t>(kLooks)) stale.pop_back();
+      if (may_look(backends_[i]) && !was_asked(r, i) && allowed(r, i)) r.asked.push_back(i);
     }
-    for (const auto& [level, i] : stale) r.asked.push_back(i);
   }
 
   // Whether a probe of this backend would bring news in time.
@@ -761,9 +698,7 @@
       const Backend& b = backends_[i];
       if (!usable(b) || !allowed(r, i)) continue;
       const bool silent = now_ - b.reported_at > 2 * kLookShare * class_of(r).aim;
-      const double failing = std::max(b.failing, zone_failing(b));
-      const Millis cost = expected_answer(r, b) * rank / std::max(kLeastServing, 1 - failing);
-      const std::tuple<bool, bool, Millis> one{silent, full(r, b), cost};
+      const std::tuple<bool, bool, Millis> one{silent, full(r, b), expected_answer(r, b) * rank};
       if (s_.warm_keys && r.key != 0) rank *= kWarmRank;
       if (!best || one < least) best = i, least = one;
     }
@@ -800,7 +735,7 @@
   // True if an answer is to come.
   bool ask(Backend& b) {
     const int k = keeper(b.tag);
-    if (k == s_.instance) return learn_told(b, known_of(b, k)), false;
+    if (k == s_.instance) return learn_told(b, b.ledger.known(k, kLookShare * shortest_aim_, now_)), false;
     if (now_ < b.ask_until) return true;
     b.ask_until = now_ + kLookShare * shortest_aim_;
     act(TellPeer{k, {PeerMessage::Kind::kAsk, b.tag}});
@@ -811,52 +746,15 @@
   void tell(Backend& b, PeerMessage::Ending ending, double ratio = 0) {
     if (!asks()) return;
     const double held = b.out_held;
-    const PeerMessage m{PeerMessage::Kind::kTell, b.tag, b.out_work, held, ratio, 0, ending};
+    const PeerMessage m{PeerMessage::Kind::kTell, b.tag, b.out_work, held, ratio, ending};
     const int k = keeper(b.tag);
-    k == s_.instance ? keep(b, k, m) : act(TellPeer{k, m});
-  }
-
-  void keep(Backend& b, int peer, const PeerMessage& m) {
-    b.answers += m.ending == PeerMessage::Ending::kAnswered;
-    if (m.ending == PeerMessage::Ending::kSent) b.taken += kTakenGain;
-    std::erase_if(b.told, [peer](const ToldOut& t) { return t.peer == peer; });
-    drop_told(b);
-    double all = m.held;
-    for (const ToldOut& t : b.told) all += t.held;
-    if (m.held > 0) b.told.push_back({peer, m.work, m.held, now_, 0, b.answers + all});
-    if (m.ending == PeerMessage::Ending::kSent) return;
-    b.told_failing += kToldGain * ((m.ending == PeerMessage::Ending::kFailed) - b.told_failing);
-    if (m.ratio > 0) b.told_ratio += (b.told_ratio > 0 ? kToldGain : 1) * (m.ratio - b.told_ratio);
-  }
-
-  // Word is dropped when it is old, or when more answers came than were before its requests: they are lost.
-  void drop_told(Backend& b) {
-    std::erase_if(b.told, [this, &b](const ToldOut& t) {
-      return (t.held <= 0 || now_ - t.at > kToldLife || b.answers > t.overtaken) && now_ > t.promised;
-    });
-  }
-
-  // What others have out there. Who asks may send: that counts as often as those who ask do send.
-  PeerMessage known_of(Backend& b, int asker) {
-    drop_told(b);
-    PeerMessage m{PeerMessage::Kind::kAnswer, b.tag, 0, 0, b.told_ratio, b.told_failing};
-    ToldOut* own = nullptr;
-    for (ToldOut& t : b.told) {
-      if (t.peer == asker) own = &t;
-      const double promise = now_ < t.promised ? b.taken : 0;
-      if (t.peer != asker) m.work += t.work + promise, m.held += t.held + promise;
-    }
-    if (own == nullptr) own = &b.told.emplace_back(asker);
-    own->promised = now_ + kLookShare * shortest_aim_;
-    b.taken -= kTakenGain * b.taken;
-    return m;
+    k == s_.instance ? b.ledger.tell(k, m, now_) : act(TellPeer{k, m});
   }
 
   void learn_told(Backend& b, const PeerMessage& m) {
     told_at_ = now_;
     learn_others(b, m.work);
     b.others_held = m.held;
-    b.failing = m.failing;
     if (m.ratio > 0) b.service_ratio = m.ratio, b.heard = true;
   }
 
@@ -867,14 +765,19 @@
       if (m.about >= purses_.size()) return;
       Purse& p = purses_[m.about];
       if (m.kind == PeerMessage::Kind::kTotal) return void(p.all = m.rate);
-      keep_rate(p, e.peer, m.rate);
+      p.ledger.tell(e.peer, m.rate, now_);
+      p.all = p.ledger.total();
       return act(TellPeer{e.peer, {.kind = PeerMessage::Kind::kTotal, .about = m.about, .rate = p.all}});
     }
     const auto found = by_tag_.find(m.about);
     if (found == by_tag_.end()) return;
     Backend& b = backends_[found->second];
-    if (m.kind == PeerMessage::Kind::kTell) return keep(b, e.peer, m);
-    if (m.kind == PeerMessage::Kind::kAsk) return act(TellPeer{e.peer, known_of(b, e.peer)});
+    if (m.kind == PeerMessage::Kind::kTell) return b.ledger.tell(e.peer, m, now_);
+    if (m.kind == PeerMessage::Kind::kAsk) {
+      PeerMessage known = b.ledger.known(e.peer, kLookShare * shortest_aim_, now_);
+      known.about = b.tag;
+      return act(TellPeer{e.peer, known});
+    }
     b.ask_until = 0;
     learn_told(b, m);
     if (!looking_.empty()) look_again();
@@ -904,12 +807,6 @@
     return std::max(work, (in_hand(b) + work) / b.lanes);
   }
 
-  double zone_failing(const Backend& b) const {
-    const auto zone = static_cast<std::size_t>(b.zone);
-    if (zone >= zone_failing_.size()) return 0;
-    return zone_failing_[zone] - *std::min_element(zone_failing_.begin(), zone_failing_.end());
-  }
-
   Millis expected_answer(const Request& r, const Backend& b) const {
     const double ratio = class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio;
     return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b);
@@ -984,7 +881,6 @@
   void forget() {
     const double held = rate() * mean_share_ * kRecordSpan;
     slowness_ = std::pow(slowness_, 1 - kForgetting);
-    for (double& failing : zone_failing_) failing *= 1 - kForgetting;
     stretch_ = std::pow(std::max(1.0, slowness_), 1 / (1 + held * held));
     // Exception "guess": where answers meet a crowd from the first moment on, none teaches the fleet's
     // service time. But if over half of all backends told of theirs, and each is well below it, it cannot be
@@ -1047,9 +943,6 @@
     const bool unreachable = outcome == Outcome::kNoConnection;
     const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
     if (!silent && !error && outcome != Outcome::kServed) return;
-    const auto zone = static_cast<std::size_t>(b.zone);
-    if (zone >= zone_failing_.size()) zone_failing_.resize(zone + 1);
-    zone_failing_[zone] += kToldGain * ((silent || unreachable) - zone_failing_[zone]);
     ++outcomes_;
     for (const std::size_t n : {std::size_t{0}, static_cast<std::size_t>(request_class) + 1}) {
       judge(&Backend::silences, b, n, silent, kHealthGain);
@@ -1147,11 +1040,7 @@
     const double quota = s_.tenants[static_cast<std::size_t>(tenant)].quota_rps;
     if (quota <= 0 || p.all <= quota || p.rate <= 0) return true;
     const double rate = quota * p.rate / p.all;
-    p.tokens = std::min(std::max(kLeastBurst, rate * kQuotaBurst), p.tokens + rate * (now_ - p.at) / 1000);
-    p.at = now_;
-    if (p.tokens < 1) return false;
-    p.tokens -= 1;
-    return true;
+    return p.bucket.take(rate, std::max(kLeastBurst, rate * kQuotaBurst), now_);
   }
 
   void tell_rates() {
@@ -1160,22 +1049,14 @@
       p.rate = std::exchange(p.came, 0) * 1000 / kPeriod;
       const int k = keeper(n);
       if (k == s_.instance) {
-        keep_rate(p, k, p.rate);
+        p.ledger.tell(k, p.rate, now_);
+        p.all = p.ledger.total();
       } else if (p.rate > 0) {
         act(TellPeer{k, {.kind = PeerMessage::Kind::kRate, .about = n, .rate = p.rate}});
       }
     }
   }
 
-  void keep_rate(Purse& p, int peer, double rate) {
-    std::erase_if(p.told, [this, peer](const ToldRate& t) {
-      return t.peer == peer || now_ - t.at > kToldLife;
-    });
-    p.told.push_back({peer, rate, now_});
-    p.all = 0;
-    for (const ToldRate& t : p.told) p.all += t.rate;
-  }
-
   double stated_nodes() const { return std::max(1, s_.instances); }
 
   // How many of them each of these backends has before it.
@@ -1416,7 +1297,6 @@
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   Millis shortest_aim_ = 0;
   Millis told_at_ = 0;  // a keeper answered last
-  std::vector<double> zone_failing_;
   Millis tables_full_until_ = 0;
   double hints_ = 0;
   double mean_hint_ = 0;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/millis.h"
+#include "peers/message.h"
 
 namespace shorelead {
 
@@ -150,25 +151,6 @@
   bool has_report = false;
   LoadReport report;
 };
-// What nodes say to one another; its form in bytes is in peers/form.h. Any may be lost, late or untrue.
-struct PeerMessage {
-  enum class Kind : std::uint8_t {
-    kAsk,     // the keeper of a backend: what is known of it?
-    kAnswer,  // the keeper's answer
-    kTell,    // to the keeper: what the sender has out there, after an attempt was sent or ended
-    kRate,    // to the keeper of a tenant: its requests at the sender
-    kTotal    // the keeper's answer: at all nodes
-  };
-  enum class Ending : std::uint8_t { kSent, kFailed, kAnswered };
-  Kind kind = Kind::kAsk;
-  std::uint32_t about = 0;  // a backend's tag, or a tenant's number
-  double work = 0;          // out there, in mean requests
-  double held = 0;          // out there, in requests
-  double ratio = 0;         // its service time over the fleet's; 0 = not told
-  double failing = 0;       // share of attempts
-  Ending ending = Ending::kSent;
-  double rate = 0;  // requests a second
-};
 struct PeerTold {
   int peer = 0;
   PeerMessage message;
@@ -208,8 +190,7 @@
   BackendId backend = 0;
 };
 struct SubscribeList {};
-// To another node, in at most kMostPeerBytes; it may be lost.
-inline constexpr std::size_t kMostPeerBytes = 256;
+// To another node; it may be lost.
 struct TellPeer {
   int peer = 0;
   PeerMessage message;
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -7,7 +7,8 @@
 
 declare -A may=(
   [base]="base"
-  [policy]="base policy"
+  [peers]="base peers"
+  [policy]="base peers policy"
   [net]="base net"
   [subset]="base subset"
   [limits]="base limits"
@@ -18,7 +19,7 @@
   [settings]="base policy settings"
   [membership]="base net membership"
   [node]="base policy settings subset limits language manage handover routing membership net node"
-  [drill]="base policy settings drill"
+  [drill]="base peers policy settings drill"
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
 
