--- a/src/base/numbers.h
+++ b/src/base/numbers.h
@@ -21,4 +21,29 @@
   window.push_back(value);
 }
 
+// Scales positive numbers to sum 1 with none above its bound; what a bound cuts goes to the others in
+// proportion. Where all bounds together are under 1, all stand at theirs.
+inline void scale_to_one(std::vector<double>& values, const std::vector<double>& bounds) {
+  std::vector<char> bound(values.size(), 0);
+  for (double free = 1;;) {
+    double sum = 0;
+    for (std::size_t n = 0; n < values.size(); ++n) sum += bound[n] ? 0 : values[n];
+    if (sum <= 0) return;
+    const double scale = free / sum;
+    bool cut = false;
+    for (std::size_t n = 0; n < values.size(); ++n) {
+      if (bound[n] || values[n] * scale < bounds[n]) continue;
+      values[n] = bounds[n];
+      free -= bounds[n];
+      bound[n] = 1;
+      cut = true;
+    }
+    if (!cut) {
+      for (std::size_t n = 0; n < values.size(); ++n) values[n] *= bound[n] ? 1 : scale;
+      return;
+    }
+    free = std::max(0.0, free);
+  }
+}
+
 }  // namespace shorelead
--- a/src/peers/form.cpp
+++ b/src/peers/form.cpp
@@ -10,7 +10,7 @@
 constexpr unsigned kVersion = 1;
 constexpr double kStep = 8;  // parts of a mean request in which work is told
 constexpr unsigned kSent = 0;
-constexpr unsigned kFailed = 1;
+constexpr unsigned kLost = 1;
 constexpr unsigned kAnswered = 2;
 constexpr unsigned kLeastRatio = 3;
 
@@ -29,8 +29,8 @@
   switch (message.ending) {
     case PeerMessage::Ending::kSent:
       return kSent;
-    case PeerMessage::Ending::kFailed:
-      return kFailed;
+    case PeerMessage::Ending::kLost:
+      return kLost;
     case PeerMessage::Ending::kAnswered:
       return std::max(kAnswered, ratio_code(message.ratio));
   }
@@ -102,7 +102,7 @@
       message.work = at(5) / kStep;
       message.held = at(6);
       message.ending = at(7) == kSent     ? PeerMessage::Ending::kSent
-                       : at(7) == kFailed ? PeerMessage::Ending::kFailed
+                       : at(7) == kLost ? PeerMessage::Ending::kLost
                                           : PeerMessage::Ending::kAnswered;
       message.ratio = ratio_of(at(7));
       break;
--- a/src/peers/form.h
+++ b/src/peers/form.h
@@ -14,7 +14,7 @@
 // Form 1, little-endian: byte 0 is version << 4 | kind, bytes 1 to 4 what it is about, then by kind
 //   ask     nothing
 //   answer  work (1/8), held (1/8), ratio
-//   tell    work (1/8), held, ending (0 sent, 1 failed, 2 answered, 3 up answered with that ratio)
+//   tell    work (1/8), held, ending (0 sent, 1 lost, 2 answered, 3 up answered with that ratio)
 //   rate    requests a second, two bytes
 //   total   requests a second, two bytes
 // A ratio is 128 + 16 log2 of it, 3 at the least; 0 stands for none.
--- a/src/peers/message.h
+++ b/src/peers/message.h
@@ -16,7 +16,7 @@
     kRate,    // to the keeper of a tenant: its requests at the sender
     kTotal    // the keeper's answer: at all nodes
   };
-  enum class Ending : std::uint8_t { kSent, kFailed, kAnswered };
+  enum class Ending : std::uint8_t { kSent, kLost, kAnswered };  // what came last, as far as it is told
   Kind kind = Kind::kAsk;
   std::uint32_t about = 0;  // a backend's tag, or a tenant's number
   double work = 0;          // out there, in mean requests
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -445,26 +445,17 @@
     return *std::min_element(b.response_times.begin(), b.response_times.end());
   }
 
-  // Scales the shares to sum 1 with none above its bound; what a bound cuts goes to the others in proportion.
-  void limit(std::vector<BackendId> open) {
-    const double mean = mean_share_ = 1.0 / std::max(1.0, static_cast<double>(open.size()));
-    const auto bound = [this, mean](BackendId i) {
-      return mean * (backends_[i].response_times.size() <= kNewPeriods ? 1.0 : kShareCap);
-    };
-    for (double free = 1; !open.empty();) {
-      double sum = 0;
-      for (const BackendId i : open) sum += backends_[i].share;
-      const double scale = free / sum;
-      const auto over = std::stable_partition(
-          open.begin(), open.end(), [&](BackendId i) { return backends_[i].share * scale < bound(i); });
-      for (auto i = over; i != open.end(); ++i) free -= backends_[*i].share = bound(*i);
-      if (over == open.end()) {
-        for (const BackendId i : open) backends_[i].share *= scale;
-        return;
-      }
-      free = std::max(0.0, free);
-      open.erase(over, open.end());
+  // The shares sum to 1, none above its bound.
+  void limit(const std::vector<BackendId>& in) {
+    const double mean = mean_share_ = 1.0 / std::max(1.0, static_cast<double>(in.size()));
+    std::vector<double> shares;
+    std::vector<double> bounds;
+    for (const BackendId i : in) {
+      shares.push_back(backends_[i].share);
+      bounds.push_back(mean * (backends_[i].response_times.size() <= kNewPeriods ? 1.0 : kShareCap));
     }
+    scale_to_one(shares, bounds);
+    for (std::size_t n = 0; n < in.size(); ++n) backends_[in[n]].share = shares[n];
   }
 
   // Unsent turns go back to the credits, so that rounding and reshuffling lose nothing; a new round is earned
@@ -597,7 +588,7 @@
     } else {
       const bool late = r.looks > 0 && now_ > r.look_until - kTimerSlack;
       if (late || too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !s_.probing) return false;
-      stale_turns(r, old + kLooks);
+      next_turns(r, old + kLooks);
     }
     if (r.asked.size() == old) return false;
     bool open = false;
@@ -623,7 +614,7 @@
   // The next in the rotation; they lose their turns.
   void next_turns(Request& r, std::size_t most) {
     walk([&](BackendId i) {
-      if (was_asked(r, i) || !allowed(r, i)) return Turn::kKept;
+      if (was_asked(r, i) || !allowed(r, i) || !(looks_first() || may_look(backends_[i]))) return Turn::kKept;
       r.asked.push_back(i);
       return r.asked.size() < most ? Turn::kLost : Turn::kTaken;
     });
@@ -648,14 +639,6 @@
     for (std::size_t k = 0; k < n; ++k) r.asked.push_back(order[k].second);
   }
 
-  // Those of old news whose turn comes first; they keep it.
-  void stale_turns(Request& r, std::size_t most) {
-    for (std::size_t n = 0; n < std::min(rotation_.size(), kMostWeighed) && r.asked.size() < most; ++n) {
-      const BackendId i = rotation_[n];
-      if (may_look(backends_[i]) && !was_asked(r, i) && allowed(r, i)) r.asked.push_back(i);
-    }
-  }
-
   // Whether a probe of this backend would bring news in time.
   bool may_look(const Backend& b) const {
     return usable(b) && reports_told() && now_ >= b.doubted_until &&
@@ -667,7 +650,6 @@
   void look_again() {
     std::vector<RequestId> waiting;
     waiting.swap(looking_);
-    bool tried = false;
     for (const RequestId id : waiting) {
       const Held it = requests_.find(id);
       if (it == requests_.end()) continue;
@@ -675,16 +657,10 @@
       const bool open = std::any_of(r.asked.begin(), r.asked.end(), [this](BackendId i) {
         return backends_[i].look_out || now_ < backends_[i].ask_until - kTimerSlack;
       });
-      if (!open || now_ > r.look_until - kTimerSlack || !may_send(r)) {
-        proceed(it);
-        continue;
-      }
-      // In a large fleet where the first of them finds nobody among so many, one answer more clears no other.
-      const bool vain = looks_first() || (std::exchange(tried, true) && weighed_ >= kMostWeighed);
-      if (const auto i = vain ? std::nullopt : propose(r)) {
-        send(it, *i);
-      } else {
+      if (open && now_ <= r.look_until - kTimerSlack && may_send(r)) {
         looking_.push_back(id);
+      } else {
+        proceed(it);
       }
     }
   }
@@ -708,6 +684,7 @@
   // Exception "full": far more waiting than cores. Such a backend was seen to turn slow for long, so all nodes
   // together keep it under that; what is worth little is turned away sooner, the more so the fuller the fleet.
   bool full(const Request& r, const Backend& b) const {
+    if (!looks_first()) return false;
     const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
     const double most = kMostQueue * std::sqrt(b.lanes);
     return requests > b.lanes + most * (1 - (1 - value(r)) * std::min(1.0, mean_others_ / most));
@@ -732,54 +709,59 @@
     return static_cast<int>(Random(about).next() % static_cast<std::uint64_t>(s_.instances));
   }
 
-  // True if an answer is to come.
+  // Also to itself, where this node is the keeper.
+  void say(int peer, const PeerMessage& m) {
+    if (peer == s_.instance) return on(PeerTold{peer, m});
+    act(TellPeer{peer, m});
+  }
+
+  // Asks for news of a backend; true if an answer is to come.
   bool ask(Backend& b) {
-    const int k = keeper(b.tag);
-    if (k == s_.instance) return learn_told(b, b.ledger.known(k, kLookShare * shortest_aim_, now_)), false;
     if (now_ < b.ask_until) return true;
     b.ask_until = now_ + kLookShare * shortest_aim_;
-    act(TellPeer{k, {PeerMessage::Kind::kAsk, b.tag}});
-    return true;
+    say(keeper(b.tag), {.kind = PeerMessage::Kind::kAsk, .about = b.tag});
+    return b.ask_until > 0;
   }
 
   // Tells the keeper what this node has out there, and how an attempt ended.
   void tell(Backend& b, PeerMessage::Ending ending, double ratio = 0) {
-    if (!asks()) return;
     const double held = b.out_held;
-    const PeerMessage m{PeerMessage::Kind::kTell, b.tag, b.out_work, held, ratio, ending};
-    const int k = keeper(b.tag);
-    k == s_.instance ? b.ledger.tell(k, m, now_) : act(TellPeer{k, m});
-  }
-
-  void learn_told(Backend& b, const PeerMessage& m) {
-    told_at_ = now_;
-    learn_others(b, m.work);
-    b.others_held = m.held;
-    if (m.ratio > 0) b.service_ratio = m.ratio, b.heard = true;
+    if (asks()) say(keeper(b.tag), {PeerMessage::Kind::kTell, b.tag, b.out_work, held, ratio, ending});
   }
 
   void on(const PeerTold& e) {
     const PeerMessage& m = e.message;
-    if (!asks() || e.peer < 0 || e.peer >= s_.instances || e.peer == s_.instance) return;
-    if (m.kind == PeerMessage::Kind::kRate || m.kind == PeerMessage::Kind::kTotal) {
-      if (m.about >= purses_.size()) return;
-      Purse& p = purses_[m.about];
-      if (m.kind == PeerMessage::Kind::kTotal) return void(p.all = m.rate);
-      p.ledger.tell(e.peer, m.rate, now_);
-      p.all = p.ledger.total();
-      return act(TellPeer{e.peer, {.kind = PeerMessage::Kind::kTotal, .about = m.about, .rate = p.all}});
-    }
+    if (!asks() || e.peer < 0 || e.peer >= s_.instances) return;
+    const bool rates = m.kind == PeerMessage::Kind::kRate || m.kind == PeerMessage::Kind::kTotal;
     const auto found = by_tag_.find(m.about);
-    if (found == by_tag_.end()) return;
-    Backend& b = backends_[found->second];
-    if (m.kind == PeerMessage::Kind::kTell) return b.ledger.tell(e.peer, m, now_);
-    if (m.kind == PeerMessage::Kind::kAsk) {
-      PeerMessage known = b.ledger.known(e.peer, kLookShare * shortest_aim_, now_);
-      known.about = b.tag;
-      return act(TellPeer{e.peer, known});
+    if (rates ? m.about >= purses_.size() : found == by_tag_.end()) return;
+    PeerMessage answer{.about = m.about};
+    switch (m.kind) {
+      case PeerMessage::Kind::kRate:
+        purses_[m.about].ledger.tell(e.peer, m.rate, now_);
+        answer.kind = PeerMessage::Kind::kTotal;
+        answer.rate = purses_[m.about].ledger.total();
+        return say(e.peer, answer);
+      case PeerMessage::Kind::kTotal:
+        purses_[m.about].all = m.rate;
+        return;
+      case PeerMessage::Kind::kTell:
+        return backends_[found->second].ledger.tell(e.peer, m, now_);
+      case PeerMessage::Kind::kAsk:
+        answer = backends_[found->second].ledger.known(e.peer, kLookShare * shortest_aim_, now_);
+        answer.about = m.about;
+        return say(e.peer, answer);
+      case PeerMessage::Kind::kAnswer:
+        return learn_told(backends_[found->second], m);
     }
+  }
+
+  void learn_told(Backend& b, const PeerMessage& m) {
+    told_at_ = now_;
     b.ask_until = 0;
-    learn_told(b, m);
+    learn_others(b, m.work);
+    b.others_held = m.held;
+    if (m.ratio > 0) b.service_ratio = m.ratio, b.heard = true;
     if (!looking_.empty()) look_again();
   }
 
@@ -1045,15 +1027,8 @@
 
   void tell_rates() {
     for (std::uint32_t n = 0; asks() && n < purses_.size(); ++n) {
-      Purse& p = purses_[n];
-      p.rate = std::exchange(p.came, 0) * 1000 / kPeriod;
-      const int k = keeper(n);
-      if (k == s_.instance) {
-        p.ledger.tell(k, p.rate, now_);
-        p.all = p.ledger.total();
-      } else if (p.rate > 0) {
-        act(TellPeer{k, {.kind = PeerMessage::Kind::kRate, .about = n, .rate = p.rate}});
-      }
+      purses_[n].rate = std::exchange(purses_[n].came, 0) * 1000 / kPeriod;
+      say(keeper(n), {.kind = PeerMessage::Kind::kRate, .about = n, .rate = purses_[n].rate});
     }
   }
 
@@ -1093,11 +1068,14 @@
   // Sends the request's next attempt, or gives its final answer at once.
   void proceed(Held it) {
     Request& r = it->second;
+    if (any_out(r) && !(s_.parallel_attempts && r.attempts.back().overdue)) return;
     if (may_send(r)) {
-      std::optional<BackendId> i = looks_first() ? best_asked(r) : propose(r);
-      if (i && looks_first() && !suits(r, *i, kSkipShare * (r.aim_at - now_)) && look(it)) return;
+      const bool looked = looks_first() || !r.asked.empty();
+      std::optional<BackendId> i = looked ? best_asked(r) : propose(r);
+      if (i && looked && !suits(r, *i, kSkipShare * (r.aim_at - now_))) i.reset();
       if (!i && look(it)) return;
-      if (i && looks_first() && !suits(r, *i, admitted(r))) i.reset();
+      if (!i && looked) i = best_asked(r);
+      if (i && looked && !suits(r, *i, admitted(r))) i.reset();
       if (!i && (r.asked.empty() || !looks_first())) i = soonest(r);
       if (i) return send(it, *i);
     }
@@ -1119,7 +1097,7 @@
       Backend& b = backends_[a.backend];
       for (Out& out : b.outs) out.overdue = out.overdue || out.sent == a.sent;
       count_out(b);
-      tell(b, PeerMessage::Ending::kFailed);
+      tell(b, PeerMessage::Ending::kLost);
     }
     act(SetTimer{now_ + service_, kCopyTimer | std::uint64_t{id} << 8});  // if it does not come to it now
     if (!may_send(r) || now_ < r.look_until - kTimerSlack) return;
@@ -1226,16 +1204,10 @@
   }
 
   void tell_end(Backend& b, const AttemptEnded& e, Held it) {
-    if (!asks()) return;
-    const bool served = e.outcome == Outcome::kServed;
-    const bool failed = e.outcome == Outcome::kError || e.outcome == Outcome::kConnectionLost ||
-                        e.outcome == Outcome::kNoAnswer || e.outcome == Outcome::kNoConnection;
-    const Attempt* a = nullptr;
-    if (it != requests_.end()) a = &it->second.attempts.at(static_cast<std::size_t>(e.attempt));
-    if (failed && !(a && a->overdue)) return tell(b, PeerMessage::Ending::kFailed);
-    if (!served || !a) return tell(b, PeerMessage::Ending::kSent);
+    if (it == requests_.end() || e.outcome != Outcome::kServed) return tell(b, PeerMessage::Ending::kSent);
+    const Attempt& a = it->second.attempts.at(static_cast<std::size_t>(e.attempt));
     const double usual = service_ * class_ratio_[static_cast<std::size_t>(it->second.request_class)];
-    const double ratio = a->crowd < kLeastTold ? 0 : e.elapsed / a->crowd * a->warmth / usual;
+    const double ratio = a.crowd < kLeastTold ? 0 : e.elapsed / a.crowd * a.warmth / usual;
     tell(b, PeerMessage::Ending::kAnswered, ratio);
   }
 
