Service times and load reports are estimated in a package of their own

Change: estimate/ learns how long and how full from answers, hints and reports and chooses nothing; the module keeps which backend, whether again and what to turn away.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -16,6 +16,7 @@
 #include "base/numbers.h"
 #include "base/random.h"
 #include "base/token_bucket.h"
+#include "estimate/service_times.h"
 #include "peers/ledger.h"
 
 namespace shorelead {
@@ -68,24 +69,12 @@
 constexpr double kMostQueue = 3;       // times the root of its cores that may wait at a backend
 constexpr double kOverdue = 4;         // times what was expected: the attempt is lost or stuck
 constexpr double kComeBack = 0.2;      // of the aim: when a refused client may still be served in time
-constexpr double kHintGain = 0.003;    // weight of one hint in the mean
-constexpr double kHintTrust = 0.6;     // power of a hint: it is rough, so far ones lie nearer to the mean
 constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
 constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
 constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
-// Doubt: reports that contradict what this node knows.
 constexpr double kSettled = 0.5;         // service times after which a report must count an attempt
-constexpr double kWrongGain = 0.15;      // weight of one check
-constexpr double kWrongShare = 0.3;      // more wrong than this, no report is believed
-constexpr Millis kDoubt = 2000;          // for which a backend found wrong is not believed
-constexpr double kServiceGain = 0.12;    // weight of one answer in a backend's service time
-constexpr double kFleetGain = 0.02;      // weight of one report or answer in the fleet's means
 constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
-constexpr double kSomeWaiting = 0.5;     // requests: reports are noisy, so less than this is none
-constexpr double kSlowGain = 0.1;        // weight of one answer in the slowness of all
 constexpr double kRecordSpan = 5;        // seconds: a backend's own record holds what came in them
-constexpr double kGuessShare = 0.5;      // of the fleet's service time: where all are below, it is wrong
-constexpr double kForgetting = 0.1;      // of a backend's odd service time, in a period without answers
 // Health: outcomes of our own attempts, per backend and per backend and class.
 constexpr double kHealthGain = 0.25;       // weight of one outcome in the share of failures
 constexpr double kErrorGain = 0.5;         // and of an error, which no crowd explains
@@ -100,6 +89,7 @@
 constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request
 constexpr double kMostResends = 10;         // and saved up at most
 constexpr int kMostAttempts = 3;            // for one request
+constexpr double kLosingGain = 0.02;        // weight of one attempt in the share that is lost
 constexpr double kLosing = 0.05;            // of attempts lost, above which
 constexpr double kEarlyEnd = 0.5;           // an attempt ends after this part of its time
 // Tenants.
@@ -136,28 +126,17 @@
   // own traffic
   std::vector<Out> outs;           // our attempts out there
   Millis answered = 0;             // when the last of them that was served was sent
-  Millis doubted_until = 0;        // its reports are not believed until then
   std::vector<Millis> cold_sends;  // while cold: sends that still count in its budget
   double cold_turns = 0;           // where its part is under one request: how many came by now,
   double cold_used = -1;           // the last that was used
   Millis cold_at = 0;              // and when this was worked out
-  std::vector<Health> silences;    // over all classes, then of each
-  std::vector<Health> errors;
-  // what its reports and our own outcomes say
-  double others = -1;  // requests of other nodes in its hands at its last report; negative = never reported
-  Millis reported_at = 0;
-  double busy = -1;          // share of its cores in use at its last report; negative = never reported
-  double lanes = 1;          // requests it works on at once without slowing
-  bool lanes_known = false;  // its reports have told; else they are guessed from warm backends of like size
-  bool heard = false;        // an answer, or a time-out, told of its speed this period
-  double service_ratio = 1;  // its service time over the fleet's
-
+  std::vector<Health> health;      // silences and errors over all classes, then of each
+  estimate::Load load;    // as its reports say
+  estimate::Speed speed;  // as answers say
   int out_held = 0;     // requests of this node in its hands,
   double out_work = 0;  // and in mean requests
   peers::BackendLedger ledger;  // as its keeper
   double others_held = 0;       // requests of others in its hands, as its keeper told
-
-  double outstanding() const { return out_work; }
 };
 
 struct Attempt {
@@ -211,7 +190,7 @@
     Millis shortest = 0;
     for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
     shortest_aim_ = shortest;
-    service_ = std::max(1.0, kFirstWorkGuess * shortest);
+    times_ = estimate::ServiceTimes(std::max(1.0, kFirstWorkGuess * shortest));
     on(SettingsChanged{settings});
   }
 
@@ -223,7 +202,7 @@
 
   std::size_t avoided(Millis now) const {
     const auto rests = [now](const Backend& b) {
-      return now < b.silences[0].resting_until || now < b.errors[0].resting_until;
+      return std::any_of(b.health.begin(), b.health.begin() + 2, [now](const Health& h) { return now < h.resting_until; });
     };
     return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](const Backend& b) {
       return b.state == BackendState::kReady && (b.dropped || rests(b));
@@ -236,13 +215,10 @@
   // What was learnt of backends and classes stays; a class not seen before is taken for an ordinary one.
   void on(const SettingsChanged& changed) {
     s_ = changed.settings;
-    class_ratio_.resize(s_.classes.size(), 1.0);
+    times_.set_classes(s_.classes.size());
     purses_.resize(s_.tenants.size());
     for (const RequestClass& c : s_.classes) most_worth_ = std::max(most_worth_, c.worth);
-    for (Backend& b : backends_) {
-      b.silences.resize(s_.classes.size() + 1);
-      b.errors.resize(s_.classes.size() + 1);
-    }
+    for (Backend& b : backends_) b.health.resize(2 * s_.classes.size() + 2);
   }
 
   // ---- lists ----
@@ -304,9 +280,8 @@
     fresh.asked_at = now_ - random_.unit() * kLongestRound;
     fresh.cold_turns = random_.unit(), fresh.cold_at = now_;
     b = std::move(fresh);
-    b.lanes = lanes_like_warm(b);
-    b.silences.assign(s_.classes.size() + 1, {});
-    b.errors.assign(s_.classes.size() + 1, {});
+    b.load.lanes = lanes_like_warm(b);
+    b.health.assign(2 * s_.classes.size() + 2, {});
     b.share = mean_share_;
   }
 
@@ -641,9 +616,9 @@
 
   // Whether a probe of this backend would bring news in time.
   bool may_look(const Backend& b) const {
-    return usable(b) && reports_told() && now_ >= b.doubted_until &&
+    return usable(b) && load_.told() && now_ >= b.load.doubted_until &&
            (b.response_times.empty() || b.response_times.back() <= kLookTime) &&
-           (b.others < 0 || now_ - b.reported_at >= kLookAge * service_);
+           (b.load.others < 0 || now_ - b.load.reported_at >= kLookAge * times_.mean());
   }
 
   // News came in, or the time to wait for it is up: serve those who waited.
@@ -673,7 +648,7 @@
     for (const BackendId i : r.asked) {
       const Backend& b = backends_[i];
       if (!usable(b) || !allowed(r, i)) continue;
-      const bool silent = now_ - b.reported_at > 2 * kLookShare * class_of(r).aim;
+      const bool silent = now_ - b.load.reported_at > 2 * kLookShare * class_of(r).aim;
       const std::tuple<bool, bool, Millis> one{silent, full(r, b), expected_answer(r, b) * rank};
       if (s_.warm_keys && r.key != 0) rank *= kWarmRank;
       if (!best || one < least) best = i, least = one;
@@ -686,8 +661,8 @@
   bool full(const Request& r, const Backend& b) const {
     if (!looks_first()) return false;
     const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
-    const double most = kMostQueue * std::sqrt(b.lanes);
-    return requests > b.lanes + most * (1 - (1 - value(r)) * std::min(1.0, mean_others_ / most));
+    const double most = kMostQueue * std::sqrt(b.load.lanes);
+    return requests > b.load.lanes + most * (1 - (1 - value(r)) * std::min(1.0, load_.mean_others() / most));
   }
 
   // Its worth beside the dearest class within its tenant's share, in time.
@@ -759,9 +734,9 @@
   void learn_told(Backend& b, const PeerMessage& m) {
     told_at_ = now_;
     b.ask_until = 0;
-    learn_others(b, m.work);
+    load_.tell(b.load, m.work, now_);
     b.others_held = m.held;
-    if (m.ratio > 0) b.service_ratio = m.ratio, b.heard = true;
+    if (m.ratio > 0) b.speed.ratio = m.ratio, b.speed.heard = true;
     if (!looking_.empty()) look_again();
   }
 
@@ -773,115 +748,42 @@
   // to that, falls back to none: taken for as crowded as those left of a fleet it would get nothing until it
   // is warm.
   double in_hand(const Backend& b) const {
-    if (reports_told()) {
-      const bool heard = b.others >= 0 && now_ >= b.doubted_until;
-      const double fresh = !heard ? 0 : std::exp(-(now_ - b.reported_at) / (kReportLife * service_));
-      const double usual = cold(b) ? 0 : mean_others_;
-      return b.outstanding() + usual + (b.others - usual) * fresh;
-    }
-    return b.outstanding() * std::max(1.0, sharers());
+    if (!load_.told()) return b.out_work * std::max(1.0, sharers());
+    return b.out_work + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
   }
 
-  bool reports_told() const { return reports_ > 0 && wrong_reports_ < kWrongShare; }
-
   // How many service times one more request would take there.
   double crowd(const Backend& b, double work = 1) const {
-    return std::max(work, (in_hand(b) + work) / b.lanes);
+    return std::max(work, (in_hand(b) + work) / b.load.lanes);
   }
 
   Millis expected_answer(const Request& r, const Backend& b) const {
-    const double ratio = class_ratio_[static_cast<std::size_t>(r.request_class)] * b.service_ratio;
-    return service_ * stretch_ * ratio * crowd(b, r.work) / warmth(b);
-  }
-
-  // Exception "doubt": a report that leaves out requests which this node has had there for long is not of
-  // now. Load figures have been seen to stand still for half a minute, drawing all traffic to whoever stood
-  // at nothing.
-  void check_report(Backend& b, const LoadReport& report) {
-    if (report.in_hand < 0 || asks()) return;
-    const Millis before = now_ - kSettled * service_;
-    const auto own = std::count_if(b.outs.begin(), b.outs.end(), [before, &b](const Out& out) {
-      return out.sent <= before && out.sent > b.answered;
-    });
-    if (own == 0) return;
-    const bool wrong = report.in_hand + kSomeWaiting < static_cast<double>(own);
-    wrong_reports_ += kWrongGain * ((wrong ? 1.0 : 0.0) - wrong_reports_);
-    if (wrong) b.doubted_until = now_ + kDoubt;
+    return times_.expected(r.request_class, b.speed) * crowd(b, r.work) / warmth(b);
   }
 
+  // Exception "doubt": a report that leaves out requests which this node has had there for long is wrong.
   void learn_report(Backend& b, const LoadReport& report) {
     if (asks() && now_ - told_at_ < kToldLife) return;  // keepers' word is newer
-    check_report(b, report);
-    b.busy = report.busy;
-    b.reported_at = now_;
-    if (report.in_hand >= 0) {
-      learn_others(b, std::max(0.0, report.in_hand - b.outstanding()));
-      if (report.waiting > kSomeWaiting) {
-        b.lanes = std::max(1.0, std::round(report.in_hand - report.waiting));
-        b.lanes_known = true;
-      } else if (report.waiting == 0 && report.busy >= 0 && report.busy < 1 && report.in_hand > b.lanes) {
-        // Nobody waits and a core is free: it works on as many at once as it has in hand. Were it taken for
-        // crowded, it would get nothing, and nothing could tell.
-        b.lanes = std::round(report.in_hand);
-        b.lanes_known = true;
-      }
-    }
-  }
-
-  void learn_others(Backend& b, double others) {
-    b.others = others;
-    b.reported_at = now_;
-    reports_ += 1;
-    mean_others_ += std::max(kFleetGain, 1 / (1 + reports_)) * (b.others - mean_others_);
+    const Millis before = now_ - kSettled * times_.mean();
+    const auto settled = std::count_if(b.outs.begin(), b.outs.end(), [before, &b](const Out& out) {
+      return out.sent <= before && out.sent > b.answered;
+    });
+    load_.report(b.load, report, b.out_work, asks() ? 0.0 : static_cast<double>(settled), now_);
   }
 
-  // A served answer tells the backend's speed once the crowd that it met is taken out. An attempt that got no
-  // answer says that it is slower than so, and counts only then: else a backend that answers nobody in time
-  // would teach nothing. The fleet's mean is learned from answers that met no crowd.
   void learn_service(const Request& r, const Attempt& a, Millis elapsed, bool served) {
     Backend& b = backends_[a.backend];
     const bool lost = !served && a.sent < b.answered;  // overtaken by a later one
-    losing_ += kFleetGain * ((lost ? 1 : 0) - losing_);
+    losing_ += kLosingGain * ((lost ? 1 : 0) - losing_);
     if (lost) return;
     if (served) b.answered = std::max(b.answered, a.sent);
-    double& class_ratio = class_ratio_[static_cast<std::size_t>(r.request_class)];
-    const Millis alone = elapsed / a.crowd * a.warmth;
-    const double slow = std::clamp(alone / (service_ * class_ratio * b.service_ratio), 0.1, 10.0);
-    if (a.warmth >= 1 && (served || slow > slowness_)) slowness_ += kSlowGain * (slow - slowness_);
-    const double ratio = std::clamp(alone / (service_ * class_ratio * stretch_), 0.1, 10.0);
-    if (!served && ratio <= b.service_ratio) return;
-    b.heard = true;
-    if (!asks()) b.service_ratio += kServiceGain * (ratio - b.service_ratio);
-    if (!served || a.crowd > r.work || b.busy > kCrowdedShare || hints_ > 0) return;
-    class_ratio += kFleetGain * (alone / (service_ * b.service_ratio) - class_ratio);
-    service_ += kFleetGain * (alone / (class_ratio * b.service_ratio) - service_);
-  }
-
-  // A backend passed over for being slow gets no answers that could clear it, so its record fades. At little
-  // traffic a record holds next to nothing then, and a fleet slow or crowded throughout would go unnoticed:
-  // the less each one's own holds, the more what all of them tell stretches expected times.
+    const bool crowded = a.crowd > r.work || b.load.busy > kCrowdedShare;
+    times_.learn(b.speed, {r.request_class, elapsed / a.crowd * a.warmth, served, a.warmth >= 1, crowded, asks()});
+  }
+
   void forget() {
-    const double held = rate() * mean_share_ * kRecordSpan;
-    slowness_ = std::pow(slowness_, 1 - kForgetting);
-    stretch_ = std::pow(std::max(1.0, slowness_), 1 / (1 + held * held));
-    // Exception "guess": where answers meet a crowd from the first moment on, none teaches the fleet's
-    // service time. But if over half of all backends told of theirs, and each is well below it, it cannot be
-    // theirs.
-    double slowest = 0;
-    std::size_t ready = 0;
-    std::size_t heard = 0;
-    for (const Backend& b : backends_) {
-      ready += usable(b);
-      heard += usable(b) && b.heard;
-      if (b.heard) slowest = std::max(slowest, b.service_ratio);
-    }
-    const bool wrong = heard * 2 > ready && slowest < kGuessShare;
-    if (wrong) service_ *= slowest;
-    for (Backend& b : backends_) {
-      if (b.heard && wrong) b.service_ratio /= slowest;
-      if (!b.heard) b.service_ratio = std::pow(b.service_ratio, 1 - kForgetting);
-      b.heard = false;
-    }
+    times_.fade(rate() * mean_share_ * kRecordSpan);
+    for (Backend& b : backends_) times_.fade(b.speed);
   }
 
   bool allowed(const Request& r, BackendId i) {
@@ -909,12 +811,12 @@
 
   // ---- health ----
 
-  // Silences and errors are judged apart, since a crowd explains the first but not the second; each over all
-  // classes (index 0) and for every class (index 1 + class).
+  // Silences (even) and errors (odd) are judged apart, since a crowd explains only the first; each over all
+  // classes (0 and 1) and for every class.
   bool resting(const Backend& b, int request_class) const {
-    const auto c = static_cast<std::size_t>(request_class) + 1;
-    return now_ < b.silences[0].resting_until || now_ < b.silences[c].resting_until ||
-           now_ < b.errors[0].resting_until || now_ < b.errors[c].resting_until;
+    const auto c = 2 * static_cast<std::size_t>(request_class) + 2;
+    const auto rests = [&](std::size_t n) { return now_ < b.health[n].resting_until; };
+    return rests(0) || rests(1) || rests(c) || rests(c + 1);
   }
 
   // Exception "health": a backend may fail, hang or fail one class while its probes pass. One that fails much
@@ -926,24 +828,24 @@
     const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
     if (!silent && !error && outcome != Outcome::kServed) return;
     ++outcomes_;
-    for (const std::size_t n : {std::size_t{0}, static_cast<std::size_t>(request_class) + 1}) {
-      judge(&Backend::silences, b, n, silent, kHealthGain);
-      judge(&Backend::errors, b, n, error, unreachable && n == 0 ? 1 : kErrorGain);
+    for (const std::size_t n : {std::size_t{0}, 2 * static_cast<std::size_t>(request_class) + 2}) {
+      judge(b, n, silent, kHealthGain);
+      judge(b, n + 1, error, unreachable && n == 0 ? 1 : kErrorGain);
     }
   }
 
-  void judge(std::vector<Health> Backend::*record, Backend& b, std::size_t n, bool bad, double gain) {
-    Health& h = (b.*record)[n];
+  void judge(Backend& b, std::size_t n, bool bad, double gain) {
+    Health& h = b.health[n];
     h.usual += kUsualGain * ((bad ? 1.0 : 0.0) - h.usual);
     // Where connections break everywhere, some failures in a row are chance: were they taken for sickness,
     // most backends would rest by turns and the others be overrun.
-    if (bad) gain /= 1 + kUsualDoubt * of_median(record, n, &Health::usual);
+    if (bad) gain /= 1 + kUsualDoubt * of_median(n, &Health::usual);
     h.failing += gain * ((bad ? 1.0 : 0.0) - h.failing);
     if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
     if (!bad || h.failing <= kSickShare || now_ < h.resting_until) return;
     // Compared with the median backend, not with the mean of all attempts: one that fails fast looks idle,
     // draws most of the attempts and would make its own failures the common lot. So most never rest at once.
-    if (h.failing <= of_median(record, n, &Health::failing) + kSickMargin) return;
+    if (h.failing <= of_median(n, &Health::failing) + kSickMargin) return;
     h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
     h.resting_until = now_ + h.rest;
     h.failing = kSickShare;
@@ -951,14 +853,14 @@
 
   // Over all ready backends. One outcome moves it little where they are many, so it is worked out anew only
   // once one in kMedianParts of them had one: among fewer than that, with each.
-  double of_median(std::vector<Health> Backend::*record, std::size_t n, double Health::*figure) {
-    const std::size_t which = (n * 2 + (record == &Backend::errors)) * 2 + (figure == &Health::usual);
+  double of_median(std::size_t n, double Health::*figure) {
+    const std::size_t which = n * 2 + (figure == &Health::usual);
     if (which >= medians_.size()) medians_.resize(which + 1);
     Median& kept = medians_[which];
     if (outcomes_ < kept.due) return kept.value;
     std::vector<double> all;
     for (const Backend& b : backends_) {
-      if (b.state == BackendState::kReady) all.push_back((b.*record)[n].*figure);
+      if (b.state == BackendState::kReady) all.push_back(b.health[n].*figure);
     }
     kept.due = outcomes_ + all.size() / kMedianParts;
     return kept.value = median(std::move(all));
@@ -980,7 +882,7 @@
   // there at once.
   bool cold_room(Backend& b) {
     if (!cold(b)) return true;
-    const double capacity = std::max(1.0, b.size * pace_per_size_) * s_.fall_span / service_;
+    const double capacity = std::max(1.0, b.size * pace_per_size_) * s_.fall_span / times_.mean();
     const double budget = kColdSafety * s_.fall_multiple * warmth(b) * capacity / sharers();
     std::erase_if(b.cold_sends, [this](Millis t) { return now_ - t >= s_.fall_span; });
     b.cold_turns += budget * (now_ - std::exchange(b.cold_at, now_)) / s_.fall_span;
@@ -996,17 +898,17 @@
     double pace = 0;
     double size = 0;
     for (const Backend& b : backends_) {
-      if (!usable(b) || cold(b) || !b.lanes_known) continue;
-      lanes += b.lanes;
+      if (!usable(b) || cold(b) || !b.load.lanes_known) continue;
+      lanes += b.load.lanes;
       // A backend that is slow for being crowded only seems to work on more at once.
-      pace += b.lanes / std::max(1.0, b.service_ratio);
+      pace += b.load.lanes / std::max(1.0, b.speed.ratio);
       size += b.size;
     }
     if (size <= 0) return;
     lanes_per_size_ = lanes / size;
     pace_per_size_ = pace / size;
     for (Backend& b : backends_) {
-      if (!b.lanes_known) b.lanes = lanes_like_warm(b);
+      if (!b.load.lanes_known) b.load.lanes = lanes_like_warm(b);
     }
   }
 
@@ -1049,14 +951,7 @@
     r.most_attempts = std::min(s_.max_attempts, kMostAttempts);
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
     r.key = e.key;
-    if (e.expected_work > 0) {
-      hints_ += 1;
-      mean_hint_ += std::max(kHintGain, 1 / hints_) * (e.expected_work - mean_hint_);
-      service_ = mean_hint_;
-      const double work = std::pow(e.expected_work, kHintTrust);
-      mean_work_ += std::max(kHintGain, 1 / hints_) * (work - mean_work_);
-      r.work = std::clamp(work / mean_work_, 0.1, 10.0);
-    }
+    if (e.expected_work > 0) r.work = times_.hinted(e.expected_work);
     arrived_ += 1;
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
     r.client_retry = e.client_retry;
@@ -1099,7 +994,7 @@
       count_out(b);
       tell(b, PeerMessage::Ending::kLost);
     }
-    act(SetTimer{now_ + service_, kCopyTimer | std::uint64_t{id} << 8});  // if it does not come to it now
+    act(SetTimer{now_ + times_.mean(), kCopyTimer | std::uint64_t{id} << 8});  // if it does not come to it now
     if (!may_send(r) || now_ < r.look_until - kTimerSlack) return;
     r.looks = 0, r.asked.clear();
     proceed(it);
@@ -1143,7 +1038,7 @@
                       });
     act(SendAttempt{it->first, i, ends ? now_ + early : stop_at(r)});
     if (looks_first() && s_.parallel_attempts && class_of(r).effect != Effect::kUnsafe) {
-      act(SetTimer{now_ + kOverdue * std::max(expected, service_), kCopyTimer | std::uint64_t{it->first} << 8});
+      act(SetTimer{now_ + kOverdue * std::max(expected, times_.mean()), kCopyTimer | std::uint64_t{it->first} << 8});
     }
     b.outs.push_back({now_, r.work, false});
     count_out(b);
@@ -1195,7 +1090,7 @@
     // is dropped as if its probe had gone unanswered, or it would draw the further attempts of one request
     // after another until there are none left, while others are idle.
     const bool idle = e.report.busy >= 0 && e.report.busy < 1 && e.report.waiting == 0;
-    if (turned_away && e.has_report && idle && s_.probing && now_ >= b.doubted_until) b.missed = b.dropped = true;
+    if (turned_away && e.has_report && idle && s_.probing && now_ >= b.load.doubted_until) b.missed = b.dropped = true;
     learn_health(b, r.request_class, e.outcome);
     if (served || e.outcome == Outcome::kNoAnswer) learn_service(r, a, e.elapsed, served);
     a.may_have_run = !(turned_away || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
@@ -1206,7 +1101,7 @@
   void tell_end(Backend& b, const AttemptEnded& e, Held it) {
     if (it == requests_.end() || e.outcome != Outcome::kServed) return tell(b, PeerMessage::Ending::kSent);
     const Attempt& a = it->second.attempts.at(static_cast<std::size_t>(e.attempt));
-    const double usual = service_ * class_ratio_[static_cast<std::size_t>(it->second.request_class)];
+    const Millis usual = times_.usual(it->second.request_class);
     const double ratio = a.crowd < kLeastTold ? 0 : e.elapsed / a.crowd * a.warmth / usual;
     tell(b, PeerMessage::Ending::kAnswered, ratio);
   }
@@ -1267,23 +1162,15 @@
   std::vector<Median> medians_;                      // by record, class and figure
   std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
+  estimate::ServiceTimes times_{1};
+  estimate::FleetLoad load_;
   Millis shortest_aim_ = 0;
   Millis told_at_ = 0;  // a keeper answered last
   Millis tables_full_until_ = 0;
-  double hints_ = 0;
-  double mean_hint_ = 0;
-  double mean_work_ = 0;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
-  Millis service_ = 1;                               // mean time a backend spends on one request
-  std::vector<double> class_ratio_;                  // each class's service time over that mean
   double pace_per_size_ = 0;   // requests that they finish in a mean service time, likewise
-  double slowness_ = 1;        // times of late over what was expected of those backends, all together
-  double stretch_ = 1;         // and what that makes of expected times
   double lanes_per_size_ = 0;  // of warm backends; 0 until one has told
-  double wrong_reports_ = 0;   // share of reports found wrong, of those that could be checked
   double most_worth_ = 1e-9;   // of any class
-  double mean_others_ = 1;     // over all reports; until they come nobody is taken to be idle
-  double reports_ = 0;         // of requests in hand
   std::vector<Purse> purses_;  // of each tenant
   double losing_ = 0;               // share of attempts lost, of late
   std::vector<RequestId> looking_;  // held for fresh news, in order
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/millis.h"
+#include "estimate/load.h"
 #include "peers/message.h"
 
 namespace shorelead {
@@ -77,16 +78,6 @@
   bool operator==(const Settings&) const = default;
 };
 
-// A backend's own load figures; a negative value was not reported.
-struct LoadReport {
-  double in_hand = -1;
-  double waiting = -1;
-  double busy = -1;  // share of its cores in use
-  double rate = -1;  // requests served per second
-  double latency = -1;
-  double error_rate = -1;
-};
-
 enum class Outcome {
   kServed,
   kError,
