--- a/src/base/random.h
+++ b/src/base/random.h
@@ -16,7 +16,7 @@
     z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
     return z ^ (z >> 31);
   }
-  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }  // from 0, under 1
+  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }            // from 0, under 1
   std::size_t below(std::size_t n) { return static_cast<std::size_t>(next() % n); }  // n > 0
 
  private:
--- a/src/base/token_bucket.h
+++ b/src/base/token_bucket.h
@@ -9,8 +9,8 @@
 
 class TokenBucket {
  public:
-  // Whether one more may happen at `now` (never earlier than the last call's), at `rate` a second with at most
-  // `most` saved up; takes its token.
+  // Whether one more may happen at `now` (never earlier than the last call's), at `rate` a second with at
+  // most `most` saved up; takes its token.
   bool take(double rate, double most, Millis now) {
     tokens_ = std::min(most, tokens_ + rate * (now - at_) / 1000);
     at_ = now;
--- a/src/estimate/load.h
+++ b/src/estimate/load.h
@@ -22,8 +22,8 @@
 struct Load {
   double others = -1;  // requests of other nodes in its hands at its last report; negative = never reported
   Millis reported_at = 0;
-  double busy = -1;  // share of its cores in use then; negative = never reported
-  double lanes = 1;  // requests it works on at once without slowing
+  double busy = -1;          // share of its cores in use then; negative = never reported
+  double lanes = 1;          // requests it works on at once without slowing
   bool lanes_known = false;  // its reports have told; else they are guessed from warm backends of like size
   Millis doubted_until = 0;  // its reports are not believed until then
 };
--- a/src/estimate/service_times.cpp
+++ b/src/estimate/service_times.cpp
@@ -27,10 +27,10 @@
   return std::clamp(work / mean_work_, kLeastWork, kMostWork);
 }
 
-// A served answer tells the backend's speed. An attempt that got no answer says that it is slower than so, and
-// counts only then: else a backend that answers nobody in time would teach nothing. The fleet's mean is
-// learned from answers that met no crowd, but for the first ones: where there is a crowd from the first moment
-// on, a wrong first guess would stand for ever.
+// A served answer tells the backend's speed. An attempt that got no answer says that it is slower than so,
+// and counts only then: else a backend that answers nobody in time would teach nothing. The fleet's mean is
+// learned from answers that met no crowd, but for the first ones: where there is a crowd from the first
+// moment on, a wrong first guess would stand for ever.
 void ServiceTimes::learn(Speed& speed, const Answer& answer) {
   double& class_ratio = class_ratio_[static_cast<std::size_t>(answer.request_class)];
   const double slow = std::clamp(answer.alone / (mean_ * class_ratio * speed.ratio), 0.1, 10.0);
--- a/src/estimate/service_times.h
+++ b/src/estimate/service_times.h
@@ -25,16 +25,18 @@
   double hinted(double expected_work);
 
   Millis mean() const { return mean_; }
-  Millis usual(int request_class) const { return mean_ * class_ratio_[static_cast<std::size_t>(request_class)]; }
+  Millis usual(int request_class) const {
+    return mean_ * class_ratio_[static_cast<std::size_t>(request_class)];
+  }
   Millis expected(int request_class, const Speed& speed) const {
     return usual(request_class) * speed.ratio * stretch_;
   }
 
   struct Answer {
     int request_class = 0;
-    Millis alone = 0;     // its time there, with the crowd that it met and the backend's warmth taken out
-    bool served = true;   // else none came by then
-    bool warm = true;     // the backend's start is past
+    Millis alone = 0;    // its time there, with the crowd that it met and the backend's warmth taken out
+    bool served = true;  // else none came by then
+    bool warm = true;    // the backend's start is past
     bool crowded = false;
     bool only_fleet = false;  // the backend's own ratio is told by others
   };
--- a/src/peers/form.cpp
+++ b/src/peers/form.cpp
@@ -20,7 +20,8 @@
 
 unsigned ratio_code(double ratio) {
   if (!(ratio > 0)) return 0;
-  return static_cast<unsigned>(std::clamp(std::round(128 + 16 * std::log2(ratio)), double{kLeastRatio}, 255.0));
+  return static_cast<unsigned>(
+      std::clamp(std::round(128 + 16 * std::log2(ratio)), double{kLeastRatio}, 255.0));
 }
 
 double ratio_of(unsigned code) { return code < kLeastRatio ? 0 : std::exp2((code - 128.0) / 16); }
@@ -83,7 +84,9 @@
 }
 
 std::optional<PeerMessage> read(std::string_view bytes) {
-  const auto at = [bytes](std::size_t n) { return static_cast<unsigned>(static_cast<unsigned char>(bytes[n])); };
+  const auto at = [bytes](std::size_t n) {
+    return static_cast<unsigned>(static_cast<unsigned char>(bytes[n]));
+  };
   if (bytes.size() < 5 || at(0) >> 4 != kVersion) return std::nullopt;
   if ((at(0) & 15) > static_cast<unsigned>(PeerMessage::Kind::kTotal)) return std::nullopt;
   PeerMessage message;
@@ -101,9 +104,9 @@
     case PeerMessage::Kind::kTell:
       message.work = at(5) / kStep;
       message.held = at(6);
-      message.ending = at(7) == kSent     ? PeerMessage::Ending::kSent
+      message.ending = at(7) == kSent   ? PeerMessage::Ending::kSent
                        : at(7) == kLost ? PeerMessage::Ending::kLost
-                                          : PeerMessage::Ending::kAnswered;
+                                        : PeerMessage::Ending::kAnswered;
       message.ratio = ratio_of(at(7));
       break;
     case PeerMessage::Kind::kRate:
--- a/src/peers/ledger.h
+++ b/src/peers/ledger.h
@@ -1,5 +1,6 @@
-// What the keeper of a backend, or of a tenant, was told of it by all nodes. It owns adding that up and knowing
-// what of it no longer holds. It must never choose a backend or turn a request away: that is the module's.
+// What the keeper of a backend, or of a tenant, was told of it by all nodes. It owns adding that up and
+// knowing what of it no longer holds. It must never choose a backend or turn a request away: that is the
+// module's.
 #pragma once
 
 #include <vector>
@@ -29,9 +30,9 @@
   void drop(Millis now);
 
   std::vector<Entry> entries_;
-  double answers_ = 0;   // that all told of
-  double taken_ = 0.2;   // share of asks followed by a send
-  double ratio_ = 0;     // 0 = nobody told yet
+  double answers_ = 0;  // that all told of
+  double taken_ = 0.2;  // share of asks followed by a send
+  double ratio_ = 0;    // 0 = nobody told yet
 };
 
 class RateLedger {
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -16,6 +16,7 @@
 #include "base/numbers.h"
 #include "base/random.h"
 #include "base/token_bucket.h"
+#include "estimate/response_times.h"
 #include "estimate/service_times.h"
 #include "peers/ledger.h"
 
@@ -30,13 +31,11 @@
 constexpr double kRateMemory = 0.97;      // of this node's request rate, kept in each period
 constexpr Millis kProbeTimeout = 250;     // a probe unanswered by then drops the backend for the period
 constexpr Millis kThreshold = 150;        // above ordinary probe times, so Equation 5 applies when quiet
-constexpr int kResponsePeriods = 5;       // response time = mean probe time over this many periods
-constexpr int kDelayPeriods = 10;         // network delay = lowest response time in this many periods
 constexpr double kDifferenceFloor = 0.5;  // of the median of (response - delay), Equation 6
 constexpr double kShareCap = 1.5;         // no share above this multiple of the mean
 constexpr std::size_t kNewPeriods = 3;    // probes: till then a backend gets at most the mean share
 constexpr double kRounding = 1e-9;        // a credit this close to a whole turn is one
-constexpr Millis kTiniestTime = 0.01;     // probe times are at least this, so no share is infinite
+constexpr Millis kTiniestTime = 0.01;     // floor of a difference, so no share is infinite
 
 // --- the rules ---
 constexpr double kColdSafety = 0.5;       // of a cold backend's budget, for what a node cannot see
@@ -69,12 +68,12 @@
 constexpr double kMostQueue = 3;       // times the root of its cores that may wait at a backend
 constexpr double kOverdue = 4;         // times what was expected: the attempt is lost or stuck
 constexpr double kComeBack = 0.2;      // of the aim: when a refused client may still be served in time
-constexpr Millis kTimerSlack = 1;    // a timer may fire a rounding early
-constexpr double kLookAge = 0.2;     // service times: a younger report is news enough
-constexpr double kReportLife = 2;    // service times in which a load report loses most of its meaning
-constexpr double kSettled = 0.5;         // service times after which a report must count an attempt
-constexpr double kCrowdedShare = 0.8;    // busier than this, a backend's answers wait for each other
-constexpr double kRecordSpan = 5;        // seconds: a backend's own record holds what came in them
+constexpr Millis kTimerSlack = 1;      // a timer may fire a rounding early
+constexpr double kLookAge = 0.2;       // service times: a younger report is news enough
+constexpr double kReportLife = 2;      // service times in which a load report loses most of its meaning
+constexpr double kSettled = 0.5;       // service times after which a report must count an attempt
+constexpr double kCrowdedShare = 0.8;  // busier than this, a backend's answers wait for each other
+constexpr double kRecordSpan = 5;      // seconds: a backend's own record holds what came in them
 // Health: outcomes of our own attempts, per backend and per backend and class.
 constexpr double kHealthGain = 0.25;       // weight of one outcome in the share of failures
 constexpr double kErrorGain = 0.5;         // and of an error, which no crowd explains
@@ -114,13 +113,12 @@
   Backend() { state = BackendState::kGone; }  // till a list names it
   // ALBL
   bool probe_out = false;
-  bool look_out = false;               // asked out of turn
+  bool look_out = false;  // asked out of turn
   Millis ask_until = 0;
-  Millis asked_at = 0;                 // last probe that counts for its round
-  bool missed = false;                 // and it was not served in time
-  bool dropped = false;                // gets nothing this period
-  std::vector<Millis> probe_times;     // last kResponsePeriods, oldest first
-  std::vector<Millis> response_times;  // last kDelayPeriods, oldest first
+  Millis asked_at = 0;   // last probe that counts for its round
+  bool missed = false;   // and it was not served in time
+  bool dropped = false;  // gets nothing this period
+  estimate::ResponseTimes times;
   double share = 0;
   double credit = 0;
   // own traffic
@@ -131,18 +129,18 @@
   double cold_used = -1;           // the last that was used
   Millis cold_at = 0;              // and when this was worked out
   std::vector<Health> health;      // silences and errors over all classes, then of each
-  estimate::Load load;    // as its reports say
-  estimate::Speed speed;  // as answers say
-  int out_held = 0;     // requests of this node in its hands,
-  double out_work = 0;  // and in mean requests
-  peers::BackendLedger ledger;  // as its keeper
-  double others_held = 0;       // requests of others in its hands, as its keeper told
+  estimate::Load load;             // as its reports say
+  estimate::Speed speed;           // as answers say
+  int out_held = 0;                // requests of this node in its hands,
+  double out_work = 0;             // and in mean requests
+  peers::BackendLedger ledger;     // as its keeper
+  double others_held = 0;          // requests of others in its hands, as its keeper told
 };
 
 struct Attempt {
   BackendId backend = 0;
   Millis sent = 0;
-  double crowd = 1;   // the backend's expected load when it was sent, in service times
+  double crowd = 1;  // the backend's expected load when it was sent, in service times
   bool overdue = false;
   double warmth = 1;  // and its share of full speed
   bool out = true;
@@ -157,7 +155,7 @@
   double work = 1;  // of a mean request, by its hint
   std::uint64_t key = 0;
   bool client_retry = false;
-  bool over_share = false;  // beyond its tenant's share
+  bool over_share = false;       // beyond its tenant's share
   std::vector<BackendId> asked;  // candidates whose news it waits for
   bool streaming = false;
   int looks = 0;          // asked for it so far
@@ -172,9 +170,9 @@
 };
 
 struct Purse {
-  double came = 0;  // in this period
-  double rate = 0;  // in the last one, of this node
-  double all = 0;   // and of all, as its keeper told
+  double came = 0;           // in this period
+  double rate = 0;           // in the last one, of this node
+  double all = 0;            // and of all, as its keeper told
   peers::RateLedger ledger;  // as its keeper
   TokenBucket bucket;
 };
@@ -202,7 +200,7 @@
 
   std::size_t avoided(Millis now) const {
     const auto rests = [now](const Backend& b) {
-      return std::any_of(b.health.begin(), b.health.begin() + 2, [now](const Health& h) { return now < h.resting_until; });
+      return now < std::max(b.health[0].resting_until, b.health[1].resting_until);
     };
     return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](const Backend& b) {
       return b.state == BackendState::kReady && (b.dropped || rests(b));
@@ -230,8 +228,7 @@
 
   void on(const ListUpdate& update) {
     if (update.kind == ListKind::kFailed) {
-      // Ask again, ever later and not in step with other nodes, within the time after which an old list
-      // counts as told anew: four times as long after a call that failed.
+      // Again, ever later, not in step with other nodes, and before an old list counts as told anew.
       const Millis most = std::min(kListRetryMax, s_.ask_every > 0 ? s_.ask_every : kListRetryMax);
       const Millis least = std::min(std::max(kListRetryMin, list_spread()), most / 2);
       list_wait_ = std::clamp(list_wait_ * 2, least, most);
@@ -267,8 +264,7 @@
     if (s_.list_on_request && !std::exchange(asked_, true)) act(SubscribeList{});
   }
 
-  // A list service that is behind works on calls given up long ago: were all nodes to ask at once, and again
-  // while it does, nobody would ever get a list. So their calls are spread over what it bears.
+  // Calls are spread over what the list service bears: one that is behind works on calls given up long ago.
   Millis list_spread() const { return stated_nodes() / kListCalls * 1000; }
 
   // A new or returned backend starts over: what was measured before says nothing of it.
@@ -315,11 +311,7 @@
     // One that this node had no descriptor for says nothing of the backend.
     if (!counts || ended.outcome == Outcome::kNotSent) return;
     b.missed = ended.outcome != Outcome::kServed || ended.elapsed > kProbeTimeout;
-    if (b.missed) return;
-    push(b.probe_times, std::max(ended.elapsed, kTiniestTime), kResponsePeriods);
-    double sum = 0;
-    for (const Millis t : b.probe_times) sum += t;
-    push(b.response_times, sum / static_cast<double>(b.probe_times.size()), kDelayPeriods);
+    if (!b.missed) b.times.add(ended.elapsed);
   }
 
   void close_period() {
@@ -330,9 +322,8 @@
     set_round();
   }
 
-  // Exception "round": every node probes every backend, so at many nodes of little traffic each, a round of
-  // probes a period costs more than it earns. A round takes as long as keeps its price, spread over this
-  // node's own requests, within kProbePoints.
+  // Exception "round": at many nodes of little traffic a round of probes a period costs more than it earns,
+  // so a round takes as long as keeps its price, spread over this node's own requests, within kProbePoints.
   void set_round() {
     seen_ = seen_ * kRateMemory + std::exchange(arrived_, 0);
     periods_ = periods_ * kRateMemory + 1;
@@ -347,8 +338,7 @@
 
   // Probes go out when a round has passed since the backend's last one, so each keeps a phase of its own.
   void probe_due() {
-    // Under a ceiling a long list is new all at once only to the list: who comes too late for this tick is
-    // first in the next.
+    // Under a ceiling, who comes too late for this tick is first in the next.
     auto left = s_.most_probes > 0 ? std::ceil(s_.most_probes * kPeriod / kTicks / 1000) : backends_.size();
     const std::size_t start = s_.most_probes > 0 ? first_probe_ : 0;
     for (std::size_t n = 0; n < backends_.size() && left > 0; ++n) {
@@ -390,34 +380,26 @@
     bool quiet = false;
     for (const BackendId i : ready) {
       const Backend& b = backends_[i];
-      if (b.dropped) continue;
-      in.push_back(i);
-      if (b.response_times.empty()) continue;
-      quiet = quiet || b.response_times.back() < kThreshold;
-      differences.push_back(b.response_times.back() - delay(b));
+      if (!b.dropped) in.push_back(i);
+      if (b.dropped || !b.times.known()) continue;
+      quiet = quiet || b.times.response() < kThreshold;
+      differences.push_back(b.times.response() - b.times.delay());
     }
     const double floor = std::max(kTiniestTime, kDifferenceFloor * median(differences));
     double sum = 0;
-    int measured = 0;
     for (const BackendId i : in) {
       Backend& b = backends_[i];
-      b.share = 0;
-      if (b.response_times.empty()) continue;
-      const Millis response = b.response_times.back();
-      const double cost = quiet ? response * delay(b) : delay(b) * std::max(response - delay(b), floor);
-      b.share = b.size / cost;
+      if (!b.times.known()) continue;
+      const Millis response = b.times.response();
+      const Millis delay = b.times.delay();
+      b.share = b.size / (delay * (quiet ? response : std::max(response - delay, floor)));
       sum += b.share;
-      ++measured;
     }
     for (const BackendId i : in) {
       Backend& b = backends_[i];
-      if (b.response_times.empty()) b.share = measured > 0 ? sum / measured : 1;
+      if (!b.times.known()) b.share = sum > 0 ? sum / static_cast<double>(differences.size()) : 1;
     }
-    limit(std::move(in));
-  }
-
-  static Millis delay(const Backend& b) {
-    return *std::min_element(b.response_times.begin(), b.response_times.end());
+    limit(in);
   }
 
   // The shares sum to 1, none above its bound.
@@ -427,7 +409,7 @@
     std::vector<double> bounds;
     for (const BackendId i : in) {
       shares.push_back(backends_[i].share);
-      bounds.push_back(mean * (backends_[i].response_times.size() <= kNewPeriods ? 1.0 : kShareCap));
+      bounds.push_back(mean * (backends_[i].times.probes() <= kNewPeriods ? 1.0 : kShareCap));
     }
     scale_to_one(shares, bounds);
     for (std::size_t n = 0; n < in.size(); ++n) backends_[in[n]].share = shares[n];
@@ -549,8 +531,9 @@
 
   bool too_dear(int looks) const { return s_.probe_price * looks > kLookPrice; }
 
-  // Asks for news of some that were not looked at yet, and holds the request for it. False: no use, or no time.
-  // Exception "look", with reports in answers: only if nobody in the rotation passes for want of fresh news.
+  // Asks for news of some that were not looked at yet, and holds the request for it. False: no use, or no
+  // time. Exception "look", with reports in answers: only if nobody in the rotation passes for want of fresh
+  // news.
   bool look(Held it) {
     Request& r = it->second;
     const Millis wait = looks_first() ? kLookShare * class_of(r).aim : kLookWait;
@@ -559,7 +542,7 @@
     if (looks_first()) {
       if (r.looks >= kLookRounds) return false;
       const std::size_t most = old + static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
-      s_.warm_keys && r.key != 0 ? prefer(r, most) : next_turns(r, most);
+      s_.warm_keys&& r.key != 0 ? prefer(r, most) : next_turns(r, most);
     } else {
       const bool late = r.looks > 0 && now_ > r.look_until - kTimerSlack;
       if (late || too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !s_.probing) return false;
@@ -599,8 +582,8 @@
     return std::find(r.asked.begin(), r.asked.end(), i) != r.asked.end();
   }
 
-  // Exception "keys": those that most likely have met the key. Each node draws the same order for it, in which
-  // a backend stands first as often as its share says (weighted rendezvous hashing).
+  // Exception "keys": those that most likely have met the key. Each node draws the same order for it, in
+  // which a backend stands first as often as its share says (weighted rendezvous hashing).
   void prefer(Request& r, std::size_t most) {
     std::vector<std::pair<double, BackendId>> order;
     for (BackendId i = 0; i < backends_.size(); ++i) {
@@ -617,7 +600,7 @@
   // Whether a probe of this backend would bring news in time.
   bool may_look(const Backend& b) const {
     return usable(b) && load_.told() && now_ >= b.load.doubted_until &&
-           (b.response_times.empty() || b.response_times.back() <= kLookTime) &&
+           (!b.times.known() || b.times.response() <= kLookTime) &&
            (b.load.others < 0 || now_ - b.load.reported_at >= kLookAge * times_.mean());
   }
 
@@ -656,8 +639,9 @@
     return best;
   }
 
-  // Exception "full": far more waiting than cores. Such a backend was seen to turn slow for long, so all nodes
-  // together keep it under that; what is worth little is turned away sooner, the more so the fuller the fleet.
+  // Exception "full": far more waiting than cores. Such a backend was seen to turn slow for long, so all
+  // nodes together keep it under that; what is worth little is turned away sooner, the more so the fuller the
+  // fleet.
   bool full(const Request& r, const Backend& b) const {
     if (!looks_first()) return false;
     const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
@@ -742,11 +726,9 @@
 
   // ---- what is known of a backend ----
 
-  // Requests in its hands, as far as this node can tell: its own, which it knows, and those of others, from
-  // the last report, which fades to what that backend usually reports, where a look is too dear, and to the
-  // fleet's mean: one not heard of would else look idle to every node at once. A cold one, whose budget sees
-  // to that, falls back to none: taken for as crowded as those left of a fleet it would get nothing until it
-  // is warm.
+  // Requests in its hands: this node's own, and those of others, of which old news fades to the fleet's mean
+  // (one not heard of would look idle to all at once). For a cold one it fades to none: its budget sees to
+  // that, and taken for as crowded as those left of a fleet it would get nothing until it is warm.
   double in_hand(const Backend& b) const {
     if (!load_.told()) return b.out_work * std::max(1.0, sharers());
     return b.out_work + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
@@ -776,9 +758,9 @@
     const bool lost = !served && a.sent < b.answered;  // overtaken by a later one
     losing_ += kLosingGain * ((lost ? 1 : 0) - losing_);
     if (lost) return;
-    if (served) b.answered = std::max(b.answered, a.sent);
     const bool crowded = a.crowd > r.work || b.load.busy > kCrowdedShare;
-    times_.learn(b.speed, {r.request_class, elapsed / a.crowd * a.warmth, served, a.warmth >= 1, crowded, asks()});
+    const Millis alone = elapsed / a.crowd * a.warmth;
+    times_.learn(b.speed, {r.request_class, alone, served, a.warmth >= 1, crowded, asks()});
   }
 
   void forget() {
@@ -820,8 +802,7 @@
   }
 
   // Exception "health": a backend may fail, hang or fail one class while its probes pass. One that fails much
-  // more than the others rests, ever longer while it goes on; after a rest one more failure suffices for the
-  // next.
+  // more than the others rests, ever longer; after a rest one more failure suffices for the next.
   void learn_health(Backend& b, int request_class, Outcome outcome) {
     const bool silent = outcome == Outcome::kNoAnswer;
     const bool unreachable = outcome == Outcome::kNoConnection;
@@ -837,22 +818,20 @@
   void judge(Backend& b, std::size_t n, bool bad, double gain) {
     Health& h = b.health[n];
     h.usual += kUsualGain * ((bad ? 1.0 : 0.0) - h.usual);
-    // Where connections break everywhere, some failures in a row are chance: were they taken for sickness,
-    // most backends would rest by turns and the others be overrun.
+    // Where connections break everywhere, some failures in a row are chance.
     if (bad) gain /= 1 + kUsualDoubt * of_median(n, &Health::usual);
     h.failing += gain * ((bad ? 1.0 : 0.0) - h.failing);
     if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
     if (!bad || h.failing <= kSickShare || now_ < h.resting_until) return;
-    // Compared with the median backend, not with the mean of all attempts: one that fails fast looks idle,
-    // draws most of the attempts and would make its own failures the common lot. So most never rest at once.
+    // Compared with the median backend, so most never rest at once, and one that fails fast and so draws most
+    // attempts does not make its failures the common lot.
     if (h.failing <= of_median(n, &Health::failing) + kSickMargin) return;
     h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
     h.resting_until = now_ + h.rest;
     h.failing = kSickShare;
   }
 
-  // Over all ready backends. One outcome moves it little where they are many, so it is worked out anew only
-  // once one in kMedianParts of them had one: among fewer than that, with each.
+  // Over all ready backends; worked out anew once one in kMedianParts of them had an outcome.
   double of_median(std::size_t n, double Health::*figure) {
     const std::size_t which = n * 2 + (figure == &Health::usual);
     if (which >= medians_.size()) medians_.resize(which + 1);
@@ -876,10 +855,9 @@
     return s_.cold_share + (1 - s_.cold_share) * std::clamp((now_ - b.started) / s_.warm_up, 0.0, 1.0);
   }
 
-  // Rule "a cold backend is not pushed over": within any fall span this node sends a cold backend no more
-  // than its part of what the span allows, since it cannot know what the others send. A part under one
-  // request comes in turns, each open for some two requests of its own and then lost: if kept, all would be
-  // there at once.
+  // Rule "a cold backend is not pushed over": within any fall span this node sends it no more than its part
+  // of what the span allows. A part under one request comes in turns, each open for some two requests of its
+  // own and then lost: if kept, all would be there at once.
   bool cold_room(Backend& b) {
     if (!cold(b)) return true;
     const double capacity = std::max(1.0, b.size * pace_per_size_) * s_.fall_span / times_.mean();
@@ -994,7 +972,7 @@
       count_out(b);
       tell(b, PeerMessage::Ending::kLost);
     }
-    act(SetTimer{now_ + times_.mean(), kCopyTimer | std::uint64_t{id} << 8});  // if it does not come to it now
+    copy_timer(id, times_.mean());  // if it does not come to it now
     if (!may_send(r) || now_ < r.look_until - kTimerSlack) return;
     r.looks = 0, r.asked.clear();
     proceed(it);
@@ -1038,7 +1016,7 @@
                       });
     act(SendAttempt{it->first, i, ends ? now_ + early : stop_at(r)});
     if (looks_first() && s_.parallel_attempts && class_of(r).effect != Effect::kUnsafe) {
-      act(SetTimer{now_ + kOverdue * std::max(expected, times_.mean()), kCopyTimer | std::uint64_t{it->first} << 8});
+      copy_timer(it->first, kOverdue * std::max(expected, times_.mean()));
     }
     b.outs.push_back({now_, r.work, false});
     count_out(b);
@@ -1051,9 +1029,12 @@
     const RequestClass& c = class_of(r);
     const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
                           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
-    const Refuse refusal{it->first, s_.advise_wait ? (looks_first() && s_.kept_promises <= 0 && !r.over_share ? std::min(s_.max_wait_advice, kComeBack * c.aim) : s_.max_wait_advice) : 0};
+    // Exception "come back": soon enough for the aim, where no part of the result counts kept promises (a
+    // late answer breaks one, a refusal does not).
+    const bool soon = looks_first() && s_.kept_promises <= 0 && !r.over_share;
+    const Millis wait = soon ? std::min(s_.max_wait_advice, kComeBack * c.aim) : s_.max_wait_advice;
     if (harmless) {
-      act(refusal);
+      act(Refuse{it->first, s_.advise_wait ? wait : 0});
     } else {
       act(Fail{it->first});
     }
@@ -1079,18 +1060,19 @@
     if (e.outcome == Outcome::kNoConnection && e.elapsed < s_.connect_timeout / 2) full_table();
     if (now_ < tables_full_until_ && b.outs.empty()) act(CloseIdle{e.backend});
     if (e.has_report) learn_report(b, e.report);
+    if (it == requests_.end()) return;
     const bool served = e.outcome == Outcome::kServed;
     const bool turned_away = e.outcome == Outcome::kTurnedAway;
-    if (it == requests_.end()) return;
     Request& r = it->second;
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
-    // Exception "drains untold": turned away by a backend whose own figures, in that very answer, show a free
-    // core and nobody waiting is no want of room. It drains, and word of it is on its way, seconds late: it
-    // is dropped as if its probe had gone unanswered, or it would draw the further attempts of one request
-    // after another until there are none left, while others are idle.
+    // Exception "drains untold": turned away though that very answer shows a free core and nobody waiting. It
+    // drains, and the list is late to say so: dropped as if its probe had gone unanswered, or it would draw
+    // attempt after attempt while others are idle.
     const bool idle = e.report.busy >= 0 && e.report.busy < 1 && e.report.waiting == 0;
-    if (turned_away && e.has_report && idle && s_.probing && now_ >= b.load.doubted_until) b.missed = b.dropped = true;
+    if (turned_away && e.has_report && idle && s_.probing && now_ >= b.load.doubted_until) {
+      b.missed = b.dropped = true;
+    }
     learn_health(b, r.request_class, e.outcome);
     if (served || e.outcome == Outcome::kNoAnswer) learn_service(r, a, e.elapsed, served);
     a.may_have_run = !(turned_away || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
@@ -1149,6 +1131,7 @@
 
   void act(Action action) { out_->push_back(std::move(action)); }
   void timer(TimerKind kind, Millis at) { act(SetTimer{at, kind}); }
+  void copy_timer(RequestId id, Millis in) { act(SetTimer{now_ + in, kCopyTimer | std::uint64_t{id} << 8}); }
 
   Settings s_;
   Random random_;
@@ -1168,10 +1151,10 @@
   Millis told_at_ = 0;  // a keeper answered last
   Millis tables_full_until_ = 0;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
-  double pace_per_size_ = 0;   // requests that they finish in a mean service time, likewise
-  double lanes_per_size_ = 0;  // of warm backends; 0 until one has told
-  double most_worth_ = 1e-9;   // of any class
-  std::vector<Purse> purses_;  // of each tenant
+  double pace_per_size_ = 0;        // requests that they finish in a mean service time, likewise
+  double lanes_per_size_ = 0;       // of warm backends; 0 until one has told
+  double most_worth_ = 1e-9;        // of any class
+  std::vector<Purse> purses_;       // of each tenant
   double losing_ = 0;               // share of attempts lost, of late
   std::vector<RequestId> looking_;  // held for fresh news, in order
   double resends_ = kMostResends;   // left in the retry budget
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -60,14 +60,14 @@
   Millis ask_every = 0;  // without a subscription, a list older than this counts as told anew
   Millis connect_timeout = 0;
   Millis idle_timeout = 0;  // an idle connection closes by itself after this
-  Millis warm_up = 0;  // a started backend is warm no later than this
+  Millis warm_up = 0;       // a started backend is warm no later than this
   double cold_share = 1;
-  double fall_multiple = 1;        // a cold backend sent more than this multiple of its present capacity
-  Millis fall_span = 0;            // for this long falls over
-  bool sizes_listed = false;       // list entries carry comparable sizes
-  double probe_price = 0;          // taken off the result for each probe per request
-  double most_probes = 0;          // a second, of this node; 0 = no ceiling
-  double most_probes_backend = 0;  // a second, to one backend from all nodes; 0 = no ceiling
+  double fall_multiple = 1;          // a cold backend sent more than this multiple of its present capacity
+  Millis fall_span = 0;              // for this long falls over
+  bool sizes_listed = false;         // list entries carry comparable sizes
+  double probe_price = 0;            // taken off the result for each probe per request
+  double most_probes = 0;            // a second, of this node; 0 = no ceiling
+  double most_probes_backend = 0;    // a second, to one backend from all nodes; 0 = no ceiling
   bool reports_with_answers = true;  // else only probes bring load reports
   bool warm_keys = false;            // a backend does less work for a key that it has lately met
   bool peer_messages = false;        // nodes may send one another short messages, which may be lost
@@ -193,9 +193,8 @@
 struct Note {
   std::string text;
 };
-using Action =
-    std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer, Note, TellPeer,
-                            CloseIdle>;
+using Action = std::variant<SendAttempt, CancelAttempt, Refuse, Fail, SendProbe, SubscribeList, SetTimer,
+                            Note, TellPeer, CloseIdle>;
 
 class Policy {
  public:
