--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -16,6 +16,8 @@
 #include "base/numbers.h"
 #include "base/random.h"
 #include "base/token_bucket.h"
+#include "estimate/own_attempts.h"
+#include "estimate/request_rate.h"
 #include "estimate/response_times.h"
 #include "estimate/service_times.h"
 #include "peers/ledger.h"
@@ -28,7 +30,6 @@
 constexpr int kTicks = 10;                // moments in a period at which probes that are due go out
 constexpr double kProbePoints = 0.0018;   // of the result, a request: what the probe rounds may cost
 constexpr Millis kLongestRound = 30000;   // every ready backend is probed within this, whatever the price
-constexpr double kRateMemory = 0.97;      // of this node's request rate, kept in each period
 constexpr Millis kProbeTimeout = 250;     // a probe unanswered by then drops the backend for the period
 constexpr Millis kThreshold = 150;        // above ordinary probe times, so Equation 5 applies when quiet
 constexpr double kDifferenceFloor = 0.5;  // of the median of (response - delay), Equation 6
@@ -49,9 +50,7 @@
 // Skip: a pick expected to need more than this part of the time left to the aim is passed over.
 constexpr double kSkipShare = 0.35;
 constexpr std::size_t kMostWeighed = 512;  // backends weighed for one request, however many there are
-// Admission: if every backend is expected to need more than this part of it, the request is refused.
-constexpr double kRefuseShare = 1.0;
-constexpr double kWorthless = 0.5;  // of that bound, for a request worth nothing beside the dearest class
+constexpr double kWorthless = 0.5;         // of it, that a request worth nothing beside the dearest may wait
 // Look: who is asked out of turn, and when.
 constexpr int kLooks = 3;            // backends asked at once for one request
 constexpr double kLookPrice = 0.02;  // most that they may cost together, a request
@@ -103,12 +102,6 @@
   Millis rest = 0;
 };
 
-struct Out {
-  Millis sent = 0;
-  double work = 1;
-  bool overdue = false;
-};
-
 struct Backend : BackendEntry {
   Backend() { state = BackendState::kGone; }  // till a list names it
   // ALBL
@@ -122,8 +115,7 @@
   double share = 0;
   double credit = 0;
   // own traffic
-  std::vector<Out> outs;           // our attempts out there
-  Millis answered = 0;             // when the last of them that was served was sent
+  estimate::OwnAttempts own;       // our attempts out there
   std::vector<Millis> cold_sends;  // while cold: sends that still count in its budget
   double cold_turns = 0;           // where its part is under one request: how many came by now,
   double cold_used = -1;           // the last that was used
@@ -131,8 +123,6 @@
   std::vector<Health> health;      // silences and errors over all classes, then of each
   estimate::Load load;             // as its reports say
   estimate::Speed speed;           // as answers say
-  int out_held = 0;                // requests of this node in its hands,
-  double out_work = 0;             // and in mean requests
   peers::BackendLedger ledger;     // as its keeper
   double others_held = 0;          // requests of others in its hands, as its keeper told
 };
@@ -185,11 +175,9 @@
 class Policy::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {
-    Millis shortest = 0;
-    for (const RequestClass& c : s_.classes) shortest = shortest > 0 ? std::min(shortest, c.aim) : c.aim;
-    shortest_aim_ = shortest;
-    times_ = estimate::ServiceTimes(std::max(1.0, kFirstWorkGuess * shortest));
     on(SettingsChanged{settings});
+    times_ = estimate::ServiceTimes(std::max(1.0, kFirstWorkGuess * shortest_aim_));
+    times_.set_classes(s_.classes.size());
   }
 
   void handle(const Event& event, Millis now, std::vector<Action>& actions) {
@@ -215,7 +203,11 @@
     s_ = changed.settings;
     times_.set_classes(s_.classes.size());
     purses_.resize(s_.tenants.size());
-    for (const RequestClass& c : s_.classes) most_worth_ = std::max(most_worth_, c.worth);
+    shortest_aim_ = s_.classes.empty() ? 0 : s_.classes[0].aim;
+    for (const RequestClass& c : s_.classes) {
+      shortest_aim_ = std::min(shortest_aim_, c.aim);
+      most_worth_ = std::max(most_worth_, c.worth);
+    }
     for (Backend& b : backends_) b.health.resize(2 * s_.classes.size() + 2);
   }
 
@@ -272,7 +264,7 @@
     Backend fresh;
     static_cast<BackendEntry&>(fresh) = b;
     fresh.probe_out = b.probe_out, fresh.look_out = b.look_out;
-    fresh.outs = std::move(b.outs), fresh.out_work = b.out_work;
+    fresh.own = std::move(b.own);
     fresh.asked_at = now_ - random_.unit() * kLongestRound;
     fresh.cold_turns = random_.unit(), fresh.cold_at = now_;
     b = std::move(fresh);
@@ -325,8 +317,7 @@
   // Exception "round": at many nodes of little traffic a round of probes a period costs more than it earns,
   // so a round takes as long as keeps its price, spread over this node's own requests, within kProbePoints.
   void set_round() {
-    seen_ = seen_ * kRateMemory + std::exchange(arrived_, 0);
-    periods_ = periods_ * kRateMemory + 1;
+    arrivals_.close_period();
     const double points = s_.probe_price / mean_share_ * 1000 / kPeriod / rate();
     round_ = std::clamp(points / kProbePoints * kPeriod, kPeriod, kLongestRound);
     // Where ceilings are set, they hold whatever the price.
@@ -334,7 +325,7 @@
     if (s_.most_probes_backend > 0) round_ = std::max(round_, 1000 * sharers() / s_.most_probes_backend);
   }
 
-  double rate() const { return (seen_ + arrived_ + 1) / (periods_ + 1) * 1000 / kPeriod; }
+  double rate() const { return arrivals_.per_period() * 1000 / kPeriod; }
 
   // Probes go out when a round has passed since the backend's last one, so each keeps a phase of its own.
   void probe_due() {
@@ -542,7 +533,7 @@
     if (looks_first()) {
       if (r.looks >= kLookRounds) return false;
       const std::size_t most = old + static_cast<std::size_t>(asks() ? kAsks : kFirstLooks);
-      s_.warm_keys&& r.key != 0 ? prefer(r, most) : next_turns(r, most);
+      r.key != 0 && s_.warm_keys ? prefer(r, most) : next_turns(r, most);
     } else {
       const bool late = r.looks > 0 && now_ > r.look_until - kTimerSlack;
       if (late || too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !s_.probing) return false;
@@ -644,7 +635,7 @@
   // fleet.
   bool full(const Request& r, const Backend& b) const {
     if (!looks_first()) return false;
-    const double requests = asks() ? b.others_held + b.out_held : in_hand(b);
+    const double requests = asks() ? b.others_held + b.own.held() : in_hand(b);
     const double most = kMostQueue * std::sqrt(b.load.lanes);
     return requests > b.load.lanes + most * (1 - (1 - value(r)) * std::min(1.0, load_.mean_others() / most));
   }
@@ -658,7 +649,7 @@
 
   // Exception "admission": an answer must be expected in this time, less for what is worth less.
   Millis admitted(const Request& r) const {
-    return kRefuseShare * (kWorthless + (1 - kWorthless) * value(r)) * (r.aim_at - now_);
+    return (kWorthless + (1 - kWorthless) * value(r)) * (r.aim_at - now_);
   }
 
   // ---- fellows ----
@@ -684,8 +675,8 @@
 
   // Tells the keeper what this node has out there, and how an attempt ended.
   void tell(Backend& b, PeerMessage::Ending ending, double ratio = 0) {
-    const double held = b.out_held;
-    if (asks()) say(keeper(b.tag), {PeerMessage::Kind::kTell, b.tag, b.out_work, held, ratio, ending});
+    if (asks())
+      say(keeper(b.tag), {PeerMessage::Kind::kTell, b.tag, b.own.work(), b.own.held(), ratio, ending});
   }
 
   void on(const PeerTold& e) {
@@ -730,8 +721,8 @@
   // (one not heard of would look idle to all at once). For a cold one it fades to none: its budget sees to
   // that, and taken for as crowded as those left of a fleet it would get nothing until it is warm.
   double in_hand(const Backend& b) const {
-    if (!load_.told()) return b.out_work * std::max(1.0, sharers());
-    return b.out_work + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
+    if (!load_.told()) return b.own.work() * std::max(1.0, sharers());
+    return b.own.work() + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
   }
 
   // How many service times one more request would take there.
@@ -747,15 +738,12 @@
   void learn_report(Backend& b, const LoadReport& report) {
     if (asks() && now_ - told_at_ < kToldLife) return;  // keepers' word is newer
     const Millis before = now_ - kSettled * times_.mean();
-    const auto settled = std::count_if(b.outs.begin(), b.outs.end(), [before, &b](const Out& out) {
-      return out.sent <= before && out.sent > b.answered;
-    });
-    load_.report(b.load, report, b.out_work, asks() ? 0.0 : static_cast<double>(settled), now_);
+    load_.report(b.load, report, b.own.work(), asks() ? 0 : b.own.settled(before), now_);
   }
 
   void learn_service(const Request& r, const Attempt& a, Millis elapsed, bool served) {
     Backend& b = backends_[a.backend];
-    const bool lost = !served && a.sent < b.answered;  // overtaken by a later one
+    const bool lost = !served && b.own.overtaken(a.sent);
     losing_ += kLosingGain * ((lost ? 1 : 0) - losing_);
     if (lost) return;
     const bool crowded = a.crowd > r.work || b.load.busy > kCrowdedShare;
@@ -875,19 +863,15 @@
     double lanes = 0;
     double pace = 0;
     double size = 0;
-    for (const Backend& b : backends_) {
+    for (Backend& b : backends_) {
+      if (!b.load.lanes_known) b.load.lanes = lanes_like_warm(b);
       if (!usable(b) || cold(b) || !b.load.lanes_known) continue;
       lanes += b.load.lanes;
       // A backend that is slow for being crowded only seems to work on more at once.
       pace += b.load.lanes / std::max(1.0, b.speed.ratio);
       size += b.size;
     }
-    if (size <= 0) return;
-    lanes_per_size_ = lanes / size;
-    pace_per_size_ = pace / size;
-    for (Backend& b : backends_) {
-      if (!b.load.lanes_known) b.load.lanes = lanes_like_warm(b);
-    }
+    if (size > 0) lanes_per_size_ = lanes / size, pace_per_size_ = pace / size;
   }
 
   // ---- tenants ----
@@ -930,7 +914,7 @@
     r.aim_at = now_ + s_.classes[static_cast<std::size_t>(e.request_class)].aim;
     r.key = e.key;
     if (e.expected_work > 0) r.work = times_.hinted(e.expected_work);
-    arrived_ += 1;
+    arrivals_.add();
     resends_ = std::min(kMostResends, resends_ + kResendsPerRequest);
     r.client_retry = e.client_retry;
     r.over_share = asks() && !e.client_retry && !within_share(e.tenant);
@@ -968,8 +952,7 @@
     if (!a.out || r.streaming || now_ >= r.aim_at) return;
     if (!std::exchange(a.overdue, true)) {
       Backend& b = backends_[a.backend];
-      for (Out& out : b.outs) out.overdue = out.overdue || out.sent == a.sent;
-      count_out(b);
+      b.own.overdue(a.sent, !asks());
       tell(b, PeerMessage::Ending::kLost);
     }
     copy_timer(id, times_.mean());  // if it does not come to it now
@@ -1018,8 +1001,7 @@
     if (looks_first() && s_.parallel_attempts && class_of(r).effect != Effect::kUnsafe) {
       copy_timer(it->first, kOverdue * std::max(expected, times_.mean()));
     }
-    b.outs.push_back({now_, r.work, false});
-    count_out(b);
+    b.own.add(now_, r.work, !asks());
     tell(b, PeerMessage::Ending::kSent);
   }
 
@@ -1053,12 +1035,11 @@
 
   void on(const AttemptEnded& e) {
     Backend& b = backends_.at(e.backend);
-    if (e.outcome == Outcome::kServed) b.answered = std::max(b.answered, now_ - e.elapsed);
-    forget_send(b, now_ - e.elapsed);
+    b.own.end(now_ - e.elapsed, e.outcome == Outcome::kServed, !asks());
     const Held it = requests_.find(e.request);
     tell_end(b, e, it);
     if (e.outcome == Outcome::kNoConnection && e.elapsed < s_.connect_timeout / 2) full_table();
-    if (now_ < tables_full_until_ && b.outs.empty()) act(CloseIdle{e.backend});
+    if (now_ < tables_full_until_ && b.own.none()) act(CloseIdle{e.backend});
     if (e.has_report) learn_report(b, e.report);
     if (it == requests_.end()) return;
     const bool served = e.outcome == Outcome::kServed;
@@ -1088,15 +1069,6 @@
     tell(b, PeerMessage::Ending::kAnswered, ratio);
   }
 
-  // An attempt is over: the one on record that was sent nearest to then.
-  void forget_send(Backend& b, Millis sent) {
-    if (b.outs.empty()) return;
-    b.outs.erase(std::min_element(b.outs.begin(), b.outs.end(), [sent](const Out& x, const Out& y) {
-      return std::abs(x.sent - sent) < std::abs(y.sent - sent);
-    }));
-    count_out(b);
-  }
-
   // Exception "tables full": a connection is turned down at once. Where each client has a node, the idle ones
   // of all nodes fill a backend's table of connections, and what is never used keeps out what is needed.
   void full_table() {
@@ -1108,17 +1080,6 @@
     tables_full_until_ = now_ + std::max(kPeriod, s_.idle_timeout);
   }
 
-  // One sent before another that was answered is lost, as it seems, and in nobody's hands.
-  void count_out(Backend& b) {
-    b.out_work = 0;
-    b.out_held = 0;
-    for (const Out& out : b.outs) {
-      if (asks() && (out.overdue || out.sent < b.answered)) continue;
-      b.out_work += out.work;
-      b.out_held += 1;
-    }
-  }
-
   void on(const StreamStarted& e) {
     const Held it = requests_.find(e.request);
     if (it != requests_.end()) it->second.streaming = true;
@@ -1147,6 +1108,7 @@
   std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
   estimate::ServiceTimes times_{1};
   estimate::FleetLoad load_;
+  estimate::RequestRate arrivals_;
   Millis shortest_aim_ = 0;
   Millis told_at_ = 0;  // a keeper answered last
   Millis tables_full_until_ = 0;
@@ -1162,10 +1124,7 @@
   bool asked_ = false;  // a subscription stands, or is under way
   int tick_ = 0;
   Millis round_ = kPeriod;  // time from one probe of a backend to the next
-  double arrived_ = 0;      // requests in this period
   double mean_share_ = 1;   // of the backends in the rotation
-  double seen_ = 0;         // requests that came, fading by kRateMemory a period
-  double periods_ = 0;      // and in how many periods, fading likewise
 };
 
 Policy::Policy(const Settings& settings, std::uint64_t seed)
