--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,7 +1,6 @@
-// shorelead's decisions, all of them. The interface (settings, events, actions) is in policy/policy.h.
-//
-// The ordinary path is ALBL (Kontogiannis et al., see docs/design.md): probe every ready backend each period,
-// turn the timings into shares, and send along a weighted rotation that is reshuffled each period.
+// shorelead's decisions, all of them; the interface (settings, events, actions) is in policy/policy.h. The
+// ordinary path is ALBL (Kontogiannis et al., see docs/design.md): probe every ready backend each period,
+// turn the timings into shares, send along a weighted rotation that is reshuffled each period.
 #include "policy/policy.h"
 
 #include <algorithm>
@@ -153,12 +152,6 @@
   std::vector<Attempt> attempts;
 };
 
-// A median over all ready backends, good until so many outcomes came in.
-struct Median {
-  double value = 0;
-  std::uint64_t due = 0;
-};
-
 struct Purse {
   double came = 0;           // in this period
   double rate = 0;           // in the last one, of this node
@@ -187,11 +180,9 @@
   }
 
   std::size_t avoided(Millis now) const {
-    const auto rests = [now](const Backend& b) {
-      return now < std::max(b.health[0].resting_until, b.health[1].resting_until);
-    };
-    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](const Backend& b) {
-      return b.state == BackendState::kReady && (b.dropped || rests(b));
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [now](const auto& b) {
+      const bool rests = now < std::max(b.health[0].resting_until, b.health[1].resting_until);
+      return b.state == BackendState::kReady && (b.dropped || rests);
     }));
   }
 
@@ -276,22 +267,13 @@
   // ---- ALBL: probes, shares, rotation ----
 
   void on(const TimerFired& fired) {
-    switch (fired.cookie) {
-      case kTickTimer:
-        timer(kTickTimer, now_ + kPeriod / kTicks);
-        // Also where probing is not allowed: rotation, allowances and fading records live by the period.
-        if (tick_++ % kTicks == 0) close_period();
-        if (s_.probing) probe_due();
-        break;
-      case kLookTimer:
-        look_again();
-        break;
-      case kListTimer:
-        ask_for_list();
-        break;
-      default:
-        second_copy(static_cast<RequestId>(fired.cookie >> 8));
-    }
+    if (fired.cookie == kLookTimer) return look_again();
+    if (fired.cookie == kListTimer) return ask_for_list();
+    if (fired.cookie != kTickTimer) return second_copy(static_cast<RequestId>(fired.cookie >> 8));
+    timer(kTickTimer, now_ + kPeriod / kTicks);
+    // Also where probing is not allowed: rotation, rates and fading records live by the period.
+    if (tick_++ % kTicks == 0) close_period();
+    if (s_.probing) probe_due();
   }
 
   void on(const ProbeEnded& ended) {
@@ -390,11 +372,6 @@
       Backend& b = backends_[i];
       if (!b.times.known()) b.share = sum > 0 ? sum / static_cast<double>(differences.size()) : 1;
     }
-    limit(in);
-  }
-
-  // The shares sum to 1, none above its bound.
-  void limit(const std::vector<BackendId>& in) {
     const double mean = mean_share_ = 1.0 / std::max(1.0, static_cast<double>(in.size()));
     std::vector<double> shares;
     std::vector<double> bounds;
@@ -509,9 +486,8 @@
 
   // ---- looking first ----
 
-  // Exception "look first": where only probes bring reports, all that a node holds is old news, and each has
-  // few requests: some are looked at before each attempt. By probes where those are cheap; else by asking the
-  // fellow that keeps what all nodes tell of a backend.
+  // Exception "look first": where only probes bring reports, all is old news; some are looked at before each
+  // attempt, by probes where those are cheap, else by asking the fellow that keeps what all tell.
   bool looks_first() const {
     return !s_.reports_with_answers && (asks() || (s_.probing && !too_dear(kFirstLooks)));
   }
@@ -522,9 +498,8 @@
 
   bool too_dear(int looks) const { return s_.probe_price * looks > kLookPrice; }
 
-  // Asks for news of some that were not looked at yet, and holds the request for it. False: no use, or no
-  // time. Exception "look", with reports in answers: only if nobody in the rotation passes for want of fresh
-  // news.
+  // Asks for news of some not looked at yet, and holds the request for it; false: no use, or no time.
+  // Exception "look", with reports in answers: only if nobody in the rotation passes for want of fresh news.
   bool look(Held it) {
     Request& r = it->second;
     const Millis wait = looks_first() ? kLookShare * class_of(r).aim : kLookWait;
@@ -541,18 +516,23 @@
     }
     if (r.asked.size() == old) return false;
     bool open = false;
-    for (std::size_t n = old; n < r.asked.size(); ++n) {
-      if (asks() ? ask(backends_[r.asked[n]]) : probe(r.asked[n])) open = true;
-    }
+    for (std::size_t n = old; n < r.asked.size(); ++n) open |= ask(r.asked[n]);
     if (looks_first() || r.looks == 0) r.look_until = now_ + (open ? wait : 0);
-    if (open && r.look_until == now_ + wait) timer(kLookTimer, r.look_until);
+    if (r.look_until == now_ + wait) timer(kLookTimer, r.look_until);
     r.looks += 1;
-    if (open) return looking_.push_back(it->first), true;
-    return proceed(it), true;
+    open ? looking_.push_back(it->first) : proceed(it);
+    return true;
   }
 
-  bool probe(BackendId i) {
+  // Asks for news of a backend, its keeper or itself; true if an answer is to come.
+  bool ask(BackendId i) {
     Backend& b = backends_[i];
+    if (asks()) {
+      if (now_ < b.ask_until) return true;
+      b.ask_until = now_ + kLookShare * shortest_aim_;
+      say(keeper(b.tag), {.kind = PeerMessage::Kind::kAsk, .about = b.tag});
+      return b.ask_until > 0;
+    }
     if (std::exchange(b.look_out, true)) return true;
     if (!b.probe_out) act(SendProbe{i});  // else that answer will do
     // A look at a backend that was not probed for a period is its probe as well.
@@ -630,9 +610,8 @@
     return best;
   }
 
-  // Exception "full": far more waiting than cores. Such a backend was seen to turn slow for long, so all
-  // nodes together keep it under that; what is worth little is turned away sooner, the more so the fuller the
-  // fleet.
+  // Exception "full": a backend with far more waiting than cores was seen to turn slow for long, so it gets
+  // no more; what is worth little is turned away sooner, the more so the fuller the fleet.
   bool full(const Request& r, const Backend& b) const {
     if (!looks_first()) return false;
     const double requests = asks() ? b.others_held + b.own.held() : in_hand(b);
@@ -665,14 +644,6 @@
     act(TellPeer{peer, m});
   }
 
-  // Asks for news of a backend; true if an answer is to come.
-  bool ask(Backend& b) {
-    if (now_ < b.ask_until) return true;
-    b.ask_until = now_ + kLookShare * shortest_aim_;
-    say(keeper(b.tag), {.kind = PeerMessage::Kind::kAsk, .about = b.tag});
-    return b.ask_until > 0;
-  }
-
   // Tells the keeper what this node has out there, and how an attempt ended.
   void tell(Backend& b, PeerMessage::Ending ending, double ratio = 0) {
     if (asks())
@@ -685,6 +656,7 @@
     const bool rates = m.kind == PeerMessage::Kind::kRate || m.kind == PeerMessage::Kind::kTotal;
     const auto found = by_tag_.find(m.about);
     if (rates ? m.about >= purses_.size() : found == by_tag_.end()) return;
+    if (!rates && backends_[found->second].tag != m.about) return;  // that number is another's by now
     PeerMessage answer{.about = m.about};
     switch (m.kind) {
       case PeerMessage::Kind::kRate:
@@ -693,8 +665,7 @@
         answer.rate = purses_[m.about].ledger.total();
         return say(e.peer, answer);
       case PeerMessage::Kind::kTotal:
-        purses_[m.about].all = m.rate;
-        return;
+        return void(purses_[m.about].all = m.rate);
       case PeerMessage::Kind::kTell:
         return backends_[found->second].ledger.tell(e.peer, m, now_);
       case PeerMessage::Kind::kAsk:
@@ -717,9 +688,8 @@
 
   // ---- what is known of a backend ----
 
-  // Requests in its hands: this node's own, and those of others, of which old news fades to the fleet's mean
-  // (one not heard of would look idle to all at once). For a cold one it fades to none: its budget sees to
-  // that, and taken for as crowded as those left of a fleet it would get nothing until it is warm.
+  // Requests in its hands: this node's own, and those of others, of which old news fades to the fleet's mean;
+  // for a cold one to none, as its budget sees to that, or it would get nothing until it is warm.
   double in_hand(const Backend& b) const {
     if (!load_.told()) return b.own.work() * std::max(1.0, sharers());
     return b.own.work() + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
@@ -823,14 +793,14 @@
   double of_median(std::size_t n, double Health::*figure) {
     const std::size_t which = n * 2 + (figure == &Health::usual);
     if (which >= medians_.size()) medians_.resize(which + 1);
-    Median& kept = medians_[which];
-    if (outcomes_ < kept.due) return kept.value;
+    auto& [kept, due] = medians_[which];
+    if (outcomes_ < due) return kept;
     std::vector<double> all;
     for (const Backend& b : backends_) {
       if (b.state == BackendState::kReady) all.push_back(b.health[n].*figure);
     }
-    kept.due = outcomes_ + all.size() / kMedianParts;
-    return kept.value = median(std::move(all));
+    due = outcomes_ + all.size() / kMedianParts;
+    return kept = median(std::move(all));
   }
 
   // ---- cold backends ----
@@ -843,9 +813,9 @@
     return s_.cold_share + (1 - s_.cold_share) * std::clamp((now_ - b.started) / s_.warm_up, 0.0, 1.0);
   }
 
-  // Rule "a cold backend is not pushed over": within any fall span this node sends it no more than its part
-  // of what the span allows. A part under one request comes in turns, each open for some two requests of its
-  // own and then lost: if kept, all would be there at once.
+  // Rule "a cold backend is not pushed over": within any fall span it gets no more than this node's part. A
+  // part under one request comes in turns, open for some two requests and then lost: kept, all would come at
+  // once.
   bool cold_room(Backend& b) {
     if (!cold(b)) return true;
     const double capacity = std::max(1.0, b.size * pace_per_size_) * s_.fall_span / times_.mean();
@@ -876,9 +846,8 @@
 
   // ---- tenants ----
 
-  // Exception "shares": with a node at each client no node carries an equal part of a tenant's traffic. Each
-  // tells the tenant's keeper its own rate and hears that of all; the quota is parted as the traffic is (a
-  // token bucket). What is beyond is worth little, and is turned away first where backends are full.
+  // Exception "shares": no node carries an equal part of a tenant's traffic, so its keeper hears all rates
+  // and the quota is parted as the traffic is. What is beyond is worth little.
   bool within_share(int tenant) {
     if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
     Purse& p = purses_[static_cast<std::size_t>(tenant)];
@@ -1048,8 +1017,7 @@
     Attempt& a = r.attempts.at(static_cast<std::size_t>(e.attempt));
     a.out = false;
     // Exception "drains untold": turned away though that very answer shows a free core and nobody waiting. It
-    // drains, and the list is late to say so: dropped as if its probe had gone unanswered, or it would draw
-    // attempt after attempt while others are idle.
+    // drains, and the list is late to say so; it would draw attempt after attempt while others are idle.
     const bool idle = e.report.busy >= 0 && e.report.busy < 1 && e.report.waiting == 0;
     if (turned_away && e.has_report && idle && s_.probing && now_ >= b.load.doubted_until) {
       b.missed = b.dropped = true;
@@ -1102,10 +1070,10 @@
   double sharing_ = 0;           // nodes before each of them, where lists tell
   std::size_t first_probe_ = 0;  // where the next tick begins under a ceiling
   std::deque<BackendId> rotation_;
-  std::size_t weighed_ = 0;                          // by the last propose()
-  std::vector<Median> medians_;                      // by record, class and figure
-  std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
-  std::unordered_map<RequestId, Request> requests_;  // looked up, never walked
+  std::size_t weighed_ = 0;                                // by the last propose()
+  std::vector<std::pair<double, std::uint64_t>> medians_;  // each good until so many outcomes came
+  std::uint64_t outcomes_ = 0;                             // judged so far, to say how old a median is
+  std::unordered_map<RequestId, Request> requests_;        // looked up, never walked
   estimate::ServiceTimes times_{1};
   estimate::FleetLoad load_;
   estimate::RequestRate arrivals_;
