Settings of the new shape from configuration; config migrate; tests of the move

Need: the real node is to be ready for a node beside each client. Change: JSON settings of report source, messages, keys, kept promises and idle time are read and checked by key, .shore pools say "reports answers|probes"; what sockets cannot carry (messages, keys) is left off and said at the start; CloseIdle closes unused links; `shorelead config migrate OLD` writes a counterpart, lists what is left, changes nothing in a dry run, never touches the old file.

--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -50,6 +50,8 @@
      "whether lists come by themselves or are asked for; asked if not told"},
     {"ask_every", Type::kTime, 1, kDay, false, "", "a list older than this counts as told anew"},
     {"probing", Type::kFlag, 0, 0, false, "", "whether boxes may be probed; yes if not told"},
+    {"reports", Type::kWord, 0, 0, false, "answers|probes",
+     "whether boxes tell their load with answers, or only to probes; answers if not told"},
     {"cancelling", Type::kFlag, 0, 0, false, "", "whether attempts may be called off; yes if not told"},
     {"parallel", Type::kFlag, 0, 0, false, "",
      "whether a second copy may go out while the first runs; no if not told"},
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -72,6 +72,10 @@
 void check(const Settings& settings, const HostSettings& host) {
   if (settings.classes.empty()) fields::bad("Services", "names no class");
   if (settings.max_attempts <= 0) fields::bad("MostTries", "is not over 0");
+  if (settings.peer_price < 0) fields::bad("Peer", "is below 0");
+  if (settings.kept_promises < 0) fields::bad("KeptPromises", "is below 0");
+  if (settings.borne_misses < 0 || settings.borne_misses > 1)
+    fields::bad("BorneMisses", "is not from 0 to 1");
   for (std::size_t n = 0; n < settings.classes.size(); ++n) {
     const RequestClass& c = settings.classes[n];
     if (!(c.deadline > 0)) fields::bad("GiveUp", ("of \"" + host.classes[n] + "\" is not over 0").c_str());
@@ -150,6 +154,17 @@
   config.settings = parse_settings(settings);
   config.host = parse_host_settings(settings);
   check(config.settings, config.host);
+  // What the module would use and no page says how to carry on sockets.
+  if (config.settings.peer_messages) {
+    config.settings.peer_messages = false;
+    config.warnings.push_back(
+        "Allowed.PeerMessages: this node sends other nodes nothing, as no form for it is given");
+  }
+  if (config.settings.warm_keys) {
+    config.settings.warm_keys = false;
+    config.warnings.push_back(
+        "Specifics.WarmKeys: requests carry no key here that is given, so none is preferred");
+  }
   config.shape.keys = keys_of(document, "");
   return config;
 }
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -226,6 +226,7 @@
     entry.backend = *number;
     entry.state = state_with_bans(*listed);
     entry.zone = zone_number(listed->site);
+    entry.tag = static_cast<std::uint32_t>(subset::hash_of(listed->host));
     entry.cell = listed->cell;
     entry.started = bans_.started(listed->host, listed->born);
     entry.size = listed->size;
@@ -507,6 +508,8 @@
     errands_.probes.push_back(probe->backend);
   } else if (std::holds_alternative<SubscribeList>(action)) {
     errands_.watch = true;
+  } else if (const auto* idle = std::get_if<CloseIdle>(&action)) {
+    errands_.crowded.push_back(idle->backend);
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
     timers_.emplace(timer->at, timer->cookie);
   } else if (const auto* note = std::get_if<Note>(&action)) {
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -55,6 +55,7 @@
   std::vector<std::pair<RequestId, int>> call_off;  // attempts that nobody waits for any more
   std::vector<BackendId> probes;
   std::vector<BackendId> unwanted;  // nothing new may go there, and no connection is to be kept
+  std::vector<BackendId> crowded;   // connections there that stand unused are to be closed
   bool watch = false;               // (re)open the watch on the list
   Millis next = 0;                  // call tick() again by then; 0 = no need
 };
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -11,16 +11,19 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "language/reference.h"
 #include "node/config.h"
 #include "node/difference.h"
+#include "node/migrate.h"
 #include "node/net.h"
 #include "node/own.h"
 #include "node/server.h"
@@ -70,6 +73,18 @@
   return config;
 }
 
+// Beside it first, so that a full disk leaves the old one whole.
+void write_whole(const std::string& path, const std::string& text) {
+  const std::string fresh = path + ".new";
+  std::ofstream out(fresh, std::ios::binary);
+  out << text;
+  out.close();
+  if (!out || std::rename(fresh.c_str(), path.c_str()) != 0) {
+    std::remove(fresh.c_str());
+    throw shorelead::FieldError(path + " cannot be written");
+  }
+}
+
 // Prints a .shore file in its one form, or puts it there (`in_place`), or only says whether it has it
 // (`only_check`).
 int format_file(const std::string& path, bool only_check, bool in_place) {
@@ -90,18 +105,38 @@
     return 0;
   }
   if (formatted == *text) return 0;
-  // Beside it first, so that a full disk leaves the old one whole.
-  const std::string fresh = path + ".new";
-  std::ofstream out(fresh, std::ios::binary);
-  out << formatted;
-  out.close();
-  if (!out || std::rename(fresh.c_str(), path.c_str()) != 0) {
-    std::remove(fresh.c_str());
-    throw shorelead::FieldError(path + " cannot be written");
-  }
+  write_whole(path, formatted);
   return 0;
 }
 
+constexpr int kSomethingLeft = 3;  // exit code of `config migrate`: done, and not all was carried over
+
+// Writes the counterpart of an old configuration for the new shape; `output` empty: to standard output.
+int migrate_file(const std::string& path, const std::string& output, bool dry, bool replace,
+                 const shorelead::node::NewShape& shape) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw shorelead::FieldError(path + " cannot be read, or is empty");
+  const auto migration = shorelead::node::migrate(std::move(text).str(), path, shape);
+  if (migration.already) {
+    std::cerr << path << ": of the new shape already, nothing to do\n";
+    return 0;
+  }
+  for (const std::string& line : migration.changed) std::cerr << "changed " << line << "\n";
+  for (const std::string& line : migration.left) std::cerr << "left " << line << "\n";
+  if (!dry && output.empty()) std::cout << migration.text;
+  if (!output.empty() && std::filesystem::exists(output)) {
+    if (std::filesystem::equivalent(output, path))
+      throw shorelead::FieldError(output + " is the old file, which stays as it is; name another");
+    if (!replace)
+      throw shorelead::FieldError(output + " is there already; --replace puts the new one in its place");
+  }
+  if (!dry && !output.empty()) write_whole(output, migration.text);
+  std::cerr << path << ": " << migration.changed.size() << " changed, " << migration.left.size()
+            << " left to do" << (dry ? "; nothing written" : "") << "\n";
+  return migration.left.empty() ? 0 : kSomethingLeft;
+}
+
 int check_file(const std::string& path, bool strict) {
   const auto document = shorelead::language::check(path, shorelead::language::disk());
   for (const auto& problem : document.problems) std::cerr << problem.text();
@@ -321,6 +356,20 @@
     diffing->add_option("old", before)->required();
     diffing->add_option("new", after)->required();
     diffing->add_flag("--json", json);
+    CLI::App* const migrating = config->add_subcommand(
+        "migrate",
+        "write the counterpart of a platform's JSON for a node beside each client process: exit "
+        "code 3 if something is left to do");
+    std::string output;
+    bool dry = false;
+    bool replace = false;
+    shorelead::node::NewShape shape;
+    migrating->add_option("old", file)->required();
+    migrating->add_option("--output", output, "where to write it; standard output if not told");
+    migrating->add_option("--nodes", shape.nodes, "how many client processes have a node");
+    migrating->add_option("--index", shape.index, "which of them this one is, from 0");
+    migrating->add_flag("--dry-run", dry, "only say what would change");
+    migrating->add_flag("--replace", replace, "where --output names a file that is there");
     CLI::App* const reference =
         config->add_subcommand("reference", "print all blocks and fields, as Markdown");
     reference->add_flag("--json", json, "for editors");
@@ -335,6 +384,7 @@
       return 0;
     }
     if (check->parsed()) return check_file(file, strict);
+    if (migrating->parsed()) return migrate_file(file, output, dry, replace, shape);
     if (explaining->parsed()) return explain(file, request, headers);
     if (diffing->parsed()) {
       try {
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -279,6 +279,7 @@
   settling_ = false;
   const Errands due = facade_.tick(loop_.now());
   upstream_->withdraw(due.unwanted);
+  upstream_->close_unused(due.crowded);
   for (const Choice& choice : due.choices) carry_out(choice);
   for (const auto& [request, attempt] : due.call_off) upstream_->call_off(request, attempt);
   for (const BackendId backend : due.probes) probe(backend);
--- a/src/node/shore.cpp
+++ b/src/node/shore.cpp
@@ -171,13 +171,14 @@
   s.list_on_request = pool.word("list") != "watched";
   s.ask_every = pool.number("ask_every").value_or(0);
   s.probing = pool.number("probing").value_or(1) > 0;
+  s.reports_with_answers = pool.word("reports") != "probes";
   s.cancelling = pool.number("cancelling").value_or(1) > 0;
   s.parallel_attempts = pool.number("parallel").value_or(0) > 0;
   s.max_attempts = whole(pool, "attempts", 3);
   s.connect_timeout = pool.number("connect_within").value_or(200);
   s.advise_wait = pool.places.count("advise_wait") > 0;
   s.max_wait_advice = pool.number("advise_wait").value_or(0);
-  config.host.idle_timeout = pool.number("idle").value_or(0);
+  s.idle_timeout = config.host.idle_timeout = pool.number("idle").value_or(0);
   const auto zones = pool.words.find("zones");
   if (zones != pool.words.end()) config.host.zones = zones->second;
   if (const Section* const cold = pool.find("cold")) {
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -603,6 +603,17 @@
   }
 }
 
+void Upstream::close_unused(const std::vector<BackendId>& backends) {
+  std::vector<std::shared_ptr<Link>> found;
+  for (const BackendId backend : backends) {
+    const auto pool = pools_.find(backend);
+    if (pool != pools_.end()) found.insert(found.end(), pool->second.begin(), pool->second.end());
+  }
+  for (const auto& link : found) {
+    if (link->unused) forget(*link);
+  }
+}
+
 bool Upstream::evict_idle() {
   if (unused_.empty()) return false;
   forget(*unused_.front());
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -13,6 +13,7 @@
 
 #include "node/difference.h"
 #include "node/list_reader.h"
+#include "node/migrate.h"
 #include "node/own.h"
 #include "node/shore.h"
 
@@ -653,5 +654,85 @@
   RC_ASSERT(sliced.backends == whole.backends);
 }
 
+// ---- the move to a node beside each client ----
+
+TEST(Config, SettingsOfTheNewShapeAreReadAndChecked) {
+  const auto with = [](const std::string& more) { return parse_config(config("\"Novel\":{}", more), {}); };
+  const Config plain = parse_config(config(), {});
+  EXPECT_TRUE(plain.settings.reports_with_answers);
+  EXPECT_FALSE(plain.settings.peer_messages);
+  EXPECT_EQ(plain.settings.kept_promises, 0);
+  EXPECT_TRUE(plain.warnings.empty());
+  const Config read =
+      with(R"("Report":{"Source":"probe"},"Specifics":{"WarmKeys":true},"Costs":{"Probe":0.01,"Peer":0.02},)"
+           R"("ScoringMix":{"KeptPromises":0.2,"BorneMisses":0.02})");
+  EXPECT_FALSE(read.settings.reports_with_answers);
+  EXPECT_EQ(read.settings.peer_price, 0.02);
+  EXPECT_EQ(read.settings.kept_promises, 0.2);
+  EXPECT_EQ(read.settings.borne_misses, 0.02);
+  EXPECT_EQ(read.settings.idle_timeout, 60000);
+  EXPECT_FALSE(read.settings.warm_keys) << "sockets carry no key";
+  ASSERT_EQ(read.warnings.size(), 1U);
+  EXPECT_NE(read.warnings[0].find("WarmKeys"), std::string::npos);
+  const std::map<std::string, std::string> broken = {
+      {R"("Report":{"Source":"hearsay"})", "Source"},
+      {R"("Report":{"Source":7})", "Source"},
+      {R"("Report":[])", "Report"},
+      {R"("Specifics":{"WarmKeys":"yes"})", "WarmKeys"},
+      {R"("Costs":{"Peer":-1})", "Peer"},
+      {R"("Costs":{"Peer":"dear"})", "Peer"},
+      {R"("ScoringMix":{"KeptPromises":-0.1})", "KeptPromises"},
+      {R"("ScoringMix":{"BorneMisses":2})", "BorneMisses"}};
+  for (const auto& [text, key] : broken) {
+    try {
+      with(text);
+      ADD_FAILURE() << text << " was taken";
+    } catch (const FieldError& error) {
+      EXPECT_NE(std::string(error.what()).find(key), std::string::npos) << text << ": " << error.what();
+    }
+  }
+}
+
+bool names(const std::vector<std::string>& lines, const std::string& key) {
+  return std::any_of(lines.begin(), lines.end(), [&](const std::string& l) { return l.rfind(key, 0) == 0; });
+}
+
+TEST(Migrate, WritesTheCounterpartAndSaysWhatIsLeft) {
+  const Migration done = migrate(config(), "old.json", {97, 3});
+  const Config read = parse_config(done.text, {});
+  EXPECT_EQ(read.listen.toString(), "127.0.0.1:8081");
+  EXPECT_EQ(read.settings.instances, 97);
+  EXPECT_EQ(read.settings.instance, 3);
+  EXPECT_FALSE(read.settings.reports_with_answers);
+  EXPECT_FALSE(read.settings.list_on_request);
+  EXPECT_TRUE(read.known.backends.empty());
+  EXPECT_EQ(read.host.classes, (std::vector<std::string>{"check", "charge"}))
+      << "what is not of the shape stays";
+  EXPECT_NE(done.text.find("\"Novel\""), std::string::npos) << "also keys that this version does not know";
+  EXPECT_TRUE(names(done.changed, "settings.Report.Source"));
+  EXPECT_TRUE(names(done.left, "known") && names(done.left, "seed"));
+  EXPECT_FALSE(names(done.left, "settings.Instances"));
+  EXPECT_TRUE(names(migrate(config(), "old.json", {}).left, "settings.Instances"));
+  EXPECT_EQ(migrate(config(), "old.json", {97, 3}).text, done.text);
+  EXPECT_TRUE(migrate(done.text, "new.json", {97, 3}).already);
+  EXPECT_THROW(migrate(config(), "old.json", {97, 97}), FieldError);
+}
+
+// Cut at every place: an error that names the file and where, or what is missing; never a result.
+TEST(Migrate, ACutOrBrokenFileIsRefusedWithItsPlace) {
+  const std::string whole = config();
+  for (std::size_t n = 0; n < whole.size(); n += 3) {
+    try {
+      migrate(whole.substr(0, n), "old.json", {97, 3});
+      ADD_FAILURE() << "cut at " << n << " was taken";
+    } catch (const FieldError& error) {
+      EXPECT_EQ(std::string(error.what()).rfind("old.json:", 0), 0U) << error.what();
+    }
+  }
+  EXPECT_THROW(migrate(config("\"Aim\":400", "\"Aim\":0"), "old.json", {97, 3}), FieldError);
+  EXPECT_THROW(migrate(config("\"Allowed\":{", "\"Report\":7,\"Allowed\":{"), "old.json", {97, 3}),
+               FieldError);
+}
+
 }  // namespace
 }  // namespace shorelead::node
--- /dev/null
+++ b/tests/peers/peers_test.cpp
@@ -0,0 +1,119 @@
+// What nodes tell one another: its form in bytes, and what a keeper makes of it.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+
+#include "peers/form.h"
+#include "peers/ledger.h"
+
+namespace shorelead::peers {
+namespace {
+
+using Kind = PeerMessage::Kind;
+using Ending = PeerMessage::Ending;
+
+PeerMessage tell(double held, Ending ending = Ending::kSent, double ratio = 0) {
+  PeerMessage m;
+  m.kind = Kind::kTell;
+  m.work = m.held = held;
+  m.ending = ending;
+  m.ratio = ratio;
+  return m;
+}
+
+RC_GTEST_PROP(Form, WhatIsWrittenIsReadAndIsShort, ()) {
+  PeerMessage m;
+  m.kind = static_cast<Kind>(*rc::gen::inRange(0, 5));
+  m.about = *rc::gen::arbitrary<std::uint32_t>();
+  if (m.kind == Kind::kTell || m.kind == Kind::kAnswer) {
+    m.work = *rc::gen::inRange(0, 250) / 8.0;
+    m.held = *rc::gen::inRange(0, 30);
+    m.ratio = *rc::gen::inRange(1, 64) / 8.0;
+  }
+  if (m.kind == Kind::kTell) m.ending = static_cast<Ending>(*rc::gen::inRange(0, 3));
+  if (m.kind == Kind::kTell && m.ending != Ending::kAnswered) m.ratio = 0;
+  if (m.kind == Kind::kRate || m.kind == Kind::kTotal) m.rate = *rc::gen::inRange(0, 65536);
+  const std::string bytes = write(m);
+  RC_ASSERT(bytes.size() <= kMostPeerBytes);
+  const auto back = read(bytes);
+  RC_ASSERT(back.has_value());
+  RC_ASSERT(back->kind == m.kind && back->about == m.about && back->ending == m.ending);
+  RC_ASSERT(back->work == m.work && back->held == m.held && back->rate == m.rate);
+  const bool near = m.ratio == 0 ? back->ratio == 0 : std::abs(back->ratio / m.ratio - 1) < 0.03;
+  RC_ASSERT(near);
+}
+
+// Cut anywhere, longer, of another version or an unknown kind: no message.
+TEST(Form, WhatIsMalformedIsNoMessage) {
+  for (int kind = 0; kind < 5; ++kind) {
+    PeerMessage m;
+    m.kind = static_cast<Kind>(kind);
+    const std::string bytes = write(m);
+    for (std::size_t n = 0; n < bytes.size(); ++n) EXPECT_FALSE(read(bytes.substr(0, n))) << kind << " " << n;
+    EXPECT_FALSE(read(bytes + "x"));
+    std::string other = bytes;
+    other[0] = static_cast<char>(0x20 | kind);
+    EXPECT_FALSE(read(other));
+    other[0] = static_cast<char>(0x10 | (kind + 5));
+    EXPECT_FALSE(read(other));
+  }
+}
+
+RC_GTEST_PROP(Form, AnyBytesAreReadOrRefused, (const std::string& bytes)) { (void)read(bytes); }
+
+TEST(Ledger, AddsUpWhatOthersHaveOut) {
+  BackendLedger ledger;
+  ledger.tell(1, tell(2), 0);
+  ledger.tell(2, tell(3), 0);
+  ledger.tell(1, tell(1), 10);  // the newer word counts
+  EXPECT_EQ(ledger.known(1, 0, 20).held, 3);
+  EXPECT_EQ(ledger.known(2, 0, 20).held, 1);
+  EXPECT_EQ(ledger.known(3, 0, 20).held, 4);
+  EXPECT_EQ(ledger.known(3, 0, 5000).held, 0) << "old word is no word";
+}
+
+// From answer_lost days: lost attempts filled a backend's bound for seconds while it stood idle.
+TEST(Ledger, WhatMoreAnswersOvertookThanWereBeforeItIsLost) {
+  BackendLedger ledger;
+  ledger.tell(1, tell(1), 0);
+  for (int n = 0; n < 2; ++n) {
+    EXPECT_EQ(ledger.known(9, 0, n).held, 1) << n;
+    ledger.tell(2, tell(0, Ending::kAnswered, 1), n);
+  }
+  EXPECT_EQ(ledger.known(9, 0, 3).held, 0);
+}
+
+// Promises of a fixed weight made every backend look full where many ask and few send.
+TEST(Ledger, WhoAsksCountsAsOftenAsThoseWhoAskDoSend) {
+  BackendLedger idle_talk;
+  BackendLedger earnest;
+  for (int n = 0; n < 400; ++n) {
+    idle_talk.known(1, 100, n);
+    earnest.known(1, 100, n);
+    earnest.tell(1, tell(0), n);
+  }
+  idle_talk.known(1, 100, 400);
+  earnest.known(1, 100, 400);
+  EXPECT_LT(idle_talk.known(2, 100, 401).held, 0.05);
+  EXPECT_GT(earnest.known(2, 100, 401).held, 0.8);
+}
+
+TEST(Ledger, SpeedIsTheMeanOfWhatAllTell) {
+  BackendLedger ledger;
+  for (int n = 0; n < 200; ++n) ledger.tell(n % 7, tell(0, Ending::kAnswered, n % 2 == 0 ? 1 : 3), n);
+  EXPECT_NEAR(ledger.known(9, 0, 200).ratio, 2, 0.4);
+}
+
+TEST(Rates, AreAddedUpAndForgotten) {
+  RateLedger ledger;
+  ledger.tell(1, 10, 0);
+  ledger.tell(2, 5, 0);
+  ledger.tell(1, 20, 1000);
+  EXPECT_EQ(ledger.total(), 25);
+  ledger.tell(1, 20, 3000);
+  EXPECT_EQ(ledger.total(), 20) << "node 2 has told nothing for long";
+}
+
+}  // namespace
+}  // namespace shorelead::peers
