The test of full backends fails without the bound

Need: each test is to be seen failing without its fix. Seen: past the client's time, full, second copy, tables, keys, shares, unknown messages, each with its line taken out; the bound's own test passed by admission alone, since its backends were slow. Change: they are fast.

--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1319,7 +1319,8 @@
   return list;
 }
 
-PeerTold told(const TellPeer& asked, double held, double ratio = 1) {
+// The backends are fast: what many hold would still be answered in time.
+PeerTold told(const TellPeer& asked, double held, double ratio = 0.1) {
   PeerMessage m;
   m.kind = PeerMessage::Kind::kAnswer;
   m.about = asked.message.about;
