--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1007,7 +1007,8 @@
     b.own.end(now_ - e.elapsed, e.outcome == Outcome::kServed, !asks());
     const Held it = requests_.find(e.request);
     tell_end(b, e, it);
-    if (e.outcome == Outcome::kNoConnection && e.elapsed < s_.connect_timeout / 2) full_table();
+    const bool at_once = e.outcome == Outcome::kNoConnection && e.elapsed < s_.connect_timeout / 2;
+    if (at_once && s_.streams_per_connection == 1) full_table();
     if (now_ < tables_full_until_ && b.own.none()) act(CloseIdle{e.backend});
     if (e.has_report) learn_report(b, e.report);
     if (it == requests_.end()) return;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -59,8 +59,9 @@
   int max_attempts = 1;
   Millis ask_every = 0;  // without a subscription, a list older than this counts as told anew
   Millis connect_timeout = 0;
-  Millis idle_timeout = 0;  // an idle connection closes by itself after this
-  Millis warm_up = 0;       // a started backend is warm no later than this
+  Millis idle_timeout = 0;           // an idle connection closes by itself after this
+  int streams_per_connection = 100;  // requests that one carries at once
+  Millis warm_up = 0;                // a started backend is warm no later than this
   double cold_share = 1;
   double fall_multiple = 1;          // a cold backend sent more than this multiple of its present capacity
   Millis fall_span = 0;              // for this long falls over
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -91,6 +91,7 @@
   settings.max_attempts = index_or(allowed, "MostTries", 1);
   settings.connect_timeout = number_or(allowed, "ConnectTimeout", 0);
   settings.idle_timeout = number_or(allowed, "ConnIdle", 0);
+  settings.streams_per_connection = index_or(allowed, "StreamsPerConn", settings.streams_per_connection);
   const Json& rules = fields::object(object, "Invariants");
   settings.ask_every = number_or(rules, "AskEvery", 0);
   settings.cold_share = number_or(rules, "ColdShare", 1);
