Looks with answers as before the move: whoever passes first, and the soonest of all

Cause: a look waited for all it asked, and then the best of three stood for the whole fleet. Change: as before; the guess at the fleet's time too.

--- a/src/estimate/service_times.h
+++ b/src/estimate/service_times.h
@@ -42,17 +42,17 @@
   };
   void learn(Speed& speed, const Answer& answer);
 
-  // Once a period: the fewer answers a backend's own record holds, the more what all tell stretches times.
-  void fade(double held);
-  // A backend passed over for being slow gets no answers that could clear it, so its record fades.
-  static void fade(Speed& speed);
+  // Once a period, of all usable backends. The fewer answers a backend's own record holds, the more what all
+  // tell stretches times. One passed over for being slow gets no answers that could clear it, so its record
+  // fades. Where answers meet a crowd from the first moment on, none teaches the mean; but if over half of
+  // all told of theirs, and each is well below it, it cannot be theirs.
+  void fade(double held, const std::vector<Speed*>& speeds);
 
  private:
   Millis mean_;
   std::vector<double> class_ratio_;
   double slowness_ = 1;  // times of late over what was expected of those backends, all together
   double stretch_ = 1;   // and what that makes of expected times
-  int learned_ = 0;      // answers that taught the mean
   double hints_ = 0;
   double mean_work_ = 0;  // of hints, by the power of their trust
 };
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -1,6 +1,6 @@
-// shorelead's decisions, all of them; the interface (settings, events, actions) is in policy/policy.h. The
-// ordinary path is ALBL (Kontogiannis et al., see docs/design.md): probe every ready backend each period,
-// turn the timings into shares, send along a weighted rotation that is reshuffled each period.
+// shorelead's decisions, all of them. The ordinary path is ALBL (Kontogiannis et al., see docs/design.md):
+// probe every ready backend each period, turn the timings into shares, send along a weighted rotation that is
+// reshuffled.
 #include "policy/policy.h"
 
 #include <algorithm>
@@ -89,9 +89,8 @@
 constexpr double kLosingGain = 0.02;        // weight of one attempt in the share that is lost
 constexpr double kLosing = 0.05;            // of attempts lost, above which
 constexpr double kEarlyEnd = 0.5;           // an attempt ends after this part of its time
-// Tenants.
-constexpr double kQuotaBurst = 2;  // seconds of its quota that a tenant may send at once
-constexpr double kLeastBurst = 5;  // requests that it may send at once however small its quota
+constexpr double kQuotaBurst = 2;           // seconds of its quota that a tenant may send at once
+constexpr double kLeastBurst = 5;           // requests that it may send at once however small its quota
 
 // How often attempts failed of late, and the rest that followed.
 struct Health {
@@ -302,7 +301,6 @@
     arrivals_.close_period();
     const double points = s_.probe_price / mean_share_ * 1000 / kPeriod / rate();
     round_ = std::clamp(points / kProbePoints * kPeriod, kPeriod, kLongestRound);
-    // Where ceilings are set, they hold whatever the price.
     if (s_.most_probes > 0) round_ = std::max(round_, 1000 / mean_share_ / s_.most_probes);
     if (s_.most_probes_backend > 0) round_ = std::max(round_, 1000 * sharers() / s_.most_probes_backend);
   }
@@ -383,8 +381,7 @@
     for (std::size_t n = 0; n < in.size(); ++n) backends_[in[n]].share = shares[n];
   }
 
-  // Unsent turns go back to the credits, so that rounding and reshuffling lose nothing; a new round is earned
-  // only once less than half of one is left.
+  // Unsent turns go back to the credits; a new round is earned only once less than half of one is left.
   void reshuffle() {
     const bool earn = rotation_.size() * 2 < backends_.size();
     for (const BackendId i : rotation_) backends_[i].credit += 1;
@@ -443,8 +440,7 @@
     }
   }
 
-  // The next backend in the rotation that the rules allow for this request and that is not known to be unable
-  // to answer in time (exception "skip"; one passed over so loses its turn).
+  // The next in the rotation that may have it and can answer in time (exception "skip": it loses its turn).
   std::optional<BackendId> propose(const Request& r) {
     const Millis patience = kSkipShare * (r.aim_at - now_);
     std::optional<BackendId> pick;
@@ -540,10 +536,18 @@
     return true;
   }
 
-  // The next in the rotation; they lose their turns.
+  // The next in the rotation; they lose their turns, as those a look may clear, with answers, do not.
   void next_turns(Request& r, std::size_t most) {
+    if (!looks_first()) {
+      const std::size_t end = std::min(rotation_.size(), kMostWeighed);
+      for (std::size_t n = 0; n < end && r.asked.size() < most; ++n) {
+        const BackendId i = rotation_[n];
+        if (may_look(backends_[i]) && !was_asked(r, i) && allowed(r, i)) r.asked.push_back(i);
+      }
+      return;
+    }
     walk([&](BackendId i) {
-      if (was_asked(r, i) || !allowed(r, i) || !(looks_first() || may_look(backends_[i]))) return Turn::kKept;
+      if (was_asked(r, i) || !allowed(r, i)) return Turn::kKept;
       r.asked.push_back(i);
       return r.asked.size() < most ? Turn::kLost : Turn::kTaken;
     });
@@ -586,10 +590,12 @@
       const bool open = std::any_of(r.asked.begin(), r.asked.end(), [this](BackendId i) {
         return backends_[i].look_out || now_ < backends_[i].ask_until - kTimerSlack;
       });
-      if (open && now_ <= r.look_until - kTimerSlack && may_send(r)) {
-        looking_.push_back(id);
-      } else {
+      if (!open || now_ > r.look_until - kTimerSlack || !may_send(r)) {
         proceed(it);
+      } else if (const auto i = looks_first() ? std::nullopt : propose(r)) {
+        send(it, *i);
+      } else {
+        looking_.push_back(id);
       }
     }
   }
@@ -613,7 +619,6 @@
   // Exception "full": a backend with far more waiting than cores was seen to turn slow for long, so it gets
   // no more; what is worth little is turned away sooner, the more so the fuller the fleet.
   bool full(const Request& r, const Backend& b) const {
-    if (!looks_first()) return false;
     const double requests = asks() ? b.others_held + b.own.held() : in_hand(b);
     const double most = kMostQueue * std::sqrt(b.load.lanes);
     return requests > b.load.lanes + most * (1 - (1 - value(r)) * std::min(1.0, load_.mean_others() / most));
@@ -638,7 +643,6 @@
     return static_cast<int>(Random(about).next() % static_cast<std::uint64_t>(s_.instances));
   }
 
-  // Also to itself, where this node is the keeper.
   void say(int peer, const PeerMessage& m) {
     if (peer == s_.instance) return on(PeerTold{peer, m});
     act(TellPeer{peer, m});
@@ -722,8 +726,11 @@
   }
 
   void forget() {
-    times_.fade(rate() * mean_share_ * kRecordSpan);
-    for (Backend& b : backends_) times_.fade(b.speed);
+    std::vector<estimate::Speed*> speeds;
+    for (Backend& b : backends_) {
+      if (usable(b)) speeds.push_back(&b.speed);
+    }
+    times_.fade(rate() * mean_share_ * kRecordSpan, speeds);
   }
 
   bool allowed(const Request& r, BackendId i) {
@@ -733,8 +740,8 @@
     return !resting(backends_[i], r.request_class) && in_group(r, i) && cold_room(backends_[i]);
   }
 
-  // Rule "no effect twice", for keyed requests: after an attempt that may have run, only its group will do,
-  // and only within the window.
+  // Rule "no effect twice": after a keyed attempt that may have run only its group will do, within the
+  // window.
   bool in_group(const Request& r, BackendId i) const {
     const RequestClass& c = class_of(r);
     if (c.effect != Effect::kKeyed) return true;
@@ -751,8 +758,7 @@
 
   // ---- health ----
 
-  // Silences (even) and errors (odd) are judged apart, since a crowd explains only the first; each over all
-  // classes (0 and 1) and for every class.
+  // Silences (even) and errors (odd), as a crowd explains only the first; over all classes, then of each.
   bool resting(const Backend& b, int request_class) const {
     const auto c = 2 * static_cast<std::size_t>(request_class) + 2;
     const auto rests = [&](std::size_t n) { return now_ < b.health[n].resting_until; };
@@ -781,8 +787,7 @@
     h.failing += gain * ((bad ? 1.0 : 0.0) - h.failing);
     if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
     if (!bad || h.failing <= kSickShare || now_ < h.resting_until) return;
-    // Compared with the median backend, so most never rest at once, and one that fails fast and so draws most
-    // attempts does not make its failures the common lot.
+    // Compared with the median backend, so most never rest at once.
     if (h.failing <= of_median(n, &Health::failing) + kSickMargin) return;
     h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
     h.resting_until = now_ + h.rest;
@@ -813,9 +818,8 @@
     return s_.cold_share + (1 - s_.cold_share) * std::clamp((now_ - b.started) / s_.warm_up, 0.0, 1.0);
   }
 
-  // Rule "a cold backend is not pushed over": within any fall span it gets no more than this node's part. A
-  // part under one request comes in turns, open for some two requests and then lost: kept, all would come at
-  // once.
+  // Rule "a cold backend is not pushed over": no more than this node's part in any fall span. A part under
+  // one request comes in turns, open for some two requests and then lost: kept, all would come at once.
   bool cold_room(Backend& b) {
     if (!cold(b)) return true;
     const double capacity = std::max(1.0, b.size * pace_per_size_) * s_.fall_span / times_.mean();
@@ -846,8 +850,7 @@
 
   // ---- tenants ----
 
-  // Exception "shares": no node carries an equal part of a tenant's traffic, so its keeper hears all rates
-  // and the quota is parted as the traffic is. What is beyond is worth little.
+  // Exception "shares": a keeper hears all rates of a tenant, and its quota is parted as the traffic is.
   bool within_share(int tenant) {
     if (tenant < 0 || static_cast<std::size_t>(tenant) >= purses_.size()) return true;
     Purse& p = purses_[static_cast<std::size_t>(tenant)];
@@ -896,12 +899,10 @@
     Request& r = it->second;
     if (any_out(r) && !(s_.parallel_attempts && r.attempts.back().overdue)) return;
     if (may_send(r)) {
-      const bool looked = looks_first() || !r.asked.empty();
-      std::optional<BackendId> i = looked ? best_asked(r) : propose(r);
-      if (i && looked && !suits(r, *i, kSkipShare * (r.aim_at - now_))) i.reset();
-      if (!i && look(it)) return;
-      if (!i && looked) i = best_asked(r);
-      if (i && looked && !suits(r, *i, admitted(r))) i.reset();
+      std::optional<BackendId> i = looks_first() ? best_asked(r) : propose(r);
+      const bool good = i && (!looks_first() || suits(r, *i, kSkipShare * (r.aim_at - now_)));
+      if (!good && look(it)) return;
+      if (i && looks_first() && !suits(r, *i, admitted(r))) i.reset();
       if (!i && (r.asked.empty() || !looks_first())) i = soonest(r);
       if (i) return send(it, *i);
     }
@@ -980,8 +981,7 @@
     const RequestClass& c = class_of(r);
     const bool harmless = c.effect == Effect::kSafe || !may_have_run(r) ||
                           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
-    // Exception "come back": soon enough for the aim, where no part of the result counts kept promises (a
-    // late answer breaks one, a refusal does not).
+    // Exception "come back": soon enough for the aim; where kept promises count, a late answer costs more.
     const bool soon = looks_first() && s_.kept_promises <= 0 && !r.over_share;
     const Millis wait = soon ? std::min(s_.max_wait_advice, kComeBack * c.aim) : s_.max_wait_advice;
     if (harmless) {
@@ -1038,8 +1038,7 @@
     tell(b, PeerMessage::Ending::kAnswered, ratio);
   }
 
-  // Exception "tables full": a connection is turned down at once. Where each client has a node, the idle ones
-  // of all nodes fill a backend's table of connections, and what is never used keeps out what is needed.
+  // Exception "tables full": turned down at once, as idle connections of all nodes fill a backend's table.
   void full_table() {
     if (now_ >= tables_full_until_) {
       for (BackendId i = 0; i < backends_.size(); ++i) {
