Old news orders the looks again; a guess is not made where others told

Change: the looks' order by old news and asking again as before; the guess leaves told ratios alone.

--- a/src/estimate/service_times.cpp
+++ b/src/estimate/service_times.cpp
@@ -43,7 +43,7 @@
   mean_ += kFleetGain * (answer.alone / (class_ratio * speed.ratio) - mean_);
 }
 
-void ServiceTimes::fade(double held, const std::vector<Speed*>& speeds) {
+void ServiceTimes::fade(double held, const std::vector<Speed*>& speeds, bool told) {
   slowness_ = std::pow(slowness_, 1 - kForgetting);
   stretch_ = std::pow(std::max(1.0, slowness_), 1 / (1 + held * held));
   double slowest = 0;
@@ -52,7 +52,7 @@
     heard += speed->heard;
     if (speed->heard) slowest = std::max(slowest, speed->ratio);
   }
-  const bool wrong = hints_ == 0 && heard * 2 > speeds.size() && slowest < kGuessShare;
+  const bool wrong = !told && hints_ == 0 && heard * 2 > speeds.size() && slowest < kGuessShare;
   if (wrong) mean_ *= slowest;
   for (Speed* speed : speeds) {
     if (speed->heard && wrong) speed->ratio /= slowest;
--- a/src/estimate/service_times.h
+++ b/src/estimate/service_times.h
@@ -46,7 +46,7 @@
   // tell stretches times. One passed over for being slow gets no answers that could clear it, so its record
   // fades. Where answers meet a crowd from the first moment on, none teaches the mean; but if over half of
   // all told of theirs, and each is well below it, it cannot be theirs.
-  void fade(double held, const std::vector<Speed*>& speeds);
+  void fade(double held, const std::vector<Speed*>& speeds, bool told);
 
  private:
   Millis mean_;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -52,6 +52,7 @@
 constexpr double kWorthless = 0.5;         // of it, that a request worth nothing beside the dearest may wait
 // Look: who is asked out of turn, and when.
 constexpr int kLooks = 3;            // backends asked at once for one request
+constexpr double kLookSteps = 4;     // a service time: old news is told apart no finer
 constexpr double kLookPrice = 0.02;  // most that they may cost together, a request
 constexpr Millis kLookTime = 10;     // slower probes than this are not waited for
 constexpr Millis kLookWait = 8;      // longest that a request is held for them
@@ -92,7 +93,6 @@
 constexpr double kQuotaBurst = 2;           // seconds of its quota that a tenant may send at once
 constexpr double kLeastBurst = 5;           // requests that it may send at once however small its quota
 
-// How often attempts failed of late, and the rest that followed.
 struct Health {
   double failing = 0;
   double usual = 0;  // the same over more of them
@@ -102,7 +102,6 @@
 
 struct Backend : BackendEntry {
   Backend() { state = BackendState::kGone; }  // till a list names it
-  // ALBL
   bool probe_out = false;
   bool look_out = false;  // asked out of turn
   Millis ask_until = 0;
@@ -112,7 +111,6 @@
   estimate::ResponseTimes times;
   double share = 0;
   double credit = 0;
-  // own traffic
   estimate::OwnAttempts own;       // our attempts out there
   std::vector<Millis> cold_sends;  // while cold: sends that still count in its budget
   double cold_turns = 0;           // where its part is under one request: how many came by now,
@@ -539,11 +537,16 @@
   // The next in the rotation; they lose their turns, as those a look may clear, with answers, do not.
   void next_turns(Request& r, std::size_t most) {
     if (!looks_first()) {
-      const std::size_t end = std::min(rotation_.size(), kMostWeighed);
-      for (std::size_t n = 0; n < end && r.asked.size() < most; ++n) {
-        const BackendId i = rotation_[n];
-        if (may_look(backends_[i]) && !was_asked(r, i) && allowed(r, i)) r.asked.push_back(i);
+      std::vector<std::pair<double, BackendId>> stale;
+      for (std::size_t n = 0; n < std::min(rotation_.size(), kMostWeighed); ++n) {
+        const Backend& b = backends_[rotation_[n]];
+        const std::pair<double, BackendId> one{std::round(crowd(b) * kLookSteps), rotation_[n]};
+        const bool twice = std::find(stale.begin(), stale.end(), one) != stale.end();
+        if (!twice && may_look(b) && allowed(r, one.second)) stale.push_back(one);
       }
+      std::stable_sort(stale.begin(), stale.end(), [](auto x, auto y) { return x.first < y.first; });
+      for (std::size_t n = 0; n < stale.size() && r.asked.size() < most; ++n)
+        r.asked.push_back(stale[n].second);
       return;
     }
     walk([&](BackendId i) {
@@ -572,7 +575,6 @@
     for (std::size_t k = 0; k < n; ++k) r.asked.push_back(order[k].second);
   }
 
-  // Whether a probe of this backend would bring news in time.
   bool may_look(const Backend& b) const {
     return usable(b) && load_.told() && now_ >= b.load.doubted_until &&
            (!b.times.known() || b.times.response() <= kLookTime) &&
@@ -699,7 +701,6 @@
     return b.own.work() + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
   }
 
-  // How many service times one more request would take there.
   double crowd(const Backend& b, double work = 1) const {
     return std::max(work, (in_hand(b) + work) / b.load.lanes);
   }
@@ -730,7 +731,7 @@
     for (Backend& b : backends_) {
       if (usable(b)) speeds.push_back(&b.speed);
     }
-    times_.fade(rate() * mean_share_ * kRecordSpan, speeds);
+    times_.fade(rate() * mean_share_ * kRecordSpan, speeds, asks());
   }
 
   bool allowed(const Request& r, BackendId i) {
