config migrate: nothing is held of the document while members move

Found by the sanitized build: a reference to the settings stood while the known list was taken out, which moves the last member into its place. Change: the list goes first, members keep their order. Test: Migrate.* under AddressSanitizer aborted, passes now.

--- a/src/node/migrate.cpp
+++ b/src/node/migrate.cpp
@@ -39,13 +39,14 @@
 
   void run(const NewShape& shape) {
     for (const char* const name : {"listen", "mgmt"}) bind_to_loopback(name);
+    // Before anything is held of the document: members move up when one goes.
+    drop(document_, "", "known", "it names the old fleet's boxes; the node starts with an empty list");
     Value& settings = document_["settings"];
     set(child(settings, "Report"), "settings.Report.", "Source", text("probe"));
     set(child(settings, "Allowed"), "settings.Allowed.", "PeerMessages", Value(true));
     set(settings, "settings.", "RegistryMode", text("automatic"));
     drop(child(settings, "Invariants"), "settings.Invariants.", "AskEvery",
          "lists come by themselves, so none is asked for");
-    drop(document_, "", "known", "it names the old fleet's boxes; the node starts with an empty list");
     number(settings, "Instances", shape.nodes, 1,
            "give --nodes: how many client processes have a node (the cold boxes' budget is parted by it)");
     number(settings, "Me", shape.index, 0, "give --index: which of them this node is, from 0");
@@ -81,7 +82,7 @@
   }
 
   void drop(Value& object, const std::string& path, const char* name, const char* why) {
-    if (object.RemoveMember(name)) leave(path + name, why);
+    if (object.EraseMember(name)) leave(path + name, why);
   }
 
   void leave(const std::string& key, const std::string& why) { out_.left.push_back(key + ": " + why); }
