--- a/src/estimate/load.cpp
+++ b/src/estimate/load.cpp
@@ -10,6 +10,8 @@
 constexpr double kWrongShare = 0.3;   // more wrong than this, no report is believed
 constexpr Millis kDoubt = 2000;       // for which a backend found wrong is not believed
 constexpr double kFleetGain = 0.02;   // weight of one report in the fleet's mean
+constexpr double kCrowdGain = 0.3;    // weight of one report in what a backend usually has in hand
+constexpr Millis kCrowdLife = 2000;   // in which that loses most of its meaning
 constexpr double kSomeWaiting = 0.5;  // requests: reports are noisy, so less than this is none
 
 }  // namespace
@@ -40,16 +42,21 @@
 }
 
 void FleetLoad::tell(Load& load, double others, Millis now) {
+  load.usual_others += (load.others >= 0 ? kCrowdGain : 1) * (others - load.usual_others);
   load.others = others;
   load.reported_at = now;
   reports_ += 1;
   mean_others_ += std::max(kFleetGain, 1 / (1 + reports_)) * (others - mean_others_);
 }
 
-double FleetLoad::others(const Load& load, Millis life, bool fades_to_none, Millis now) const {
+double FleetLoad::others(const Load& load, Millis life, bool fades_to_none, bool remembered,
+                         Millis now) const {
   const bool heard = load.others >= 0 && now >= load.doubted_until;
-  const double fresh = heard ? std::exp(-(now - load.reported_at) / life) : 0;
-  const double usual = fades_to_none ? 0 : mean_others_;
+  const Millis age = now - load.reported_at;
+  const double fresh = heard ? std::exp(-age / life) : 0;
+  const double all = fades_to_none ? 0 : mean_others_;
+  const double known = remembered && load.others >= 0 ? std::exp(-age / kCrowdLife) : 0;
+  const double usual = all + (load.usual_others - all) * known;
   return usual + (load.others - usual) * fresh;
 }
 
--- a/src/estimate/load.h
+++ b/src/estimate/load.h
@@ -21,6 +21,7 @@
 // Of one backend.
 struct Load {
   double others = -1;  // requests of other nodes in its hands at its last report; negative = never reported
+  double usual_others = 0;  // the same over several reports
   Millis reported_at = 0;
   double busy = -1;          // share of its cores in use then; negative = never reported
   double lanes = 1;          // requests it works on at once without slowing
@@ -36,8 +37,8 @@
   // So many requests of others are there, whoever told.
   void tell(Load& load, double others, Millis now);
   // Others' requests there now: the last report fades within about `life` to the fleet's mean, or to none
-  // where `fades_to_none`.
-  double others(const Load& load, Millis life, bool fades_to_none, Millis now) const;
+  // where `fades_to_none`; on the way, where `remembered`, to what its reports usually say.
+  double others(const Load& load, Millis life, bool fades_to_none, bool remembered, Millis now) const;
   // Whether reports tell requests in hand, and are to be believed.
   bool told() const;
   double mean_others() const { return mean_others_; }
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -581,7 +581,6 @@
            (b.load.others < 0 || now_ - b.load.reported_at >= kLookAge * times_.mean());
   }
 
-  // News came in, or the time to wait for it is up: serve those who waited.
   void look_again() {
     std::vector<RequestId> waiting;
     waiting.swap(looking_);
@@ -698,7 +697,8 @@
   // for a cold one to none, as its budget sees to that, or it would get nothing until it is warm.
   double in_hand(const Backend& b) const {
     if (!load_.told()) return b.own.work() * std::max(1.0, sharers());
-    return b.own.work() + load_.others(b.load, kReportLife * times_.mean(), cold(b), now_);
+    const bool remembered = too_dear(kLooks) && !asks();  // then each is heard of once in seconds
+    return b.own.work() + load_.others(b.load, kReportLife * times_.mean(), cold(b), remembered, now_);
   }
 
   double crowd(const Backend& b, double work = 1) const {
