--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -676,6 +676,28 @@
   EXPECT_EQ(part.total, all.total);
 }
 
+TEST(Scale, WhoIsCrowdedIsRememberedLongerThanItsLastReport) {
+  // From a day at size: after a restart most nodes knew the old backends only and crowded them. The others
+  // heard of each backend once in seconds; a report lost its meaning in two service times, so all were taken
+  // for alike.
+  Settings s = plain_settings();
+  s.instances = 100;
+  s.probe_price = 0.007;  // too dear to ask first, so each is asked once in some seconds
+  for (RequestClass& c : s.classes) c.aim = 110, c.deadline = 400;
+  int well = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Node node(s, seed);
+    node.list(entries(8));
+    node.report_in_hand(8, 3);
+    for (BackendId i = 6; i < 8; ++i) node.load[i].in_hand = 0;
+    node.run_past_probes();
+    node.run_to(node.now + 30 * kTestPeriod);
+    const auto sent = only<SendAttempt>(node.arrive(1, 1, 0, 400));
+    well += sent && sent->backend >= 6;
+  }
+  EXPECT_GT(well, 30) << "of 50; two in eight are 13";
+}
+
 TEST(Cold, ThoseThatComeBackAreNotTakenForAsCrowdedAsThoseLeft) {
   // From a day at size: two thirds of a fleet were lost and came back cold. 100 nodes with 16 requests a
   // second each had no answers of theirs, took them for as crowded as those left, and sent them next to
