A send's expected time is worked out once

Found on reading the change: send() asked for the same figure twice on the path of every request, and a comment told of the ledger's life where the module's use of keepers' silence stands.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -61,7 +61,7 @@
 constexpr int kAsks = 3;               // or whose keepers are asked
 constexpr int kLookRounds = 2;         // rounds for one request
 constexpr double kLookShare = 0.06;    // of the aim: longest that it is held for their answers
-constexpr Millis kToldLife = 2000;     // what a node told of its work out counts so long
+constexpr Millis kToldLife = 2000;     // reports are passed over for so long after a keeper answered
 constexpr double kLeastTold = 0.5;     // mean requests: a shorter stay tells no speed, but of the way there
 constexpr double kWarmRank = 1.3;      // each further backend in a key's order must be so much better
 constexpr double kMostQueue = 3;       // times the root of its cores that may wait at a backend
@@ -964,7 +964,7 @@
     if (r.attempts.size() > 1) resends_ -= 1;
     // Exception "early end": answers get lost, this one is expected before, and somebody else may have it.
     const Millis early = kEarlyEnd * (stop_at(r) - now_);
-    const bool ends = losing_ > kLosing && expected_answer(r, b) < early && may_send(r) &&
+    const bool ends = losing_ > kLosing && expected < early && may_send(r) &&
                       std::any_of(backends_.begin(), backends_.end(), [&](const Backend& o) {
                         return usable(o) && allowed(r, static_cast<BackendId>(&o - backends_.data()));
                       });
