--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -9,7 +9,7 @@
   [base]="base"
   [peers]="base peers"
   [estimate]="base estimate"
-  [policy]="base estimate peers policy"
+  [policy]="base estimate peers limits policy"
   [net]="base net"
   [subset]="base subset"
   [limits]="base limits"
@@ -21,6 +21,8 @@
   [membership]="base net membership"
   [node]="base policy settings subset limits language manage handover routing membership net node"
   [drill]="base peers policy settings drill"
+  [fleet]="base limits fleet"
+
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
 
