--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -178,8 +178,8 @@
 
   std::size_t avoided(Millis now) const {
     return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [now](const auto& b) {
-      const bool rests = now < std::max(b.health[0].resting_until, b.health[1].resting_until);
-      return b.state == BackendState::kReady && (b.dropped || rests);
+      if (b.state != BackendState::kReady) return false;  // one that never was has no health yet
+      return b.dropped || now < std::max(b.health[0].resting_until, b.health[1].resting_until);
     }));
   }
 
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -15,6 +15,8 @@
   then fail=1; fi
 done
 find src tests -name '*.cpp' -o -name '*.h' | sort | xargs clang-format --dry-run --Werror || fail=1
+tests/sizes_test.sh || fail=1
+tests/sizes.sh || fail=1
 tests/layers_test.sh || fail=1
 tests/layers.sh || fail=1
 tests/tally_test.sh || fail=1
