The language has the fleet, its budgets and plans, checked like the rest

Need: what processes share has to be said once, by people. Blocks fleet, budget and plan; each kind of budget says what it needs and nothing else, tenants have one plan, further attempts are counted by pool (the module decides about them). Doubts: wholes smaller than the fleet, reserves of less than one each, a fleet that shares nothing.

--- a/src/language/doubts.cpp
+++ b/src/language/doubts.cpp
@@ -84,6 +84,7 @@
     }
     if (kind == "pool") doubt_pool(document, s, patience, problems);
   }
+  doubt_fleet(document, problems);
 }
 
 }  // namespace shorelead::language
--- a/src/language/fit.cpp
+++ b/src/language/fit.cpp
@@ -165,6 +165,7 @@
     if (s.block->name == "node") fit_node(s, problems);
   }
   fit_fallbacks(document, index, problems);
+  fit_fleet(document, index, problems);
   const std::vector<std::string>& pools = index.named("pool");
   if (pools.size() > 1 && index.named("route").empty()) {
     problems.problem(index.second("pool")->place,
--- a/src/language/fit.h
+++ b/src/language/fit.h
@@ -35,6 +35,11 @@
 void fit_together(const Document& document, const Index& index, const std::set<std::string>& half_told,
                   Problems& problems);
 void fit_pool(const Document& document, const Section& pool, Problems& problems);
+// Members of a registry or store: addresses, each once.
+void fit_endpoints(const Section& s, const std::string& field, Problems& problems);
+// The fleet, its budgets and plans.
+void fit_fleet(const Document& document, const Index& index, Problems& problems);
+void doubt_fleet(const Document& document, Problems& problems);
 // Warnings, looked for only where there is no mistake.
 void doubt(const Document& document, const Index& index, Problems& problems);
 
--- a/src/language/fit_pool.cpp
+++ b/src/language/fit_pool.cpp
@@ -11,16 +11,7 @@
 namespace {
 
 void fit_registry(const Section& s, Problems& problems) {
-  std::set<std::string> told;
-  const auto endpoints = s.words.find("endpoints");
-  for (const std::string& one : endpoints == s.words.end() ? std::vector<std::string>() : endpoints->second) {
-    if (!is_address(one)) {
-      problems.problem(s.places.at("endpoints"), one + " is no address with a port",
-                       "as in: endpoints 127.0.0.1:2379");
-    } else if (!told.insert(one).second) {
-      problems.problem(s.places.at("endpoints"), one + " is told twice", "take one of them out");
-    }
-  }
+  fit_endpoints(s, "endpoints", problems);
   for (const char* const field : {"certificate", "key", "name"}) {
     if (s.places.count(field) > 0 && s.places.count("ca") == 0) {
       problems.problem(s.places.at(field), std::string("\"") + field + "\" says nothing without a \"ca\"",
@@ -40,6 +31,20 @@
 
 }  // namespace
 
+void fit_endpoints(const Section& s, const std::string& field, Problems& problems) {
+  std::set<std::string> told;
+  const auto endpoints = s.words.find(field);
+  if (endpoints == s.words.end()) return;
+  for (const std::string& one : endpoints->second) {
+    if (!is_address(one)) {
+      problems.problem(s.places.at(field), one + " is no address with a port",
+                       "as in: " + field + " 127.0.0.1:2379");
+    } else if (!told.insert(one).second) {
+      problems.problem(s.places.at(field), one + " is told twice", "take one of them out");
+    }
+  }
+}
+
 // Where its boxes come from, and what is told of them.
 void fit_pool(const Document& document, const Section& s, Problems& problems) {
   std::map<std::string, const Section*> dials;
--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -114,6 +114,46 @@
     {"by", Type::kWord, 0, 0, false, "", "with split: the header whose value keeps its pool"},
 };
 
+constexpr Field kFleet[] = {
+    {"store", Type::kWords, 0, 0, true, "",
+     "addresses with ports of the members of the store (etcd v3's JSON gateway)"},
+    {"prefix", Type::kWord, 0, 0, true, "", "of the fleet's keys in it"},
+    {"processes", Type::kCount, 1, 10000, true, "",
+     "most that may ever run at once; each has a reserve by it"},
+    {"lease", Type::kTime, 500, 600000, false, "",
+     "a process that is not heard of for so long has no share; 5 s if not told"},
+    {"drift", Type::kShare, 0, 0.1, false, "", "that clocks may differ by; 1 % if not told"},
+};
+
+constexpr Field kBudget[] = {
+    {"kind", Type::kWord, 0, 0, true, "rate|at_once|attempts", "what is counted of the whole fleet"},
+    {"rate", Type::kRate, 0.001, 1e9, false, "", "rate: so many requests"},
+    {"burst", Type::kCount, 1, 1e9, false, "", "rate: and so many more in any span"},
+    {"most", Type::kCount, 1, 1e9, false, "", "at_once: so many requests under way"},
+    {"few", Type::kCount, 0, 1e9, false, "", "attempts: so many further attempts in any window"},
+    {"ratio", Type::kShare, 0, 4, false, "",
+     "attempts: and this share of the requests taken in it; 0 % if not told"},
+    {"window", Type::kTime, 100, kHour, false, "", "attempts: the window"},
+    {"pool", Type::kWord, 0, 0, false, "", "only what goes to this pool"},
+    {"route", Type::kWord, 0, 0, false, "", "only what takes this route"},
+    {"class", Type::kWord, 0, 0, false, "", "only requests of this class"},
+    {"tenant", Type::kWord, 0, 0, false, "", "only requests of this tenant (X-Tenant-Id)"},
+    {"reserve", Type::kShare, 0, 0.5, false, "",
+     "that needs no store, in equal parts of the most processes; 5 % if not told"},
+    {"least_part", Type::kShare, 0, 0.5, false, "",
+     "of the rest, divided equally whatever the demand; 5 % if not told"},
+    {"most_part", Type::kShare, 0.01, 1, false, "", "that one process may have; 90 % if not told"},
+};
+
+constexpr Field kPlan[] = {
+    {"rank", Type::kCount, 1, 1000, true, "",
+     "1 is the highest; in a shortage of the fleet the largest go first"},
+    {"tenants", Type::kWords, 0, 0, false, "", "whose requests are of this plan (X-Tenant-Id)"},
+    {"floor", Type::kShare, 0, 1, false, "",
+     "of what the plan offers, that is taken whatever the shortage; none if not told"},
+    {"default", Type::kFlag, 0, 0, false, "", "yes: also of tenants that no plan names"},
+};
+
 constexpr Block kBlocks[] = {
     {"node", "", true, true, kNode, "this node; its name behind the word"},
     {"class", "", true, false, kClass, "a class of requests: the first part of their path"},
@@ -125,6 +165,9 @@
     {"cold", "pool", false, true, kCold, "the rule on boxes that have just started"},
     {"subset", "pool", false, true, kSubset, "work with a part of a large fleet"},
     {"probes", "pool", false, true, kProbes, "ceilings of probes"},
+    {"fleet", "", false, true, kFleet, "what processes of one fleet share, and where"},
+    {"budget", "", true, false, kBudget, "a bound on the whole fleet, divided among its processes"},
+    {"plan", "", true, false, kPlan, "tenants that go together in a shortage of the fleet"},
 };
 
 }  // namespace
