Member and planner of a fleet: pure state machines, events in, calls to the store out

Need: one process's side of the sharing. A member lowers at once, waits for its traffic, writes its record under a comparison with the plan, and only then raises; a planner plans from one read and writes under a comparison with its election and that plan.

The headers of the design changed where they were wrong: - every answer carries the store's header, and a history is judged by when its call was begun: an answer that is merely late is no lost history, and one of another cluster extends nothing; - a refused put of the record reads what stands, so that one lost answer costs no share; - the plan names the history that it was written in: a copy of it, restored with an old store, is nobody's, else its slots would open while the lost history's are in use; - a share whose validity lapsed goes on where a later transaction finds the record unchanged; a lease lives on while an ended incarnation is still in use; - slots that shapers open are held closed until every record has them closed (slots.h).

--- /dev/null
+++ b/src/fleet/history.cpp
@@ -0,0 +1,39 @@
+#include "fleet/history.h"
+
+namespace shorelead::fleet {
+
+namespace {
+constexpr std::size_t kMarks = 16;  // answers later than so many others are held against the oldest of them
+}
+
+std::uint64_t History::floor(Millis begun) const {
+  std::uint64_t floor = 0;
+  for (const Mark& mark : marks_) {
+    if (mark.at <= begun) floor = mark.revision;
+  }
+  return floor;
+}
+
+History::Told History::heard(const Header& header, Millis begun, Millis now) {
+  if (cluster_ == 0) {
+    cluster_ = header.cluster;
+    since_ = now;
+    marks_ = {{header.revision, now}};
+    return Told::kFirst;
+  }
+  if (header.cluster == cluster_ && header.revision >= floor(begun)) {
+    if (header.revision > marks_.back().revision) {
+      if (marks_.size() == kMarks) marks_.erase(marks_.begin());
+      marks_.push_back({header.revision, now});
+    }
+    return Told::kSame;
+  }
+  // A call begun before this history was first heard may have been answered by the one before.
+  if (header.cluster != cluster_ && begun < since_) return Told::kLate;
+  cluster_ = header.cluster;
+  since_ = now;
+  marks_ = {{header.revision, now}};
+  return Told::kLost;
+}
+
+}  // namespace shorelead::fleet
--- /dev/null
+++ b/src/fleet/holding.cpp
@@ -0,0 +1,115 @@
+#include "fleet/holding.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace shorelead::fleet {
+
+Holding::Holding(const Sharing& sharing, std::vector<Budget> budgets)
+    : sharing_(sharing), budgets_(std::move(budgets)) {}
+
+Parts Holding::own_parts(const Plan& plan, const MemberId& member) const {
+  Parts parts;
+  const auto given = plan.shares.find(member.text());
+  if (given == plan.shares.end()) return parts;
+  for (const Budget& budget : budgets_) {
+    const auto it = given->second.find(budget.name);
+    if (it == given->second.end()) continue;
+    Part part = it->second;
+    const auto whole = plan.wholes.find(budget.name);
+    if (whole != plan.wholes.end() && budget.whole < whole->second.amount) {
+      part.amount *= budget.whole / whole->second.amount;
+      if (budget.kind != BudgetKind::kRate) part.amount = std::floor(part.amount);
+    }
+    if (whole != plan.wholes.end() && budget.kind == BudgetKind::kRate &&
+        budget.burst < whole->second.burst) {
+      part.burst = std::floor(part.burst * budget.burst / whole->second.burst);
+    }
+    parts[budget.name] = part;
+  }
+  return parts;
+}
+
+double Holding::beyond_reserve(const Budget& budget) const {
+  const auto it = traffic_.in_use.find(budget.name);
+  if (it == traffic_.in_use.end()) return 0;
+  const double reserve =
+      sharing_.most_processes > 0 ? std::floor(budget.whole * budget.reserve / sharing_.most_processes) : 0;
+  return std::max(0.0, it->second - reserve);
+}
+
+Parts Holding::may_use(const Parts& parts, const Parts& recorded) const {
+  Parts used = parts;
+  for (const Budget& budget : budgets_) {
+    if (budget.kind != BudgetKind::kAtOnce) continue;
+    const auto had = recorded.find(budget.name);
+    if (had == recorded.end()) continue;
+    const double in_use = std::min(had->second.amount, beyond_reserve(budget));
+    if (in_use > 0) used[budget.name].amount = std::max(used[budget.name].amount, in_use);
+  }
+  return used;
+}
+
+bool Holding::over() const {
+  if (!slots_quiet()) return false;
+  return std::all_of(budgets_.begin(), budgets_.end(), [this](const Budget& budget) {
+    return budget.kind != BudgetKind::kAtOnce || beyond_reserve(budget) <= 0;
+  });
+}
+
+void Holding::publish(Snapshot next) {
+  next.generation = now_.generation + 1;
+  now_ = std::move(next);
+  news_ = std::make_shared<const Snapshot>(now_);
+}
+
+std::shared_ptr<const Snapshot> Holding::take_news() { return std::exchange(news_, nullptr); }
+
+void Holding::lower_to(const Plan& plan, const MemberId& member) {
+  Snapshot next = now_;
+  const Parts parts = own_parts(plan, member);
+  for (auto it = next.parts.begin(); it != next.parts.end();) {
+    const auto given = parts.find(it->first);
+    if (given == parts.end()) {
+      it = next.parts.erase(it);
+      continue;
+    }
+    it->second.amount = std::min(it->second.amount, given->second.amount);
+    it->second.burst = std::min(it->second.burst, given->second.burst);
+    ++it;
+  }
+  for (auto& [rule, map] : next.affinity) {
+    const auto given = plan.affinity.find(rule);
+    const bool same = given != plan.affinity.end() && given->second.slots.size() == map.slots.size();
+    for (std::size_t i = 0; i < map.slots.size(); ++i) {
+      Slot& slot = map.slots[i];
+      slot.open = slot.open && same && given->second.slots[i].open && given->second.slots[i].box == slot.box;
+    }
+  }
+  if (next.parts != now_.parts || next.affinity != now_.affinity) publish(std::move(next));
+}
+
+void Holding::put_in_force(const Plan& plan, const MemberId& member) {
+  Snapshot next;
+  next.incarnation = member.incarnation;
+  next.epoch = plan.epoch;
+  next.parts = own_parts(plan, member);
+  next.cut_off = plan.cut_off;
+  next.affinity = plan.affinity;
+  publish(std::move(next));
+}
+
+void Holding::end() {
+  if (!holds()) return;
+  Snapshot next = now_;
+  next.incarnation = 0;
+  next.epoch = 0;
+  next.parts.clear();
+  for (auto& [rule, map] : next.affinity) {
+    for (Slot& slot : map.slots) slot.open = false;
+  }
+  publish(std::move(next));
+}
+
+}  // namespace shorelead::fleet
--- /dev/null
+++ b/src/fleet/member.cpp
@@ -0,0 +1,223 @@
+#include "fleet/member.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shorelead::fleet {
+
+namespace {
+
+constexpr double kPuts = 5;           // of the record within a lease, though nothing changed
+constexpr Millis kLongestPut = 1000;  // between two of them
+constexpr double kAgain = 20;         // tries of a call that was lost or refused, within a lease
+constexpr double kSmallSteps = 25;    // puts that only lower, within a lease: what is in use ends one by one
+
+}  // namespace
+
+Member::Member(std::string name, std::string zone, double weight, const Sharing& sharing,
+               std::vector<Budget> budgets, std::uint64_t seed)
+    : zone_(std::move(zone)),
+      weight_(weight),
+      sharing_(sharing),
+      random_(seed),
+      lease_(sharing),
+      holding_(sharing, std::move(budgets)),
+      id_{std::move(name), 0} {}
+
+Millis Member::valid_until() const {
+  if (phase_ != Phase::kIn || put_begun_ < 0) return 0;
+  return std::min(lease_.held_since(), put_begun_) + valid_for(sharing_);
+}
+
+Millis Member::lease_until() const {
+  return lease_.lease() == 0 || phase_ == Phase::kEnding ? 0 : lease_.held_since() + valid_for(sharing_);
+}
+
+MemberOut Member::handle(const MemberEvent& event, Millis now) {
+  now_ = std::max(now_, now);
+  const bool over = phase_ == Phase::kIn && now_ >= valid_until();
+  if (over && !lapsed_) ++counters_.lapsed;
+  lapsed_ = over;
+  std::visit([this](const auto& it) { on(it); }, event);
+  MemberOut out;
+  call_store(out);
+  out.publish = holding_.take_news();
+  out.incarnation = incarnation();
+  out.valid_until = valid_until();
+  out.next = next();
+  return out;
+}
+
+bool Member::hear(const Header& header, Millis begun) {
+  const History::Told told = history_.heard(header, begun, now_);
+  if (told == History::Told::kLost) {
+    ++counters_.histories;
+    plan_.reset();
+    plan_modified_ = 0;
+    plan_passed_ = false;
+    if (phase_ != Phase::kLeft) end_incarnation();
+  }
+  return told == History::Told::kSame || told == History::Told::kFirst;
+}
+
+void Member::on(const Granted& event) {
+  if (!lease_.answers(event.call) || !hear(event.header, lease_.begun())) return;
+  lease_.granted(event.lease);
+  id_.incarnation = random_.next();
+  phase_ = Phase::kNaming;
+  put_again_ = now_;
+}
+
+void Member::on(const Renewed& event) {
+  if (!lease_.answers(event.call) || !hear(event.header, lease_.begun())) return;
+  if (event.there) {
+    lease_.renewed();
+  } else {
+    lease_.gone();
+    end_incarnation();
+  }
+}
+
+void Member::on(const Revoked& event) {
+  if (!lease_.answers(event.call)) return;
+  lease_.gone();
+  hear(event.header, lease_.begun());
+}
+
+void Member::on(const Lost& event) {
+  if (lease_.answers(event.call)) {
+    ++counters_.lost;
+    lease_.lost(now_);
+  }
+  if (put_call_.ended_by(event.call)) {
+    ++counters_.lost;
+    put_again_ = now_ + sharing_.lease / kAgain;
+  }
+}
+
+void Member::on(const RecordPut& event) {
+  if (!put_call_.ended_by(event.call) || !hear(event.header, put_call_.begun)) return;
+  if (!event.done) return refused(event);
+  record_ = std::move(put_);
+  modified_ = event.revision;
+  put_begun_ = put_call_.begun;
+  if (phase_ == Phase::kNaming) joined();
+  // Where a newer plan was seen meanwhile what it lowers is lowered already: only that one may raise.
+  if (put_epoch_ != 0 && plan_ && plan_->epoch == put_epoch_) {
+    ++counters_.epochs;
+    holding_.put_in_force(*plan_, id_);
+  }
+}
+
+// A record under our number is ours, from a call whose answer was lost, or that was done twice.
+void Member::refused(const RecordPut& event) {
+  ++counters_.refused;
+  put_again_ = now_ + sharing_.lease / kAgain;
+  const bool ours = event.own && event.own->id == id_;
+  if (ours && event.own_modified == modified_) {
+    if (plan_ && plan_->epoch == put_epoch_) plan_passed_ = true;
+  } else if (ours) {
+    record_ = *event.own;
+    modified_ = event.own_modified;
+    put_again_ = now_;
+    if (phase_ == Phase::kNaming) joined();
+  } else if (phase_ == Phase::kNaming) {
+    ++counters_.name_taken;
+    put_again_ = now_ + std::min(sharing_.lease / kPuts, kLongestPut);
+  } else {
+    end_incarnation();
+  }
+}
+
+void Member::on(const PlanSeen& event) {
+  hear(event.header, event.begun);
+  const std::uint64_t in_force = std::max(holding_.epoch(), record_.epoch);
+  if (event.header.cluster != history_.cluster() || event.plan.history != history_.cluster() ||
+      event.modified < plan_modified_ || event.plan.epoch < in_force) {
+    ++counters_.older;
+    return;
+  }
+  if (event.modified == plan_modified_ || event.plan.epoch == in_force) return;
+  plan_ = event.plan;
+  plan_modified_ = event.modified;
+  plan_passed_ = false;
+  if (phase_ == Phase::kIn) holding_.lower_to(*plan_, id_);
+}
+
+void Member::on(const Leave&) {
+  leaving_ = true;
+  if (phase_ == Phase::kNoLease) phase_ = Phase::kLeft;
+  if (phase_ != Phase::kLeft) end_incarnation();
+}
+
+void Member::joined() {
+  phase_ = Phase::kIn;
+  ++counters_.joined;
+}
+
+void Member::end_incarnation() {
+  if (phase_ == Phase::kIn) ++counters_.ended;
+  if (phase_ != Phase::kNoLease) phase_ = Phase::kEnding;
+  lease_.forget_call();
+  put_call_ = {};
+  put_epoch_ = 0;
+  record_ = {};
+  modified_ = 0;
+  put_begun_ = -1;
+  holding_.end();
+}
+
+void Member::call_store(MemberOut& out) {
+  if (phase_ == Phase::kEnding && holding_.over() && lease_.lease() == 0 && !lease_.waits()) {
+    phase_ = leaving_ ? Phase::kLeft : Phase::kNoLease;
+  }
+  switch (phase_) {
+    case Phase::kLeft:
+      return;
+    case Phase::kEnding:
+      // As long as something is in use the record has to stand.
+      if (lease_.lease() != 0) lease_.call(!holding_.over(), calls_, now_, out.calls);
+      return;
+    case Phase::kNoLease:
+    case Phase::kNaming:
+    case Phase::kIn:
+      lease_.call(true, calls_, now_, out.calls);
+      if (phase_ != Phase::kNoLease) put_record(out);
+  }
+}
+
+void Member::put_record(MemberOut& out) {
+  if (put_call_.call != 0 || now_ < put_again_) return;
+  const bool acknowledges = phase_ == Phase::kIn && plan_ && !plan_passed_ &&
+                            plan_->epoch > holding_.epoch() && holding_.slots_quiet();
+  Parts parts = record_.in_force;
+  if (acknowledges) {
+    parts = holding_.may_use(holding_.own_parts(*plan_, id_), record_.in_force);
+  } else if (holding_.followed()) {
+    parts = holding_.may_use(holding_.parts(), record_.in_force);
+  }
+  const bool lowers = parts != record_.in_force && now_ >= lower_again_;
+  if (!acknowledges && !lowers && modified_ != 0 && now_ < put_due_) return;
+
+  const TrafficState& traffic = holding_.traffic();
+  put_ = {id_,         zone_,          weight_,       acknowledges ? plan_->epoch : record_.epoch,
+          parts,       traffic.demand, traffic.spent, traffic.ranks,
+          traffic.room};
+  put_epoch_ = acknowledges ? plan_->epoch : 0;
+  put_call_ = {++calls_, now_};
+  const Millis pause = std::min(sharing_.lease / kPuts, kLongestPut);
+  put_due_ = now_ + pause * (0.9 + 0.1 * random_.unit());
+  lower_again_ = now_ + sharing_.lease / kSmallSteps;
+  out.calls.push_back(PutRecord{calls_, lease_.lease(), put_, modified_, acknowledges ? plan_modified_ : 0});
+}
+
+Millis Member::next() const {
+  if (phase_ == Phase::kLeft) return now_ + sharing_.lease;
+  if (phase_ == Phase::kEnding) return now_ + sharing_.lease / kAgain;
+  Millis next = now_ + sharing_.lease / kAgain;
+  if (!lease_.waits()) next = std::min(next, std::max(lease_.due(), now_));
+  if (put_call_.call == 0) next = std::min(next, std::max({put_due_, put_again_, now_}));
+  return next;
+}
+
+}  // namespace shorelead::fleet
--- /dev/null
+++ b/src/fleet/planner.cpp
@@ -0,0 +1,176 @@
+#include "fleet/planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fleet/slots.h"
+
+namespace shorelead::fleet {
+
+namespace {
+
+constexpr double kAgain = 20;     // tries of a call that was lost, within a lease
+constexpr double kSpread = 0.1;   // of a lease, over which processes stand once there is no planner
+constexpr double kTurns = 2;      // leases until small wholes go round
+constexpr double kGivesWay = 10;  // leases, to processes that read the plan that this one cannot
+
+bool same_but_for_number(Plan a, const Plan& b) {
+  a.epoch = b.epoch;
+  a.fence = b.fence;
+  return a == b;
+}
+
+}  // namespace
+
+Planner::Planner(std::string name, const Sharing& sharing, std::vector<Budget> budgets,
+                 std::vector<std::shared_ptr<PlanShaper>> shapers, std::uint64_t seed)
+    : name_(std::move(name)),
+      sharing_(sharing),
+      budgets_(std::move(budgets)),
+      shapers_(std::move(shapers)),
+      random_(seed) {}
+
+PlannerOut Planner::handle(const PlannerEvent& event, Millis now) {
+  now_ = std::max(now_, now);
+  if (elected() && now_ >= lease_until_) resign();
+  std::visit([this](const auto& it) { on(it); }, event);
+  PlannerOut out;
+  call_store(out);
+  out.next = now_ + sharing_.lease / kAgain;
+  if (underway_.call == 0) out.next = std::min(out.next, std::max(now_, elected() ? read_at_ : stand_at_));
+  return out;
+}
+
+bool Planner::hear(const Header& header, Millis begun) {
+  const History::Told told = history_.heard(header, begun, now_);
+  if (told == History::Told::kLost) {
+    if (elected()) resign();
+    put_.reset();
+    leave_ = 0;
+    broken_since_ = -1;
+  }
+  return told == History::Told::kSame || told == History::Told::kFirst;
+}
+
+void Planner::resign() {
+  ++counters_.resigned;
+  fence_ = 0;
+  put_.reset();
+  stand_at_ = now_ + sharing_.lease * (1 + kSpread * random_.unit());
+}
+
+void Planner::on(const LeaseValid& event) {
+  // The election stands under the lease that it was made with.
+  if (elected() && event.lease != lease_) resign();
+  if (event.lease != lease_) value_ = name_ + "/" + std::to_string(random_.next());
+  lease_ = event.lease;
+  lease_until_ = event.until;
+  if (elected() && now_ >= lease_until_) resign();
+}
+
+void Planner::on(const PlannerSeen& event) {
+  if (event.created == 0 && !elected()) {
+    stand_at_ = now_ + sharing_.lease * kSpread * random_.unit();
+  }
+  if (event.created > fence_ && elected()) resign();
+}
+
+void Planner::on(const Elected& event) {
+  if (!underway_.ended_by(event.call) || !hear(event.header, underway_.begun)) return;
+  stand_at_ = now_ + sharing_.lease * (1 + kSpread * random_.unit());
+  if (event.value != value_ || now_ >= lease_until_) return;
+  fence_ = event.created;
+  read_at_ = now_;
+  ++counters_.elected;
+}
+
+void Planner::on(const Abdicated& event) {
+  if (underway_.ended_by(event.call) && hear(event.header, underway_.begun)) leave_ = 0;
+}
+
+void Planner::on(const CallLost& event) {
+  if (!underway_.ended_by(event.call)) return;
+  put_.reset();
+  read_at_ = now_ + sharing_.lease / kAgain;
+  stand_at_ = std::max(stand_at_, read_at_);
+}
+
+void Planner::on(const PlanPut& event) {
+  if (!underway_.ended_by(event.call) || !hear(event.header, underway_.begun)) return;
+  ++(event.done ? counters_.plans : counters_.refused);
+  if (!event.done) read_at_ = now_;
+}
+
+void Planner::on(const AllRead& event) {
+  if (!underway_.ended_by(event.call) || !hear(event.header, underway_.begun) || !elected()) return;
+  if (event.planner_created != fence_) return resign();
+  if (event.plan_modified != 0 && !event.plan && event.newer_form) {
+    ++counters_.unreadable;
+    leave_ = fence_;
+    resign();
+    gives_way_ = now_ + sharing_.lease * kGivesWay;
+    read_at_ = now_;
+    return;
+  }
+  const bool may_raise = all_known(event);
+  if (!may_raise) ++counters_.held;
+  if (broken_since_ >= 0 && now_ - broken_since_ < sharing_.lease) return;
+  std::optional<Plan> plan = plan_from(event, may_raise);
+  if (plan) put_ = PutPlan{0, std::move(*plan), fence_, event.plan_modified};
+}
+
+bool Planner::all_known(const AllRead& read) {
+  const bool broken = read.plan_modified != 0 && !read.plan;
+  if (!broken) broken_since_ = -1;
+  if (broken && broken_since_ < 0) broken_since_ = now_;
+  if (broken || read.unreadable > 0) ++counters_.unreadable;
+  return read.unreadable == 0 && now_ - history_.since() >= sharing_.lease;
+}
+
+std::optional<Plan> Planner::plan_from(const AllRead& read, bool may_raise) {
+  // A copy's maps tell nothing of who has what open; its shares are taken over and only fall.
+  const bool ours = read.plan && read.plan->history == history_.cluster();
+  const Plan* standing = ours ? &*read.plan : nullptr;
+  const PlannerInput input{budgets_, sharing_, read.plan, read.records, fence_, may_raise};
+  const auto turn = static_cast<std::uint64_t>(now_ / (sharing_.lease * kTurns));
+  Plan next = next_plan(input, turn).value_or(read.plan.value_or(Plan{}));
+  next.epoch = (read.plan ? read.plan->epoch : 0) + 1;
+  for (const Record& record : read.records) next.epoch = std::max(next.epoch, record.epoch + 1);
+  next.fence = fence_;
+  next.history = history_.cluster();
+  for (const auto& shaper : shapers_) shaper->shape(next, standing, read.records, now_);
+  hold_slots(next, standing, read.records, may_raise);
+  if (standing != nullptr && same_but_for_number(next, *standing) &&
+      std::all_of(read.records.begin(), read.records.end(),
+                  [&](const Record& record) { return record.epoch <= standing->epoch; })) {
+    return std::nullopt;
+  }
+  if (!read.plan && next.shares.empty() && next.affinity.empty()) return std::nullopt;
+  return next;
+}
+
+void Planner::call_store(PlannerOut& out) {
+  if (underway_.call != 0) return;
+  if (leave_ != 0) {
+    if (now_ < read_at_) return;
+    underway_ = {++calls_, now_};
+    out.calls.push_back(Abdicate{calls_, leave_});
+  } else if (elected() && put_) {
+    underway_ = {++calls_, now_};
+    put_->call = calls_;
+    out.calls.push_back(std::move(*put_));
+    put_.reset();
+  } else if (elected() && now_ >= read_at_) {
+    underway_ = {++calls_, now_};
+    read_at_ = now_ + sharing_.plan_every;
+    out.calls.push_back(ReadAll{calls_});
+  } else if (!elected() && lease_ != 0 && now_ < lease_until_) {
+    // Not all at once: who comes first finds nobody there.
+    if (stand_at_ < 0) stand_at_ = now_ + sharing_.lease * kSpread * random_.unit();
+    if (now_ < stand_at_ || now_ < gives_way_) return;
+    underway_ = {++calls_, now_};
+    out.calls.push_back(Elect{calls_, lease_, value_});
+  }
+}
+
+}  // namespace shorelead::fleet
