A planner waits for what members that left may still have under way

What was sent before a process's validity ran out may go on at the boxes. The planner counts members whose record is gone for so long as that may last (Leavers): their parts of counts at once stand, and no slot opens that they may have had.

--- a/src/fleet/holding.cpp
+++ b/src/fleet/holding.cpp
@@ -31,12 +31,9 @@
   return parts;
 }
 
-double Holding::beyond_reserve(const Budget& budget) const {
+double Holding::in_use(const Budget& budget) const {
   const auto it = traffic_.in_use.find(budget.name);
-  if (it == traffic_.in_use.end()) return 0;
-  const double reserve =
-      sharing_.most_processes > 0 ? std::floor(budget.whole * budget.reserve / sharing_.most_processes) : 0;
-  return std::max(0.0, it->second - reserve);
+  return it == traffic_.in_use.end() ? 0 : it->second;
 }
 
 Parts Holding::may_use(const Parts& parts, const Parts& recorded) const {
@@ -45,8 +42,8 @@
     if (budget.kind != BudgetKind::kAtOnce) continue;
     const auto had = recorded.find(budget.name);
     if (had == recorded.end()) continue;
-    const double in_use = std::min(had->second.amount, beyond_reserve(budget));
-    if (in_use > 0) used[budget.name].amount = std::max(used[budget.name].amount, in_use);
+    const double still = std::min(had->second.amount, in_use(budget));
+    if (still > 0) used[budget.name].amount = std::max(used[budget.name].amount, still);
   }
   return used;
 }
@@ -54,7 +51,7 @@
 bool Holding::over() const {
   if (!slots_quiet()) return false;
   return std::all_of(budgets_.begin(), budgets_.end(), [this](const Budget& budget) {
-    return budget.kind != BudgetKind::kAtOnce || beyond_reserve(budget) <= 0;
+    return budget.kind != BudgetKind::kAtOnce || in_use(budget) <= 0;
   });
 }
 
--- a/src/fleet/holding.h
+++ b/src/fleet/holding.h
@@ -44,7 +44,7 @@
   friend struct ModelEye;
 
   void publish(Snapshot next);
-  double beyond_reserve(const Budget& budget) const;
+  double in_use(const Budget& budget) const;
 
   const Sharing sharing_;
   const std::vector<Budget> budgets_;
--- /dev/null
+++ b/src/fleet/leavers.cpp
@@ -0,0 +1,58 @@
+#include "fleet/leavers.h"
+
+#include <algorithm>
+
+namespace shorelead::fleet {
+
+Leavers::Leavers(const Sharing& sharing, const std::vector<Budget>& budgets) {
+  wait_ = sharing.longest;
+  for (const Budget& budget : budgets) wait_ = std::max(wait_, budget.hold);
+  wait_ *= 1 + 2 * sharing.drift;
+}
+
+void Leavers::begin_anew() {
+  first_read_ = -1;
+  seen_.clear();
+}
+
+void Leavers::read(const std::vector<Record>& records, const std::optional<Plan>& plan, Millis now) {
+  if (first_read_ < 0) first_read_ = now;
+  std::set<std::string> there;
+  for (const Record& record : records) {
+    const std::string id = record.id.text();
+    there.insert(id);
+    seen_[id] = {-1, record.epoch, false};
+  }
+  if (plan) {
+    // Not seen by us: it may have had any plan in force.
+    for (const auto& [id, parts] : plan->shares) seen_.try_emplace(id, Seen{-1, 1, false});
+  }
+  for (auto it = seen_.begin(); it != seen_.end();) {
+    if (!there.contains(it->first) && it->second.gone < 0) it->second.gone = now;
+    it->second.out = it->second.gone >= 0 && now - it->second.gone >= wait_;
+    const bool named = plan && plan->shares.contains(it->first);
+    it = it->second.out && !named ? seen_.erase(it) : std::next(it);
+  }
+}
+
+std::set<std::string> Leavers::gone() const {
+  std::set<std::string> gone;
+  for (const auto& [id, seen] : seen_) {
+    if (seen.gone >= 0 && !seen.out) gone.insert(id);
+  }
+  return gone;
+}
+
+std::vector<Record> Leavers::ghosts() const {
+  std::vector<Record> ghosts;
+  for (const auto& [id, seen] : seen_) {
+    if (seen.gone < 0 || seen.out) continue;
+    Record ghost;
+    ghost.id.name = id;
+    ghost.epoch = std::max<std::uint64_t>(seen.epoch, 1);
+    ghosts.push_back(std::move(ghost));
+  }
+  return ghosts;
+}
+
+}  // namespace shorelead::fleet
--- a/src/fleet/member_events.h
+++ b/src/fleet/member_events.h
@@ -29,7 +29,7 @@
 // What the traffic tells, read from its cells.
 struct TrafficState {
   std::uint64_t generation = 0;          // of the snapshot in force there
-  std::map<std::string, double> in_use;  // by budget of kind kAtOnce, with what the reserve bears
+  std::map<std::string, double> in_use;  // by budget of kind kAtOnce: AtOnceShare::beyond_reserve
   std::map<std::string, double> demand;  // by budget
   std::map<std::string, double> spent;   // by budget
   std::map<int, RankLoad> ranks;
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -28,7 +28,8 @@
       sharing_(sharing),
       budgets_(std::move(budgets)),
       shapers_(std::move(shapers)),
-      random_(seed) {}
+      random_(seed),
+      leavers_(sharing, budgets_) {}
 
 PlannerOut Planner::handle(const PlannerEvent& event, Millis now) {
   now_ = std::max(now_, now);
@@ -80,6 +81,7 @@
   stand_at_ = now_ + sharing_.lease * (1 + kSpread * random_.unit());
   if (event.value != value_ || now_ >= lease_until_) return;
   fence_ = event.created;
+  leavers_.begin_anew();
   read_at_ = now_;
   ++counters_.elected;
 }
@@ -112,6 +114,7 @@
     read_at_ = now_;
     return;
   }
+  leavers_.read(event.records, event.plan, now_);
   const bool may_raise = all_known(event);
   if (!may_raise) ++counters_.held;
   if (broken_since_ >= 0 && now_ - broken_since_ < sharing_.lease) return;
@@ -124,14 +127,14 @@
   if (!broken) broken_since_ = -1;
   if (broken && broken_since_ < 0) broken_since_ = now_;
   if (broken || read.unreadable > 0) ++counters_.unreadable;
-  return read.unreadable == 0 && now_ - history_.since() >= sharing_.lease;
+  return read.unreadable == 0 && now_ - history_.since() >= sharing_.lease + leavers_.wait();
 }
 
 std::optional<Plan> Planner::plan_from(const AllRead& read, bool may_raise) {
   // A copy's maps tell nothing of who has what open; its shares are taken over and only fall.
   const bool ours = read.plan && read.plan->history == history_.cluster();
   const Plan* standing = ours ? &*read.plan : nullptr;
-  const PlannerInput input{budgets_, sharing_, read.plan, read.records, fence_, may_raise};
+  const PlannerInput input{budgets_, sharing_, read.plan, read.records, fence_, may_raise, leavers_.gone()};
   const auto turn = static_cast<std::uint64_t>(now_ / (sharing_.lease * kTurns));
   Plan next = next_plan(input, turn).value_or(read.plan.value_or(Plan{}));
   next.epoch = (read.plan ? read.plan->epoch : 0) + 1;
@@ -139,7 +142,9 @@
   next.fence = fence_;
   next.history = history_.cluster();
   for (const auto& shaper : shapers_) shaper->shape(next, standing, read.records, now_);
-  hold_slots(next, standing, read.records, may_raise);
+  std::vector<Record> with_ghosts = leavers_.ghosts();
+  with_ghosts.insert(with_ghosts.end(), read.records.begin(), read.records.end());
+  hold_slots(next, standing, with_ghosts, may_raise && leavers_.knows_all(now_));
   if (standing != nullptr && same_but_for_number(next, *standing) &&
       std::all_of(read.records.begin(), read.records.end(),
                   [&](const Record& record) { return record.epoch <= standing->epoch; })) {
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -20,6 +20,7 @@
 #include "fleet/division.h"
 #include "fleet/history.h"
 #include "fleet/lease_keeper.h"
+#include "fleet/leavers.h"
 #include "fleet/plan.h"
 #include "fleet/planner_events.h"
 #include "fleet/spec.h"
@@ -90,7 +91,8 @@
   Underway underway_;
   std::uint64_t leave_ = 0;  // fence of an election that is to be given back
   Millis read_at_ = 0;
-  Millis broken_since_ = -1;    // the plan that stands cannot be read; -1 = it can
+  Millis broken_since_ = -1;  // the plan that stands cannot be read; -1 = it can
+  Leavers leavers_;
   std::optional<PutPlan> put_;  // that comes next
 };
 
--- a/src/fleet/spec.h
+++ b/src/fleet/spec.h
@@ -48,6 +48,7 @@
   Millis plan_every = 500;  // the planner looks so often whether to divide anew
   double drift = 0.01;      // clocks differ by at most this share of any span
   Millis margin = 50;       // and what is spent reaches a box within this
+  Millis longest = 0;       // what was sent for a slot is over after this, whatever becomes of who sent it
 
   bool operator==(const Sharing&) const = default;
 };
