Shares of a rate, of so many at once and of further attempts

What a process was told it may spend has to be spent so that the sum over all processes stays within the whole over every window, also while parts move, leases run out and processes stand still.

- spec: hold; most_part 0.9 by default: with 0.6 one of ten processes that has nine tenths of the demand could never reach the 0.85 of the whole that is asked for. division.h: reserve_of, divisible, usable, turns_each, lately_gone.

--- a/src/fleet/division.h
+++ b/src/fleet/division.h
@@ -3,7 +3,11 @@
 // leaves.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "base/millis.h"
@@ -12,10 +16,26 @@
 
 namespace shorelead::fleet {
 
-// Divides one budget by demand: a least part for each, the rest by demand bounded by `most_part`, what nobody
-// asks for in equal parts. Small wholes go round in units: `turn` grows with each division. The result adds
-// up to at most the whole less its reserve. Order of `records` does not matter.
-std::vector<Part> divide(const Budget& budget, const std::vector<Record>& records, std::uint64_t turn);
+// What one process may spend without any plan, of `Sharing::most_processes` that are as large. Whole units,
+// of the burst where it is a rate: there one unit each where all of them together are at most half of the
+// burst; none where it would be less than a unit.
+Part reserve_of(const Budget& budget, const Sharing& sharing);
+
+// What a plan may divide: the whole less everybody's reserve; whole units, of the burst where it is a rate.
+Part divisible(const Budget& budget, const Sharing& sharing);
+
+// Divides one budget by demand, as high as possible at one level for all who ask for more (max-min): a least
+// part for each, what nobody asks for in equal parts, nobody over `most_part`. What a record claims counts up
+// to an equal part; beyond it at most twice what it spent of what it had, and a unit: who claims and does not
+// spend gains nothing, and a true demand doubles with each division. Where somebody would have less than one
+// unit, units go round with `turn`, a step every `turns_each` of them, each process as often as its part is
+// large. The result adds up to at most `divisible`; it is in the order of `records`, whose order does not
+// matter otherwise.
+std::vector<Part> divide(const Budget& budget, const Sharing& sharing, const std::vector<Record>& records,
+                         std::uint64_t turn);
+
+// Turns between two steps of units that go round: long enough that what a process is handed can be spent.
+std::uint64_t turns_each(const Budget& budget, const Sharing& sharing);
 
 struct PlannerInput {
   std::vector<Budget> budgets;
@@ -23,15 +43,28 @@
   std::optional<Plan> plan;     // that stands; none = there is none yet, or none that can be read
   std::vector<Record> records;  // all members' at one revision at or after the plan's
   std::uint64_t fence = 0;
-  bool may_raise = false;  // one history was heard for a whole lease
+  // One history was heard for a whole lease, and no plan is there that cannot be read: else nobody gets more
+  // than his record says, or the plan that stands.
+  bool may_raise = false;
+  // Members of the standing plan whose record is gone for less than the longest `hold`, by MemberId::text():
+  // what they had at once may still be in use at the boxes, so that their parts of that kind stand.
+  std::set<std::string> lately_gone;
 };
 
 // The next plan with the aim of `divide`, cut to what max(record, old, new) leaves; nothing where it would
-// change nothing worth a write. `cut_off` and `affinity` are taken over from the old plan, for others to
-// change.
+// change nothing worth a write: nobody has use for more, or less than a unit or 5% of an equal part would
+// move. Members without a record are dropped, new ones begin at nothing. `wholes` is that of the planner's
+// file. `cut_off` and `affinity` are taken over from the old plan, for others to change.
 std::optional<Plan> next_plan(const PlannerInput& input, std::uint64_t turn);
 
 // max(record, plan) of one process for one budget.
 Part bound_of(const Plan* plan, const Record* record, const std::string& member, const std::string& budget);
 
+// What a process may spend of its parts in a plan: where the plan was made from larger wholes than its own
+// file states, each is cut in proportion; so nobody spends beyond the smaller of the two. A budget that the
+// plan or the file lacks, or that is a rate in one of them only, gives nothing. Reserves are each file's own:
+// while two versions that differ in them run side by side, a sum may be over by the difference.
+Parts usable(const Parts& parts, const std::map<std::string, Part>& wholes,
+             const std::vector<Budget>& budgets);
+
 }  // namespace shorelead::fleet
--- a/src/fleet/spec.h
+++ b/src/fleet/spec.h
@@ -33,9 +33,10 @@
   double burst = 1;       // kRate: over any window W at most whole x W + burst
   double ratio = 0;       // kAttempts
   Millis window = 0;      // kAttempts
+  Millis hold = 0;        // kAtOnce: none is in use for longer, whatever becomes of the process that began it
   double reserve = 0.05;  // part of the whole that needs no plan, in equal parts of `Sharing::most_processes`
   double least_part = 0.05;  // part of the rest that is divided equally whatever the demand
-  double most_part = 0.6;    // of the whole, that one process can be given, whatever it claims
+  double most_part = 0.9;    // of the whole, that one process can be given, whatever it claims
   BudgetScope scope;
 
   bool operator==(const Budget&) const = default;
