--- a/src/fleet/spec.h
+++ b/src/fleet/spec.h
@@ -33,9 +33,10 @@
   double burst = 1;       // kRate: over any window W at most whole x W + burst
   double ratio = 0;       // kAttempts
   Millis window = 0;      // kAttempts
+  Millis hold = 0;        // kAtOnce: none is in use for longer, whatever becomes of the process that began it
   double reserve = 0.05;  // part of the whole that needs no plan, in equal parts of `Sharing::most_processes`
   double least_part = 0.05;  // part of the rest that is divided equally whatever the demand
-  double most_part = 0.6;    // of the whole, that one process can be given, whatever it claims
+  double most_part = 0.9;    // of the whole, that one process can be given, whatever it claims
   BudgetScope scope;
 
   bool operator==(const Budget&) const = default;
@@ -48,6 +49,7 @@
   Millis plan_every = 500;  // the planner looks so often whether to divide anew
   double drift = 0.01;      // clocks differ by at most this share of any span
   Millis margin = 50;       // and what is spent reaches a box within this
+  Millis longest = 0;       // what was sent for a slot is over after this, whatever becomes of who sent it
 
   bool operator==(const Sharing&) const = default;
 };
