Division of a budget by demand, and the next plan within what is left

The planner decides who gets how much: water-filling at one level (max-min), a least part for each, what nobody asks for in equal parts; whole units that go round where there are fewer than processes (systematic rounding with a phase that moves with the turn). next_plan cuts the aim to what max(record, old, new) leaves and writes only what somebody has use for.

--- a/src/fleet/division.h
+++ b/src/fleet/division.h
@@ -34,6 +34,9 @@
 std::vector<Part> divide(const Budget& budget, const Sharing& sharing, const std::vector<Record>& records,
                          std::uint64_t turn);
 
+// Amounts are written in few digits: `value` cut to a millionth of the whole, in decimals.
+double grained(double value, double whole);
+
 // Turns between two steps of units that go round: long enough that what a process is handed can be spent.
 std::uint64_t turns_each(const Budget& budget, const Sharing& sharing);
 
@@ -43,8 +46,8 @@
   std::optional<Plan> plan;     // that stands; none = there is none yet, or none that can be read
   std::vector<Record> records;  // all members' at one revision at or after the plan's
   std::uint64_t fence = 0;
-  // One history was heard for a whole lease, and no plan is there that cannot be read: else nobody gets more
-  // than his record says, or the plan that stands.
+  // One history was heard for a whole lease, and there is neither a plan nor a record that cannot be read:
+  // else nobody gets more than his record says, or the plan that stands.
   bool may_raise = false;
   // Members of the standing plan whose record is gone for less than the longest `hold`, by MemberId::text():
   // what they had at once may still be in use at the boxes, so that their parts of that kind stand.
--- /dev/null
+++ b/src/fleet/next_plan.cpp
@@ -0,0 +1,143 @@
+// Cuts the aim of a division to what the invariant of plan.h leaves, and says whether it is worth a write.
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <set>
+
+#include "fleet/division.h"
+
+namespace shorelead::fleet {
+namespace {
+
+constexpr double kWorth = 0.05;   // of an equal part: less is not worth a write
+constexpr double kPressed = 0.9;  // of what it may spend: who asks for more than that has use for more
+constexpr std::uint64_t kGreatestEpoch = 1e15;  // a record that says more lies
+constexpr double kNone = 1e-9;                  // rounding
+
+struct Member {
+  std::string id;
+  const Record* record;  // null: gone lately
+};
+
+// One figure (amount, or burst) of one budget for all members.
+struct Column {
+  std::vector<double> old, bound, aim, next;
+  double most = 0;
+  bool units = false;  // whole ones only
+
+  double sum(const std::vector<double>& values) const {
+    return std::accumulate(values.begin(), values.end(), 0.0);
+  }
+
+  // Lowers always; raises in proportion out of what nobody has or may have.
+  void cut(bool may_raise) {
+    next = aim;
+    double wished = 0;
+    for (std::size_t n = 0; n < aim.size(); ++n) wished += std::max(0.0, aim[n] - bound[n]);
+    const double free = std::max(0.0, most - sum(bound) + (units ? kNone : 0));
+    const double share = !may_raise || wished <= 0 ? 0 : std::min(1.0, free / wished);
+    double given = 0, due = 0;
+    for (std::size_t n = 0; n < aim.size(); ++n) {
+      if (aim[n] <= bound[n]) continue;
+      due += (aim[n] - bound[n]) * share;
+      const double to = bound[n] + (aim[n] - bound[n]) * share;
+      const double raise =
+          units ? std::floor(due + kNone) - given : std::max(0.0, grained(to, most) - bound[n]);
+      given += raise;
+      next[n] = bound[n] + raise;
+    }
+  }
+  double moved() const {
+    double sum = 0;
+    for (std::size_t n = 0; n < next.size(); ++n) sum += std::abs(next[n] - old[n]);
+    return sum;
+  }
+};
+
+// One budget's next parts, into `plan`. Whether that is worth a write.
+bool next_parts(const Budget& budget, const PlannerInput& input, const std::vector<Member>& members,
+                std::uint64_t turn, Plan& plan) {
+  const bool rate = budget.kind == BudgetKind::kRate;
+  const Plan* const standing = input.plan ? &*input.plan : nullptr;
+  const Part all = divisible(budget, input.sharing);
+  const std::vector<Part> aims = divide(budget, input.sharing, input.records, turn);
+  Column amount, burst;
+  amount.most = all.amount;
+  amount.units = !rate;
+  burst.most = all.burst;
+  burst.units = true;
+  const double reserve = reserve_of(budget, input.sharing).amount;
+  const double equal = all.amount / static_cast<double>(std::max<std::size_t>(1, members.size()));
+  const double worth = rate ? kWorth * equal : std::max(1.0, kWorth * equal);
+  bool pressed = false;
+  bool idle = false;
+  for (std::size_t n = 0; n < members.size(); ++n) {
+    const Member& m = members[n];
+    const Part old = bound_of(standing, nullptr, m.id, budget.name);
+    Part bound = bound_of(standing, m.record, m.id, budget.name);
+    if (m.record == nullptr && budget.kind != BudgetKind::kAtOnce) bound = {};
+    const Part aim = m.record != nullptr ? aims[n] : bound;
+    amount.old.push_back(old.amount);
+    amount.bound.push_back(bound.amount);
+    amount.aim.push_back(aim.amount);
+    burst.old.push_back(old.burst);
+    burst.bound.push_back(bound.burst);
+    burst.aim.push_back(aim.burst);
+    if (m.record == nullptr) continue;
+    const auto demand = m.record->demand.find(budget.name);
+    const double asked = demand == m.record->demand.end() ? 0 : demand->second;
+    const bool wants = aim.amount - old.amount >= std::max(worth, kWorth * old.amount) - kNone;
+    if (old.amount <= 0 && wants) idle = true;
+    if (asked > 0 && asked >= kPressed * (old.amount + reserve) && wants) pressed = true;
+  }
+  // Who asks for nothing gets from what is free, but nobody is lowered for it.
+  pressed = pressed || (idle && amount.most - amount.sum(amount.bound) >= worth);
+  amount.cut(input.may_raise);
+  burst.cut(input.may_raise);
+  for (std::size_t n = 0; n < members.size(); ++n) {
+    Part part{amount.next[n], rate ? burst.next[n] : 0};
+    if (rate && part.burst < 1) part = {};
+    if (part.amount > 0) plan.shares[members[n].id][budget.name] = part;
+  }
+  const bool over = amount.sum(amount.bound) > amount.most * (1 + kNone) + kNone ||
+                    burst.sum(burst.bound) > burst.most + kNone;
+  const bool moves = amount.moved() >= worth - kNone || (rate && burst.moved() >= 1);
+  return (over && amount.moved() + burst.moved() > 0) || (pressed && moves);
+}
+
+}  // namespace
+
+std::optional<Plan> next_plan(const PlannerInput& input, std::uint64_t turn) {
+  Plan next;
+  std::vector<Member> members;
+  std::set<std::string> here;
+  for (const Record& r : input.records) {
+    members.push_back({r.id.text(), &r});
+    here.insert(members.back().id);
+    if (r.epoch < kGreatestEpoch) next.epoch = std::max(next.epoch, r.epoch);
+  }
+  if (input.plan) {
+    for (const auto& [id, parts] : input.plan->shares) {
+      if (here.count(id) == 0 && input.lately_gone.count(id) != 0) members.push_back({id, nullptr});
+    }
+    next.cut_off = input.plan->cut_off;
+    next.affinity = input.plan->affinity;
+    next.epoch = input.plan->epoch;
+  }
+  ++next.epoch;
+  next.fence = input.fence;
+  bool worth = !input.plan || input.plan->shares.size() != members.size();
+  for (const Member& m : members) {
+    next.shares[m.id];
+    worth = worth || input.plan->shares.count(m.id) == 0;
+  }
+  for (const Budget& b : input.budgets) {
+    next.wholes[b.name] = {b.whole, b.kind == BudgetKind::kRate ? b.burst : 0};
+    worth = next_parts(b, input, members, turn, next) || worth;
+  }
+  worth = worth || next.wholes != input.plan->wholes;
+  if (!worth) return std::nullopt;
+  return next;
+}
+
+}  // namespace shorelead::fleet
