--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -122,6 +122,9 @@
      "most that may ever run at once; each has a reserve by it"},
     {"lease", Type::kTime, 500, 600000, false, "",
      "a process that is not heard of for so long has no share; 5 s if not told"},
+    {"client", Type::kWord, 0, 0, false, "",
+     "the header that tells a tenant's clients apart, where they are shed by plans; a tenant goes as one if "
+     "not told"},
     {"drift", Type::kShare, 0, 0.1, false, "", "that clocks may differ by; 1 % if not told"},
 };
 
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -15,6 +15,7 @@
 #include "membership/registry/client.h"
 #include "membership/view.h"
 #include "node/facade.h"
+#include "node/fleet_config.h"
 #include "routing/plan.h"
 #include "settings/settings.h"
 
@@ -67,6 +68,7 @@
   FleetOptions fleet;                    // from the file of our own, if there is one
   // From a .shore file. Empty: there is one pool, which is what stands above.
   std::vector<PoolConfig> pools;
+  std::optional<FleetConfig> shared;  // what this process shares with others; only .shore files say it
   std::vector<std::string> warnings;  // of the .shore file, in the checker's words
 };
 
