Which budgets and plan a request has: in the node's rules, in explain and in diff

Need: a request spends of every budget whose scope it is in, and people ask which. Change: node/fleet_rules (bits by pool, route, class, tenant; the narrowest first), explain in a file of its own beside main, words for budgets and plans, facts for diff. Seen: config explain and diff on an example name the budgets, the plan and its rank, a changed rate and a tenant that got a plan. config_test 22, language_test 9.

--- a/src/language/fit_fleet.cpp
+++ b/src/language/fit_fleet.cpp
@@ -10,6 +10,8 @@
 namespace shorelead::language {
 namespace {
 
+constexpr std::size_t kMostBudgets = 64;  // what a request spends of is a word of bits
+
 // What each kind of budget says, and what it must say.
 struct Kind {
   std::string_view name;
@@ -106,6 +108,10 @@
     }
     if (s.block->name == "budget") fit_budget(s, index, problems);
   }
+  if (index.named("budget").size() > kMostBudgets) {
+    problems.problem(index.section("budget", index.named("budget")[kMostBudgets])->place,
+                     "there are more than " + std::to_string(kMostBudgets) + " budgets");
+  }
   fit_plans(document, problems);
 }
 
--- a/src/node/difference.cpp
+++ b/src/node/difference.cpp
@@ -4,6 +4,8 @@
 #include <map>
 #include <sstream>
 
+#include "node/fleet_words.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -172,6 +174,7 @@
                         : text(s.zone));
   for (std::size_t n = 0; n < s.classes.size(); ++n) add_class(config.host.classes[n], s.classes[n], facts);
   for (const PoolConfig& pool : pools) add_pool(pool, pools, facts);
+  if (config.shared) fleet_facts(*config.shared, facts);
   if (!config.routes) {
     put("routes", "the first part of the path is the class");
     return facts;
--- /dev/null
+++ b/src/node/explain.cpp
@@ -0,0 +1,115 @@
+#include "node/explain.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "node/fleet_rules.h"
+#include "node/fleet_words.h"
+#include "plans/order.h"
+
+namespace shorelead::node {
+namespace {
+
+// Where a route leads, and what a request's key makes of its shares.
+int to_pool(const Config& config, const routing::Route& route,
+            const std::function<std::string_view(std::string_view)>& field, std::ostream& out) {
+  const auto name = [&config](int pool) { return config.pools[static_cast<std::size_t>(pool)].name; };
+  int to = route.arms.empty() ? 0 : route.arms.front().pool;
+  if (route.arms.size() > 1) {
+    std::string_view key = field(route.by);
+    if (key.empty()) key = field("idempotency-key");
+    if (key.empty()) key = field("x-request-id");
+    for (const auto& arm : route.arms) out << "split: pool " << arm.name << " " << arm.share * 100 << " %\n";
+    if (key.empty()) {
+      out << "pool: by " << route.by << ", which was not told\n";
+      return -1;
+    }
+    to = routing::arm_of(route, key);
+    out << "pool " << name(to) << ": " << route.by << " \"" << key << "\" keeps it\n";
+  } else {
+    out << "pool " << name(to) << "\n";
+  }
+  const int first = to;
+  for (std::size_t steps = 0; steps < config.pools.size(); ++steps) {
+    to = config.pools[static_cast<std::size_t>(to)].fallback;
+    if (to < 0) break;
+    out << "where nobody is ready there: pool " << name(to) << "\n";
+  }
+  return first;
+}
+
+// Budgets, plan and rank.
+void fleet_words(const Config& config, int pool, int route, int request_class,
+                 const std::function<std::string_view(std::string_view)>& field, std::ostream& out) {
+  const FleetConfig& fleet = *config.shared;
+  const std::string_view tenant = field("x-tenant-id");
+  const std::uint64_t mask = FleetRules(fleet, config).budgets_of(pool, route, request_class, tenant);
+  for (std::size_t b = 0; b < fleet.budgets.size(); ++b) {
+    if ((mask >> b & 1) == 0) continue;
+    out << "budget " << fleet.budgets[b].name << ": " << words_of(fleet.budgets[b])
+        << ", of all processes together\n";
+  }
+  if (fleet.plans.empty()) return;
+  std::vector<double> worths;
+  for (const RequestClass& c : config.settings.classes) worths.push_back(c.worth);
+  const plans::Order order(fleet.plans, worths);
+  const int plan = order.plan_of(tenant);
+  out << "plan " << order.plans()[static_cast<std::size_t>(plan)].name << ": in a shortage of the fleet rank "
+      << order.rank_of(plan, request_class) + 1 << " of " << order.ranks() << ", the last goes first\n";
+}
+
+}  // namespace
+
+bool explain(const Config& config, const std::string& request, const std::vector<std::string>& headers,
+             std::ostream& out) {
+  const std::size_t blank = request.find(' ');
+  const std::size_t slash = request.find('/', blank == std::string::npos ? 0 : blank);
+  if (blank == std::string::npos || slash == std::string::npos) {
+    throw FieldError("a request is said as in: 'GET a.example.org/checks/7'");
+  }
+  const std::string method = request.substr(0, blank);
+  const std::string host = request.substr(blank + 1, slash - blank - 1);
+  const std::string target = request.substr(slash);
+  const std::function<std::string_view(std::string_view)> field =
+      [&headers](std::string_view name) -> std::string_view {
+    for (const std::string& header : headers) {
+      const std::size_t colon = header.find(':');
+      if (colon == std::string::npos || !same_name(header.substr(0, colon), name)) continue;
+      return trim(std::string_view(header).substr(colon + 1));
+    }
+    return {};
+  };
+  std::optional<int> found;
+  int pool = 0;
+  int number = -1;  // of the route
+  if (config.routes) {
+    const auto rule = config.routes->table.find({host, target, method, &field});
+    if (rule) {
+      const auto& route = config.routes->routes[*rule];
+      out << "route " << route.name << " (" << route.place << ")\n";
+      pool = to_pool(config, route, field, out);
+      number = static_cast<int>(*rule);
+      found = route.request_class;
+    }
+  } else {
+    const std::string first = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
+    const auto known = std::find(config.host.classes.begin(), config.host.classes.end(), first);
+    if (known != config.host.classes.end()) found = static_cast<int>(known - config.host.classes.begin());
+    out << "no routes: the first part of the path is the class\n";
+  }
+  if (!found) {
+    out << "answered 404: " << (config.routes ? "no route takes it" : "there is no such class") << "\n";
+    return false;
+  }
+  const auto n = static_cast<std::size_t>(*found);
+  const RequestClass& c = config.settings.classes[n];
+  const char* const effects[] = {"safe", "keyed", "unsafe"};
+  out << "class " << config.host.classes[n] << ": " << effects[static_cast<int>(c.effect)] << ", wanted in "
+      << c.aim << " ms, given up after " << c.deadline << " ms\n"
+      << "attempts: " << config.settings.max_attempts << " at most"
+      << (c.effect == Effect::kUnsafe ? ", another only where none can have run" : "") << "\n";
+  if (config.shared) fleet_words(config, pool, number, *found, field, out);
+  return true;
+}
+
+}  // namespace shorelead::node
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -23,6 +23,7 @@
 #include "language/reference.h"
 #include "node/config.h"
 #include "node/difference.h"
+#include "node/explain.h"
 #include "node/migrate.h"
 #include "node/net.h"
 #include "node/own.h"
@@ -187,83 +188,6 @@
   return found.empty() ? 0 : 1;
 }
 
-// Where a route leads, and what a request's key makes of its shares.
-void to_pool(const Config& config, const shorelead::routing::Route& route,
-             const std::function<std::string_view(std::string_view)>& field) {
-  const auto name = [&config](int pool) { return config.pools[static_cast<std::size_t>(pool)].name; };
-  int to = route.arms.empty() ? 0 : route.arms.front().pool;
-  if (route.arms.size() > 1) {
-    std::string_view key = field(route.by);
-    if (key.empty()) key = field("idempotency-key");
-    if (key.empty()) key = field("x-request-id");
-    for (const auto& arm : route.arms)
-      std::cout << "split: pool " << arm.name << " " << arm.share * 100 << " %\n";
-    if (key.empty()) {
-      std::cout << "pool: by " << route.by << ", which was not told\n";
-      return;
-    }
-    to = shorelead::routing::arm_of(route, key);
-    std::cout << "pool " << name(to) << ": " << route.by << " \"" << key << "\" keeps it\n";
-  } else {
-    std::cout << "pool " << name(to) << "\n";
-  }
-  for (std::size_t steps = 0; steps < config.pools.size(); ++steps) {
-    to = config.pools[static_cast<std::size_t>(to)].fallback;
-    if (to < 0) break;
-    std::cout << "where nobody is ready there: pool " << name(to) << "\n";
-  }
-}
-
-// Which route, class and limits a request gets, and from which line. `request` is "METHOD host/path".
-int explain(const std::string& path, const std::string& request, const std::vector<std::string>& headers) {
-  const Config config = shorelead::node::load_shore(path, {}, shorelead::language::disk());
-  const std::size_t blank = request.find(' ');
-  const std::size_t slash = request.find('/', blank == std::string::npos ? 0 : blank);
-  if (blank == std::string::npos || slash == std::string::npos) {
-    throw shorelead::FieldError("a request is said as in: 'GET a.example.org/checks/7'");
-  }
-  const std::string method = request.substr(0, blank);
-  const std::string host = request.substr(blank + 1, slash - blank - 1);
-  const std::string target = request.substr(slash);
-  const std::function<std::string_view(std::string_view)> field =
-      [&headers](std::string_view name) -> std::string_view {
-    for (const std::string& header : headers) {
-      const std::size_t colon = header.find(':');
-      if (colon == std::string::npos || !shorelead::node::same_name(header.substr(0, colon), name)) continue;
-      return shorelead::node::trim(std::string_view(header).substr(colon + 1));
-    }
-    return {};
-  };
-  std::optional<int> found;
-  if (config.routes) {
-    const auto rule = config.routes->table.find({host, target, method, &field});
-    if (rule) {
-      const auto& route = config.routes->routes[*rule];
-      std::cout << "route " << route.name << " (" << route.place << ")\n";
-      to_pool(config, route, field);
-      found = route.request_class;
-    }
-  } else {
-    const std::string first = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
-    const auto known = std::find(config.host.classes.begin(), config.host.classes.end(), first);
-    if (known != config.host.classes.end()) found = static_cast<int>(known - config.host.classes.begin());
-    std::cout << "no routes: the first part of the path is the class\n";
-  }
-  if (!found) {
-    std::cout << "answered 404: " << (config.routes ? "no route takes it" : "there is no such class") << "\n";
-    return 1;
-  }
-  const auto n = static_cast<std::size_t>(*found);
-  const shorelead::RequestClass& c = config.settings.classes[n];
-  const char* const effects[] = {"safe", "keyed", "unsafe"};
-  std::cout << "class " << config.host.classes[n] << ": " << effects[static_cast<int>(c.effect)]
-            << ", wanted in " << c.aim << " ms, given up after " << c.deadline << " ms\n"
-            << "attempts: " << config.settings.max_attempts << " at most"
-            << (c.effect == shorelead::Effect::kUnsafe ? ", another only where none can have run" : "")
-            << "\n";
-  return 0;
-}
-
 // The folder that one process of a node shares with the next, and what a process that serves hands over.
 shorelead::node::Server::Place take_place(Config& config) {
   constexpr double kWait = 1500;  // ms, for the other process to answer
@@ -385,7 +309,11 @@
     }
     if (check->parsed()) return check_file(file, strict);
     if (migrating->parsed()) return migrate_file(file, output, dry, replace, shape);
-    if (explaining->parsed()) return explain(file, request, headers);
+    if (explaining->parsed())
+      return shorelead::node::explain(shorelead::node::load_shore(file, {}, shorelead::language::disk()),
+                                      request, headers, std::cout)
+                 ? 0
+                 : 1;
     if (diffing->parsed()) {
       try {
         return print_difference(before, after, json);
--- a/src/node/shore_fleet.cpp
+++ b/src/node/shore_fleet.cpp
@@ -75,6 +75,14 @@
     if (one.block->name == "budget") fleet.budgets.push_back(budget_of(one));
     if (one.block->name == "plan") fleet.plans.push_back(plan_of(one));
   }
+  // What is meant for few binds before what is meant for all, which then loses nothing to requests that are
+  // refused.
+  const auto narrow = [](const fleet::Budget& b) {
+    return !b.scope.pool.empty() + !b.scope.route.empty() + !b.scope.request_class.empty() +
+           2 * !b.scope.tenant.empty();
+  };
+  std::stable_sort(fleet.budgets.begin(), fleet.budgets.end(),
+                   [&](const fleet::Budget& a, const fleet::Budget& b) { return narrow(a) > narrow(b); });
   for (fleet::Budget& budget : fleet.budgets) {
     if (budget.kind == fleet::BudgetKind::kAtOnce) budget.hold = longest_wait(budget, config);
   }
