--- /dev/null
+++ b/src/policy/health.h
@@ -0,0 +1,132 @@
+// Which backends are spared: those that fail much rest, as the outcomes of our own attempts tell, and cold
+// ones are sent no more than their budget. It owns both records; it must never let one off for a request's
+// sake.
+#pragma once
+
+#include <cmath>
+
+#include "base/numbers.h"
+#include "policy/lists.h"
+
+namespace shorelead::policy {
+
+constexpr double kHealthGain = 0.25;       // weight of one outcome in the share of failures
+constexpr double kErrorGain = 0.5;         // and of an error, which no crowd explains
+constexpr double kUsualGain = 0.05;        // weight of one in what is usual; where that is failing, a further
+constexpr double kUsualDoubt = 20;         // failure says less: by one plus this times what is usual
+constexpr std::size_t kMedianParts = 128;  // a median is worked out anew once one in so many had an outcome
+constexpr double kSickShare = 0.8;         // failing more than this, and
+constexpr double kSickMargin = 0.4;        // this much more than the fleet, a backend rests
+constexpr Millis kRestMin = 1000;          // first rest; doubles while it goes on failing
+constexpr Millis kRestMax = 8000;          // longest rest
+constexpr double kColdSafety = 0.5;        // of a cold backend's budget, for what a node cannot see
+constexpr double kColdTurn = 2;            // requests of this node for which a turn to a cold backend is open
+
+class Health {
+ public:
+  Health(const Context& context, const Lists& lists) : c_(context), lists_(lists) {}
+  void welcome(BackendId i) { of_[i].assign(of_class(static_cast<int>(c_.settings.classes.size())), {}); }
+  void settings_changed() {
+    for (auto& records : of_) records.resize(of_class(static_cast<int>(c_.settings.classes.size())));
+  }
+
+  // Of a backend that is ready: whatever is asked, or for this class.
+  bool rests(BackendId i, Millis now) const { return now < std::max(of_[i][0].until, of_[i][1].until); }
+  bool rests_for(BackendId i, int request_class) const {
+    const std::size_t n = of_class(request_class);
+    return rests(i, c_.now) || c_.now < std::max(of_[i][n].until, of_[i][n + 1].until);
+  }
+
+  // Exception "health": a backend may fail, hang or fail one class while its probes pass. One that fails much
+  // more than the others rests, ever longer; after a rest one more failure suffices for the next.
+  void learn(BackendId i, int request_class, Outcome outcome) {
+    const bool silent = outcome == Outcome::kNoAnswer;
+    const bool unreachable = outcome == Outcome::kNoConnection;
+    const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
+    if (!silent && !error && outcome != Outcome::kServed) return;
+    ++outcomes_;
+    for (const std::size_t n : {std::size_t{0}, of_class(request_class)}) {
+      judge(i, n, silent, kHealthGain);
+      judge(i, n + 1, error, unreachable && n == 0 ? 1 : kErrorGain);
+    }
+  }
+
+ private:
+  struct Record {
+    double failing = 0;
+    double usual = 0;  // the same over more of them
+    Millis until = 0;  // it rests
+    Millis rest = 0;
+  };
+  // Silences (even) and errors (odd), as a crowd explains only the first; over all classes, then of each.
+  static std::size_t of_class(int request_class) { return 2 * static_cast<std::size_t>(request_class) + 2; }
+
+  void judge(BackendId i, std::size_t n, bool bad, double gain) {
+    Record& h = of_[i][n];
+    h.usual += kUsualGain * ((bad ? 1.0 : 0.0) - h.usual);
+    // Where connections break everywhere, some failures in a row are chance.
+    if (bad) gain /= 1 + kUsualDoubt * median_of(n, &Record::usual);
+    h.failing += gain * ((bad ? 1.0 : 0.0) - h.failing);
+    if (!bad && h.failing < 1 - kSickShare) h.rest = 0;
+    if (!bad || h.failing <= kSickShare || c_.now < h.until) return;
+    // Compared with the median backend, so most never rest at once.
+    if (h.failing <= median_of(n, &Record::failing) + kSickMargin) return;
+    h.rest = std::clamp(h.rest * 2, kRestMin, kRestMax);
+    h.until = c_.now + h.rest;
+    h.failing = kSickShare;
+  }
+
+  // Over all ready backends; worked out anew once one in kMedianParts of them had an outcome.
+  double median_of(std::size_t n, double Record::*figure) {
+    auto& [kept, due] = medians_[n * 2 + (figure == &Record::usual)];
+    if (outcomes_ < due) return kept;
+    std::vector<double> all;
+    for (BackendId i = 0; i < lists_.size(); ++i) {
+      if (lists_.ready(i)) all.push_back(of_[i][n].*figure);
+    }
+    due = outcomes_ + all.size() / kMedianParts;
+    return kept = median(std::move(all));
+  }
+
+  const Context& c_;
+  const Lists& lists_;
+  Grown<std::vector<Record>> of_;
+  Grown<std::pair<double, std::uint64_t>> medians_;  // each good until so many outcomes came
+  std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
+};
+
+// Rule "a cold backend is not pushed over": no more than this node's part in any fall span. A part under
+// one request comes in turns, open for some two requests and then lost: kept, all would come at once.
+class ColdBudgets {
+ public:
+  ColdBudgets(Context& context, const estimate::Backends& known) : c_(context), known_(known) {}
+  void welcome(BackendId i) { of_[i] = {{}, c_.random.unit(), -1, c_.now}; }
+  bool room(BackendId i) {
+    if (!known_.cold(i)) return true;
+    const Settings& s = c_.settings;
+    Budget& b = of_[i];
+    const double capacity = known_.finishes(i, s.fall_span);
+    const double budget = kColdSafety * s.fall_multiple * known_.warmth(i) * capacity / c_.sharers;
+    std::erase_if(b.sends, [&](Millis t) { return c_.now - t >= s.fall_span; });
+    b.turns += budget * (c_.now - std::exchange(b.at, c_.now)) / s.fall_span;
+    if (budget >= 1) return budget - static_cast<double>(b.sends.size()) >= 1;
+    const double turn = std::floor(b.turns);
+    return turn > b.used && b.turns - turn < kColdTurn * budget / (known_.rate() * s.fall_span / 1000);
+  }
+  void sent(BackendId i) {
+    if (known_.cold(i)) of_[i].sends.push_back(c_.now), of_[i].used = std::floor(of_[i].turns);
+  }
+
+ private:
+  struct Budget {
+    std::vector<Millis> sends;  // while cold: those that still count
+    double turns = 0;           // where its part is under one request: how many came by now,
+    double used = -1;           // the last that was used
+    Millis at = 0;              // and when this was worked out
+  };
+  Context& c_;
+  const estimate::Backends& known_;
+  Grown<Budget> of_;
+};
+
+}  // namespace shorelead::policy
--- /dev/null
+++ b/src/policy/retries.h
@@ -0,0 +1,95 @@
+// What is written down of an open request, and whether it may have a further attempt: the rule "no effect
+// twice", the retry budget, and the moment by which attempts stop. It must never say where an attempt goes.
+#pragma once
+
+#include "policy/lists.h"
+
+namespace shorelead::policy {
+
+constexpr double kResendsPerRequest = 0.2;  // further attempts earned by each request
+constexpr double kMostResends = 10;         // and saved up at most
+constexpr int kMostAttempts = 3;            // for one request
+
+struct Attempt {
+  BackendId backend = 0;
+  estimate::Sent sent;
+  bool overdue = false;
+  bool out = true;
+  bool may_have_run = true;  // until an outcome proves that it never ran
+};
+
+struct Request {
+  RequestId id = 0;
+  int request_class = 0;
+  Millis due = 0;
+  Millis aim_at = 0;  // an answer after this is worth less or nothing
+  int most_attempts = 1;
+  double work = 1;  // of a mean request, by its hint
+  std::uint64_t key = 0;
+  bool client_retry = false;
+  bool over_share = false;       // beyond its tenant's share
+  std::vector<BackendId> asked;  // candidates whose news it waits for
+  bool streaming = false;
+  int looks = 0;          // asked for it so far
+  Millis look_until = 0;  // it waits, or has waited, for their answers until then
+  std::vector<Attempt> attempts;
+
+  bool may_have_run() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+  }
+  bool any_out() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+  }
+  bool was_asked(BackendId i) const { return std::find(asked.begin(), asked.end(), i) != asked.end(); }
+};
+
+class Retries {
+ public:
+  Retries(const Context& context, const Lists& lists) : c_(context), lists_(lists) {}
+  void earn() { left_ = std::min(kMostResends, left_ + kResendsPerRequest); }
+  void spend() { left_ -= 1; }
+  int most_attempts() const { return std::min(c_.settings.max_attempts, kMostAttempts); }
+
+  bool may_send(const Request& r) const {
+    if (static_cast<int>(r.attempts.size()) >= r.most_attempts) return false;
+    if (c_.now >= stop_at(r)) return false;
+    if (!r.attempts.empty() && left_ < 1) return false;
+    return c_.request_class(r.request_class).effect != Effect::kUnsafe || !r.may_have_run();
+  }
+
+  // Work on an answer that has lost all its worth only delays the others, so attempts end at the aim then.
+  Millis stop_at(const Request& r) const {
+    const RequestClass& c = c_.request_class(r.request_class);
+    return c.late_value > 0 || c.streamed ? r.due : std::min(r.due, r.aim_at);
+  }
+
+  // Rule "no effect twice": after a keyed attempt that may have run only its group will do, within the
+  // window.
+  bool in_group(const Request& r, BackendId i) const {
+    const RequestClass& c = c_.request_class(r.request_class);
+    if (c.effect != Effect::kKeyed) return true;
+    for (const Attempt& a : r.attempts) {
+      if (!a.may_have_run) continue;
+      if (c_.now - a.sent.at >= c.dedup_window) return false;
+      const BackendEntry& there = lists_[a.backend];
+      const BackendEntry& here = lists_[i];
+      if (c.group == DedupGroup::kZone && here.zone != there.zone) return false;
+      if (c.group == DedupGroup::kCell && (here.cell != there.cell || here.zone != there.zone)) return false;
+    }
+    return true;
+  }
+
+  // Whether the client may send it again.
+  bool harmless(const Request& r) const {
+    const RequestClass& c = c_.request_class(r.request_class);
+    return c.effect == Effect::kSafe || !r.may_have_run() ||
+           (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll);
+  }
+
+ private:
+  const Context& c_;
+  const Lists& lists_;
+  double left_ = kMostResends;
+};
+
+}  // namespace shorelead::policy
--- /dev/null
+++ b/src/policy/rotation.h
@@ -0,0 +1,152 @@
+// ALBL's shares and the weighted rotation that is dealt by them. It owns each backend's share, credit and
+// turns; it must never look at a request: who takes a turn, its visitor says.
+#pragma once
+
+#include <deque>
+
+#include "base/numbers.h"
+#include "policy/probes.h"
+
+namespace shorelead::policy {
+
+constexpr Millis kThreshold = 150;        // above ordinary probe times, so Equation 5 applies when quiet
+constexpr double kDifferenceFloor = 0.5;  // of the median of (response - delay), Equation 6
+constexpr double kShareCap = 1.5;         // no share above this multiple of the mean
+constexpr std::size_t kNewPeriods = 3;    // probes: till then a backend gets at most the mean share
+constexpr double kRounding = 1e-9;        // a credit this close to a whole turn is one
+constexpr Millis kTiniestTime = 0.01;     // floor of a difference, so no share is infinite
+
+class Rotation {
+ public:
+  Rotation(Context& context, const Lists& lists, const Probes& probes)
+      : c_(context), lists_(lists), probes_(probes) {}
+  void welcome(BackendId i) { of_[i] = {mean_share_, 0, false}; }
+  void leave(BackendId i) { of_[i].share = of_[i].credit = 0; }
+  // Drops who did not answer, weighs the others by Equation 5 or 6, starts a rotation.
+  void renew() {
+    std::vector<BackendId> ready;
+    std::size_t missed = 0;
+    for (BackendId i = 0; i < lists_.size(); ++i) {
+      if (!lists_.ready(i)) continue;
+      ready.push_back(i);
+      of_[i].dropped = probes_.silent(i);
+      missed += of_[i].dropped;
+    }
+    if (missed * 2 > ready.size()) {
+      // Over half unanswered says more of this node or its paths than of the backends: keep the last shares.
+      for (const BackendId i : ready) of_[i].dropped = false;
+    } else {
+      weigh(ready);
+    }
+    // Unsent turns go back to the credits; a new round is earned only once less than half of one is left.
+    const bool earn = turns_.size() * 2 < lists_.size();
+    for (const BackendId i : turns_) of_[i].credit += 1;
+    turns_.clear();
+    deal(earn);
+  }
+
+  // It gets nothing this period.
+  void drop(BackendId i) { of_[i].dropped = true; }
+  bool usable(BackendId i) const { return lists_.ready(i) && !of_[i].dropped; }
+  double share(BackendId i) const { return of_[i].share; }
+  double mean_share() const { return mean_share_; }
+  const std::deque<BackendId>& turns() const { return turns_; }
+  void turn_taken_early(BackendId i) { of_[i].credit -= 1; }
+
+  // Goes along the rotation, with another round where it ends, till `visit` takes a turn.
+  enum class Turn { kTaken, kKept, kLost };
+  template <typename Visit>
+  void walk(Visit visit) {
+    std::size_t weighed = 0;
+    for (int round = 0; round < 2 && weighed < kMostWeighed; ++round) {
+      std::size_t kept = 0;
+      bool taken = false;
+      std::size_t n = 0;
+      for (; n < turns_.size() && weighed < kMostWeighed && !taken; ++n) {
+        const BackendId i = turns_[n];
+        if (!usable(i)) continue;
+        ++weighed;
+        const Turn turn = visit(i);
+        if (turn == Turn::kKept) turns_[kept++] = i;
+        taken = turn == Turn::kTaken;
+      }
+      // The turns from `kept` up to `n` are taken. Costs by `kept`, as a deque gives way at its nearer end.
+      const auto at = [this](std::size_t t) { return turns_.begin() + static_cast<std::ptrdiff_t>(t); };
+      turns_.erase(at(kept), at(n));
+      if (taken) return;
+      if (weighed < kMostWeighed && kept < lists_.size()) deal(true);
+    }
+  }
+
+ private:
+  struct Part {
+    double share = 0;
+    double credit = 0;
+    bool dropped = false;
+  };
+
+  void weigh(const std::vector<BackendId>& ready) {
+    std::vector<BackendId> in;
+    std::vector<double> differences;
+    bool quiet = false;
+    for (const BackendId i : ready) {
+      const estimate::ResponseTimes& times = probes_.times(i);
+      if (!of_[i].dropped) in.push_back(i);
+      if (of_[i].dropped || !times.known()) continue;
+      quiet = quiet || times.response() < kThreshold;
+      differences.push_back(times.response() - times.delay());
+    }
+    const double floor = std::max(kTiniestTime, kDifferenceFloor * median(differences));
+    double sum = 0;
+    for (const BackendId i : in) {
+      if (!probes_.times(i).known()) continue;
+      const Millis response = probes_.times(i).response();
+      const Millis delay = probes_.times(i).delay();
+      of_[i].share = lists_[i].size / (delay * (quiet ? response : std::max(response - delay, floor)));
+      sum += of_[i].share;
+    }
+    for (const BackendId i : in) {
+      if (!probes_.times(i).known())
+        of_[i].share = sum > 0 ? sum / static_cast<double>(differences.size()) : 1;
+    }
+    const double mean = mean_share_ = 1.0 / std::max(1.0, static_cast<double>(in.size()));
+    std::vector<double> shares;
+    std::vector<double> bounds;
+    for (const BackendId i : in) {
+      shares.push_back(of_[i].share);
+      bounds.push_back(mean * (probes_.times(i).probes() <= kNewPeriods ? 1.0 : kShareCap));
+    }
+    scale_to_one(shares, bounds);
+    for (std::size_t n = 0; n < in.size(); ++n) of_[in[n]].share = shares[n];
+  }
+
+  // Adds one round to the rotation: each backend earns its share of as many turns as there are backends.
+  void deal(bool earn) {
+    const std::size_t old = turns_.size();
+    std::size_t count = 0;
+    for (BackendId i = 0; i < lists_.size(); ++i) count += usable(i) ? 1 : 0;
+    for (BackendId i = 0; i < lists_.size(); ++i) {
+      double& credit = of_[i].credit;
+      if (!usable(i)) {
+        credit = 0;
+        continue;
+      }
+      // Bounded both ways: neither a hoard of turns nor a long penance for turns taken early.
+      if (earn)
+        credit = std::clamp(credit + of_[i].share * static_cast<double>(count), -1.0, 1.0 + kShareCap);
+      for (; credit > 1 - kRounding; credit -= 1) turns_.push_back(i);
+    }
+    for (std::size_t n = turns_.size() - old; n > 1; --n) {
+      std::swap(turns_[old + n - 1], turns_[old + c_.random.below(n)]);
+    }
+  }
+
+  Context& c_;
+  const Lists& lists_;
+  const Probes& probes_;
+  Grown<Part> of_;
+  std::deque<BackendId> turns_;
+  double mean_share_ = 1;  // of the backends in the rotation
+};
+
+}  // namespace shorelead::policy
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -7,13 +7,6 @@
 export RC_PARAMS="${RC_PARAMS:-seed=20261201}"
 
 fail=0
-for file in $(sed -n 's/^policy *= *\[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",'); do
-  lines=$(grep -c '[^[:space:]]' "$file")
-  echo "$file: $lines non-blank lines (at most 1000)"
-  if [ "$lines" -gt 1000 ]; then echo "$file: over 1000 non-blank lines"; fail=1; fi
-  if awk -v f="$file" 'length($0) > 110 { print f ":" NR ": over 110 columns"; bad = 1 } END { exit !bad }' "$file"
-  then fail=1; fi
-done
 find src tests -name '*.cpp' -o -name '*.h' | sort | xargs clang-format --dry-run --Werror || fail=1
 tests/sizes_test.sh || fail=1
 tests/sizes.sh || fail=1
--- a/tests/sizes_test.sh
+++ b/tests/sizes_test.sh
@@ -1,14 +1,21 @@
 #!/usr/bin/env bash
 # The check on sizes must itself fail: on a new file over the limit, on a listed one that grew, on one that came
-# down and still stands on the list, and on one that is gone.
+# down and still stands on the list, and on one that is gone; and on a module that is too large, in one file, in
+# all or in width, or that has a file which is not named.
 set -euo pipefail
 check="$(cd "$(dirname "$0")" && pwd)/sizes.sh"
 tree=$(mktemp -d)
 trap 'rm -rf "$tree"' EXIT
 
 lines() { seq "$1" >"$tree/$2"; }
-mkdir -p "$tree"/{src/net,bench,fuzz/corpus,tests}
+mkdir -p "$tree"/{src/net,src/policy,bench,fuzz/corpus,tests,deploy}
 sound() {
+  rm -f "$tree"/src/policy/*
+  for n in 1 2 3 4; do lines 250 "src/policy/$n.h"; done
+  lines 180 src/policy/5.cpp
+  lines 250 src/policy/policy.h
+  echo 'policy = ["src/policy/1.h", "src/policy/2.h", "src/policy/3.h", "src/policy/4.h", "src/policy/5.cpp"]' \
+    >"$tree/deploy/balancer.toml"
   lines 250 src/net/a.cpp
   lines 251 fuzz/corpus/input
   lines 400 src/net/large.cpp
@@ -32,4 +39,15 @@
 refused "a listed file that came down to the limit"
 rm "$tree/src/net/large.cpp"
 refused "a listed file that is gone"
+lines 181 src/policy/5.cpp
+refused "a module of 1181 lines"
+seq 249 >"$tree/src/policy/1.h"; printf '\n\n' >>"$tree/src/policy/1.h"
+printf '251 src/policy/1.h\n' >>"$tree/tests/over_250.txt"
+refused "a file of 251 lines in the module, though it is listed"
+printf '%0111d\n' 0 >"$tree/src/policy/5.cpp"
+refused "a line of 111 columns in the module"
+lines 1 src/policy/6.h
+refused "a file of the module that is not named"
+rm "$tree/src/policy/5.cpp"
+refused "a named file that is gone"
 echo "sizes: ok"
