A list that is indented over lines is taken in; one cut off ends the watch

Cause: Discovery::take_lines took each line for a whole list (discovery.cpp lines 92 to 103 before this), so the first line of an indented one was refused, the watch ended, and the same came again for good. Ruled out: ListReader, which skips line ends as other space; the list in the configuration, which is parsed whole. Change: ListStream gives out a text where its object ends at a line end. A blank line inside one, or a line end in a string, ends a list that was cut off: it would take in all that follows while signs of life keep the watch up. Cost: each byte is looked at once. Tests: ListStream at every split, Terms.AnIndentedListIsTakenIn, Terms.AListCutOffEndsTheWatch.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -10,7 +10,7 @@
 namespace shorelead::node {
 namespace {
 
-constexpr std::size_t kLongLine = 65536;  // bytes: some 500 entries, read in under a millisecond
+constexpr std::size_t kLongText = 65536;  // bytes: some 500 entries, read in under a millisecond
 constexpr int kSliceEntries = 500;        // read at a time: some 0.4 ms
 
 }  // namespace
@@ -28,8 +28,7 @@
   if (stream_) return;
   ++opened_;
   parser_.reset();
-  line_.clear();
-  searched_ = 0;
+  come_.clear();
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.later([this] {
@@ -81,32 +80,28 @@
   }
   if (state == Parser::State::kBody) expect(waits_.silence, Ending::kSilent);
   last_told_ = loop_.now();
-  line_ += parser_.take_decoded();
+  come_.put(parser_.take_decoded());
   const Place done = parser_.take_consumed();
   stream.input().erase(done.at, done.size);
-  take_lines();
-  if (!stream_) return;  // a line that could not be read ended the watch
-  if (line_.size() > kMostBytes) return end(Ending::kMalformed);
+  take_lists();
+  if (!stream_) return;  // one that could not be read ended the watch
+  if (come_.held() > kMostBytes) return end(Ending::kMalformed);
   if (state == Parser::State::kDone) end(Ending::kPeerClosed);
 }
 
-void Discovery::take_lines() {
-  std::size_t from = 0;
-  for (std::size_t end = 0;
-       !reader_ && (end = line_.find('\n', std::max(from, searched_))) != std::string::npos; from = end + 1) {
-    searched_ = 0;
-    take_line(line_.substr(from, end - from));
+void Discovery::take_lists() {
+  while (!reader_) {
+    std::optional<std::string> text = come_.next();
+    if (!text) return;
+    take_text(std::move(*text));
     if (!stream_) return;
   }
-  line_.erase(0, from);
-  searched_ = reader_ ? 0 : line_.size();
 }
 
-void Discovery::take_line(std::string line) {
-  if (line.find_first_not_of(" \t\r") == std::string::npos) return;  // a sign of life
-  const bool is_long = line.size() > kLongLine;
+void Discovery::take_text(std::string text) {
+  const bool is_long = text.size() > kLongText;
   try {
-    reader_ = std::make_unique<ListReader>(std::move(line));
+    reader_ = std::make_unique<ListReader>(std::move(text));
     if (is_long) {
       slice_ = loop_.after(0, [this] { read_slice(); });
       return;
@@ -130,7 +125,7 @@
   } catch (const FieldError& error) {
     return refuse(error);
   }
-  if (stream_) take_lines();
+  if (stream_) take_lists();
 }
 
 void Discovery::take(const List& list) {
@@ -138,9 +133,9 @@
   listener_.changed(list);
 }
 
-// Passing over one line would leave the list wrong for good; a new watch brings what is missing.
+// Passing over one list would leave the list wrong for good; a new watch brings what is missing.
 void Discovery::refuse(const FieldError& error) {
-  spdlog::error("discovery: line refused: {}", error.what());
+  spdlog::error("discovery: list refused: {}", error.what());
   end(Ending::kMalformed);
 }
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -1,6 +1,7 @@
-// The watch on discovery's list: one chunked answer that stays open and holds a JSON object a line. It owns
-// that connection, the version reached and the signs of life. It must never decide what a change means, and
-// where the module says when to ask it never asks by itself.
+// The watch on discovery's list: one chunked answer that stays open and holds one JSON object after another,
+// each ended by a line end; blank lines show that it lives. It owns that connection, the version reached and
+// the signs of life. It must never decide what a change means, and where the module says when to ask it never
+// asks by itself.
 #pragma once
 
 #include <functional>
@@ -9,6 +10,7 @@
 
 #include "node/config.h"
 #include "node/list_reader.h"
+#include "node/list_stream.h"
 #include "node/net.h"
 
 namespace shorelead::node {
@@ -52,8 +54,8 @@
   void on_connected(Stream&) override;
   void on_input(Stream& stream) override;
   void on_end(Stream& stream, Ending ending) override;
-  void take_lines();
-  void take_line(std::string line);
+  void take_lists();
+  void take_text(std::string text);
   void read_slice();
   void take(const List& list);
   void refuse(const FieldError& error);
@@ -68,9 +70,8 @@
   std::uint64_t version_;
   std::shared_ptr<Stream> stream_;
   Parser parser_{Parser::Kind::kResponse, kMostBytes};
-  std::string line_;
-  std::size_t searched_ = 0;            // of line_, without finding its end
-  std::unique_ptr<ListReader> reader_;  // a long line, read in slices; those behind it wait
+  ListStream come_;                     // and was not read
+  std::unique_ptr<ListReader> reader_;  // a long list, read in slices; those behind it wait
   Loop::TimerId slice_ = 0;
   Loop::TimerId deadline_ = 0;
   Millis last_told_ = 0;
--- /dev/null
+++ b/tests/terms_test.cpp
@@ -0,0 +1,103 @@
+// The terms of the operators' standing test that concern lists and ends (docs/standing-terms.md), each by the
+// order of events that breaks it, against peers that the test plays.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+
+#include "node/discovery.h"
+#include "node/list_stream.h"
+#include "peer.h"
+
+namespace shorelead::node {
+namespace {
+
+const std::string kIndented =
+    "{\n  \"seq\": 6,\n  \"whole\": true,\n  \"hosts\": [\n    {\n      \"host\": \"s-1}\\\"\",\n"
+    "      \"dial\": \"127.0.0.9:81\",\n      \"health\": \"ready\"\n    }\n  ]\n}\n";
+const std::string kOneLine = "{\"seq\":7,\"whole\":false,\"hosts\":[]}\n";
+
+// Lists may be indented; and one that is cut off must not take in what follows it.
+TEST(ListStream, ListsComeOutWholeAtEverySplit) {
+  struct Case {
+    std::string come;
+    std::vector<std::string> texts;
+  };
+  const Case cases[] = {
+      {"\n" + kIndented + "\n\r\n" + kOneLine, {kIndented, kOneLine}},
+      {"  " + kOneLine + kOneLine + "{\"seq\":8", {"  " + kOneLine, kOneLine}},
+      {"{\n  \"seq\": 6,\n\n" + kOneLine, {"{\n  \"seq\": 6,\n\n", kOneLine}},  // a sign of life inside
+      {"{\"seq\n" + kOneLine, {"{\"seq\n", kOneLine}},
+      {"{\"seq\\\n" + kOneLine, {"{\"seq\\\n", kOneLine}},
+      {"}7\n[\n{}\n]\n" + kOneLine, {"}7\n", "[\n{}\n]\n", kOneLine}},
+  };
+  for (const Case& one : cases) {
+    for (std::size_t split = 0; split <= one.come.size(); ++split) {
+      ListStream stream;
+      std::vector<std::string> texts;
+      for (const std::string& part : {one.come.substr(0, split), one.come.substr(split)}) {
+        stream.put(part);
+        while (const auto text = stream.next()) texts.push_back(*text);
+      }
+      ASSERT_EQ(texts, one.texts) << one.come << " at " << split;
+    }
+  }
+}
+
+std::string chunk(const std::string& text) {
+  std::array<char, 32> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
+// Discovery with a record of what it told; each thing told ends a run.
+struct Watched {
+  Line answered(const std::string& lines) {
+    discovery.watch();
+    Line there = peer.accept();
+    loop.after(1, [&there, lines] {
+      there.request();
+      there.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(lines));
+    });
+    loop.run();
+    return there;
+  }
+
+  Loop loop;
+  Peer peer;
+  std::vector<List> lists;
+  Ending ending = Ending::kNotSent;
+  Discovery discovery{loop,
+                      Poco::Net::SocketAddress("127.0.0.1", peer.port()),
+                      5,
+                      {[this](const List& list) {
+                         lists.push_back(list);
+                         loop.stop();
+                       },
+                       [this](Ending how) {
+                         ending = how;
+                         loop.stop();
+                       }},
+                      {20000, 20000, 20000}};
+};
+
+TEST(Terms, AnIndentedListIsTakenIn) {
+  Watched w;
+  const Line there = w.answered("\n" + kIndented);
+  ASSERT_EQ(w.lists.size(), 1U) << name_of(w.ending);
+  EXPECT_EQ(w.lists[0].version, 6U);
+  ASSERT_EQ(w.lists[0].backends.size(), 1U);
+  EXPECT_EQ(w.lists[0].backends[0].host, "s-1}\"");
+  EXPECT_TRUE(w.discovery.watching());
+}
+
+// Guards against a watch that waits for good for the rest of a list while it is told nothing.
+TEST(Terms, AListCutOffEndsTheWatch) {
+  Watched w;
+  const Line there = w.answered("{\n  \"seq\": 6,\n\n");
+  EXPECT_EQ(w.ending, Ending::kMalformed);
+  EXPECT_EQ(w.discovery.version(), 5U);
+}
+
+}  // namespace
+}  // namespace shorelead::node
