What is under way when the process has to end is answered first

Need: after SIGTERM each request that was taken gets its answer, up to SIGKILL. Order that broke it, found by reading: a connection taken in at 0.6 s brings its request until 0.7 s; with all of a 3 s deadline left it is due at 3.7 s, and the process ended at 3.6 s without a word. The same for a request of a class that a reload has taken out since: the time to stay is that of the classes in force. Lines at fault: Server::leave_when_empty stopped the loop at `until` whatever was open (server.cpp 532). Ruled out: idle connections (closed only when quiet), heads that come slowly (not idle; taken once whole). Change: at that moment, 0.1 s before SIGKILL may come, Front::give_up answers as failed what has no answer yet and has its attempts given up, so that nothing is sent after the answer; the loop ends 20 ms later. An answer that is being passed on is cut, as before.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -669,6 +669,18 @@
   return clients_.empty();
 }
 
+void Front::give_up() {
+  std::vector<RequestId> open;
+  for (const auto& [request, client] : waiting_) open.push_back(request);
+  for (const RequestId request : open) {
+    const auto it = waiting_.find(request);
+    // What has begun to go on cannot have another answer: its end shows that it is not whole.
+    if (it == waiting_.end() || it->second->state == Client::State::kPassing) continue;
+    fail(request, 504);
+    listener_.gone(request);
+  }
+}
+
 // Closes a connection; it is freed once the handler at hand, which may be its own, is done.
 void Front::forget(Client& client) {
   client.stream.close();
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -97,6 +97,8 @@
   void close_listener();  // after it has taken in all who had connected, unless they are left to the other
   // Closes connections that have no request under way; true when none is left.
   bool empty();
+  // This process ends now: answers as failed whatever is under way, and has it given up.
+  void give_up();
 
   unsigned short port() const;
   std::size_t clients() const { return clients_.size(); }
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -18,7 +18,7 @@
     6;  // unused clients' connections are many where they take more than one in so many
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
 constexpr Millis kLeaveEvery = 20;
-constexpr Millis kLeaveAfter = 600;        // beyond the longest deadline, whatever is left
+constexpr Millis kLeaveAfter = 600;        // beyond the longest deadline, what is left is answered
 constexpr Millis kReadyWait = 500;         // for the list of now, where one of earlier is known
 constexpr Millis kReadyWaitBeside = 3000;  // the same where another process serves meanwhile
 constexpr Millis kLookAtBansEvery = 50;    // a fifth of the shortest grace in use
@@ -530,11 +530,19 @@
 }
 
 void Server::leave_when_empty(Millis until) {
-  if (front_->empty() || loop_.now() >= until) {
+  const auto end = [this] {
     spdlog::info("shut down, {} connections left", front_->clients());
-    return loop_.stop();
+    loop_.stop();
+  };
+  if (front_->empty()) return end();
+  if (loop_.now() < until) {
+    loop_.after(kLeaveEvery, [this, until] { leave_when_empty(until); });
+    return;
   }
-  loop_.after(kLeaveEvery, [this, until] { leave_when_empty(until); });
+  // Guards against ending without an answer to what came at the very end, or has longer than any class of
+  // now.
+  front_->give_up();
+  loop_.after(kLeaveEvery, end);
 }
 
 void Server::log_counters() const {
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -7,6 +7,7 @@
 
 #include "node/discovery.h"
 #include "node/list_stream.h"
+#include "node_case.h"
 #include "peer.h"
 
 namespace shorelead::node {
@@ -99,5 +100,26 @@
   EXPECT_EQ(w.discovery.version(), 5U);
 }
 
+// What was taken is answered before the process ends, also where its time is not up by then: a request that
+// came at the very end, or of a class that is no longer there.
+TEST(Terms, WhatIsUnderWayAtTheEndIsAnswered) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  for (RequestClass& one : node.config.settings.classes) one.deadline = 50;
+  node.waits.accept_on = 0;
+  node.start();
+  Line client = node.client();
+  client.write(post("/unsafe", "x", "X-Timeout-Ms: 20000\r\n"));
+  Line there = backend.accept();
+  there.request();
+  ::kill(::getpid(), SIGTERM);
+  const std::string answer = client.answer();
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 504");
+  EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
+  EXPECT_EQ(there.rest(), "") << "and its attempt is given up";
+  node.thread.join();
+}
+
 }  // namespace
 }  // namespace shorelead::node
