Where lists are pushed a new process waits for the list of now before it takes clients

Need: there what discovery has counts as told from the first moment of a process, whether or not a watch is open. Order that broke it, found by reading: a backend is drained while a process is down; it starts with its list of earlier, discovery is slow or away, and after 0.5 s it said that it was ready and sent requests there. Lines at fault: Server::could_serve (server.cpp 242), which made no difference between lists that are asked for (where that list may stand for AskEvery) and pushed ones. Ruled out: the module (it sends by what it was told). Change: with a pushed list that has not come the wait is 20 s, as a start may take 30; asked lists, a list kept on disk and a process that replaces another are as before. The two waits are in Server::Waits, so that a test needs none.

--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -61,6 +61,8 @@
   const std::string& name() const { return config_.name; }
   const PoolConfig& config() const { return config_; }
   bool told() const;  // has its list of now
+  // Whether discovery tells by itself, and no list was kept for a time without it.
+  bool pushed() const { return discovery_ && !config_.settings.list_on_request && !keeper_; }
   // What is out by hand from now on; nothing that is not yet written goes there any more.
   void ban(const manage::BanSet& bans) { upstream_->withdraw(facade_.report_bans(bans, loop_.now())); }
   std::string list_text() const { return facade_.list_text(); }  // in discovery's form
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -19,8 +19,7 @@
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
 constexpr Millis kLeaveEvery = 20;
 constexpr Millis kLeaveAfter = 600;        // beyond the longest deadline, what is left is answered
-constexpr Millis kReadyWait = 500;         // for the list of now, where one of earlier is known
-constexpr Millis kReadyWaitBeside = 3000;  // the same where another process serves meanwhile
+constexpr Millis kReadyWaitBeside = 3000;  // for the list of now, where another process serves meanwhile
 constexpr Millis kLookAtBansEvery = 50;    // a fifth of the shortest grace in use
 constexpr Millis kListWait =
     3000;  // for the lists of new pools, before a generation comes in force without them
@@ -241,11 +240,17 @@
 
 bool Server::could_serve() const {
   // Lists of earlier will do if discovery takes its time.
-  const auto& pools = traffic_->pools;
-  if (std::all_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->told(); })) return true;
-  const bool known =
-      std::any_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->backends() > 0; });
-  return known && loop_.now() - started_ >= (predecessor_ ? kReadyWaitBeside : kReadyWait);
+  bool told = true;
+  bool pushed = false;
+  bool known = false;
+  for (const auto& pool : traffic_->pools) {
+    told = told && pool->told();
+    pushed = pushed || (pool->pushed() && !pool->told());
+    known = known || pool->backends() > 0;
+  }
+  if (told) return true;
+  const Millis wait = predecessor_ ? kReadyWaitBeside : pushed ? waits_.pushed_list : waits_.list;
+  return known && loop_.now() - started_ >= wait;
 }
 
 int Server::most_streams() const {
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -29,6 +29,10 @@
  public:
   struct Waits {
     Millis accept_on = 600;  // after SIGTERM: clients go on coming for up to 0.4 s
+    // At the start, for the list of now, where one of earlier is known.
+    Millis list = 500;
+    // The same where lists are pushed: what is there counts as told from the first moment. A start has 30 s.
+    Millis pushed_list = 20000;
   };
 
   // What this process shares with others of its node, one after the other: a folder, and what the one before
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -100,6 +100,32 @@
   EXPECT_EQ(w.discovery.version(), 5U);
 }
 
+std::string ask_ready(Line& probe) {
+  probe.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  return status_of(probe.answer());
+}
+
+// Where lists are pushed, what is there counts as told from a process's first moment: it must not serve by
+// the list of the process before it. Where they are asked for, that list may stand for a while.
+TEST(Terms, APushedListIsWaitedForBeforeClientsAreTaken) {
+  for (const bool pushed : {false, true}) {
+    Peer backend;
+    Node node;
+    node.know("s-1", backend);
+    node.config.settings.list_on_request = !pushed;
+    node.waits.list = 0;
+    node.start();
+    Line probe = node.client();
+    EXPECT_EQ(ask_ready(probe), pushed ? "HTTP/1.1 503" : "HTTP/1.1 200");
+    if (!pushed) continue;
+    Line watch = node.discovery.accept();
+    EXPECT_FALSE(watch.request().empty());
+    EXPECT_EQ(ask_ready(probe), "HTTP/1.1 503");
+    watch.write(first_line("{\"seq\":7,\"whole\":true,\"hosts\":[]}\n"));
+    while (ask_ready(probe) == "HTTP/1.1 503") continue;
+  }
+}
+
 // What was taken is answered before the process ends, also where its time is not up by then: a request that
 // came at the very end, or of a class that is no longer there.
 TEST(Terms, WhatIsUnderWayAtTheEndIsAnswered) {
