A pool has its list of now once one came whole, not with the first bytes of an answer

Order that broke the same term, found by reading: the head of a watch's answer comes, its list later (a chunk, or slices of a long one); Pool::told went by Discovery's last sign of life (pool.cpp 126, discovery.cpp 86), so the process was ready by its list of earlier. Change: Discovery::listed, true with the first whole list, or the first blank line, which says that there is no news.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -80,11 +80,13 @@
   }
   if (state == Parser::State::kBody) expect(waits_.silence, Ending::kSilent);
   last_told_ = loop_.now();
-  come_.put(parser_.take_decoded());
+  const std::string part = parser_.take_decoded();
+  come_.put(part);
   const Place done = parser_.take_consumed();
   stream.input().erase(done.at, done.size);
   take_lists();
   if (!stream_) return;  // one that could not be read ended the watch
+  if (!part.empty() && come_.held() == 0 && !reader_) listed_ = true;
   if (come_.held() > kMostBytes) return end(Ending::kMalformed);
   if (state == Parser::State::kDone) end(Ending::kPeerClosed);
 }
@@ -130,6 +132,7 @@
 
 void Discovery::take(const List& list) {
   version_ = list.version;
+  listed_ = true;
   listener_.changed(list);
 }
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -47,7 +47,8 @@
   void move(const Poco::Net::SocketAddress& address);
   bool watching() const { return stream_ != nullptr; }
   std::uint64_t version() const { return version_; }
-  Millis last_told() const { return last_told_; }  // when a line, or a sign of life, came; 0 = never
+  Millis last_told() const { return last_told_; }  // when anything of an answer came; 0 = never
+  bool listed() const { return listed_; }          // a list, or a sign that there is no news, came whole
   std::uint64_t opened() const { return opened_; }
 
  private:
@@ -75,6 +76,7 @@
   Loop::TimerId slice_ = 0;
   Loop::TimerId deadline_ = 0;
   Millis last_told_ = 0;
+  bool listed_ = false;
   std::uint64_t opened_ = 0;
   static constexpr std::size_t kMostBytes = 8U << 20;
 };
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -125,7 +125,7 @@
 
 bool Pool::told() const {
   if (registry_) return registry_->synced();
-  return !discovery_ || discovery_->last_told() > 0;
+  return !discovery_ || discovery_->listed();
 }
 
 // A list of which the module was told nothing may be old by any time; whatever is wrong with it the source
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -120,8 +120,11 @@
     if (!pushed) continue;
     Line watch = node.discovery.accept();
     EXPECT_FALSE(watch.request().empty());
-    EXPECT_EQ(ask_ready(probe), "HTTP/1.1 503");
-    watch.write(first_line("{\"seq\":7,\"whole\":true,\"hosts\":[]}\n"));
+    // Nor by the beginning of the answer; each question is a turn of the node's loop, which has read it then.
+    const std::string answer = first_line("{\"seq\":7,\"whole\":true,\"hosts\":[]}\n");
+    watch.write(answer.substr(0, answer.size() - 5));
+    for (int turn = 0; turn < 50; ++turn) ASSERT_EQ(ask_ready(probe), "HTTP/1.1 503") << turn;
+    watch.write(answer.substr(answer.size() - 5));
     while (ask_ready(probe) == "HTTP/1.1 503") continue;
   }
 }
