A watch that fell silent is opened anew at once, spread over what discovery bears

Need: what a silent watch misses counts as told 6 s after its last word. Order that broke it, found by reading: at 300 nodes with lists to be asked for, AskEvery 10 s, a watch falls silent; noticed 3 s after its last word; Pool::watch_ended (pool.cpp 341) told the module that a call had failed, which waits 5 s give or take half (policy.cpp 212 to 216): asked anew after 5.5 to 10.5 s. Ruled out: pushed lists (asked after 0.1 to 0.3 s). Change: WatchWaits, pure: a watch that had told something and fell silent is opened by the host after up to 50 ms a node, 4 s at most; one silent from its beginning, and any call that failed, stay the module's. A reload no longer drops such a wait (Pool::follow).

--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -8,9 +8,6 @@
 namespace shorelead::node {
 namespace {
 
-// Where the module does not say when to ask for the list.
-constexpr Millis kWatchWaitMin = 200;
-constexpr Millis kWatchWaitMax = 2000;
 constexpr Millis kKeepEvery = 5000;  // the list goes to the disk at most so often
 constexpr Millis kViewEvery = 250;
 
@@ -106,10 +103,11 @@
     if (boxes) take_boxes();
     return;
   }
+  const bool waited = rewatch_ != 0;
   loop_.cancel(rewatch_);
-  watch_wait_ = 0;
+  watch_waits_.reset();
   discovery_->move(*config.discovery);
-  if (!config_.settings.list_on_request) discovery_->watch();  // the wait for it was just cancelled
+  if (waited || !config_.settings.list_on_request) discovery_->watch();
 }
 
 std::vector<int> Pool::adopt(const PoolConfig& config) {
@@ -322,7 +320,7 @@
 }
 
 void Pool::list_changed(const List& list) {
-  watch_wait_ = 0;
+  watch_waits_.told();
   std::size_t ready = 0;
   std::size_t draining = 0;
   for (const ListedBackend& backend : list.backends) {
@@ -338,11 +336,11 @@
 void Pool::watch_ended(Ending ending) {
   ++watch_endings_[ending];
   spdlog::warn("pool {}: watch on the list ended: {}", name(), name_of(ending));
-  facade_.report_watch_ended(loop_.now());
-  if (config_.settings.list_on_request) return;
-  watch_wait_ = std::clamp(watch_wait_ * 2, kWatchWaitMin, kWatchWaitMax);
-  const double part = std::uniform_real_distribution<double>(0.5, 1.5)(jitter_);
-  rewatch_ = loop_.after(watch_wait_ * part, [this] {
+  const double random = std::uniform_real_distribution<double>(0, 1)(jitter_);
+  const auto wait =
+      watch_waits_.ended(ending, config_.settings.list_on_request, config_.settings.instances, random);
+  if (!wait) return facade_.report_watch_ended(loop_.now());
+  rewatch_ = loop_.after(*wait, [this] {
     rewatch_ = 0;
     discovery_->watch();
   });
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -20,6 +20,7 @@
 #include "node/facade.h"
 #include "node/net.h"
 #include "node/upstream.h"
+#include "node/watch_waits.h"
 
 namespace shorelead::node {
 
@@ -121,7 +122,7 @@
   Loop::TimerId wake_ = 0;
   Millis wake_at_ = 0;
   Loop::TimerId rewatch_ = 0;
-  Millis watch_wait_ = 0;
+  WatchWaits watch_waits_;
   std::mt19937_64 jitter_;
   // counters
   std::uint64_t sent_ = 0;
