A connection rests 20 ms after an answer, so that a second one is not the next request's

Need: answers may be spoilt, and a second one may come some milliseconds after the first. Order that broke it, found by reading: an answer comes whole, the connection is the one used last and so the first to be used again, the next request is written on it, the second answer to the one before comes and is passed on as that request's: a body that no backend made for it. Lines at fault: Upstream::take_idle (upstream.cpp 495), which looks only for what has come already. Ruled out: bytes behind an answer and on a connection that stands unused (both end it). Change: best_idle passes over a connection until 20 ms after the answer to an attempt on it (HostSettings::settle); without another, one is opened. Probes may use it at once, and an attempt the one that its look has just used: of a probe a wrong answer is a wrong report, and each look would cost a connection. Eight at a backend may rest; beyond, the one that has for longest is used, so connections do not grow with the requests of a moment. Ways not taken: only after such an answer was seen (the first is not guarded against); telling answers apart by their bodies (equal ones are common). Expected cost, not measured: one more connection to a backend where a node sends there within 20 ms of an answer; none in a quiet fleet. Test: Terms.ASecondAnswerIsNotTheNextRequests, seen failing without the rest and without its bound.

--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -36,7 +36,7 @@
   });
   const auto purpose = [](bool probe) { return probe ? limits::Purpose::kProbe : limits::Purpose::kRequest; };
   upstream_ = std::make_unique<Upstream>(
-      loop_, config.settings.connect_timeout, config.host.idle_timeout, std::move(flows),
+      loop_, config.settings.connect_timeout, config.host.idle_timeout, config.host.settle, std::move(flows),
       Upstream::Listener{[this](RequestId request, int attempt, const Result& result) {
                            attempt_done(request, attempt, result);
                          },
@@ -113,7 +113,7 @@
 std::vector<int> Pool::adopt(const PoolConfig& config) {
   config_.settings = config.settings;
   config_.host = config.host;
-  upstream_->adopt(config.settings.connect_timeout, config.host.idle_timeout);
+  upstream_->adopt(config.settings.connect_timeout, config.host.idle_timeout, config.host.settle);
   return facade_.adopt(config.settings, config.host, loop_.now());
 }
 
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -29,6 +29,7 @@
 constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of it
 constexpr double kMostLoad = 1e5;         // in any figure of a load report: no machine has so many in hand
 constexpr std::size_t kMostIdle = 32;     // connections kept for one backend
+constexpr std::size_t kMostSettling = 8;  // of them, those held back until they have settled
 // KeptRecord
 constexpr Millis kYoung = 25;        // unused for less, a connection is as good as in use
 constexpr double kBrokeGain = 0.1;   // weight of one request
@@ -246,6 +247,7 @@
                       clean && !withdrawn && stream.open() && owner.listener_.keep(false);
     if (keep) {
       stream.want_input(true);
+      settled_at = owner.loop_.now() + owner.settle_;
       owner.rest(*this);
     } else {
       owner.forget(*this);
@@ -326,18 +328,19 @@
   bool withdrawn = false;  // not to be kept: its backend was withdrawn, and its number may go to another
   Message answer{Parser::Kind::kResponse};
   Millis unused_since = 0;
+  Millis settled_at = 0;                             // till then a second answer to its last attempt may come
   std::optional<std::list<Link*>::iterator> unused;  // its place among them
   Millis age = 0;                                    // for how long it had stood unused before this job
 };
 
-Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout,
+Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Millis settle,
                    std::shared_ptr<net::FlowBudget> flows, Listener listener)
     : loop_(loop),
       connect_wait_(kConnectUntold),
       most_idle_(kIdleUntold),
       listener_(std::move(listener)),
       flows_(std::move(flows)) {
-  adopt(connect_timeout, idle_timeout);
+  adopt(connect_timeout, idle_timeout, settle);
   sweep();
 }
 
@@ -352,7 +355,8 @@
   }
 }
 
-void Upstream::adopt(Millis connect_timeout, Millis idle_timeout) {
+void Upstream::adopt(Millis connect_timeout, Millis idle_timeout, Millis settle) {
+  settle_ = settle;
   connect_wait_.state(connect_timeout > 0 ? connect_timeout : kConnectUntold);
   most_idle_ = idle_timeout > 0 ? kIdleShare * idle_timeout : kIdleUntold;
 }
@@ -377,7 +381,7 @@
 }
 
 void Upstream::begin(BackendId backend, const std::string& dial, std::unique_ptr<Job> job) {
-  std::shared_ptr<Link> link = take_idle(backend, dial);
+  std::shared_ptr<Link> link = take_idle(backend, dial, job->probe);
   const bool reused = link != nullptr;
   if (!reused) {
     link = std::make_shared<Link>(*this, backend, dial,
@@ -492,15 +496,33 @@
   if (link.answer_flow && !flow->has_sink()) link.end_flow(false);  // its request had been answered before
 }
 
-std::shared_ptr<Upstream::Link> Upstream::take_idle(BackendId backend, const std::string& dial) {
-  // The one used last first, so that those beyond need grow old and go.
+// The one used last first, so that those beyond need grow old and go. Guards against a second answer that
+// comes some milliseconds after the first: it would be passed on as that to the next request; of a probe it
+// would only be a wrong report. Where many settle, as at a backend that is asked hundreds of times a second,
+// the one that has for longest will do.
+std::shared_ptr<Upstream::Link> Upstream::best_idle(const std::vector<std::shared_ptr<Link>>& pool,
+                                                    bool probe) const {
+  std::shared_ptr<Link> best;
+  std::shared_ptr<Link> first;
+  std::size_t settling = 0;
+  const Millis now = loop_.now();
+  for (const auto& link : pool) {
+    if (!link->idle()) continue;
+    if (probe || link->settled_at <= now) {
+      if (!best || link->unused_since > best->unused_since) best = link;
+    } else {
+      ++settling;
+      if (!first || link->settled_at < first->settled_at) first = link;
+    }
+  }
+  return best || settling < kMostSettling ? best : first;
+}
+
+std::shared_ptr<Upstream::Link> Upstream::take_idle(BackendId backend, const std::string& dial, bool probe) {
   while (true) {
     const auto pool = pools_.find(backend);
     if (pool == pools_.end()) return nullptr;
-    std::shared_ptr<Link> best;
-    for (const auto& link : pool->second) {
-      if (link->idle() && (!best || link->unused_since > best->unused_since)) best = link;
-    }
+    const std::shared_ptr<Link> best = best_idle(pool->second, probe);
     if (!best) return nullptr;
     const Millis now = loop_.now();
     const Millis age = now - best->unused_since;
@@ -545,6 +567,7 @@
   if (link.answer_flow) {
     // Goes on carrying it.
   } else if (keep && !link.withdrawn && listener_.keep(job->probe)) {
+    if (!job->probe) link.settled_at = loop_.now() + settle_;
     rest(link);
   } else {
     forget(link);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -82,11 +82,12 @@
   };
 
   // `flows`: the memory for bodies that are not kept whole.
-  Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, std::shared_ptr<net::FlowBudget> flows,
-           Listener listener);
+  Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Millis settle,
+           std::shared_ptr<net::FlowBudget> flows, Listener listener);
   ~Upstream();
 
-  void adopt(Millis connect_timeout, Millis idle_timeout);  // times of new settings
+  // Times of new settings. A connection carries no attempt within `settle` of the answer to another.
+  void adopt(Millis connect_timeout, Millis idle_timeout, Millis settle);
 
   void send(RequestId request, int attempt, BackendId backend, const std::string& dial, Millis until,
             std::shared_ptr<const Message> message);
@@ -114,7 +115,8 @@
   class Link;
 
   void begin(BackendId backend, const std::string& dial, std::unique_ptr<Job> job);
-  std::shared_ptr<Link> take_idle(BackendId backend, const std::string& dial);
+  std::shared_ptr<Link> take_idle(BackendId backend, const std::string& dial, bool probe);
+  std::shared_ptr<Link> best_idle(const std::vector<std::shared_ptr<Link>>& pool, bool probe) const;
   bool over_by_now(Link& link);
   void connect_limit(const std::shared_ptr<Link>& link);
   void time_limit(const std::shared_ptr<Link>& link);
@@ -130,6 +132,7 @@
   Loop& loop_;
   ConnectWait connect_wait_;
   Millis most_idle_;
+  Millis settle_ = 0;
   Listener listener_;
   const std::shared_ptr<net::FlowBudget> flows_;
   // No event walks all connections: they are found by backend, by request and by age.
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,6 +19,7 @@
   std::vector<std::string> tenants;
   std::vector<std::string> zones;
   Millis idle_timeout = 0;  // backends close connections that stood idle for so long
+  Millis settle = 20;       // after an answer, in which a faulty backend may send a second one
 };
 
 HostSettings parse_host_settings(const Json& object);
--- a/tests/node_case.h
+++ b/tests/node_case.h
@@ -39,6 +39,7 @@
     config.settings.max_wait_advice = 600;
     config.host.classes = {"safe", "unsafe", "keyed"};
     config.host.idle_timeout = 60000;
+    config.host.settle = 0;  // tests ask again at once
     config.known.whole = true;
   }
   ~Node() { stop(); }
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -20,7 +20,7 @@
 class Backends {
  public:
   explicit Backends(Millis connect_timeout = kLong)
-      : upstream(loop, connect_timeout, 60000, std::make_shared<net::FlowBudget>(1U << 20),
+      : upstream(loop, connect_timeout, 60000, 0, std::make_shared<net::FlowBudget>(1U << 20),
                  {[this](RequestId, int, const Result& result) { take(result); },
                   [this](BackendId, const Result& result) { take(result); }, [this](bool) { return room; },
                   [this](bool probe) { return !probe || keeps_probes; }}) {
--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -40,6 +40,7 @@
   reader.glob = [](const std::string& path) { return std::vector{path}; };
   Config config = load_shore("t.shore", {}, reader);
   config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+  for (PoolConfig& one : config.pools) one.host.settle = 0;  // tests ask again at once
   return config;
 }
 
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -210,5 +210,34 @@
   node.thread.join();
 }
 
+// A backend's second answer, some milliseconds after the first, is not passed on as that to the next request.
+TEST(Terms, ASecondAnswerIsNotTheNextRequests) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  node.config.host.settle = 1e9;
+  node.start();
+  Line client = node.client();
+  std::vector<Line> lines;
+  const auto served = [&](Line& there) {
+    EXPECT_FALSE(there.request().empty());
+    there.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnews");
+    EXPECT_TRUE(client.answer().ends_with("news"));
+  };
+  client.write(get("/safe"));
+  served(lines.emplace_back(backend.accept()));
+  client.write(get("/safe"));
+  lines.front().write(kOk);
+  served(lines.emplace_back(backend.accept()));
+  EXPECT_EQ(lines.front().rest(), "") << "never to be used again";
+  // But connections do not grow with the requests of a moment.
+  for (int more = 0; more < 7; ++more) {
+    client.write(get("/safe"));
+    served(lines.emplace_back(backend.accept()));
+  }
+  client.write(get("/safe"));
+  served(lines[1]);
+}
+
 }  // namespace
 }  // namespace shorelead::node
