--- a/src/node/watch_waits.h
+++ b/src/node/watch_waits.h
@@ -18,10 +18,10 @@
   static constexpr Millis kLeast = 200;
   static constexpr Millis kMost = 2000;
   // A watch that fell silent is not a call that failed: discovery may be well. What it misses counts as told
-  // 6 s after its last word, of which 3 s are needed to notice. All watches may fall silent at once, and
-  // discovery bears so many calls a second: from 80 nodes on they are spread over as long as pays in sum.
+  // 6 s after it fell silent, of which 3 s are needed to notice, and a call may wait for 2 s. So the calls
+  // are spread over no more than what is left; one watch in ten was seen to fall silent at once.
   static constexpr Millis kEachNode = 50;
-  static constexpr Millis kMostAfterSilence = 4000;
+  static constexpr Millis kMostAfterSilence = 1000;
 
   void told() {  // a list came
     wait_ = 0;
