--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -136,7 +136,7 @@
 // at all. Each node has noticed 3 s after its last word, which was up to 2 s before. A call that failed is
 // repeated by the module, as a silent watch was: after 5 s, give or take half, then twice that.
 struct Silence {
-  double told_in_time = 0;  // share of nodes that have their list 6 s after the watches fell silent
+  double told_in_time = 0;  // share of these nodes that have their list 6 s after the watches fell silent
   Millis late = 0;          // and for how long one has it not, from there on, in the mean
 };
 
@@ -168,7 +168,7 @@
   return found;
 }
 
-// What a silent watch missed counts as told 6 s after its last word, though discovery may be well.
+// What a silent watch missed counts as told 6 s after it fell silent, though discovery may be well.
 TEST(Terms, ASilentWatchIsAskedAnewBeforeItsNewsCount) {
   // A tenth of them, as was seen: all are told in time, by the module's wait few. All at once:
   // not all can be, whoever spreads them.
@@ -207,5 +207,34 @@
   node.thread.join();
 }
 
+// A backend's second answer, some milliseconds after the first, is not passed on as that to the next request.
+TEST(Terms, ASecondAnswerIsNotTheNextRequests) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  node.config.host.settle = 1e9;
+  node.start();
+  Line client = node.client();
+  std::vector<Line> lines;
+  const auto served = [&](Line& there) {
+    EXPECT_FALSE(there.request().empty());
+    there.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnews");
+    EXPECT_TRUE(client.answer().ends_with("news"));
+  };
+  client.write(get("/safe"));
+  served(lines.emplace_back(backend.accept()));
+  client.write(get("/safe"));
+  lines.front().write(kOk);
+  served(lines.emplace_back(backend.accept()));
+  EXPECT_EQ(lines.front().rest(), "") << "never to be used again";
+  // But connections do not grow with the requests of a moment.
+  for (int more = 0; more < 7; ++more) {
+    client.write(get("/safe"));
+    served(lines.emplace_back(backend.accept()));
+  }
+  client.write(get("/safe"));
+  served(lines[1]);
+}
+
 }  // namespace
 }  // namespace shorelead::node
