--- a/src/estimate/backends.cpp
+++ b/src/estimate/backends.cpp
@@ -67,7 +67,7 @@
     if (!f.load.lanes_known) f.load.lanes = lanes_like_warm(f);
     if (!in_use(i)) continue;
     speeds.push_back(&f.speed);
-    if (cold(i) || !f.load.lanes_known) continue;
+    if (cold(f) || !f.load.lanes_known) continue;
     lanes += f.load.lanes;
     // A backend that is slow for being crowded only seems to work on more at once.
     pace += f.load.lanes / std::max(1.0, f.speed.ratio);
--- a/src/estimate/backends.h
+++ b/src/estimate/backends.h
@@ -77,26 +77,22 @@
     return arrivals_.per_period() * 1000 / v_.period;
   }                                          // requests a second, to this node
   double losing() const { return losing_; }  // share of attempts lost, of late
-  bool cold(std::size_t i) const { return of_[i].started > 0 && v_.now - of_[i].started < v_.warm_up; }
+  bool cold(std::size_t i) const { return cold(of_[i]); }
   // The least share of its capacity that a backend has by now: it warms no slower than evenly.
-  double warmth(std::size_t i) const {
-    if (!cold(i) || v_.warm_up <= 0) return 1;
-    return v_.cold_share + (1 - v_.cold_share) * std::clamp((v_.now - of_[i].started) / v_.warm_up, 0.0, 1.0);
-  }
+  double warmth(std::size_t i) const { return warmth(of_[i]); }
   // Requests that it finishes in that time when it is warm.
   double finishes(std::size_t i, Millis span) const {
     return std::max(1.0, of_[i].size * pace_per_size_) * span / times_.mean();
   }
   // Requests in its hands: counted where keepers tell, else in mean requests.
   double held(std::size_t i) const {
-    return v_.by_keepers ? of_[i].others_held + of_[i].own.held() : in_hand(i);
+    return v_.by_keepers ? of_[i].others_held + of_[i].own.held() : in_hand(of_[i]);
   }
   // Its load with one more of so much work, in service times.
-  double crowd(std::size_t i, double work) const {
-    return std::max(work, (in_hand(i) + work) / of_[i].load.lanes);
-  }
+  double crowd(std::size_t i, double work) const { return crowd(of_[i], work); }
   Millis expected(std::size_t i, int request_class, double work) const {
-    return times_.expected(request_class, of_[i].speed) * crowd(i, work) / warmth(i);
+    const Figures& f = of_[i];
+    return times_.expected(request_class, f.speed) * crowd(f, work) / warmth(f);
   }
   // Its service time over the fleet's by one answer; 0: that was too short to tell.
   double ratio(const Sent& sent, Millis elapsed) const;
@@ -110,13 +106,20 @@
     Speed speed;             // as answers say
     double others_held = 0;  // as its keeper told
   };
+  bool cold(const Figures& f) const { return f.started > 0 && v_.now - f.started < v_.warm_up; }
+  double warmth(const Figures& f) const {
+    if (!cold(f) || v_.warm_up <= 0) return 1;
+    return v_.cold_share + (1 - v_.cold_share) * std::clamp((v_.now - f.started) / v_.warm_up, 0.0, 1.0);
+  }
   // This node's own, and those of others, of which old news fades to the fleet's mean; for a cold one to
   // none, as its budget sees to that, or it would get nothing until it is warm.
-  double in_hand(std::size_t i) const {
-    const Figures& f = of_[i];
+  double in_hand(const Figures& f) const {
     if (!load_.told()) return f.own.work() * std::max(1.0, v_.sharers);
     const bool remembered = v_.seldom_told && !v_.by_keepers;
-    return f.own.work() + load_.others(f.load, kReportLife * times_.mean(), cold(i), remembered, v_.now);
+    return f.own.work() + load_.others(f.load, kReportLife * times_.mean(), cold(f), remembered, v_.now);
+  }
+  double crowd(const Figures& f, double work) const {
+    return std::max(work, (in_hand(f) + work) / f.load.lanes);
   }
   double lanes_like_warm(const Figures& f) const { return std::max(1.0, f.size * lanes_per_size_); }
 
--- a/src/policy/fellows.h
+++ b/src/policy/fellows.h
@@ -49,10 +49,10 @@
 
   // Tells the keeper what this node has out there, and how an attempt ended.
   void tell(BackendId i, PeerMessage::Ending ending, double ratio = 0) {
+    if (!c_.by_keepers) return;
     const estimate::OwnAttempts& own = known_.own(i);
     const std::uint32_t tag = lists_[i].tag;
-    if (c_.by_keepers)
-      say(keeper(tag), {PeerMessage::Kind::kTell, tag, own.work(), own.held(), ratio, ending});
+    say(keeper(tag), {PeerMessage::Kind::kTell, tag, own.work(), own.held(), ratio, ending});
   }
 
   void tell_rates() {
--- a/src/policy/health.h
+++ b/src/policy/health.h
@@ -3,9 +3,8 @@
 // sake.
 #pragma once
 
-#include <cmath>
-
-#include "base/numbers.h"
+#include "base/kept_median.h"
+#include "base/span_budget.h"
 #include "policy/lists.h"
 
 namespace shorelead::policy {
@@ -33,8 +32,9 @@
   // Of a backend that is ready: whatever is asked, or for this class.
   bool rests(BackendId i, Millis now) const { return now < std::max(of_[i][0].until, of_[i][1].until); }
   bool rests_for(BackendId i, int request_class) const {
+    const std::vector<Record>& all = of_[i];
     const std::size_t n = of_class(request_class);
-    return rests(i, c_.now) || c_.now < std::max(of_[i][n].until, of_[i][n + 1].until);
+    return c_.now < std::max({all[0].until, all[1].until, all[n].until, all[n + 1].until});
   }
 
   // Exception "health": a backend may fail, hang or fail one class while its probes pass. One that fails much
@@ -45,9 +45,10 @@
     const bool error = unreachable || outcome == Outcome::kError || outcome == Outcome::kConnectionLost;
     if (!silent && !error && outcome != Outcome::kServed) return;
     ++outcomes_;
+    std::vector<Record>& all = of_[i];
     for (const std::size_t n : {std::size_t{0}, of_class(request_class)}) {
-      judge(i, n, silent, kHealthGain);
-      judge(i, n + 1, error, unreachable && n == 0 ? 1 : kErrorGain);
+      judge(all[n], n, silent, kHealthGain);
+      judge(all[n + 1], n + 1, error, unreachable && n == 0 ? 1 : kErrorGain);
     }
   }
 
@@ -61,8 +62,7 @@
   // Silences (even) and errors (odd), as a crowd explains only the first; over all classes, then of each.
   static std::size_t of_class(int request_class) { return 2 * static_cast<std::size_t>(request_class) + 2; }
 
-  void judge(BackendId i, std::size_t n, bool bad, double gain) {
-    Record& h = of_[i][n];
+  void judge(Record& h, std::size_t n, bool bad, double gain) {
     h.usual += kUsualGain * ((bad ? 1.0 : 0.0) - h.usual);
     // Where connections break everywhere, some failures in a row are chance.
     if (bad) gain /= 1 + kUsualDoubt * median_of(n, &Record::usual);
@@ -78,21 +78,20 @@
 
   // Over all ready backends; worked out anew once one in kMedianParts of them had an outcome.
   double median_of(std::size_t n, double Record::*figure) {
-    auto& [kept, due] = medians_[n * 2 + (figure == &Record::usual)];
-    if (outcomes_ < due) return kept;
-    std::vector<double> all;
-    for (BackendId i = 0; i < lists_.size(); ++i) {
-      if (lists_.ready(i)) all.push_back(of_[i][n].*figure);
-    }
-    due = outcomes_ + all.size() / kMedianParts;
-    return kept = median(std::move(all));
+    return medians_[n * 2 + (figure == &Record::usual)].at(outcomes_, kMedianParts, [&] {
+      std::vector<double> all;
+      for (BackendId i = 0; i < lists_.size(); ++i) {
+        if (lists_.ready(i)) all.push_back(of_[i][n].*figure);
+      }
+      return all;
+    });
   }
 
   const Context& c_;
   const Lists& lists_;
   Grown<std::vector<Record>> of_;
-  Grown<std::pair<double, std::uint64_t>> medians_;  // each good until so many outcomes came
-  std::uint64_t outcomes_ = 0;                       // judged so far, to say how old a median is
+  Grown<KeptMedian> medians_;
+  std::uint64_t outcomes_ = 0;  // judged so far
 };
 
 // Rule "a cold backend is not pushed over": no more than this node's part in any fall span. A part under
@@ -100,33 +99,23 @@
 class ColdBudgets {
  public:
   ColdBudgets(Context& context, const estimate::Backends& known) : c_(context), known_(known) {}
-  void welcome(BackendId i) { of_[i] = {{}, c_.random.unit(), -1, c_.now}; }
+  void welcome(BackendId i) { of_[i] = SpanBudget(c_.random.unit(), c_.now); }
   bool room(BackendId i) {
     if (!known_.cold(i)) return true;
     const Settings& s = c_.settings;
-    Budget& b = of_[i];
     const double capacity = known_.finishes(i, s.fall_span);
     const double budget = kColdSafety * s.fall_multiple * known_.warmth(i) * capacity / c_.sharers;
-    std::erase_if(b.sends, [&](Millis t) { return c_.now - t >= s.fall_span; });
-    b.turns += budget * (c_.now - std::exchange(b.at, c_.now)) / s.fall_span;
-    if (budget >= 1) return budget - static_cast<double>(b.sends.size()) >= 1;
-    const double turn = std::floor(b.turns);
-    return turn > b.used && b.turns - turn < kColdTurn * budget / (known_.rate() * s.fall_span / 1000);
+    const double open = kColdTurn * budget / (known_.rate() * s.fall_span / 1000);
+    return of_[i].room(budget, s.fall_span, open, c_.now);
   }
   void sent(BackendId i) {
-    if (known_.cold(i)) of_[i].sends.push_back(c_.now), of_[i].used = std::floor(of_[i].turns);
+    if (known_.cold(i)) of_[i].spend(c_.now);
   }
 
  private:
-  struct Budget {
-    std::vector<Millis> sends;  // while cold: those that still count
-    double turns = 0;           // where its part is under one request: how many came by now,
-    double used = -1;           // the last that was used
-    Millis at = 0;              // and when this was worked out
-  };
   Context& c_;
   const estimate::Backends& known_;
-  Grown<Budget> of_;
+  Grown<SpanBudget> of_;
 };
 
 }  // namespace shorelead::policy
--- a/src/policy/rotation.h
+++ b/src/policy/rotation.h
@@ -126,14 +126,14 @@
     std::size_t count = 0;
     for (BackendId i = 0; i < lists_.size(); ++i) count += usable(i) ? 1 : 0;
     for (BackendId i = 0; i < lists_.size(); ++i) {
-      double& credit = of_[i].credit;
+      Part& part = of_[i];
+      double& credit = part.credit;
       if (!usable(i)) {
         credit = 0;
         continue;
       }
       // Bounded both ways: neither a hoard of turns nor a long penance for turns taken early.
-      if (earn)
-        credit = std::clamp(credit + of_[i].share * static_cast<double>(count), -1.0, 1.0 + kShareCap);
+      if (earn) credit = std::clamp(credit + part.share * static_cast<double>(count), -1.0, 1.0 + kShareCap);
       for (; credit > 1 - kRounding; credit -= 1) turns_.push_back(i);
     }
     for (std::size_t n = turns_.size() - old; n > 1; --n) {
