--- a/src/policy/choosing.h
+++ b/src/policy/choosing.h
@@ -53,7 +53,8 @@
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
     }
-    return !health_.rests_for(i, r.request_class) && retries_.in_group(r, i) && cold_.room(i);
+    if (health_.rests_for(i, r.request_class) || !retries_.in_group(r, i)) return false;
+    return !known_.cold(i) || cold_.room(i);
   }
 
   // Whether any in the rotation may still have it.
--- a/src/policy/health.h
+++ b/src/policy/health.h
@@ -100,8 +100,8 @@
  public:
   ColdBudgets(Context& context, const estimate::Backends& known) : c_(context), known_(known) {}
   void welcome(BackendId i) { of_[i] = SpanBudget(c_.random.unit(), c_.now); }
+  // Of a cold one.
   bool room(BackendId i) {
-    if (!known_.cold(i)) return true;
     const Settings& s = c_.settings;
     const double capacity = known_.finishes(i, s.fall_span);
     const double budget = kColdSafety * s.fall_multiple * known_.warmth(i) * capacity / c_.sharers;
