Recorded streams also pass the end of a window for repeats

With the guard of the window taken out no stream differed: attempts ended at the aim, which came first. One class now has a window of 30 ms.

--- a/tests/policy/stream_shapes.cpp
+++ b/tests/policy/stream_shapes.cpp
@@ -29,6 +29,7 @@
                make_class(Effect::kKeyed, DedupGroup::kCell, 150, 0.5),
                make_class(Effect::kSafe, DedupGroup::kAll, 300, 1)};
   s.classes[0].late_value = 0.3;
+  s.classes[3].dedup_window = 30;  // shorter than the aim, so that it ends between attempts
   s.classes[5].streamed = true;
   s.tenants = {{0}, {30}, {400}};
   s.over_share_worth = 0.1;
