--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -33,7 +33,6 @@
 std::string route(const std::string& name, const std::string& to) {
   return "route " + name + " { path /" + name + "/*; class " + name + "; " + to + " }\n";
 }
-
 Config read(const std::string& text) {
   language::Reader reader;
   reader.read = [&text](const std::string&) { return std::optional(text); };
