--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -18,10 +18,8 @@
     6;  // unused clients' connections are many where they take more than one in so many
 constexpr Millis kLastCall = 100;  // and for a request on a connection taken in at the very end
 constexpr Millis kLeaveEvery = 20;
-constexpr Millis kLeaveAfter = 600;        // beyond the longest deadline, whatever is left
-constexpr Millis kReadyWait = 500;         // for the list of now, where one of earlier is known
-constexpr Millis kReadyWaitBeside = 3000;  // the same where another process serves meanwhile
-constexpr Millis kLookAtBansEvery = 50;    // a fifth of the shortest grace in use
+constexpr Millis kLeaveAfter = 600;        // beyond the longest deadline, what is left is answered
+constexpr Millis kReadyWaitBeside = 3000;  // for the list of now, where another process serves meanwhile
 constexpr Millis kListWait =
     3000;  // for the lists of new pools, before a generation comes in force without them
 constexpr Millis kLookEvery = 10;   // whether they are there
@@ -38,6 +36,12 @@
       waits_(waits),
       started_(loop.now()) {
   flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
+  const auto listed = [this](const std::string& id) {
+    return std::any_of(pools_.begin(), pools_.end(), [&id](const auto& pool) { return pool->lists(id); });
+  };
+  bans_ = std::make_unique<BanKeeper>(loop_, listed, [this] {
+    for (const auto& pool : pools_) pool->ban(bans_->bans());
+  });
   Pending first = make_traffic(config);
   traffic_ = first.traffic;
   Front::Entry entry(config.listen);
@@ -63,8 +67,7 @@
           },
           flows_});
   if (!place_.folder.empty()) {
-    ban_file_ = std::make_unique<handover::BanFile>(place_.bans());
-    look_at_bans();
+    bans_->share(place_.bans());
   }
   for (const auto& pool : pools_) pool->start();
   if (place_.legacy) {
@@ -87,7 +90,6 @@
   loop_.cancel(look_);
   loop_.cancel(sweep_);
   loop_.cancel(drain_at_);
-  loop_.cancel(look_bans_);
   loop_.cancel(look_serving_);
 }
 
@@ -241,11 +243,17 @@
 
 bool Server::could_serve() const {
   // Lists of earlier will do if discovery takes its time.
-  const auto& pools = traffic_->pools;
-  if (std::all_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->told(); })) return true;
-  const bool known =
-      std::any_of(pools.begin(), pools.end(), [](const auto& pool) { return pool->backends() > 0; });
-  return known && loop_.now() - started_ >= (predecessor_ ? kReadyWaitBeside : kReadyWait);
+  bool told = true;
+  bool pushed = false;
+  bool known = false;
+  for (const auto& pool : traffic_->pools) {
+    told = told && pool->told();
+    pushed = pushed || (pool->pushed() && !pool->told());
+    known = known || pool->backends() > 0;
+  }
+  if (told) return true;
+  const Millis wait = predecessor_ ? kReadyWaitBeside : pushed ? waits_.pushed_list : waits_.list;
+  return known && loop_.now() - started_ >= wait;
 }
 
 int Server::most_streams() const {
@@ -322,17 +330,6 @@
   }
 }
 
-void Server::look_at_bans() {
-  look_bans_ = loop_.after(kLookAtBansEvery, [this] { look_at_bans(); });
-  std::string cause;
-  const auto fresh = ban_file_->read_if_new(cause);
-  if (!cause.empty()) spdlog::error("{}, not used", cause);
-  if (!fresh || *fresh == bans_) return;
-  spdlog::info("backends out by hand: {}, as told to the other process", fresh->count_out());
-  bans_ = *fresh;
-  for (const auto& pool : pools_) pool->ban(bans_);
-}
-
 limits::Descriptors Server::descriptors() const { return limits::Descriptors(most_streams()); }
 
 limits::DescriptorCounts Server::descriptors_now() const {
@@ -427,7 +424,7 @@
       return manage::listing(figures());
     case manage::CallKind::kDisable:
     case manage::CallKind::kEnable:
-      return ban(call);
+      return bans_->change(call);
     case manage::CallKind::kDrain:
       drain_.drain(loop_.now());
       let_go();
@@ -440,29 +437,6 @@
   return manage::no("unknown call");
 }
 
-// A backend that is out stays known, whatever became of it in the list: else the call back would be refused.
-std::string Server::ban(const manage::Call& call) {
-  const bool listed =
-      std::any_of(pools_.begin(), pools_.end(), [&call](const auto& pool) { return pool->lists(call.id); });
-  if (!listed && !bans_.knows(call.id)) return manage::no("no backend " + call.id + " in the list");
-  const bool out = call.kind == manage::CallKind::kDisable;
-  bool changed = false;
-  const auto change = [&](manage::BanSet& bans) {
-    changed = out ? bans.disable(call.id, loop_.now()) : bans.enable(call.id, loop_.now());
-  };
-  if (ban_file_) {
-    std::string cause;
-    bans_ = ban_file_->change(bans_, change, cause);
-    if (!cause.empty()) spdlog::error("{}: the next process will not know", cause);
-  } else {
-    change(bans_);
-  }
-  if (!changed) return manage::yes(call.id + (out ? " was out already" : " was in already"));
-  spdlog::info("backend {} taken {} by hand", call.id, out ? "out" : "back in");
-  for (const auto& pool : pools_) pool->ban(bans_);
-  return manage::yes(call.id + (out ? " is out" : " is back"));
-}
-
 std::string Server::figures() const {
   manage::Gauges gauges;
   for (const auto& pool : pools_) {
@@ -523,18 +497,28 @@
     return;
   }
   for (const auto& pool : pools_) {
-    if (std::find(before.begin(), before.end(), pool) == before.end()) pool->start();
+    if (std::find(before.begin(), before.end(), pool) != before.end()) continue;
+    pool->ban(bans_->bans());
+    pool->start();
   }
   put_in_force();
   sweep_pools();
 }
 
 void Server::leave_when_empty(Millis until) {
-  if (front_->empty() || loop_.now() >= until) {
+  const auto end = [this] {
     spdlog::info("shut down, {} connections left", front_->clients());
-    return loop_.stop();
+    loop_.stop();
+  };
+  if (front_->empty()) return end();
+  if (loop_.now() < until) {
+    loop_.after(kLeaveEvery, [this, until] { leave_when_empty(until); });
+    return;
   }
-  loop_.after(kLeaveEvery, [this, until] { leave_when_empty(until); });
+  // Guards against ending without an answer to what came at the very end, or has longer than any class of
+  // now.
+  front_->give_up();
+  loop_.after(kLeaveEvery, end);
 }
 
 void Server::log_counters() const {
--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -33,13 +33,13 @@
 std::string route(const std::string& name, const std::string& to) {
   return "route " + name + " { path /" + name + "/*; class " + name + "; " + to + " }\n";
 }
-
 Config read(const std::string& text) {
   language::Reader reader;
   reader.read = [&text](const std::string&) { return std::optional(text); };
   reader.glob = [](const std::string& path) { return std::vector{path}; };
   Config config = load_shore("t.shore", {}, reader);
   config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+  for (PoolConfig& one : config.pools) one.host.settle = 0;  // tests ask again at once
   return config;
 }
 
