--- a/src/lab/etcd.cpp
+++ b/src/lab/etcd.cpp
@@ -371,7 +371,7 @@
 
 // As from a copy of some changes ago; then boxes say again what they are.
 void EtcdRegistry::restart() {
-  store_.restore(store_.revision() > kLostHistory ? store_.revision() - kLostHistory : 1);
+  store_.restore(store_.revision() > kLostHistory ? store_.revision() - kLostHistory : 1, clock_now());
   const auto sessions = sessions_;
   for (const auto& session : sessions) session->close();
   const auto states = states_;
--- a/tests/membership/follower_test.cpp
+++ b/tests/membership/follower_test.cpp
@@ -327,7 +327,7 @@
         break;
       case 10:
         if (*rc::gen::inRange(0, 6) == 0) {
-          world.store.restore(*rc::gen::inRange<std::uint64_t>(1, world.store.revision() + 1));
+          world.store.restore(*rc::gen::inRange<std::uint64_t>(1, world.store.revision() + 1), world.now);
           client.cut();
         }
         break;
