The stand-in registry takes puts, transactions and leases; their texts, read and written

Need: processes of a fleet share through a registry; the client and the lab need one that speaks the writing half of etcd v3's gateway.

--- a/fuzz/registry_fuzz.cpp
+++ b/fuzz/registry_fuzz.cpp
@@ -8,6 +8,7 @@
 #include "membership/kept_list.h"
 #include "membership/registry/follower.h"
 #include "membership/registry/messages.h"
+#include "membership/registry/writes.h"
 
 using namespace shorelead::membership;
 
@@ -39,6 +40,26 @@
   }
 }
 
+// An answer to a transaction or about a lease: whatever it says, it fits what was asked or is refused.
+void writes(const std::string& text) {
+  const registry::Txn asked{{{"/f/plan", registry::Compare::Of::kChanged, 3}},
+                            {registry::Put{"/f/a", "x", 7}, registry::Get{"/f/", "/f0", false}},
+                            {registry::Get{"/f/plan", "", true}, registry::Delete{"/f/a"}}};
+  std::string cause;
+  const auto answer = registry::parse_txn(asked, text, cause);
+  must(answer ? answer->pages.size() == 2 : !cause.empty());
+  must(!answer || answer->succeeded || answer->pages[1].items.empty());
+  cause.clear();
+  const auto granted = registry::parse_grant(text, cause);
+  must(granted ? granted->id > 0 && granted->seconds > 0 : !cause.empty());
+  cause.clear();
+  const auto kept = registry::parse_kept(7, text, cause);
+  must(kept ? kept->id == 7 && kept->seconds >= 0 : !cause.empty());
+  cause.clear();
+  must(registry::parse_revoked(text, cause) || !cause.empty());
+  must(registry::parse_refusal(text).code >= 0);
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -48,6 +69,7 @@
   switch (data[0] % 5) {
     case 0:
       must(registry::parse_page(text, cause) || !cause.empty());
+      writes(text);
       break;
     case 1:
       must(registry::parse_line(text, cause) || !cause.empty());
--- a/src/lab/key_store.cpp
+++ b/src/lab/key_store.cpp
@@ -115,6 +115,9 @@
     TxnResult::Op& out = result.ops.emplace_back();
     if (const auto* const asked = std::get_if<RangeOp>(&op)) {
       out.range = range(asked->from, asked->end, asked->limit, asked->revision, asked->since);
+      for (auto& [key, stored] : out.range.items) {
+        if (asked->keys_only) stored.value.clear();
+      }
     } else if (const auto* const put = std::get_if<PutOp>(&op)) {
       write(put->key, put->value, put->lease, next);
       wrote = true;
--- a/src/lab/key_txn.h
+++ b/src/lab/key_txn.h
@@ -38,6 +38,7 @@
   std::size_t limit = 0;       // 0 = all
   std::uint64_t revision = 0;  // 0 = now
   std::uint64_t since = 0;     // only those changed then or later are given, and all are counted
+  bool keys_only = false;      // values are left out
 };
 struct PutOp {
   std::string key;
--- a/src/membership/registry/messages.h
+++ b/src/membership/registry/messages.h
@@ -24,6 +24,7 @@
   std::string key;
   std::string value;
   std::uint64_t revision = 0;  // at which it was last changed
+  std::uint64_t created = 0;
 };
 
 struct Page {
