Model of a fleet: many processes, a store that hurts, in simulated time

Need: the sums and the slots have to hold through pauses, cuts, kills, lost tails and doubled calls, and nothing but the real member, planner and shares can show it.

The model runs them under clocks that drift by the stated bound and stand still; messages are lost, doubled, up to two leases late and out of order; calls go on reaching the store after their process is dead. Judged from outside, in the world's time: what is spent against rate x W + burst, against a window, at once; sends for a slot at two boxes; what all could spend if they tried; and the invariant of plan.h over the store at every revision.

--- a/src/fleet/holding.cpp
+++ b/src/fleet/holding.cpp
@@ -1,34 +1,18 @@
 #include "fleet/holding.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "fleet/division.h"
+
 namespace shorelead::fleet {
 
 Holding::Holding(const Sharing& sharing, std::vector<Budget> budgets)
     : sharing_(sharing), budgets_(std::move(budgets)) {}
 
 Parts Holding::own_parts(const Plan& plan, const MemberId& member) const {
-  Parts parts;
   const auto given = plan.shares.find(member.text());
-  if (given == plan.shares.end()) return parts;
-  for (const Budget& budget : budgets_) {
-    const auto it = given->second.find(budget.name);
-    if (it == given->second.end()) continue;
-    Part part = it->second;
-    const auto whole = plan.wholes.find(budget.name);
-    if (whole != plan.wholes.end() && budget.whole < whole->second.amount) {
-      part.amount *= budget.whole / whole->second.amount;
-      if (budget.kind != BudgetKind::kRate) part.amount = std::floor(part.amount);
-    }
-    if (whole != plan.wholes.end() && budget.kind == BudgetKind::kRate &&
-        budget.burst < whole->second.burst) {
-      part.burst = std::floor(part.burst * budget.burst / whole->second.burst);
-    }
-    parts[budget.name] = part;
-  }
-  return parts;
+  return given == plan.shares.end() ? Parts{} : usable(given->second, plan.wholes, budgets_);
 }
 
 double Holding::in_use(const Budget& budget) const {
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-constexpr double kAgain = 20;     // tries of a call that was lost, within a lease
-constexpr double kSpread = 0.1;   // of a lease, over which processes stand once there is no planner
-constexpr double kTurns = 2;      // leases until small wholes go round
+constexpr double kAgain = 20;    // tries of a call that was lost, within a lease
+constexpr double kSpread = 0.1;  // of a lease, over which processes stand once there is no planner
+constexpr double kTurns = 2;     // leases until small wholes go round
+constexpr std::uint64_t kGreatestEpoch = 1e15;  // a record that says more lies
 constexpr double kGivesWay = 10;  // leases, to processes that read the plan that this one cannot
 
 bool same_but_for_number(Plan a, const Plan& b) {
@@ -138,7 +139,9 @@
   const auto turn = static_cast<std::uint64_t>(now_ / (sharing_.lease * kTurns));
   Plan next = next_plan(input, turn).value_or(read.plan.value_or(Plan{}));
   next.epoch = (read.plan ? read.plan->epoch : 0) + 1;
-  for (const Record& record : read.records) next.epoch = std::max(next.epoch, record.epoch + 1);
+  for (const Record& record : read.records) {
+    if (record.epoch < kGreatestEpoch) next.epoch = std::max(next.epoch, record.epoch + 1);
+  }
   next.fence = fence_;
   next.history = history_.cluster();
   for (const auto& shaper : shapers_) shaper->shape(next, standing, read.records, now_);
@@ -146,8 +149,9 @@
   with_ghosts.insert(with_ghosts.end(), read.records.begin(), read.records.end());
   hold_slots(next, standing, with_ghosts, may_raise && leavers_.knows_all(now_));
   if (standing != nullptr && same_but_for_number(next, *standing) &&
-      std::all_of(read.records.begin(), read.records.end(),
-                  [&](const Record& record) { return record.epoch <= standing->epoch; })) {
+      std::all_of(read.records.begin(), read.records.end(), [&](const Record& record) {
+        return record.epoch <= standing->epoch || record.epoch >= kGreatestEpoch;
+      })) {
     return std::nullopt;
   }
   if (!read.plan && next.shares.empty() && next.affinity.empty()) return std::nullopt;
--- /dev/null
+++ b/tests/fleet/model_steps.cpp
@@ -0,0 +1,99 @@
+#include "fleet/model_steps.h"
+
+#include <functional>
+#include <ostream>
+
+namespace shorelead::fleet::model {
+
+namespace {
+
+struct Kind {
+  const char* name;
+  int weight;
+  std::function<void(World&, const Step&, int process)> run;  // `process`: one that runs
+};
+
+std::string box(const Step& step) { return std::string(1, static_cast<char>('a' + step.much % 3)); }
+std::size_t back(const Step& step) { return static_cast<std::size_t>(step.much) % 4; }
+int planner_or(const World& world, int process) { return world.planner() >= 0 ? world.planner() : process; }
+
+const std::vector<Kind>& kinds() {
+  static const std::vector<Kind> kinds = {
+      {"start", 2, [](World& w, const Step&, int) { w.start(); }},
+      {"start under a name in use", 1, [](World& w, const Step&, int p) { w.start(w.process(p)->name); }},
+      {"kill", 1, [](World& w, const Step&, int p) { w.crash(p); }},
+      {"kill the planner", 1, [](World& w, const Step&, int p) { w.crash(planner_or(w, p)); }},
+      {"leave", 1, [](World& w, const Step&, int p) { w.leave(p); }},
+      {"pause", 2, [](World& w, const Step&, int p) { w.pause(p); }},
+      {"pause the planner", 1, [](World& w, const Step&, int p) { w.pause(planner_or(w, p)); }},
+      {"go on", 4, [](World& w, const Step&, int p) { w.go_on(p); }},
+      {"cut", 3, [](World& w, const Step& s, int p) { w.cut(p, s.much % 3 != 1, s.much % 3 != 2); }},
+      {"heal", 3, [](World& w, const Step&, int p) { w.cut(p, false, false); }},
+      {"demand", 3, [](World& w, const Step& s, int p) { w.demand(p, s.much * s.much); }},
+      {"claim", 1, [](World& w, const Step&, int p) { w.demand(p, 1e9); }},
+      {"wish", 5, [](World& w, const Step& s, int) { w.wish(static_cast<std::size_t>(s.who) % 2, box(s)); }},
+      {"store down", 1, [](World& w, const Step&, int) { w.store_down(true); }},
+      {"store up", 2, [](World& w, const Step&, int) { w.store_down(false); }},
+      {"lose a tail", 1, [](World& w, const Step& s, int) { w.restore(back(s)); }},
+      {"cut, and lose a tail", 2,
+       [](World& w, const Step& s, int p) {
+         w.cut(p, true, true);
+         w.restore(back(s));
+       }},
+      {"break the plan", 1, [](World& w, const Step&, int) { w.spoil(StoreState::Text::kBroken); }},
+      {"plan of a newer form", 1,
+       [](World& w, const Step& s, int) {
+         if (s.much == 0) w.spoil(StoreState::Text::kNewer);
+       }},
+  };
+  return kinds;
+}
+
+const Kind& kind_of(const Step& step) {
+  int left = step.what;
+  for (const Kind& kind : kinds()) {
+    if (left < kind.weight) return kind;
+    left -= kind.weight;
+  }
+  return kinds().back();
+}
+
+}  // namespace
+
+int step_kinds() {
+  int sum = 0;
+  for (const Kind& kind : kinds()) sum += kind.weight;
+  return sum;
+}
+
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "{" << step.what << ", " << step.who << ", " << step.much << ", " << step.then << "} /* "
+             << kind_of(step).name << " */";
+}
+
+std::ostream& operator<<(std::ostream& out, const Story& story) {
+  out << "{" << story.seed << "u, {" << story.noise.lost << ", " << story.noise.doubled << ", "
+      << story.noise.late << "}, " << story.begin << ", {";
+  for (const Step& step : story.steps) out << step << ", ";
+  return out << "}}";
+}
+
+std::string play(const Story& story) {
+  World world(story.seed, story.noise);
+  for (int i = 0; i < story.begin; ++i) world.start();
+  world.run(4500 + 200 * static_cast<Millis>(story.seed % 16));
+  for (const Step& step : story.steps) {
+    std::vector<int> run;
+    for (int i = 0; i < world.count(); ++i) {
+      if (world.process(i)->alive) run.push_back(i);
+    }
+    if (run.empty()) run.push_back(world.start());
+    kind_of(step).run(world, step, run[static_cast<std::size_t>(step.who) % run.size()]);
+    world.run(step.then);
+    if (!world.broken().empty()) return world.broken();
+  }
+  world.run(5000);
+  return world.broken();
+}
+
+}  // namespace shorelead::fleet::model
