--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -1,6 +1,7 @@
-// The watch on discovery's list: one chunked answer that stays open and holds a JSON object a line. It owns
-// that connection, the version reached and the signs of life. It must never decide what a change means, and
-// where the module says when to ask it never asks by itself.
+// The watch on discovery's list: one chunked answer that stays open and holds one JSON object after another,
+// each ended by a line end; blank lines show that it lives. It owns that connection, the version reached and
+// the signs of life. It must never decide what a change means, and where the module says when to ask it never
+// asks by itself.
 #pragma once
 
 #include <functional>
@@ -9,6 +10,7 @@
 
 #include "node/config.h"
 #include "node/list_reader.h"
+#include "node/list_stream.h"
 #include "node/net.h"
 
 namespace shorelead::node {
@@ -45,15 +47,16 @@
   void move(const Poco::Net::SocketAddress& address);
   bool watching() const { return stream_ != nullptr; }
   std::uint64_t version() const { return version_; }
-  Millis last_told() const { return last_told_; }  // when a line, or a sign of life, came; 0 = never
+  Millis last_told() const { return last_told_; }  // when anything of an answer came; 0 = never
+  bool listed() const { return listed_; }          // a list, or a sign that there is no news, came whole
   std::uint64_t opened() const { return opened_; }
 
  private:
   void on_connected(Stream&) override;
   void on_input(Stream& stream) override;
   void on_end(Stream& stream, Ending ending) override;
-  void take_lines();
-  void take_line(std::string line);
+  void take_lists();
+  void take_text(std::string text);
   void read_slice();
   void take(const List& list);
   void refuse(const FieldError& error);
@@ -68,12 +71,12 @@
   std::uint64_t version_;
   std::shared_ptr<Stream> stream_;
   Parser parser_{Parser::Kind::kResponse, kMostBytes};
-  std::string line_;
-  std::size_t searched_ = 0;            // of line_, without finding its end
-  std::unique_ptr<ListReader> reader_;  // a long line, read in slices; those behind it wait
+  ListStream come_;                     // and was not read
+  std::unique_ptr<ListReader> reader_;  // a long list, read in slices; those behind it wait
   Loop::TimerId slice_ = 0;
   Loop::TimerId deadline_ = 0;
   Millis last_told_ = 0;
+  bool listed_ = false;
   std::uint64_t opened_ = 0;
   static constexpr std::size_t kMostBytes = 8U << 20;
 };
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -20,6 +20,7 @@
 #include "node/facade.h"
 #include "node/net.h"
 #include "node/upstream.h"
+#include "node/watch_waits.h"
 
 namespace shorelead::node {
 
@@ -61,6 +62,8 @@
   const std::string& name() const { return config_.name; }
   const PoolConfig& config() const { return config_; }
   bool told() const;  // has its list of now
+  // Whether discovery tells by itself, and no list was kept for a time without it.
+  bool pushed() const { return discovery_ && !config_.settings.list_on_request && !keeper_; }
   // What is out by hand from now on; nothing that is not yet written goes there any more.
   void ban(const manage::BanSet& bans) { upstream_->withdraw(facade_.report_bans(bans, loop_.now())); }
   std::string list_text() const { return facade_.list_text(); }  // in discovery's form
@@ -119,7 +122,7 @@
   Loop::TimerId wake_ = 0;
   Millis wake_at_ = 0;
   Loop::TimerId rewatch_ = 0;
-  Millis watch_wait_ = 0;
+  WatchWaits watch_waits_;
   std::mt19937_64 jitter_;
   // counters
   std::uint64_t sent_ = 0;
--- /dev/null
+++ b/tests/terms_test.cpp
@@ -0,0 +1,214 @@
+// The terms of the operators' standing test that concern lists and ends (docs/standing-terms.md), each by the
+// order of events that breaks it, against peers that the test plays.
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <map>
+
+#include "base/random.h"
+#include "node/discovery.h"
+#include "node/list_stream.h"
+#include "node/watch_waits.h"
+#include "node_case.h"
+#include "peer.h"
+
+namespace shorelead::node {
+namespace {
+
+const std::string kIndented =
+    "{\n  \"seq\": 6,\n  \"whole\": true,\n  \"hosts\": [\n    {\n      \"host\": \"s-1}\\\"\",\n"
+    "      \"dial\": \"127.0.0.9:81\",\n      \"health\": \"ready\"\n    }\n  ]\n}\n";
+const std::string kOneLine = "{\"seq\":7,\"whole\":false,\"hosts\":[]}\n";
+
+// Lists may be indented; and one that is cut off must not take in what follows it.
+TEST(ListStream, ListsComeOutWholeAtEverySplit) {
+  struct Case {
+    std::string come;
+    std::vector<std::string> texts;
+  };
+  const Case cases[] = {
+      {"\n" + kIndented + "\n\r\n" + kOneLine, {kIndented, kOneLine}},
+      {"  " + kOneLine + kOneLine + "{\"seq\":8", {"  " + kOneLine, kOneLine}},
+      {"{\n  \"seq\": 6,\n\n" + kOneLine, {"{\n  \"seq\": 6,\n\n", kOneLine}},  // a sign of life inside
+      {"{\"seq\n" + kOneLine, {"{\"seq\n", kOneLine}},
+      {"{\"seq\\\n" + kOneLine, {"{\"seq\\\n", kOneLine}},
+      {"}7\n[\n{}\n]\n" + kOneLine, {"}7\n", "[\n{}\n]\n", kOneLine}},
+  };
+  for (const Case& one : cases) {
+    for (std::size_t split = 0; split <= one.come.size(); ++split) {
+      ListStream stream;
+      std::vector<std::string> texts;
+      for (const std::string& part : {one.come.substr(0, split), one.come.substr(split)}) {
+        stream.put(part);
+        while (const auto text = stream.next()) texts.push_back(*text);
+      }
+      ASSERT_EQ(texts, one.texts) << one.come << " at " << split;
+    }
+  }
+}
+
+std::string chunk(const std::string& text) {
+  std::array<char, 32> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
+// Discovery with a record of what it told; each thing told ends a run.
+struct Watched {
+  Line answered(const std::string& lines) {
+    discovery.watch();
+    Line there = peer.accept();
+    loop.after(1, [&there, lines] {
+      there.request();
+      there.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(lines));
+    });
+    loop.run();
+    return there;
+  }
+
+  Loop loop;
+  Peer peer;
+  std::vector<List> lists;
+  Ending ending = Ending::kNotSent;
+  Discovery discovery{loop,
+                      Poco::Net::SocketAddress("127.0.0.1", peer.port()),
+                      5,
+                      {[this](const List& list) {
+                         lists.push_back(list);
+                         loop.stop();
+                       },
+                       [this](Ending how) {
+                         ending = how;
+                         loop.stop();
+                       }},
+                      {20000, 20000, 20000}};
+};
+
+TEST(Terms, AnIndentedListIsTakenIn) {
+  Watched w;
+  const Line there = w.answered("\n" + kIndented);
+  ASSERT_EQ(w.lists.size(), 1U) << name_of(w.ending);
+  EXPECT_EQ(w.lists[0].version, 6U);
+  ASSERT_EQ(w.lists[0].backends.size(), 1U);
+  EXPECT_EQ(w.lists[0].backends[0].host, "s-1}\"");
+  EXPECT_TRUE(w.discovery.watching());
+}
+
+// Guards against a watch that waits for good for the rest of a list while it is told nothing.
+TEST(Terms, AListCutOffEndsTheWatch) {
+  Watched w;
+  const Line there = w.answered("{\n  \"seq\": 6,\n\n");
+  EXPECT_EQ(w.ending, Ending::kMalformed);
+  EXPECT_EQ(w.discovery.version(), 5U);
+}
+
+std::string ask_ready(Line& probe) {
+  probe.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  return status_of(probe.answer());
+}
+
+// Where lists are pushed, what is there counts as told from a process's first moment: it must not serve by
+// the list of the process before it. Where they are asked for, that list may stand for a while.
+TEST(Terms, APushedListIsWaitedForBeforeClientsAreTaken) {
+  for (const bool pushed : {false, true}) {
+    Peer backend;
+    Node node;
+    node.know("s-1", backend);
+    node.config.settings.list_on_request = !pushed;
+    node.waits.list = 0;
+    node.start();
+    Line probe = node.client();
+    EXPECT_EQ(ask_ready(probe), pushed ? "HTTP/1.1 503" : "HTTP/1.1 200");
+    if (!pushed) continue;
+    Line watch = node.discovery.accept();
+    EXPECT_FALSE(watch.request().empty());
+    // Nor by the beginning of the answer; each question is a turn of the node's loop, which has read it then.
+    const std::string answer = first_line("{\"seq\":7,\"whole\":true,\"hosts\":[]}\n");
+    watch.write(answer.substr(0, answer.size() - 5));
+    for (int turn = 0; turn < 50; ++turn) ASSERT_EQ(ask_ready(probe), "HTTP/1.1 503") << turn;
+    watch.write(answer.substr(answer.size() - 5));
+    while (ask_ready(probe) == "HTTP/1.1 503") continue;
+  }
+}
+
+// 300 watches fall silent at once, and discovery answers 46 calls a second, each in 2 s or not at all. Each
+// node has noticed 3 s after its last word, which was up to 2 s before. A call that failed is repeated by the
+// module, as a silent watch was: after 5 s, give or take half, then twice that.
+struct Silence {
+  double told_in_time = 0;  // share of nodes that have their list 6 s after the watches fell silent
+  Millis late = 0;          // and for how long one has it not, from there on, in the mean
+};
+
+Silence fall_silent(bool to_module) {
+  constexpr int kNodes = 300;
+  constexpr Millis kCall = 6500.0 / kNodes;
+  Random random(5);
+  std::multimap<Millis, Millis> calls;  // when, and the module's wait should it fail
+  const auto module = [&random](Millis wait) { return wait * (0.5 + random.unit()); };
+  for (int node = 0; node < kNodes; ++node) {
+    WatchWaits waits;
+    waits.told();
+    const Millis noticed = 3000 - 2000 * random.unit();
+    const auto wait = waits.ended(Ending::kSilent, true, kNodes, random.unit());
+    calls.emplace(noticed + (to_module ? module(5000) : wait.value()), to_module ? 10000 : 5000);
+  }
+  Silence found;
+  Millis free = 0;
+  for (auto call = calls.begin(); call != calls.end(); call = calls.erase(call)) {
+    const auto [at, wait] = *call;
+    free = std::max(free, at) + kCall;
+    if (free > at + 2000) {
+      calls.emplace(at + 2000 + module(wait), 10000);
+      continue;
+    }
+    found.told_in_time += (free <= 6000) / double{kNodes};
+    found.late += std::max(0.0, free - 6000) / kNodes;
+  }
+  return found;
+}
+
+// What a silent watch missed counts as told 6 s after its last word, though discovery may be well.
+TEST(Terms, ASilentWatchIsAskedAnewBeforeItsNewsCount) {
+  const Silence before = fall_silent(true);
+  const Silence now = fall_silent(false);
+  RecordProperty("before", std::to_string(before.told_in_time) + " " + std::to_string(before.late));
+  RecordProperty("now", std::to_string(now.told_in_time) + " " + std::to_string(now.late));
+  EXPECT_GT(now.told_in_time, 2 * before.told_in_time);
+  EXPECT_LT(now.late, before.late / 2);
+  // A small fleet, or a node alone, has nobody to wait for.
+  for (const double random : {0.0, 0.99}) {
+    WatchWaits waits;
+    EXPECT_FALSE(waits.ended(Ending::kSilent, true, 3, random)) << "it never told anything";
+    waits.told();
+    EXPECT_LE(waits.ended(Ending::kSilent, true, 3, random).value_or(1e9), 150);
+    EXPECT_FALSE(waits.ended(Ending::kSilent, true, 3, random)) << "silent again with nothing between";
+    waits.told();
+    EXPECT_FALSE(waits.ended(Ending::kTurnedAway, true, 3, random)) << "a call that failed";
+    EXPECT_LE(waits.ended(Ending::kTurnedAway, false, 300, random).value_or(1e9), 300) << "pushed";
+  }
+}
+
+// What was taken is answered before the process ends, also where its time is not up by then: a request that
+// came at the very end, or of a class that is no longer there.
+TEST(Terms, WhatIsUnderWayAtTheEndIsAnswered) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  for (RequestClass& one : node.config.settings.classes) one.deadline = 50;
+  node.waits.accept_on = 0;
+  node.start();
+  Line client = node.client();
+  client.write(post("/unsafe", "x", "X-Timeout-Ms: 20000\r\n"));
+  Line there = backend.accept();
+  there.request();
+  ::kill(::getpid(), SIGTERM);
+  const std::string answer = client.answer();
+  EXPECT_EQ(status_of(answer), "HTTP/1.1 504");
+  EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
+  EXPECT_EQ(there.rest(), "") << "and its attempt is given up";
+  node.thread.join();
+}
+
+}  // namespace
+}  // namespace shorelead::node
