--- /dev/null
+++ b/tests/fleet/model_calm_test.cpp
@@ -0,0 +1,93 @@
+// That the sharing of a fleet goes on: nothing is held back for safety that calm would let have.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "fleet/division.h"
+#include "fleet/model_world.h"
+
+namespace shorelead::fleet::model {
+namespace {
+
+constexpr double kUsable = 0.9;  // of the whole, 2 s after a change
+
+// What can be spent of each budget, with every living process's reserve, as a share of the whole; the least.
+double usable_part(const World& world, int processes) {
+  double least = 1;
+  for (const Budget& budget : small_budgets()) {
+    const double reserves = processes * reserve_of(budget, small_sharing()).amount;
+    const double most = divisible(budget, small_sharing()).amount + reserves;
+    least = std::min(least, (world.usable(budget.name) + reserves) / most);
+  }
+  return least;
+}
+
+void ask_for_much(World& world) {
+  for (int i = 0; i < world.count(); ++i) {
+    if (world.process(i)->alive) world.demand(i, 100);
+  }
+}
+
+class Calm : public testing::TestWithParam<int> {};
+
+TEST_P(Calm, TwoSecondsAfterAJoin) {
+  World world(static_cast<std::uint64_t>(GetParam()), {});
+  for (int i = 0; i < 3; ++i) world.start();
+  ask_for_much(world);
+  world.run(8000);
+  ASSERT_GE(usable_part(world, 3), kUsable);
+  const int joined = world.start("p3");
+  ask_for_much(world);
+  world.run(2000);
+  EXPECT_GE(usable_part(world, 4), kUsable);
+  EXPECT_GT(world.process(joined)->traffic.usable("rate", world.process(joined)->now(10000)), 0);
+  EXPECT_EQ(world.broken(), "");
+}
+
+TEST_P(Calm, LeaseAndTwoSecondsAfterThePlannerIsKilled) {
+  World world(static_cast<std::uint64_t>(GetParam()), {});
+  for (int i = 0; i < 4; ++i) world.start();
+  ask_for_much(world);
+  world.run(8000);
+  ASSERT_GE(world.planner(), 0);
+  world.crash(world.planner());
+  world.run(small_sharing().lease + 2000);
+  EXPECT_GE(world.planner(), 0);
+  EXPECT_GE(usable_part(world, 3), kUsable);
+  EXPECT_EQ(world.broken(), "");
+}
+
+TEST_P(Calm, OneLostAnswerInTwentyCostsNoShare) {
+  World world(static_cast<std::uint64_t>(GetParam()), {.lost = 0.05, .doubled = 0.05});
+  for (int i = 0; i < 3; ++i) world.start();
+  ask_for_much(world);
+  world.run(8000);
+  double sum = 0;
+  for (int i = 0; i < 100; ++i) {
+    world.run(200);
+    sum += usable_part(world, 3);
+  }
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(world.process(i)->core.counters().ended, 0u);
+  EXPECT_GE(sum / 100, kUsable);
+}
+
+TEST_P(Calm, AtMostTwoCallsASecond) {
+  World world(static_cast<std::uint64_t>(GetParam()), {}, [] {
+    Sharing sharing = small_sharing();
+    sharing.lease = 5000;
+    sharing.plan_every = 500;
+    return sharing;
+  }());
+  for (int i = 0; i < 6; ++i) world.start();
+  world.run(15000);
+  const std::uint64_t before = world.calls;
+  world.run(30000);
+  const double each = static_cast<double>(world.calls - before) / (6 * 30.0);
+  RecordProperty("calls_a_second", std::to_string(each));
+  EXPECT_LE(each, 2.0 + 2.0 / 6) << "the planner's two reads a second apart";
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Calm, testing::Range(1, 21));
+
+}  // namespace
+}  // namespace shorelead::fleet::model
