Plans: one order of ranks, a stable coin, and who is turned away in a shortage

In a shortage a node turns away whoever comes. Plans give the requests one order: the plan's rank, then the class's worth, numbered densely so that fleet::CutOff cuts it.

A cut-off that moves over a rank would turn a higher rank away within 2 s of having taken a lower one. So each process passes one rank in 2 s: a rank is cut once all below it have been out so long, and taken again once all above have been in. Floors are owed by counting, without a clock; the owed go to the plan's best classes and largest coins first.

--- /dev/null
+++ b/src/plans/admission.cpp
@@ -0,0 +1,75 @@
+#include "plans/admission.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "plans/level.h"
+
+namespace shorelead::plans {
+namespace {
+
+constexpr Millis kNever = -std::numeric_limits<Millis>::infinity();
+constexpr Millis kOrderHolds = 2000;  // the order holds over any window of this length
+// So many requests more must be owed for a class one step lower, or for a coin of 0 in place of 1: several
+// times what chance moves it by (about one), few enough to be owed within seconds.
+constexpr double kSpread = 8;
+
+bool within(Millis then, Millis now) { return now - then <= kOrderHolds; }
+
+}  // namespace
+
+Admission::Admission(const Order& order, const AdmissionSettings& settings)
+    : order_(order),
+      settings_(settings),
+      taken_at_(static_cast<std::size_t>(order.ranks()), kNever),
+      refused_at_(static_cast<std::size_t>(order.ranks()), kNever),
+      refused_any_at_(kNever),
+      owed_(order.plans().size(), 0),
+      counts_(static_cast<std::size_t>(order.ranks()) * 5, 0) {}
+
+Verdict Admission::decide(const fleet::CutOff& cut, int plan, int request_class, double coin, Millis now) {
+  const int rank = order_.rank_of(plan, request_class);
+  const auto at = static_cast<std::size_t>(rank);
+  Admitted as = Admitted::kTaken;
+  if (is_cut(cut, rank, coin)) {
+    as = Admitted::kCut;
+    for (std::size_t lower = at + 1; lower < taken_at_.size(); ++lower) {
+      if (within(taken_at_[lower], now)) as = Admitted::kOrder;
+    }
+  } else if (within(refused_any_at_, now)) {
+    for (std::size_t higher = 0; higher < at; ++higher) {
+      if (within(refused_at_[higher], now)) as = Admitted::kWaits;
+    }
+  }
+  const bool fits = owed(plan, request_class, coin);
+  if (fits && as >= Admitted::kCut) as = Admitted::kFloor;
+  double& debt = owed_[static_cast<std::size_t>(plan)];
+  if (as <= Admitted::kOrder) {
+    debt = std::max(0.0, debt - 1);
+    if (as != Admitted::kFloor) taken_at_[at] = now;
+  } else {
+    refused_at_[at] = refused_any_at_ = now;
+  }
+  ++counts_[at * 5 + static_cast<std::size_t>(as)];
+  return {as, as >= Admitted::kCut ? wait(cut, rank, coin) : 0};
+}
+
+bool Admission::owed(int plan, int request_class, double coin) {
+  const double floor = order_.plans()[static_cast<std::size_t>(plan)].floor;
+  if (!(floor > 0)) return false;
+  double& debt = owed_[static_cast<std::size_t>(plan)];
+  debt = std::min(debt + std::min(floor, 1.0), 1 + kSpread * order_.classes());
+  if (floor >= 1) return true;
+  return debt >= 1 + kSpread * (order_.step_of(plan, request_class) + 1 - coin);
+}
+
+Millis Admission::wait(const fleet::CutOff& cut, int rank, double coin) const {
+  if (!(settings_.most_wait > 0)) return 0;
+  // Those next to the level come back first: they are let in first. Within the rank that is cut in part only
+  // coins under its share are turned away.
+  const double part = rank == cut.rank && cut.share > 0 ? std::min(1.0, coin / cut.share) : coin;
+  const Millis least = std::min(settings_.least_wait, settings_.most_wait);
+  return least + (settings_.most_wait - least) * (1 - part);
+}
+
+}  // namespace shorelead::plans
