--- /dev/null
+++ b/src/plans/controller.cpp
@@ -0,0 +1,142 @@
+#include "plans/controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shorelead::plans {
+namespace {
+
+constexpr Millis kForgets = 120000;   // what the fleet could do is forgotten within this
+constexpr Millis kGap = 5000;         // looks further apart than this prove nothing of what was between them
+constexpr Millis kLate = 5000;        // by then a move counts as in force, whoever has not said so
+constexpr Millis kDrains = 1500;      // queues drain, and a report of the time after it is in
+constexpr Millis kPassesRank = 2000;  // admission.cpp: kOrderHolds
+constexpr double kNearBest = 0.95;    // of what could be done: aimed at
+constexpr double kAmple = 0.08;       // room
+constexpr double kJitter = 0.2;       // of a hold: processes alone do not try at the same moment
+
+}  // namespace
+
+double taken_at(const std::vector<double>& offered, double level) {
+  double sum = 0;
+  for (std::size_t rank = 0; rank < offered.size(); ++rank) {
+    sum += offered[rank] * std::clamp(level - static_cast<double>(rank), 0.0, 1.0);
+  }
+  return sum;
+}
+
+double level_for(const std::vector<double>& offered, double taken) {
+  double left = taken;
+  for (std::size_t rank = 0; rank < offered.size(); ++rank) {
+    if (offered[rank] > 0 && left < offered[rank]) return static_cast<double>(rank) + left / offered[rank];
+    left -= offered[rank];
+  }
+  return static_cast<double>(offered.size());
+}
+
+Controller::Controller(int ranks, const CutOffSettings& settings, std::uint64_t seed)
+    : ranks_(std::max(1, ranks)),
+      settings_(settings),
+      random_(seed),
+      level_(ranks_),
+      rise_(settings.least_step),
+      hold_(settings.hold) {}
+
+void Controller::adopt(double level, Millis now) {
+  level_ = std::clamp(level, 0.0, static_cast<double>(ranks_));
+  trial_ = false;
+  hold_ = settings_.hold;
+  rise_ = settings_.least_step;
+  moved_at_ = now;
+  in_force_at_ = settled_at_ = short_since_ = -1;
+  settle_ = kDrains;
+  ++counters_.adopted;
+}
+
+double Controller::see(const FleetView& view, bool in_force, Millis now) {
+  const Millis since = seen_at_ < 0 ? 0 : now - seen_at_;
+  seen_at_ = now;
+  best_ = std::max(view.in_time, best_ * std::exp(-since / kForgets));
+  if (since > kGap) short_since_ = -1, in_force_at_ = settled_at_ = -1;
+  if (moved_at_ >= 0 && !settled(in_force, now)) return level_;
+  if (!view.is_short) short_since_ = -1;
+  if (view.is_short && short_since_ < 0) short_since_ = now;
+
+  const bool open = level_ >= ranks_;
+  if (short_since_ >= 0 && now - short_since_ >= (open ? settings_.confirm : settings_.watch)) {
+    if (!trial_) {
+      tighten(view, now);
+      return level_;
+    }
+    ++counters_.stepped_back;
+    hold_ = std::min(2 * hold_, settings_.most_hold) * (1 + kJitter * random_.unit());
+    rise_ = settings_.least_step;
+    move(before_, view, now);
+    return level_;
+  }
+  if (trial_ && now - settled_at_ >= settings_.trial) {
+    trial_ = false;
+    hold_ = settings_.hold * (1 + kJitter * random_.unit());
+    rise_ = std::min(2 * rise_, settings_.most_rise);
+  }
+  if (open || trial_ || view.is_short) return level_;
+  const bool ample = view.room > kAmple;
+  if (now - moved_at_ >= (ample ? std::min(hold_, settings_.brief_hold) : hold_)) loosen(view, now);
+  return level_;
+}
+
+bool Controller::settled(bool in_force, Millis now) {
+  if (settled_at_ >= 0) return true;
+  if (in_force_at_ < 0 && (in_force || now - moved_at_ >= kLate)) in_force_at_ = now;
+  if (in_force_at_ < 0 || now - in_force_at_ < settle_) return false;
+  settled_at_ = now;
+  return true;
+}
+
+void Controller::move(double level, const FleetView& view, Millis now) {
+  // Boundaries of ranks that are passed, those nobody asks for left out.
+  int passed = 0;
+  const double from = std::min(level, level_);
+  const double to = std::max(level, level_);
+  for (int rank = static_cast<int>(from) + 1; rank < to; ++rank) {
+    if (view.offered[static_cast<std::size_t>(rank)] > 0) ++passed;
+  }
+  settle_ = kDrains + passed * kPassesRank;
+  level_ = level;
+  trial_ = false;
+  moved_at_ = now;
+  in_force_at_ = settled_at_ = short_since_ = -1;
+}
+
+void Controller::tighten(const FleetView& view, Millis now) {
+  const double offered = taken_at(view.offered, ranks_);
+  const double taken = taken_at(view.offered, level_);
+  // What the fleet could do of late is the aim where it is less than what is taken. Where it is not, the
+  // fleet can do less than it could, and only the misses tell by how much.
+  double fall = settings_.least_step;
+  if (best_ > 0 && best_ < view.taken) fall = 1 - kNearBest * best_ / view.taken;
+  if (fall < 2 * settings_.least_step) fall = view.missed / 2;
+  fall = std::clamp(fall, settings_.least_step, settings_.most_fall);
+  best_ = std::min(best_, view.taken * (1 - fall));  // it is short all the same: that was too much
+  const double aim = std::max(taken * (1 - fall), settings_.least_taken * offered);
+  if (aim >= taken) return;
+  ++counters_.tightened;
+  hold_ = settings_.hold * (1 + kJitter * random_.unit());
+  rise_ = settings_.least_step;
+  move(level_for(view.offered, aim), view, now);
+}
+
+void Controller::loosen(const FleetView& view, Millis now) {
+  const double offered = taken_at(view.offered, ranks_);
+  const double taken = taken_at(view.offered, level_);
+  // All of the room: who is let in repeats no more, so it takes up less than it asked for.
+  const double fits = view.room < 1 ? view.room / (1 - view.room) : settings_.most_rise;
+  const double rise = std::clamp(std::max(rise_, fits), settings_.least_step, settings_.most_rise);
+  const double aim = std::max(taken * (1 + rise), settings_.least_taken * offered);
+  before_ = level_;
+  ++counters_.loosened;
+  move(std::max(level_, level_for(view.offered, aim)), view, now);
+  trial_ = true;
+}
+
+}  // namespace shorelead::plans
--- /dev/null
+++ b/src/plans/cutoff.cpp
@@ -0,0 +1,68 @@
+#include "plans/cutoff.h"
+
+#include "plans/level.h"
+
+namespace shorelead::plans {
+namespace {
+
+constexpr double kMostHaveIt = 0.8;  // of the processes: a straggler or two hold nothing up
+constexpr Millis kWritten = 5000;    // a plan that was shaped stands by then, or is not going to
+
+}  // namespace
+
+CutOffShaper::CutOffShaper(int ranks, const CutOffSettings& settings, std::uint64_t seed)
+    : ranks_(ranks), settings_(settings), controller_(ranks, settings, seed) {}
+
+void CutOffShaper::shape(fleet::Plan& next, const fleet::Plan* standing,
+                         const std::vector<fleet::Record>& records, Millis now) {
+  if (standing) {
+    const bool ours = standing->cut_off == asked_;
+    const bool on_its_way = standing->cut_off == before_ && epoch_ == 0 && now - asked_at_ < kWritten;
+    if (ours && epoch_ == 0) epoch_ = standing->epoch;
+    if (!ours && !on_its_way) {
+      asked_ = before_ = standing->cut_off;
+      epoch_ = standing->epoch;
+      controller_.adopt(level_of(asked_, ranks_), now);
+    }
+  }
+  const FleetView view = view_of(records, ranks_, settings_.shortage);
+  const fleet::CutOff cut = cut_at(controller_.see(view, in_force(records), now), ranks_);
+  if (cut != asked_) {
+    before_ = standing ? standing->cut_off : asked_;
+    asked_ = cut;
+    asked_at_ = now;
+    epoch_ = 0;
+  }
+  next.cut_off = asked_;
+}
+
+bool CutOffShaper::in_force(const std::vector<fleet::Record>& records) const {
+  if (epoch_ == 0) return false;
+  std::size_t have = 0;
+  for (const fleet::Record& record : records) have += record.epoch >= epoch_ ? 1 : 0;
+  return static_cast<double>(have) >= kMostHaveIt * static_cast<double>(records.size());
+}
+
+LocalShedder::LocalShedder(int ranks, const CutOffSettings& settings, std::uint64_t seed)
+    : ranks_(ranks), settings_(settings), controller_(ranks, settings, seed), own_(1) {}
+
+void LocalShedder::told(const fleet::CutOff& cut, Millis valid_until) {
+  told_ = cut;
+  valid_until_ = valid_until;
+}
+
+fleet::CutOff LocalShedder::in_force(const std::map<int, fleet::RankLoad>& ranks, double room, Millis now) {
+  if (now < valid_until_) {
+    alone_ = false;
+    return told_;
+  }
+  if (!alone_) {
+    alone_ = true;
+    controller_.adopt(level_of(told_, ranks_), now);
+  }
+  own_[0].ranks = ranks;
+  own_[0].room = room;
+  return cut_at(controller_.see(view_of(own_, ranks_, settings_.shortage), true, now), ranks_);
+}
+
+}  // namespace shorelead::plans
