Rules of affinity, and the map of slots that they are kept in

Stickiness is a split by hash today, which one reload moves. A key now falls into a slot (XXH3, the upper bits), and slots have boxes: by weighted rendezvous with bounded loads, moved from the map that stands and never made anew.

--- /dev/null
+++ b/src/affinity/slots.cpp
@@ -0,0 +1,174 @@
+#include "affinity/slots.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace shorelead::affinity {
+namespace {
+
+constexpr double kRound = 1e-9;  // of sums of weights
+
+class Assignment {
+ public:
+  Assignment(const std::vector<int>& owners, const std::vector<Unit>& units, const Moves& moves)
+      : owners_(owners), units_(units), moves_(moves), held_(units.size(), 0), part_(units.size(), 0) {
+    double weights = 0;
+    for (const Unit& unit : units) {
+      hashes_.push_back(XXH3_64bits(unit.name.data(), unit.name.size()));
+      weights += unit.weight;
+    }
+    std::size_t free = owners.size();
+    for (const int owner : owners) {
+      if (owner == kHeld) --free;
+      if (owner >= 0) ++held_[at(owner)];
+    }
+    all_free_ = free == owners.size();
+    for (std::size_t u = 0; u < units.size(); ++u) {
+      part_[u] = static_cast<double>(free) * units[u].weight / weights;
+    }
+  }
+
+  std::vector<int> moved() {
+    house();
+    if (moves_.balance && all_free_) {
+      const std::vector<std::size_t> starved = starved_units();
+      give(starved);
+      for (const std::size_t unit : starved) take(unit);
+    }
+    return owners_;
+  }
+
+ private:
+  static std::size_t at(int owner) { return static_cast<std::size_t>(owner); }
+  double score_of(std::size_t slot, std::size_t unit) const {
+    return score(slot, units_[unit], hashes_[unit]);
+  }
+  int most(std::size_t u, double factor) const {
+    return static_cast<int>(std::ceil(part_[u] * factor - kRound));
+  }
+  int least(std::size_t u, double level) const {
+    return static_cast<int>(std::floor(part_[u] * level + kRound));
+  }
+  int lacking(double level) const {
+    int all = 0;
+    for (std::size_t u = 0; u < units_.size(); ++u) all += std::max(0, least(u, level) - held_[u]);
+    return all;
+  }
+
+  std::vector<std::size_t> starved_units() const {
+    std::vector<std::size_t> all;
+    for (std::size_t u = 0; u < units_.size(); ++u) {
+      if (held_[u] < least(u, kStarved)) all.push_back(u);
+    }
+    return all;
+  }
+
+  // The first unit of a slot's ranking for which `may` holds.
+  template <typename May>
+  int first(std::size_t slot, const May& may) const {
+    int best = kNobody;
+    double highest = -1;
+    for (std::size_t u = 0; u < units_.size(); ++u) {
+      if (!may(u)) continue;
+      const double here = score_of(slot, u);
+      if (here > highest) std::tie(best, highest) = std::pair(static_cast<int>(u), here);
+    }
+    return best;
+  }
+
+  void move(std::size_t slot, std::size_t to) {
+    if (owners_[slot] >= 0) --held_[at(owners_[slot])];
+    owners_[slot] = static_cast<int>(to);
+    ++held_[to];
+  }
+
+  // Slots of nobody get a unit. There is always one: the parts add up to all free slots.
+  void house() {
+    int left = static_cast<int>(std::count(owners_.begin(), owners_.end(), kNobody));
+    const double room = std::sqrt(moves_.bound);
+    for (std::size_t slot = 0; slot < owners_.size(); ++slot) {
+      if (owners_[slot] != kNobody) continue;
+      const double level = left <= lacking(kStarved) ? kStarved : left <= lacking(kFill) ? kFill : 0;
+      const int to = first(slot, [&](std::size_t u) {
+        return level > 0 ? held_[u] < least(u, level) : held_[u] < most(u, room);
+      });
+      move(slot, at(to));
+      --left;
+    }
+  }
+
+  // Units over the bound give what is over: to those that starved, while these have room, else to any that is
+  // under its part.
+  void give(const std::vector<std::size_t>& starved) {
+    for (std::size_t u = 0; u < units_.size(); ++u) {
+      int over = held_[u] - most(u, moves_.bound);
+      if (over <= 0) continue;
+      std::vector<std::pair<double, std::size_t>> mine;  // the furthest from it first
+      for (std::size_t slot = 0; slot < owners_.size(); ++slot) {
+        if (owners_[slot] == static_cast<int>(u)) mine.emplace_back(score_of(slot, u), slot);
+      }
+      std::sort(mine.begin(), mine.end());
+      for (const auto& [distance, slot] : mine) {
+        if (over <= 0 || done_ >= moves_.most) break;
+        int to = first(slot, [&](std::size_t other) {
+          return std::binary_search(starved.begin(), starved.end(), other) &&
+                 held_[other] < least(other, kMostTaken);
+        });
+        if (to == kNobody) {
+          to = first(slot, [&](std::size_t other) { return other != u && held_[other] < most(other, 1); });
+        }
+        if (to == kNobody) break;
+        move(slot, at(to));
+        ++done_;
+        --over;
+      }
+    }
+  }
+
+  // One that starved takes slots of units that are over their parts, first those that it is nearest to beside
+  // their present unit.
+  void take(std::size_t u) {
+    std::vector<std::pair<double, std::size_t>> theirs;
+    for (std::size_t slot = 0; slot < owners_.size(); ++slot) {
+      const std::size_t owner = at(owners_[slot]);
+      if (owner == u || held_[owner] <= part_[owner]) continue;
+      theirs.emplace_back(-score_of(slot, u) / score_of(slot, owner), slot);
+    }
+    std::sort(theirs.begin(), theirs.end());
+    for (const auto& [nearness, slot] : theirs) {
+      if (held_[u] >= least(u, 1) || done_ >= moves_.most) return;
+      const std::size_t owner = at(owners_[slot]);
+      if (held_[owner] <= part_[owner]) continue;
+      move(slot, u);
+      ++done_;
+    }
+  }
+
+  std::vector<int> owners_;
+  const std::vector<Unit>& units_;
+  const Moves& moves_;
+  std::vector<std::uint64_t> hashes_;
+  std::vector<int> held_;
+  std::vector<double> part_;
+  bool all_free_ = true;
+  std::size_t done_ = 0;
+};
+
+}  // namespace
+
+double score(std::size_t slot, const Unit& unit, std::uint64_t unit_hash) {
+  const std::uint64_t words[2] = {unit_hash, slot};
+  const double u = (static_cast<double>(XXH3_64bits(words, sizeof words) >> 11) + 0.5) * 0x1.0p-53;
+  return -unit.weight / std::log(u);
+}
+
+std::vector<int> assign(const std::vector<int>& owners, const std::vector<Unit>& units, const Moves& moves) {
+  return units.empty() ? owners : Assignment(owners, units, moves).moved();
+}
+
+}  // namespace shorelead::affinity
--- /dev/null
+++ b/tests/affinity/rules_test.cpp
@@ -0,0 +1,127 @@
+// Rules of affinity: which is taken, and by what key. By table.
+#include "affinity/rules.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace shorelead::affinity {
+namespace {
+
+using Fields = std::map<std::string, std::string, std::less<>>;
+
+struct Asked {
+  explicit Asked(Fields given) : fields(std::move(given)) {
+    look = [this](std::string_view name) {
+      const auto it = fields.find(name);
+      return it == fields.end() ? std::string_view() : std::string_view(it->second);
+    };
+    request = {"shop", "check", "acme", "gold", "GET", "/baskets/b77/items?x=/1", "/baskets/{id}/*", &look};
+  }
+  Asked(const Asked&) = delete;
+  Fields fields;
+  std::function<std::string_view(std::string_view)> look;
+  Request request;
+};
+
+TEST(Rules, ConditionsHold) {
+  const Asked asked({{"x-test", "yes"}, {"x-empty", ""}});
+  const Condition yes = is(Subject::kClass, "check");
+  const Condition no = is(Subject::kMethod, "get");  // byte by byte
+  const std::vector<std::pair<Condition, bool>> table = {
+      {{}, true},
+      {yes, true},
+      {no, false},
+      {is(Subject::kRoute, "shop"), true},
+      {is(Subject::kTenant, "acme"), true},
+      {is(Subject::kPlan, "silver"), false},
+      {field_is("x-test", "yes"), true},
+      {field_is("x-test", "ye"), false},
+      {field_there("x-test"), true},
+      {field_there("x-empty"), false},
+      {negated(field_there("x-none")), true},
+      {all({yes, no}), false},
+      {any({no, yes}), true},
+      {any({no, all({yes, negated(no)})}), true},
+      {negated(all({yes, negated(no)})), false},
+  };
+  for (std::size_t n = 0; n < table.size(); ++n) {
+    EXPECT_EQ(holds(table[n].first, asked.request), table[n].second) << n;
+  }
+  // Without any fields none is there.
+  Request bare = asked.request;
+  bare.field = nullptr;
+  EXPECT_FALSE(holds(field_there("x-test"), bare));
+}
+
+TEST(Rules, KeysAreReadWhereTheyStand) {
+  using From = KeySource::From;
+  const Asked asked({{"x-basket", "b1"}, {"cookie", "basketx=no; basket=b 9; quoted=\"q\";last=z "}});
+  const std::vector<std::pair<KeySource, std::string>> table = {
+      {{From::kTenant, "", 0}, "acme"},
+      {{From::kField, "x-basket", 0}, "b1"},
+      {{From::kField, "x-none", 0}, ""},
+      {{From::kCookie, "basket", 0}, "b 9"},
+      {{From::kCookie, "quoted", 0}, "\"q\""},
+      {{From::kCookie, "last", 0}, "z"},
+      {{From::kCookie, "bask", 0}, ""},
+      {{From::kPart, "", 1}, "baskets"},
+      {{From::kPart, "", 2}, "b77"},
+      {{From::kPart, "", 3}, "items"},
+      {{From::kPart, "", 4}, ""},
+      {{From::kParameter, "id", 0}, "b77"},
+      {{From::kParameter, "i", 0}, ""},
+      {{From::kParameter, "other", 0}, ""},
+  };
+  for (std::size_t n = 0; n < table.size(); ++n) {
+    EXPECT_EQ(key_of(table[n].first, asked.request), table[n].second) << n;
+  }
+}
+
+TEST(Rules, TheFirstThatMatchesCountsEvenWithoutAKey) {
+  Rule first;
+  first.when = is(Subject::kMethod, "PUT");
+  Rule second;
+  second.when = is(Subject::kClass, "check");
+  second.key = {KeySource::From::kField, "x-basket", 0};
+  Rule third;  // by tenant, which every request here has
+  const std::vector<Rule> rules = {first, second, third};
+  const Asked with(Fields{{"x-basket", "b1"}});
+  const auto found = find(rules, with.request);
+  ASSERT_TRUE(found);
+  EXPECT_EQ(found->rule, 1u);
+  EXPECT_TRUE(found->keyed);
+  EXPECT_EQ(found->key, hash_of("b1"));
+  const Asked without(Fields{});
+  const auto unkeyed = find(rules, without.request);
+  ASSERT_TRUE(unkeyed);
+  EXPECT_EQ(unkeyed->rule, 1u);
+  EXPECT_FALSE(unkeyed->keyed);
+  EXPECT_FALSE(find({first}, with.request));
+}
+
+TEST(Rules, DoublingTheSlotsSplitsEach) {
+  for (std::uint64_t n = 0; n < 2000; ++n) {
+    const std::uint64_t key = hash_of(std::to_string(n));
+    for (std::size_t slots = 1; slots <= 4096; slots *= 2) {
+      EXPECT_LT(slot_of(key, slots), slots);
+      EXPECT_EQ(slot_of(key, slots), slot_of(key, slots * 2) / 2);
+    }
+  }
+}
+
+TEST(Rules, AnotherKeyIsAnotherMap) {
+  Rule rule;
+  rule.name = "baskets";
+  Rule other = rule;
+  other.bound = 2;
+  EXPECT_EQ(map_name(rule), map_name(other));
+  other.to = To::kZone;
+  EXPECT_NE(map_name(rule), map_name(other));
+  other = rule;
+  other.key.part = 2;
+  EXPECT_NE(map_name(rule), map_name(other));
+}
+
+}  // namespace
+}  // namespace shorelead::affinity
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -22,6 +22,7 @@
   [node]="base policy settings subset limits language manage handover routing membership net node"
   [drill]="base peers policy settings drill"
   [fleet]="base limits fleet"
+  [affinity]="base fleet affinity"
 
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
