--- a/tests/affinity/model.cpp
+++ b/tests/affinity/model.cpp
@@ -69,9 +69,10 @@
 void Model::fault() {
   Process& p = processes_[random_.below(processes_.size())];
   BoxSeen& box = boxes_[random_.below(boxes_.size())];
-  switch (random_.below(6)) {
+  switch (random_.below(7)) {
     case 0:  // killed and started anew
-      p = Process{p.name, p.life + 1, true, false, now_ + 500, 0, false, -1, {}, {}, 0, {}, {}};
+      p = Process{p.name, p.life + 1};
+      p.paused_until = now_ + 500;
       return;
     case 1:
       p.paused_until = now_ + 3000 * random_.unit();
@@ -85,7 +86,10 @@
     case 4:
       box.warm = box.warm < 1 ? 1 : 0.2;
       return;
-    case 5:
+    case 5:  // its watch is deaf, its calls work
+      p.deaf_until = now_ + 3000 * random_.unit();
+      return;
+    case 6:
       box.name = "box-" + std::to_string(random_.below(9));
       return;
   }
@@ -99,8 +103,7 @@
   for (int n = 0; n < 4; ++n) boxes_.push_back({"box-" + std::to_string(n), "", "", 1, 1, false});
   shapers_.assign(2, Shaper({rule_}, {1500, 4}));
   for (int n = 0; n < 4; ++n) {
-    processes_.push_back(
-        Process{"p" + std::to_string(n), 1, true, false, 0, 0, false, -1, {}, {}, 0, {}, {}});
+    processes_.push_back(Process{"p" + std::to_string(n), 1});
   }
   for (std::size_t n = 0; n < processes_.size(); ++n) {
     for (Millis t = random_.unit() * 100; t < kEnd; t += 150) {
@@ -113,7 +116,8 @@
         const fleet::Plan plan = stored_plan_;
         const std::uint64_t modified = plan_modified_;
         at(now_ + 150 * random_.unit(), [=, this] {  // a watch lags
-          if (modified > 0) to(n, [=, this](Process& p) { see(p, plan, modified); });
+          if (modified > 0 && processes_[n].deaf_until <= now_)
+            to(n, [=, this](Process& p) { see(p, plan, modified); });
         });
         follow(n);
       });
@@ -124,7 +128,10 @@
   for (Millis t = 500; t < kCalm; t += 250) at(t, [this] { fault(); });
   at(kCalm, [this] {
     calm_ = true;
-    for (Process& p : processes_) p.cut = false;
+    for (Process& p : processes_) {
+      p.cut = false;
+      p.deaf_until = 0;
+    }
     for (std::size_t n = 0; n < boxes_.size(); ++n) {
       boxes_[n] = {"box-" + std::to_string(n), "", "", 1, 1, false};
     }
--- a/tests/affinity/model.h
+++ b/tests/affinity/model.h
@@ -61,14 +61,14 @@
     std::string name;
     std::uint64_t life = 0;  // counts restarts: what an earlier life asked for is not answered to this one
     bool alive = true, cut = false;
-    Millis paused_until = 0;
+    Millis paused_until = 0, deaf_until = 0;
     std::uint64_t modified = 0;  // of its record; 0 = it has none
-    bool busy = false;           // one call for its record at a time
+    std::uint64_t call = 0;      // the one for its record that is out; 0 = none
     Millis valid_until = -1;
-    fleet::Plan in_force, seen;
+    fleet::Plan in_force{}, seen{};
     std::uint64_t seen_modified = 0;
-    fleet::SlotMap open;  // what traffic goes by
-    std::vector<Work> work;
+    fleet::SlotMap open{};  // what traffic goes by
+    std::vector<Work> work{};
   };
   struct Stored {
     fleet::Record record;
@@ -103,7 +103,7 @@
   Random random_;
   const Flaw flaw_;
   std::priority_queue<Event> queue_;
-  std::uint64_t order_ = 0;
+  std::uint64_t order_ = 0, calls_ = 0;
   Millis now_ = 0;
   bool calm_ = false;
   std::uint64_t revision_ = 1;
--- a/tests/affinity/model_process.cpp
+++ b/tests/affinity/model_process.cpp
@@ -44,12 +44,12 @@
 
 void Model::put_record(std::size_t n, std::uint64_t epoch) {
   Process& p = processes_[n];
-  if (p.busy) return;
-  p.busy = true;
-  const std::uint64_t life = p.life;
-  at(now_ + 600, [this, n, life] {  // no answer
-    if (processes_[n].life == life) processes_[n].busy = false;
-  });
+  if (p.call != 0) return;
+  const std::uint64_t call = p.call = ++calls_;
+  at(now_ + 600,
+     [this, n, call] {  // no answer: it may have been done or not, and one that comes late is none
+       if (processes_[n].call == call) processes_[n].call = 0;
+     });
   const Millis begun = now_;
   const std::uint64_t modified = p.modified, plan_modified = p.seen_modified;
   const std::string name = p.name;
@@ -68,7 +68,8 @@
       if (modified == 0) stored.expires = now_ + sharing().lease;
     }
     to(n, [=, this](Process& q) {
-      q.busy = false;
+      if (q.call != call) return;
+      q.call = 0;
       if (!done) {
         if (has != modified) lose(q);
         return;
