Conditions of affinity rules as text, with the column of a mistake

Text and tree go there and back (property); any bytes end in a condition or in a mistake within the text. What held slots back for a planner that may not raise is gone again: fleet::hold_slots does that for all shapers.

--- a/src/affinity/shaper.cpp
+++ b/src/affinity/shaper.cpp
@@ -178,25 +178,6 @@
   return record.epoch == 0 || (since <= record.epoch && record.epoch <= standing_epoch);
 }
 
-void keep_closed(fleet::Plan& next, const fleet::Plan* standing) {
-  for (auto& [name, map] : next.affinity) {
-    const fleet::SlotMap* old = nullptr;
-    if (standing != nullptr) {
-      const auto it = standing->affinity.find(name);
-      if (it != standing->affinity.end() && it->second.slots.size() == map.slots.size()) old = &it->second;
-    }
-    for (std::size_t n = 0; n < map.slots.size(); ++n) {
-      fleet::Slot& slot = map.slots[n];
-      if (!slot.open) continue;
-      if (old == nullptr) {
-        slot = {"", false, slot.box, next.epoch};
-      } else if (!old->slots[n].open) {
-        slot = {old->slots[n].box, false, slot.box, old->slots[n].since};
-      }
-    }
-  }
-}
-
 fleet::SlotMap resized(const fleet::SlotMap& map, std::size_t slots, std::uint64_t epoch) {
   fleet::SlotMap out;
   out.boxes = map.boxes;
--- a/src/affinity/shaper.h
+++ b/src/affinity/shaper.h
@@ -89,10 +89,6 @@
 // is of a history that was lost: of it nothing is sure.
 bool acknowledged(const fleet::Record& record, std::uint64_t since, std::uint64_t standing_epoch);
 
-// For a planner that may raise nothing yet (it has not heard one history for a whole lease): what `next`
-// opens and `standing` had not open at the same box stays closed.
-void keep_closed(fleet::Plan& next, const fleet::Plan* standing);
-
 // The same map with another number of slots, both powers of two. Doubled, each half has what the whole had;
 // halved, a slot is open only where both halves were, at one box.
 fleet::SlotMap resized(const fleet::SlotMap& map, std::size_t slots, std::uint64_t epoch);
--- /dev/null
+++ b/tests/affinity/condition_test.cpp
@@ -0,0 +1,98 @@
+// The text of conditions: what it means by table, each mistake with its column, and there and back by
+// property.
+#include "affinity/condition.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace shorelead::affinity {
+namespace {
+
+const Condition kCheck = is(Subject::kClass, "check");
+const Condition kGet = is(Subject::kMethod, "GET");
+const Condition kTest = field_is("x-test", "yes");
+
+TEST(ConditionText, Means) {
+  const std::vector<std::pair<std::string, Condition>> table = {
+      {"class = check", kCheck},
+      {"  class=check ", kCheck},
+      {"class != check", negated(kCheck)},
+      {"class = check and not header X-Test = yes", all({kCheck, negated(kTest)})},
+      {"header X-Test", field_there("x-test")},
+      {"header X-Test != yes", negated(kTest)},
+      {"header X-Test and class = check", all({field_there("x-test"), kCheck})},
+      {"class = check or method = GET and header x-test = yes", any({kCheck, all({kGet, kTest})})},
+      {"(class = check or method = GET) and header x-test = yes", all({any({kCheck, kGet}), kTest})},
+      {"not not class = check", negated(negated(kCheck))},
+      {"not (class = check)", negated(kCheck)},
+      {"tenant = 'a b=c(d)'", is(Subject::kTenant, "a b=c(d)")},
+      {"plan = gold and route = /a/b", all({is(Subject::kPlan, "gold"), is(Subject::kRoute, "/a/b")})},
+      {"class = and", is(Subject::kClass, "and")},
+  };
+  for (const auto& [text, condition] : table) {
+    const Parsed parsed = parse_condition(text);
+    EXPECT_EQ(parsed.cause, "") << text;
+    EXPECT_TRUE(parsed.condition == condition) << text << " is " << text_of(parsed.condition);
+  }
+}
+
+TEST(ConditionText, EachMistakeHasItsColumn) {
+  struct Case {
+    std::string text, cause;
+    std::size_t column;
+  };
+  const std::vector<Case> table = {
+      {"", "a condition is due here", 1},
+      {"klass = check", "a condition is due here", 1},
+      {"class check", "\"=\" or \"!=\"", 7},
+      {"class =", "a value is due here", 8},
+      {"class = check method = GET", "\"and\" or \"or\"", 15},
+      {"class = check and", "a condition is due here", 18},
+      {"class = check and or", "a condition is due here", 19},
+      {"(class = check", "\")\" is due here", 15},
+      {"class = check)", "\"and\" or \"or\"", 14},
+      {"not", "a condition is due here", 4},
+      {"header and class = check", "a header's name", 8},
+      {"header X-A = ", "a value is due here", 14},
+      {"tenant = 'a", "is not closed", 12},
+      {"tenant = ''", "not empty", 11},
+      {std::string(1025, '('), "1,024 bytes", 1025},
+      {std::string(1024, '('), "a condition is due here", 1025},
+  };
+  for (const Case& c : table) {
+    const Parsed parsed = parse_condition(c.text);
+    EXPECT_NE(parsed.cause.find(c.cause), std::string::npos) << c.text << ": " << parsed.cause;
+    EXPECT_EQ(parsed.column, c.column) << c.text;
+  }
+}
+
+Condition gen(int depth) {
+  const auto word = [] {
+    return *rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::elementOf(std::string("aZ0_= ("))));
+  };
+  const int kind = *rc::gen::inRange(0, depth > 0 ? 6 : 3);
+  if (kind == 0) return is(*rc::gen::element(Subject::kRoute, Subject::kPlan, Subject::kMethod), word());
+  if (kind == 1) return field_is("x-a", word());
+  if (kind == 2) return field_there("not-b");
+  if (kind == 3) return negated(gen(depth - 1));
+  std::vector<Condition> parts = {gen(depth - 1), gen(depth - 1)};
+  return kind == 4 ? all(std::move(parts)) : any(std::move(parts));
+}
+
+RC_GTEST_PROP(ConditionText, ThereAndBack, ()) {
+  const Condition condition = gen(4);
+  const std::string text = text_of(condition);
+  if (text.size() > kMostText) return;
+  const Parsed parsed = parse_condition(text);
+  RC_ASSERT(parsed.cause == "");
+  RC_ASSERT(parsed.condition == condition);
+}
+
+// Whatever the bytes: a condition or a mistake within the text.
+RC_GTEST_PROP(ConditionText, AnyBytes, (const std::string& text)) {
+  const Parsed parsed = parse_condition("not " + text);
+  RC_ASSERT(parsed.cause.empty() || (parsed.column >= 1 && parsed.column <= text.size() + 5));
+}
+
+}  // namespace
+}  // namespace shorelead::affinity
--- a/tests/affinity/shaper_test.cpp
+++ b/tests/affinity/shaper_test.cpp
@@ -155,12 +155,6 @@
   fleet.records.erase(fleet.records.begin());
   fleet.settle(boxes_of(3));
   EXPECT_EQ(fleet.has(""), 0);
-  // And a planner that may not raise keeps what is closed as it is.
-  fleet::Plan closed = fleet.plan;
-  for (fleet::Slot& slot : closed.affinity.begin()->second.slots) slot = {"box-9", false, slot.box, 3};
-  fleet::Plan next = fleet.plan;
-  keep_closed(next, &closed);
-  EXPECT_EQ(next.affinity, closed.affinity);
 }
 
 TEST(Shaper, AnotherNumberOfSlotsKeepsWhoHasThem) {
