--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -23,6 +23,7 @@
   [drill]="base peers policy settings drill"
   [fleet]="base limits fleet"
   [plans]="base fleet plans"
+  [affinity]="base fleet affinity"
 
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
