The module keeps within the further attempts that a fleet allows

Need: a budget of further attempts is the fleet's, the decision whether to try again stays the module's.

--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -93,6 +93,7 @@
   void on(const AttemptEnded& e) { requests_.ended(e); }
   void on(const StreamStarted& e) { requests_.streams(e.request); }
   void on(const RequestGone& e) { requests_.gone(e.request); }
+  void on(const FurtherAllowed& e) { retries_.allow(e.left); }
 
   policy::Context c_;
   policy::Lists lists_{c_};
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -152,11 +152,16 @@
 struct SettingsChanged {
   Settings settings;
 };
+// So many further attempts are left of what a fleet allows together, from now on; without it only the
+// module's own bound counts.
+struct FurtherAllowed {
+  double left = 0;
+};
 struct TimerFired {
   std::uint64_t cookie = 0;
 };
 using Event = std::variant<Started, ListUpdate, RequestArrived, StreamStarted, AttemptEnded, RequestGone,
-                           ProbeEnded, TimerFired, SettingsChanged, PeerTold>;
+                           ProbeEnded, TimerFired, SettingsChanged, PeerTold, FurtherAllowed>;
 
 struct SendAttempt {
   RequestId request = 0;
--- a/src/policy/retries.h
+++ b/src/policy/retries.h
@@ -2,6 +2,8 @@
 // twice", the retry budget, and the moment by which attempts stop. It must never say where an attempt goes.
 #pragma once
 
+#include <limits>
+
 #include "policy/lists.h"
 
 namespace shorelead::policy {
@@ -47,13 +49,14 @@
  public:
   Retries(const Context& context, const Lists& lists) : c_(context), lists_(lists) {}
   void earn() { left_ = std::min(kMostResends, left_ + kResendsPerRequest); }
-  void spend() { left_ -= 1; }
+  void spend() { left_ -= 1, allowed_ -= 1; }
+  void allow(double left) { allowed_ = left; }  // by the whole fleet
   int most_attempts() const { return std::min(c_.settings.max_attempts, kMostAttempts); }
 
   bool may_send(const Request& r) const {
     if (static_cast<int>(r.attempts.size()) >= r.most_attempts) return false;
     if (c_.now >= stop_at(r)) return false;
-    if (!r.attempts.empty() && left_ < 1) return false;
+    if (!r.attempts.empty() && std::min(left_, allowed_) < 1) return false;
     return c_.request_class(r.request_class).effect != Effect::kUnsafe || !r.may_have_run();
   }
 
@@ -90,6 +93,7 @@
   const Context& c_;
   const Lists& lists_;
   double left_ = kMostResends;
+  double allowed_ = std::numeric_limits<double>::infinity();
 };
 
 }  // namespace shorelead::policy
