--- /dev/null
+++ b/src/node/descriptor_room.cpp
@@ -0,0 +1,49 @@
+#include "node/descriptor_room.h"
+
+#include <algorithm>
+
+namespace shorelead::node {
+
+limits::DescriptorCounts DescriptorRoom::counts() const {
+  std::size_t connections = 0;
+  std::size_t probing = 0;
+  for (const auto& pool : pools_) {
+    connections += pool->connections();
+    probing += pool->probing();
+  }
+  return {Stream::open_count(), static_cast<int>(connections), static_cast<int>(probing)};
+}
+
+bool DescriptorRoom::evict_of_pools() {
+  Pool* oldest = nullptr;
+  for (const auto& pool : pools_) {
+    const Millis since = pool->unused_since();
+    if (since > 0 && (oldest == nullptr || since < oldest->unused_since())) oldest = pool.get();
+  }
+  return oldest != nullptr && oldest->evict_idle();
+}
+
+// Busy clients may take all the others: a request for which no descriptor is left is refused at once, which
+// makes its client idle.
+bool DescriptorRoom::make(limits::Purpose purpose, Front& front) {
+  most_seen_ = std::max(most_seen_, Stream::open_count());
+  while (true) {
+    switch (rules().step(purpose, counts())) {
+      case limits::Step::kOpen:
+        return true;
+      case limits::Step::kEvictClient:
+        if (!front.evict_idle() && !evict_of_pools()) return false;
+        break;
+      case limits::Step::kEvictBackend:
+        if (!evict_of_pools() && !front.evict_idle()) return false;
+        break;
+      case limits::Step::kEvictClientOnly:
+        if (!front.evict_idle()) return false;
+        break;
+      case limits::Step::kRefuse:
+        return false;
+    }
+  }
+}
+
+}  // namespace shorelead::node
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -9,6 +9,8 @@
 #include <unordered_set>
 #include <utility>
 
+#include "node/outcome.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -26,48 +28,6 @@
 // Attempts and probes in a row without a word, after which a member counts as no capacity.
 constexpr int kSilences = 3;
 
-Outcome outcome_of(Ending ending) {
-  switch (ending) {
-    case Ending::kServed:
-      return Outcome::kServed;
-    case Ending::kErred:
-      return Outcome::kError;
-    case Ending::kTurnedAway:
-      return Outcome::kTurnedAway;
-    // The request's last byte was never written: the backend cannot have begun it.
-    case Ending::kRefused:
-    case Ending::kConnectTimeout:
-    case Ending::kBrokenUnsent:
-    case Ending::kStoppedUnsent:
-      return Outcome::kNoConnection;
-    case Ending::kTimeout:
-    case Ending::kSilent:
-      return Outcome::kNoAnswer;
-    case Ending::kCalledOff:
-    case Ending::kEvicted:
-      return Outcome::kCalledOff;
-    // Nor was it here, but for this node's own sake: nothing speaks against the backend.
-    case Ending::kNoDescriptor:
-    case Ending::kNotSent:
-      return Outcome::kNotSent;
-    // It was written, and then the connection ended in whatever way: it may have run.
-    case Ending::kBroken:
-    case Ending::kMalformed:
-    case Ending::kPeerClosed:
-    case Ending::kIdle:
-    case Ending::kDone:
-      return Outcome::kConnectionLost;
-  }
-  return Outcome::kConnectionLost;
-}
-
-BackendState state_of(const std::string& health) {
-  if (health == "ready") return BackendState::kReady;
-  if (health == "draining") return BackendState::kDraining;
-  // Also what this node has no word for: nothing new is sent there.
-  return BackendState::kGone;
-}
-
 }  // namespace
 
 Facade::Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed,
@@ -139,6 +99,8 @@
   event.request_over = open.over;
   open.out -= 1;
   heard(event.backend, event.outcome);
+  room_.ended(event.outcome == Outcome::kTurnedAway);
+  if (load != nullptr) room_.reported(load->busy);
   if (open.over && open.out == 0) erase(it);
   feed(event, now);
   return pass ? Choice{Choice::Kind::kPass, request} : take(request, Choice::Kind::kHold);
@@ -477,21 +439,38 @@
 }
 
 void Facade::feed(const Event& event, Millis now) {
-  std::vector<Action> actions;
-  policy_.handle(event, now, actions);
-  for (const Action& action : actions) perform(action, now);
+  handle(event, now);
   // What could not be sent is told once the actions before it are done, as it would be by a network.
   while (!unsent_.empty()) {
-    std::vector<Event> told = std::exchange(unsent_, {});
-    for (const Event& unsent : told) {
-      actions.clear();
-      policy_.handle(unsent, now, actions);
-      for (const Action& action : actions) perform(action, now);
-    }
+    for (const Event& unsent : std::exchange(unsent_, {})) handle(unsent, now);
   }
   if (wake_) wake_();
 }
 
+void Facade::handle(const Event& event, Millis now) {
+  std::vector<Action> actions;
+  if (further_.left) {
+    const double left = further_.left();
+    if (left != told_left_) policy_.handle(FurtherAllowed{told_left_ = left}, now, actions);
+  }
+  policy_.handle(event, now, actions);
+  const auto* const ended = std::get_if<AttemptEnded>(&event);
+  if (further_.made && ended != nullptr && ended->outcome != Outcome::kServed && !ended->request_over &&
+      told_left_ < 1) {
+    const auto sends = [](const Action& action) { return std::holds_alternative<SendAttempt>(action); };
+    if (std::none_of(actions.begin(), actions.end(), sends)) further_.made();  // it is counted as wanted
+  }
+  for (const Action& action : actions) perform(action, now);
+}
+
+void Facade::bound_attempts(Further further, Millis now) {
+  further_ = std::move(further);
+  if (further_.left) return;
+  told_left_ = std::numeric_limits<double>::infinity();
+  std::vector<Action> none;
+  policy_.handle(FurtherAllowed{told_left_}, now, none);
+}
+
 void Facade::perform(const Action& action, Millis now) {
   if (const auto* send = std::get_if<SendAttempt>(&action)) {
     start_attempt(*send, now);
@@ -541,6 +520,7 @@
     return;
   }
   open.out += 1;
+  if (choice.attempt > 0 && further_.made) further_.made();
   errands_.choices.push_back(choice);
 }
 
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "estimate/room.h"
 #include "manage/bans.h"
 #include "membership/member.h"
 #include "node/net.h"
@@ -113,6 +115,16 @@
   void report_client_gone(RequestId request, Millis now);
   Errands tick(Millis now);
 
+  // What a fleet allows of further attempts: how many are left now, and that one was made, or wanted and not
+  // left.
+  struct Further {
+    std::function<double()> left;
+    std::function<void()> made;
+  };
+  // From now on; with empty functions only the module's own bound counts.
+  void bound_attempts(Further further, Millis now);
+  double room() const { return room_.value(); }  // share of the backends' capacity that is unused
+
   // Set by the host: called when something for tick() came up outside of it.
   void on_errand(std::function<void()> wake) { wake_ = std::move(wake); }
 
@@ -149,6 +161,7 @@
   };
 
   void feed(const Event& event, Millis now);
+  void handle(const Event& event, Millis now);
   void perform(const Action& action, Millis now);
   void start_attempt(const SendAttempt& send, Millis now);
   void answer(RequestId request, Choice choice);
@@ -184,6 +197,9 @@
   std::unordered_map<RequestId, Open> requests_;
   std::multimap<Millis, std::uint64_t> timers_;
   std::set<std::pair<Millis, RequestId>> deadlines_;
+  Further further_;
+  double told_left_ = std::numeric_limits<double>::infinity();
+  estimate::Room room_;
   std::vector<Event> unsent_;  // attempts that could not be begun, to be told to the module
   Errands errands_;
   std::function<void()> wake_;
--- /dev/null
+++ b/src/node/fleet_gate.cpp
@@ -0,0 +1,233 @@
+#include "node/fleet_gate.h"
+
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <bit>
+#include <numeric>
+#include <utility>
+
+#include "plans/coin.h"
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kSecond = 1000;
+constexpr Millis kCutHolds = 2 * kSecond;  // a cut-off that was valid at the last look goes on till the next
+
+std::vector<int> ranks_of(const plans::Order& order, const FleetConfig& fleet) {
+  std::vector<int> ranks(fleet.plans.empty() ? 0 : static_cast<std::size_t>(order.ranks()));
+  std::iota(ranks.begin(), ranks.end(), 0);
+  return ranks;
+}
+
+std::vector<double> worths_of(const Config& config) {
+  std::vector<double> worths;
+  for (const RequestClass& c : config.settings.classes) worths.push_back(c.worth);
+  return worths;
+}
+
+struct OnBell : net::Watch::Handler {
+  explicit OnBell(std::function<void()> rung) : rung(std::move(rung)) {}
+  void on_readable() override { rung(); }
+  std::function<void()> rung;
+};
+
+fleet::RankLoad now_of(const fleet::RankCells& cells) {
+  const auto figure = [](const auto& cell) { return static_cast<double>(cell.get()); };
+  return {figure(cells.offered), figure(cells.taken), figure(cells.in_time), figure(cells.refused),
+          figure(cells.failed)};
+}
+
+fleet::RankLoad less(const fleet::RankLoad& a, const fleet::RankLoad& b) {
+  return {a.offered - b.offered, a.taken - b.taken, a.in_time - b.in_time, a.refused - b.refused,
+          a.failed - b.failed};
+}
+
+}  // namespace
+
+FleetGate::FleetGate(Loop& loop, const FleetConfig& fleet, const Config& config, const std::string& name,
+                     std::uint64_t seed)
+    : loop_(loop),
+      fleet_(fleet),
+      names_(names_of(config)),
+      rules_(fleet, config),
+      channel_(std::make_shared<fleet::Channel>(
+          fleet.budgets.size(), ranks_of(plans::Order(fleet.plans, worths_of(config)), fleet))),
+      port_(channel_, fleet.budgets, fleet.sharing),
+      order_(fleet.plans, worths_of(config)),
+      admission_(order_, plans::AdmissionSettings()),
+      shedder_(order_.ranks(), plans::CutOffSettings(), seed),
+      counted_(static_cast<std::size_t>(order_.ranks())) {
+  fleet::ControlSpec spec;
+  spec.store.endpoints = fleet.store;
+  spec.sharing = fleet.sharing;
+  spec.budgets = fleet.budgets;
+  spec.name = name;
+  spec.zone = fleet.zone;
+  spec.seed = seed;
+  spec.log = [](const std::string& text) { spdlog::warn("fleet: {}", text); };
+  if (!fleet.plans.empty()) {
+    spec.shapers.push_back(
+        std::make_shared<plans::CutOffShaper>(order_.ranks(), plans::CutOffSettings(), seed));
+  }
+  control_ = std::make_unique<fleet::Control>(spec, channel_);
+  bell_ = std::make_unique<net::Descriptor>(::dup(port_.wake_fd()));
+  on_bell_ = std::make_unique<OnBell>([this] {
+    channel_->for_traffic.hush();
+    follow();
+  });
+  watch_ = std::make_unique<net::Watch>(loop_, *bell_, *on_bell_, true, false);
+  second_ = loop_.after(kSecond, [this] { each_second(); });
+}
+
+FleetGate::Names FleetGate::names_of(const Config& config) {
+  Names names(3);
+  for (const PoolConfig& pool : config.pools) names[0].push_back(pool.name);
+  if (config.routes) {
+    for (const routing::Route& route : config.routes->routes) names[1].push_back(route.name);
+  }
+  names[2] = config.host.classes;
+  return names;
+}
+
+FleetGate::~FleetGate() {
+  loop_.cancel(second_);
+  watch_.reset();
+}
+
+void FleetGate::follow() {
+  if (!port_.take_up()) return;
+  // Slots are given up when nothing is under way in them; without rules of affinity nothing ever is.
+  port_.slots_quiet();
+  if (const fleet::Snapshot* const now = port_.last()) spdlog::debug("fleet: epoch {} in force", now->epoch);
+}
+
+void FleetGate::each_second() {
+  second_ = loop_.after(kSecond, [this] { each_second(); });
+  follow();
+  if (fleet_.plans.empty()) return;
+  const Millis now = fleet::boot_now();
+  if (const fleet::Snapshot* const valid = port_.valid(now)) shedder_.told(valid->cut_off, now + kCutHolds);
+  std::map<int, fleet::RankLoad> loads;
+  for (int rank = 0; rank < order_.ranks(); ++rank) {
+    const fleet::RankCells* const cells = cells_of(rank);
+    if (cells == nullptr) continue;
+    fleet::RankLoad& before = counted_[static_cast<std::size_t>(rank)];
+    const fleet::RankLoad count = now_of(*cells);
+    loads[rank] = less(count, before);
+    before = count;
+  }
+  const fleet::CutOff next = shedder_.in_force(loads, channel_->traffic.room.get(), now);
+  if (next == cut_off_) return;
+  spdlog::info("fleet: in a shortage rank {} and {:.0f} % of it are turned away, by {}", next.rank + 1,
+               next.share * 100, shedder_.alone() ? "own figures" : "the plan");
+  cut_off_ = next;
+}
+
+FleetGate::Verdict FleetGate::admit(const Words& words, Millis aim) {
+  Verdict verdict;
+  const Millis now = fleet::boot_now();
+  follow();
+  if (!fleet_.plans.empty()) {
+    const int plan = order_.plan_of(words.tenant);
+    const int rank = order_.rank_of(plan, words.request_class);
+    fleet::RankCells& cells = *port_.rank(rank);
+    cells.offered.add(1);
+    const double coin = plans::coin_of(words.tenant, words.client, loop_.now());
+    const plans::Verdict said = admission_.decide(cut_off_, plan, words.request_class, coin, now);
+    if (!said.taken()) {
+      cells.refused.add(1);
+      verdict.refused = 503;
+      verdict.cause = "a shortage of the fleet, trying again later is harmless";
+      verdict.come_back = said.come_back;
+      return verdict;
+    }
+    verdict.ticket.rank = rank;
+    verdict.ticket.aim_at = now + aim;
+  }
+  const std::uint64_t all = rules_.budgets_of(words.pool, words.route, words.request_class, words.tenant);
+  for (std::uint64_t left = all; left != 0; left &= left - 1) {
+    const auto budget = static_cast<std::size_t>(std::countr_zero(left));
+    const fleet::BudgetKind kind = fleet_.budgets[budget].kind;
+    if (kind == fleet::BudgetKind::kAttempts) continue;  // counted once it is taken by all
+    if (port_.spend(budget, now) != fleet::Spent::kYes) {
+      ended(std::exchange(verdict.ticket, Ticket()), End::kGone);
+      verdict.refused = 429;
+      verdict.cause = "the fleet's budget is spent, trying again is harmless";
+      return verdict;
+    }
+    if (kind == fleet::BudgetKind::kAtOnce) verdict.ticket.at_once |= std::uint64_t{1} << budget;
+  }
+  for (std::uint64_t left = all; left != 0; left &= left - 1) {
+    const auto budget = static_cast<std::size_t>(std::countr_zero(left));
+    if (fleet_.budgets[budget].kind == fleet::BudgetKind::kAttempts) port_.taken(budget, now);
+  }
+  if (verdict.ticket.rank >= 0) cells_of(verdict.ticket.rank)->taken.add(1);
+  return verdict;
+}
+
+void FleetGate::ended(const Ticket& ticket, End end) {
+  const Millis now = fleet::boot_now();
+  for (std::uint64_t left = ticket.at_once; left != 0; left &= left - 1) {
+    port_.end(static_cast<std::size_t>(std::countr_zero(left)), now);
+  }
+  fleet::RankCells* const cells = cells_of(ticket.rank);
+  if (cells == nullptr) return;
+  if (end == End::kServed && now <= ticket.aim_at) {
+    cells->in_time.add(1);
+  } else if (end != End::kGone || now > ticket.aim_at) {
+    cells->failed.add(1);
+  }
+}
+
+double FleetGate::attempts_left(int pool) {
+  follow();
+  const Millis now = fleet::boot_now();
+  double least = std::numeric_limits<double>::infinity();
+  for (std::uint64_t left = rules_.attempts_of(pool); left != 0; left &= left - 1) {
+    least = std::min(least, port_.left(static_cast<std::size_t>(std::countr_zero(left)), now));
+  }
+  return least;
+}
+
+void FleetGate::attempt_made(int pool) {
+  const Millis now = fleet::boot_now();
+  for (std::uint64_t left = rules_.attempts_of(pool); left != 0; left &= left - 1) {
+    port_.spend(static_cast<std::size_t>(std::countr_zero(left)), now);
+  }
+}
+
+void FleetGate::leave() { control_->leave(); }
+
+void FleetGate::log_counters() const {
+  const fleet::ControlCells& c = channel_->control;
+  spdlog::info(
+      "counters: fleet epoch={} planner={} joined={} ended={} lapsed={} epochs={} histories={} name_taken={} "
+      "elections={} plans={} calls={} calls_lost={} watches={} deaf={} unreadable={}",
+      c.epoch.get(), c.elected.get(), c.joined.get(), c.ended.get(), c.lapsed.get(), c.epochs.get(),
+      c.histories.get(), c.name_taken.get(), c.elections.get(), c.plans.get(), c.calls.get(),
+      c.calls_lost.get(), c.watches.get(), c.deaf.get(), c.unreadable.get());
+  const fleet::Snapshot* const last = port_.last();
+  for (std::size_t b = 0; b < fleet_.budgets.size(); ++b) {
+    const std::string& name = fleet_.budgets[b].name;
+    const fleet::BudgetCells& cells = port_.cells().budgets[b];
+    const auto part = last == nullptr ? fleet::Parts::const_iterator() : last->parts.find(name);
+    const bool has = last != nullptr && part != last->parts.end();
+    spdlog::info(
+        "counters: budget {} part={:.3g} burst={:.3g} asked={} spent={} in_use={} bound_by_share={} "
+        "bound_by_reserve={}",
+        name, has ? part->second.amount : 0, has ? part->second.burst : 0, cells.asked.get(),
+        cells.spent.get(), cells.in_use.get(), cells.bound_by_share.get(), cells.bound_by_reserve.get());
+  }
+  for (int rank = 0; !fleet_.plans.empty() && rank < order_.ranks(); ++rank) {
+    const auto count = [&](plans::Admitted as) { return admission_.count(rank, as); };
+    spdlog::info("counters: rank {} of plans taken={} floor={} order={} cut={} waits={}", rank + 1,
+                 count(plans::Admitted::kTaken), count(plans::Admitted::kFloor),
+                 count(plans::Admitted::kOrder), count(plans::Admitted::kCut),
+                 count(plans::Admitted::kWaits));
+  }
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/fleet_gate.h
@@ -0,0 +1,102 @@
+// The fleet's word on each request, on the traffic's thread: is it taken, by the budgets it spends of and by
+// its plan in a shortage; how many further attempts are left. Owns the process's end of the sharing (port,
+// control thread), the order of ranks and what is counted of each rank. It must never send, queue or answer
+// anything, and never wait for the store.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/channel.h"
+#include "fleet/control.h"
+#include "fleet/port.h"
+#include "node/fleet_rules.h"
+#include "node/net.h"
+#include "plans/admission.h"
+#include "plans/cutoff.h"
+#include "plans/order.h"
+
+namespace shorelead::node {
+
+class FleetGate {
+ public:
+  // What one request has of the fleet, until it is over.
+  struct Ticket {
+    std::uint64_t at_once = 0;  // budgets in use, a bit each
+    int rank = -1;              // none: no plans
+    Millis aim_at = 0;
+  };
+  struct Verdict {
+    int refused = 0;  // 0: taken; else the status to answer with
+    const char* cause = "";
+    Millis come_back = 0;
+    Ticket ticket;
+  };
+  enum class End { kServed, kFailed, kGone };
+
+  // `name`: of this process; no other that lives has it. Times of requests are `loop`'s.
+  // Pools, routes and classes in their order: what its rules go by.
+  using Names = std::vector<std::vector<std::string>>;
+  static Names names_of(const Config& config);
+
+  FleetGate(Loop& loop, const FleetConfig& fleet, const Config& config, const std::string& name,
+            std::uint64_t seed);
+  ~FleetGate();
+  FleetGate(const FleetGate&) = delete;
+  FleetGate& operator=(const FleetGate&) = delete;
+
+  const FleetConfig& config() const { return fleet_; }
+  bool serves(const FleetConfig& fleet, const Names& names) const {
+    return fleet == fleet_ && names == names_;
+  }
+
+  struct Words {
+    int pool = 0;
+    int route = -1;
+    int request_class = 0;
+    std::string_view tenant;
+    std::string_view client;  // empty = the tenant goes as one
+  };
+  Verdict admit(const Words& words, Millis aim);
+  void ended(const Ticket& ticket, End end);
+
+  // Of the budgets of further attempts that count for a pool.
+  bool bounds_attempts(int pool) const { return rules_.attempts_of(pool) != 0; }
+  double attempts_left(int pool);
+  void attempt_made(int pool);
+
+  void room(double share) { port_.room(share); }  // of the boxes' capacity, that is unused
+  void leave();                                   // gives back all; what is in use goes on
+  bool left() const { return !control_ || control_->left(); }
+  void log_counters() const;
+
+ private:
+  void each_second();
+  void follow();  // the newest snapshot
+  fleet::RankCells* cells_of(int rank) { return rank < 0 ? nullptr : port_.rank(rank); }
+
+  Loop& loop_;
+  const FleetConfig fleet_;
+  const Names names_;
+  const FleetRules rules_;
+  const std::shared_ptr<fleet::Channel> channel_;
+  fleet::Port port_;
+  const plans::Order order_;
+  plans::Admission admission_;
+  plans::LocalShedder shedder_;
+  fleet::CutOff cut_off_;
+  std::vector<fleet::RankLoad> counted_;  // by rank: at the last second
+  std::unique_ptr<fleet::Control> control_;
+  std::unique_ptr<net::Descriptor> bell_;
+  std::unique_ptr<net::Watch::Handler> on_bell_;
+  std::unique_ptr<net::Watch> watch_;
+  Loop::TimerId second_ = 0;
+  Loop::TimerId start_ = 0;
+};
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/fleet_gates.cpp
@@ -0,0 +1,59 @@
+#include "node/fleet_gates.h"
+
+#include <unistd.h>
+
+#include <random>
+
+#include "node/pool.h"
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kSweepEvery = 50;
+
+// What the fleet allows of further attempts is each pool's module's to keep to.
+void bound_attempts(const Traffic& traffic) {
+  for (std::size_t n = 0; n < traffic.pools.size(); ++n) {
+    const int pool = static_cast<int>(n);
+    if (!traffic.gate || !traffic.gate->bounds_attempts(pool)) {
+      traffic.pools[n]->bound_attempts({});
+      continue;
+    }
+    const std::shared_ptr<FleetGate> gate = traffic.gate;
+    traffic.pools[n]->bound_attempts(
+        {[gate, pool] { return gate->attempts_left(pool); }, [gate, pool] { gate->attempt_made(pool); }});
+  }
+}
+
+}  // namespace
+
+// One that shares the same as before goes on with what it has; another joins under another name, as the one
+// before it lives until it has given all back.
+std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) const {
+  if (!config.shared) return nullptr;
+  FleetGate::Names names = FleetGate::names_of(config);
+  if (now != nullptr && now->gate && now->gate->serves(*config.shared, names)) return now->gate;
+  std::string name = config.name;
+  if (beside_) name += "~" + std::to_string(::getpid());
+  if (now != nullptr) name += "." + std::to_string(now->number + 1);
+  std::random_device entropy;
+  return std::make_shared<FleetGate>(loop_, *config.shared, config, name,
+                                     (std::uint64_t{entropy()} << 32) ^ entropy());
+}
+
+void FleetGates::go_by(const Traffic& before, const Traffic& next) {
+  if (before.gate && before.gate != next.gate) {
+    before.gate->leave();
+    left_.push_back(before.gate);
+    sweep();
+  }
+  bound_attempts(next);
+}
+
+void FleetGates::sweep() {
+  loop_.cancel(sweep_);
+  std::erase_if(left_, [](const auto& gate) { return gate->left() && gate.use_count() == 1; });
+  if (!left_.empty()) sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/fleet_gates.h
@@ -0,0 +1,39 @@
+// The gates of a process, one for each generation that shares something else than the one before. Owns those
+// that are left until the store has all of theirs back. It must never end one that a request still counts
+// with.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "node/config.h"
+#include "node/fleet_gate.h"
+#include "node/net.h"
+#include "node/traffic.h"
+
+namespace shorelead::node {
+
+class FleetGates {
+ public:
+  // `beside`: another process of the same node lives, which has its name in the fleet.
+  FleetGates(Loop& loop, bool beside) : loop_(loop), beside_(beside) {}
+  ~FleetGates() { loop_.cancel(sweep_); }
+  FleetGates(const FleetGates&) = delete;
+  FleetGates& operator=(const FleetGates&) = delete;
+
+  // For a generation by `config`, the one in force being `now` (or none); null where nothing is shared.
+  std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now) const;
+  // Requests go by `next` from now on, and no longer by `before`.
+  void go_by(const Traffic& before, const Traffic& next);
+
+ private:
+  void sweep();
+
+  Loop& loop_;
+  const bool beside_;
+  std::vector<std::shared_ptr<FleetGate>> left_;
+  Loop::TimerId sweep_ = 0;
+};
+
+}  // namespace shorelead::node
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -508,12 +508,12 @@
   client.pass(answer);
 }
 
-void Front::refuse(RequestId request, Millis wait) {
+void Front::refuse(RequestId request, Millis wait, int status, const char* cause) {
   const auto it = waiting_.find(request);
   if (it == waiting_.end()) return;
   Client& client = *it->second;
   release(client, manage::End::kDropped);
-  client.answer(503, "refused, trying again is harmless", wait, false);
+  client.answer(status, cause, wait, false);
 }
 
 void Front::fail(RequestId request, int status) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -79,7 +79,8 @@
 
   // Final answers. To a client that is gone they are nothing.
   void serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow);  // flow: of its body
-  void refuse(RequestId request, Millis wait);
+  void refuse(RequestId request, Millis wait, int status = 503,
+              const char* cause = "refused, trying again is harmless");
   void fail(RequestId request, int status);
 
   // Requests read from now on go by this generation; but a client's repeat of a keyed one, for the class's
--- /dev/null
+++ b/src/node/outcome.cpp
@@ -0,0 +1,49 @@
+#include "node/outcome.h"
+
+#include "node/net.h"
+
+namespace shorelead::node {
+
+Outcome outcome_of(Ending ending) {
+  switch (ending) {
+    case Ending::kServed:
+      return Outcome::kServed;
+    case Ending::kErred:
+      return Outcome::kError;
+    case Ending::kTurnedAway:
+      return Outcome::kTurnedAway;
+    // The request's last byte was never written: the backend cannot have begun it.
+    case Ending::kRefused:
+    case Ending::kConnectTimeout:
+    case Ending::kBrokenUnsent:
+    case Ending::kStoppedUnsent:
+      return Outcome::kNoConnection;
+    case Ending::kTimeout:
+    case Ending::kSilent:
+      return Outcome::kNoAnswer;
+    case Ending::kCalledOff:
+    case Ending::kEvicted:
+      return Outcome::kCalledOff;
+    // Nor was it here, but for this node's own sake: nothing speaks against the backend.
+    case Ending::kNoDescriptor:
+    case Ending::kNotSent:
+      return Outcome::kNotSent;
+    // It was written, and then the connection ended in whatever way: it may have run.
+    case Ending::kBroken:
+    case Ending::kMalformed:
+    case Ending::kPeerClosed:
+    case Ending::kIdle:
+    case Ending::kDone:
+      return Outcome::kConnectionLost;
+  }
+  return Outcome::kConnectionLost;
+}
+
+BackendState state_of(const std::string& health) {
+  if (health == "ready") return BackendState::kReady;
+  if (health == "draining") return BackendState::kDraining;
+  // Also what this node has no word for: nothing new is sent there.
+  return BackendState::kGone;
+}
+
+}  // namespace shorelead::node
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -57,6 +57,9 @@
   // No request comes any more. What is under way goes on, and so does the list; probes end.
   void leave() { left_ = true; }
   void rejoin() { left_ = false; }
+  // What a fleet allows of further attempts from now on.
+  void bound_attempts(Facade::Further further) { facade_.bound_attempts(std::move(further), loop_.now()); }
+  double room() const { return facade_.room(); }
   bool idle() const;  // nothing is under way
 
   const std::string& name() const { return config_.name; }
--- a/src/node/readings.cpp
+++ b/src/node/readings.cpp
@@ -24,7 +24,7 @@
     std::string_view key = route.by.empty() ? std::string_view() : message.value(route.by);
     if (key.empty()) key = message.value("idempotency-key");
     if (key.empty()) key = message.value("x-request-id");
-    return Way{traffic, route.request_class, routing::arm_of(route, key)};
+    return Way{traffic, route.request_class, routing::arm_of(route, key), static_cast<int>(*rule)};
   }
   path = path.substr(1, std::min(path.find_first_of("/?#", 1), path.size()) - 1);
   const auto known = std::find(traffic->names.begin(), traffic->names.end(), path);
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -34,6 +34,8 @@
       shape_(config.shape),
       place_(place),
       waits_(waits),
+      room_(pools_, [this] { return most_streams(); }),
+      gates_(loop, place.legacy.has_value()),
       started_(loop.now()) {
   flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
   const auto listed = [this](const std::string& id) {
@@ -54,21 +56,22 @@
             take(request, ask, way, std::move(message));
           },
           [this](RequestId request) {
-            if (const auto pool = close(request)) pool->gone(request);
+            if (const auto pool = close(request, FleetGate::End::kGone)) pool->gone(request);
           },
           [this] { return ready(); },
           [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
-          [this] { return make_room(limits::Purpose::kClient); },
+          [this] { return room_.make(limits::Purpose::kClient, *front_); },
           [this](RequestId request, Millis due) {
             const auto it = with_.find(request);
-            if (it != with_.end()) it->second->body_whole(request, due);
+            if (it != with_.end()) it->second.pool->body_whole(request, due);
           },
           flows_});
   if (!place_.folder.empty()) {
     bans_->share(place_.bans());
   }
+  gates_.go_by(*traffic_, *traffic_);
   for (const auto& pool : pools_) pool->start();
   if (place_.legacy) {
     predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, [this] {
@@ -96,19 +99,19 @@
 std::shared_ptr<Pool> Server::make_pool(const PoolConfig& config, const Config& whole) {
   Pool::Host host;
   host.serve = [this](RequestId request, const Message& answer, const std::shared_ptr<net::Flow>& flow) {
-    close(request);
+    close(request, FleetGate::End::kServed);
     front_->serve(request, answer, flow);
   };
   host.refuse = [this](RequestId request, Millis wait) {
-    close(request);
+    close(request, FleetGate::End::kFailed);
     front_->refuse(request, wait);
   };
   host.fail = [this](RequestId request, int status) {
-    close(request);
+    close(request, FleetGate::End::kFailed);
     front_->fail(request, status);
   };
-  host.make_room = [this](limits::Purpose purpose) { return make_room(purpose); };
-  host.keep = [this](limits::Purpose purpose) { return descriptors().keep(purpose, descriptors_now()); };
+  host.make_room = [this](limits::Purpose purpose) { return room_.make(purpose, *front_); };
+  host.keep = [this](limits::Purpose purpose) { return room_.keep(purpose); };
   // Pools of one node must not draw the same numbers; a node of one pool draws as it always has.
   const std::uint64_t seed = whole.pools.size() <= 1 ? whole.seed : whole.seed ^ subset::hash_of(config.name);
   return std::make_shared<Pool>(loop_, config, seed, flows_, std::move(host));
@@ -154,6 +157,7 @@
     traffic->class_in_pool.push_back(told.classes);
     traffic->fallbacks.push_back(told.fallback);
   }
+  traffic->gate = gates_.make(config, traffic_.get());
   made.traffic = std::move(traffic);
   made.until = loop_.now() + kListWait;
   return made;
@@ -177,6 +181,7 @@
     next->pools[n]->follow(told[n]);
     next->pools[n]->rejoin();
   }
+  gates_.go_by(*traffic_, *next);
   traffic_ = next;
   front_->go_by(next);
   for (const auto& pool : pools_) {
@@ -221,18 +226,30 @@
   });
   if (to != way.pool) ++stood_in_;
   const auto n = static_cast<std::size_t>(to);
+  FleetGate::Ticket ticket;
+  if (traffic.gate) {
+    FleetGate& gate = *traffic.gate;
+    gate.room(traffic.pools[n]->room());
+    const std::string& field = gate.config().client;
+    const auto said = gate.admit({to, way.route, way.request_class, message->value("x-tenant-id"),
+                                  field.empty() ? std::string_view() : message->value(field)},
+                                 request_class.aim);
+    if (said.refused != 0) return front_->refuse(request, said.come_back, said.refused, said.cause);
+    ticket = said.ticket;
+  }
   ask.request_class = traffic.class_in_pool[n][static_cast<std::size_t>(way.request_class)];
   const std::shared_ptr<Pool> pool = traffic.pools[n];
-  with_[request] = pool;
+  with_[request] = {pool, traffic.gate, ticket};
   pool->request(request, ask, std::move(message));
 }
 
-std::shared_ptr<Pool> Server::close(RequestId request) {
+std::shared_ptr<Pool> Server::close(RequestId request, FleetGate::End end) {
   const auto it = with_.find(request);
   if (it == with_.end()) return nullptr;
-  const std::shared_ptr<Pool> pool = std::move(it->second);
+  const With with = std::move(it->second);
   with_.erase(it);
-  return pool;
+  if (with.gate) with.gate->ended(with.ticket, end);
+  return with.pool;
 }
 
 // The node's, not this process's alone: replaced, it speaks for the one that serves.
@@ -326,30 +343,8 @@
 void Server::trim() {
   flows_->state(flow_bytes());
   while (Stream::open_count() > most_streams()) {
-    if (!evict_of_pools() && !front_->evict_idle()) return;
-  }
-}
-
-limits::Descriptors Server::descriptors() const { return limits::Descriptors(most_streams()); }
-
-limits::DescriptorCounts Server::descriptors_now() const {
-  std::size_t connections = 0;
-  std::size_t probing = 0;
-  for (const auto& pool : pools_) {
-    connections += pool->connections();
-    probing += pool->probing();
-  }
-  return {Stream::open_count(), static_cast<int>(connections), static_cast<int>(probing)};
-}
-
-// The connection that was unused for longest, whoever's it is.
-bool Server::evict_of_pools() {
-  Pool* oldest = nullptr;
-  for (const auto& pool : pools_) {
-    const Millis since = pool->unused_since();
-    if (since > 0 && (oldest == nullptr || since < oldest->unused_since())) oldest = pool.get();
+    if (!room_.evict_of_pools() && !front_->evict_idle()) return;
   }
-  return oldest != nullptr && oldest->evict_idle();
 }
 
 std::size_t Server::open_requests() const {
@@ -358,29 +353,6 @@
   return count;
 }
 
-// Busy clients may take all the others: a request for which no descriptor is left is refused at once, which
-// makes its client idle.
-bool Server::make_room(limits::Purpose purpose) {
-  most_sockets_ = std::max(most_sockets_, Stream::open_count());
-  while (true) {
-    switch (descriptors().step(purpose, descriptors_now())) {
-      case limits::Step::kOpen:
-        return true;
-      case limits::Step::kEvictClient:
-        if (!front_->evict_idle() && !evict_of_pools()) return false;
-        break;
-      case limits::Step::kEvictBackend:
-        if (!evict_of_pools() && !front_->evict_idle()) return false;
-        break;
-      case limits::Step::kEvictClientOnly:
-        if (!front_->evict_idle()) return false;
-        break;
-      case limits::Step::kRefuse:
-        return false;
-    }
-  }
-}
-
 void Server::shut_down() {
   if (drain_.leaving()) return;
   spdlog::info("shutting down, {} requests under way", open_requests());
@@ -532,16 +504,17 @@
       (now - started_) / 1000, all.taken(), all.passed, all.dropped, all.bad_gateway, all.left,
       front.left_early, front.malformed, reloads_, bad_reloads_, traffic_->number, pools_.size(), stood_in_);
   spdlog::info("counters: answers {}", listed(front.by_status, status));
+  if (traffic_->gate) traffic_->gate->log_counters();
   for (const auto& pool : pools_) {
     pool->log_counters(pools_.size() > 1 ? "pool " + pool->name() + ": " : std::string());
   }
   spdlog::info(
       "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} paused={}",
-      Stream::open_count(), most_sockets_, front_->clients(), front.accepted, front.silent, front.idle,
+      Stream::open_count(), room_.most_seen(), front_->clients(), front.accepted, front.silent, front.idle,
       front.evicted, front.paused);
   spdlog::info("counters: descriptors state={} most={} backends_budget={} probing={}",
-               limits::name_of(descriptors().state(descriptors_now())), most_streams(),
-               descriptors().backends_budget(), descriptors_now().probing);
+               limits::name_of(room_.rules().state(room_.counts())), most_streams(),
+               room_.rules().backends_budget(), room_.counts().probing);
   spdlog::info("counters: open_requests={} worst_timer_lag_ms={:.2f} wakeups={}", open_requests(),
                loop_.worst_lag(), loop_.wakeups());
 }
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -11,12 +11,13 @@
 #include <vector>
 
 #include "handover/handover.h"
-#include "limits/descriptors.h"
 #include "manage/calls.h"
 #include "manage/drain.h"
 #include "node/ban_keeper.h"
 #include "node/config.h"
+#include "node/descriptor_room.h"
 #include "node/door.h"
+#include "node/fleet_gates.h"
 #include "node/front.h"
 #include "node/net.h"
 #include "node/pool.h"
@@ -78,7 +79,7 @@
   void put_in_force();  // what is pending, if it is time
   void sweep_pools();
   void take(RequestId request, Ask ask, const Way& way, std::shared_ptr<const Message> message);
-  std::shared_ptr<Pool> close(RequestId request);
+  std::shared_ptr<Pool> close(RequestId request, FleetGate::End end);
   bool ready() const;
   bool could_serve() const;
   bool two_run() const;
@@ -87,13 +88,8 @@
   void successor_serves();
   void successor_gone();
   void trim();
-  limits::Descriptors descriptors() const;
   int most_streams() const;
   std::size_t flow_bytes() const;
-  // Frees a descriptor where that is to be; whether there is one.
-  bool make_room(limits::Purpose purpose);
-  bool evict_of_pools();
-  limits::DescriptorCounts descriptors_now() const;
   std::size_t open_requests() const;
   void leave_when_empty(Millis until);
   void let_go();  // as the drain's state says, now and when it changes
@@ -110,7 +106,15 @@
   std::shared_ptr<const Traffic> traffic_;  // in force
   std::optional<Pending> pending_;
   std::shared_ptr<net::FlowBudget> flows_;  // memory for bodies that are not kept whole
-  std::unordered_map<RequestId, std::shared_ptr<Pool>> with_;
+  // Where an open request is, and what it has of the fleet.
+  struct With {
+    std::shared_ptr<Pool> pool;
+    std::shared_ptr<FleetGate> gate;
+    FleetGate::Ticket ticket;
+  };
+  std::unordered_map<RequestId, With> with_;
+  DescriptorRoom room_;
+  FleetGates gates_;
   std::unique_ptr<Front> front_;
   std::unique_ptr<BanKeeper> bans_;
   std::unique_ptr<handover::Successor> predecessor_;   // the process before this one
@@ -128,7 +132,6 @@
   std::uint64_t reloads_ = 0;
   std::uint64_t bad_reloads_ = 0;
   std::uint64_t written_by_ended_ = 0;  // attempts of pools that have ended
-  int most_sockets_ = 0;
 };
 
 }  // namespace shorelead::node
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -13,6 +13,7 @@
 namespace shorelead::node {
 
 class Pool;
+class FleetGate;
 
 struct Traffic {
   std::uint64_t number = 1;
@@ -23,6 +24,7 @@
   std::vector<std::shared_ptr<Pool>> pools;
   std::vector<std::vector<int>> class_in_pool;  // by pool and class; -1 = it never comes there
   std::vector<int> fallbacks;                   // by pool; -1 = none
+  std::shared_ptr<FleetGate> gate;              // none: nothing is shared with other processes
 };
 
 // Where a request goes by the generation that read it.
@@ -30,6 +32,7 @@
   std::shared_ptr<const Traffic> traffic;
   int request_class = 0;
   int pool = 0;
+  int route = -1;  // none where the first part of the path is the class
 };
 
 }  // namespace shorelead::node
