A plan's text carries the history it was written in

A restored copy of the store must not pass for a plan of this one, whoever reads it: the cluster's id stands in the document (Plan::history), all 64 bits.

--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -97,6 +97,7 @@
 struct Plan {
   std::uint64_t epoch = 0;              // one more than the plan before; also across planners
   std::uint64_t fence = 0;              // create revision of the planner's key that wrote it
+  std::uint64_t history = 0;            // cluster it was written in; in any other it is a copy, and nobody's
   std::map<std::string, Part> wholes;   // it was made from
   std::map<std::string, Parts> shares;  // by MemberId::text()
   CutOff cut_off;
--- a/src/fleet/plan_text.cpp
+++ b/src/fleet/plan_text.cpp
@@ -122,6 +122,8 @@
   w.Uint64(plan.epoch);
   w.Key("fence");
   w.Uint64(plan.fence);
+  w.Key("history");
+  w.Uint64(plan.history);
   w.Key("wholes");
   w.StartObject();
   for (const auto& [budget, part] : plan.wholes) {
@@ -165,6 +167,7 @@
   Plan out;
   out.epoch = r.count(root, "epoch");
   out.fence = r.count(root, "fence");
+  out.history = r.count(root, "history", json::kAny);
   r.map(r.field(root, "wholes"), "wholes", json::kMostName, out.wholes,
         [&](const Value& v) { return r.part(v, "a whole"); });
   Names all;
--- a/tests/fleet/documents_test.cpp
+++ b/tests/fleet/documents_test.cpp
@@ -32,6 +32,7 @@
   Plan out;
   out.epoch = random.below(1000);
   out.fence = random.next() >> 20;
+  out.history = random.next();
   out.wholes = parts(random);
   for (std::size_t n = random.below(4); n > 0; --n) out.shares[word(random)] = parts(random);
   if (random.below(2) == 0) out.cut_off = {static_cast<int>(random.below(9)), random.unit()};
@@ -106,7 +107,7 @@
   const std::string record = text_of(r);
   EXPECT_EQ(
       plan,
-      R"({"form":1,"epoch":7,"fence":0,"wholes":{"b":[10,2]},"budgets":["b"],"shares":{"n#1":[[4.5,1]]},)"
+      R"({"form":1,"epoch":7,"fence":0,"history":0,"wholes":{"b":[10,2]},"budgets":["b"],"shares":{"n#1":[[4.5,1]]},)"
       R"("cut_off":[1073741824,0],"affinity":{"rule":{"boxes":0,"names":["x","y"],"slots":[0,1],)"
       R"("closed":[1,0],"since":[3,1,4,1]}}})");
   std::string slots = "[0";
