--- a/tests/fleet/documents_test.cpp
+++ b/tests/fleet/documents_test.cpp
@@ -107,8 +107,9 @@
   const std::string record = text_of(r);
   EXPECT_EQ(
       plan,
-      R"({"form":1,"epoch":7,"fence":0,"history":0,"wholes":{"b":[10,2]},"budgets":["b"],"shares":{"n#1":[[4.5,1]]},)"
-      R"("cut_off":[1073741824,0],"affinity":{"rule":{"boxes":0,"names":["x","y"],"slots":[0,1],)"
+      R"({"form":1,"epoch":7,"fence":0,"history":0,"wholes":{"b":[10,2]},"budgets":["b"],)"
+      R"("shares":{"n#1":[[4.5,1]]},"cut_off":[1073741824,0],"affinity":{"rule":{"boxes":0,"names":["x","y"],)"
+      R"("slots":[0,1],)"
       R"("closed":[1,0],"since":[3,1,4,1]}}})");
   std::string slots = "[0";
   for (int n = 1; n < 131072; ++n) slots += ",0";
