--- a/src/node/fleet_gates.cpp
+++ b/src/node/fleet_gates.cpp
@@ -34,8 +34,8 @@
   FleetGate::Names names = FleetGate::names_of(config);
   if (now != nullptr && now->gate && now->gate->serves(*config.shared, names)) return now->gate;
   std::string name = config.name;
-  if (beside_) name += "~" + std::to_string(::getpid());
-  if (now != nullptr) name += "." + std::to_string(now->number + 1);
+  if (beside_) name.append("~").append(std::to_string(::getpid()));
+  if (now != nullptr) name.append(".").append(std::to_string(now->number + 1));
   std::random_device entropy;
   return std::make_shared<FleetGate>(loop_, *config.shared, config, name,
                                      (std::uint64_t{entropy()} << 32) ^ entropy());
