The fleet's store client, its control thread and the traffic's port

Need: members and planners are pure; somebody has to carry out their calls, follow the plan, and hand parts to the traffic without a lock. The count of open streams is atomic, the node's log is safe for several threads.

--- /dev/null
+++ b/src/fleet/bell.h
@@ -0,0 +1,37 @@
+// Wakes a thread that waits in its loop: an eventfd. Owns the descriptor. Rung by any thread, heard by one.
+#pragma once
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <system_error>
+
+namespace shorelead::fleet {
+
+class Bell {
+ public:
+  Bell() : fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "eventfd");
+  }
+  ~Bell() { ::close(fd_); }
+  Bell(const Bell&) = delete;
+  Bell& operator=(const Bell&) = delete;
+
+  void ring() {
+    const std::uint64_t one = 1;
+    // Only a bell that was rung 2^64 - 2 times unheard refuses, and that one wakes as well.
+    [[maybe_unused]] const ssize_t written = ::write(fd_, &one, sizeof one);
+  }
+  void hush() {
+    std::uint64_t count = 0;
+    [[maybe_unused]] const ssize_t got = ::read(fd_, &count, sizeof count);
+  }
+  int fd() const { return fd_; }  // readable while it rings
+
+ private:
+  const int fd_;
+};
+
+}  // namespace shorelead::fleet
--- /dev/null
+++ b/src/fleet/port.cpp
@@ -0,0 +1,121 @@
+#include "fleet/port.h"
+
+#include <utility>
+
+#include "fleet/division.h"
+
+namespace shorelead::fleet {
+namespace {
+
+bool closes(const Snapshot& snapshot) {
+  for (const auto& [rule, map] : snapshot.affinity) {
+    for (const Slot& slot : map.slots) {
+      if (!slot.open) return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+Port::Port(std::shared_ptr<Channel> channel, const std::vector<Budget>& budgets, const Sharing& sharing)
+    : channel_(std::move(channel)), budgets_(budgets) {
+  for (const Budget& budget : budgets_) {
+    const Part reserve = reserve_of(budget, sharing);
+    switch (budget.kind) {
+      case BudgetKind::kRate:
+        shares_.emplace_back(std::in_place_type<RateShare>, reserve);
+        break;
+      case BudgetKind::kAtOnce:
+        shares_.emplace_back(std::in_place_type<AtOnceShare>, reserve.amount, budget.hold);
+        break;
+      case BudgetKind::kAttempts:
+        shares_.emplace_back(std::in_place_type<AttemptShare>, reserve.amount, budget.ratio, budget.window);
+    }
+  }
+}
+
+void Port::set(std::size_t budget, const Part& part, Millis now, Millis valid_until) {
+  Share& share = shares_[budget];
+  if (auto* const rate = std::get_if<RateShare>(&share)) {
+    rate->set(part, now, valid_until);
+  } else if (auto* const at_once = std::get_if<AtOnceShare>(&share)) {
+    at_once->set(part.amount);
+  } else {
+    std::get<AttemptShare>(share).set(part.amount, now);
+  }
+}
+
+bool Port::take_up() {
+  const Millis until_now = valid_until();
+  if (!channel_->issues.take()) return false;
+  const Millis now = boot_now();
+  const Snapshot& next = *issue()->snapshot;
+  const bool another = next.incarnation != incarnation_;
+  for (std::size_t n = 0; n < budgets_.size(); ++n) {
+    const auto part = next.parts.find(budgets_[n].name);
+    // Of another incarnation: what was saved up of the one before is nothing of its.
+    if (another) set(n, {}, now, until_now);
+    set(n, part == next.parts.end() ? Part{} : part->second, now, another ? valid_until() : until_now);
+    count_in_use(n, now);
+  }
+  incarnation_ = next.incarnation;
+  // Before the generation: who reads that finds no older word on its slots.
+  if (!closes(next)) channel_->traffic.slots_quiet.announce(next.generation);
+  channel_->traffic.generation.announce(next.generation);
+  channel_->for_control.ring();
+  return true;
+}
+
+Spent Port::spend(std::size_t budget, Millis now) {
+  const Millis until = valid_until();
+  Share& share = shares_[budget];
+  Spent spent = Spent::kShare;
+  if (auto* const rate = std::get_if<RateShare>(&share)) {
+    spent = rate->spend(now, until);
+  } else if (auto* const at_once = std::get_if<AtOnceShare>(&share)) {
+    spent = at_once->spend(now, until);
+    if (spent == Spent::kYes) count_in_use(budget, now);
+  } else {
+    spent = std::get<AttemptShare>(share).spend(now, until);
+  }
+  BudgetCells& cells = channel_->traffic.budgets[budget];
+  cells.asked.add(1);
+  (spent == Spent::kYes     ? cells.spent
+   : spent == Spent::kShare ? cells.bound_by_share
+                            : cells.bound_by_reserve)
+      .add(1);
+  return spent;
+}
+
+void Port::end(std::size_t budget, Millis now) {
+  if (auto* const share = std::get_if<AtOnceShare>(&shares_[budget])) {
+    share->end();
+    count_in_use(budget, now);
+  }
+}
+
+void Port::taken(std::size_t budget, Millis now) {
+  if (auto* const share = std::get_if<AttemptShare>(&shares_[budget])) share->taken(now);
+}
+
+void Port::count_in_use(std::size_t budget, Millis now) {
+  const auto* const share = std::get_if<AtOnceShare>(&shares_[budget]);
+  if (share == nullptr) return;
+  channel_->traffic.budgets[budget].in_use.set(share->in_use());
+  channel_->traffic.budgets[budget].beyond_reserve.set(share->beyond_reserve(now));
+}
+
+const Snapshot* Port::valid(Millis now) const { return now < valid_until() ? last() : nullptr; }
+
+void Port::slots_quiet() { channel_->traffic.slots_quiet.announce(channel_->traffic.generation.get()); }
+
+RankCells* Port::rank(int rank) {
+  TrafficCells& cells = channel_->traffic;
+  for (std::size_t n = 0; n < cells.ranks.size(); ++n) {
+    if (cells.ranks[n] == rank) return &cells.loads[n];
+  }
+  return nullptr;
+}
+
+}  // namespace shorelead::fleet
--- /dev/null
+++ b/src/fleet/traffic_reading.cpp
@@ -0,0 +1,85 @@
+#include "fleet/traffic_reading.h"
+
+#include <algorithm>
+
+namespace shorelead::fleet {
+namespace {
+
+constexpr Millis kSpan = 1000;      // that rates are of
+constexpr Millis kBetween = 90;     // samples at least
+constexpr std::size_t kOfRank = 5;  // cells
+
+}  // namespace
+
+TrafficReading::TrafficReading(const std::vector<Budget>& budgets, const TrafficCells& cells)
+    : budgets_(budgets), cells_(cells), longest_(kSpan) {
+  for (const Budget& budget : budgets_) longest_ = std::max(longest_, budget.window);
+}
+
+TrafficReading::Sample TrafficReading::sample(Millis now) const {
+  Sample sample{now, {}, {}};
+  for (const BudgetCells& cell : cells_.budgets) {
+    sample.counts.push_back(static_cast<double>(cell.asked.get()));
+    sample.counts.push_back(static_cast<double>(cell.spent.get()));
+    sample.in_use.push_back(cell.in_use.get());
+  }
+  for (const RankCells& cell : cells_.loads) {
+    for (const auto* const one : {&cell.offered, &cell.taken, &cell.in_time, &cell.refused, &cell.failed}) {
+      sample.counts.push_back(static_cast<double>(one->get()));
+    }
+  }
+  return sample;
+}
+
+const TrafficReading::Sample& TrafficReading::before(Millis now, Millis span) const {
+  auto found = samples_.begin();
+  for (auto it = samples_.begin(); it != samples_.end() && it->at <= now - span; ++it) found = it;
+  return *found;
+}
+
+TrafficState TrafficReading::read(Millis now) {
+  TrafficState state;
+  // First: whatever is read behind it was written with, or after, that generation.
+  state.generation = cells_.generation.heard();
+  state.slots_quiet = cells_.slots_quiet.heard() >= state.generation;
+  state.room = cells_.room.get();
+  const Sample latest = sample(now);
+  if (samples_.empty() || now - samples_.back().at >= kBetween) samples_.push_back(latest);
+  while (samples_.size() > 2 && samples_[1].at <= now - longest_) samples_.pop_front();
+
+  for (std::size_t n = 0; n < budgets_.size(); ++n) {
+    const Budget& budget = budgets_[n];
+    state.in_use[budget.name] = cells_.budgets[n].beyond_reserve.get();
+    const bool windowed = budget.kind == BudgetKind::kAttempts;
+    const Sample& old = before(now, windowed ? budget.window : kSpan);
+    const double asked = latest.counts[2 * n] - old.counts[2 * n];
+    const double spent = latest.counts[2 * n + 1] - old.counts[2 * n + 1];
+    if (windowed) {
+      state.demand[budget.name] = asked;
+      state.spent[budget.name] = spent;
+    } else if (budget.kind == BudgetKind::kRate) {
+      const double seconds = std::max(now - old.at, kSpan / 2) / 1000;
+      state.demand[budget.name] = asked / seconds;
+      state.spent[budget.name] = spent / seconds;
+    } else {
+      double most = latest.in_use[n];
+      for (const Sample& sample : samples_) {
+        if (sample.at >= now - kSpan) most = std::max(most, sample.in_use[n]);
+      }
+      // As many as would be in use had all that asked been let in; who was let in nothing asks for all.
+      const double wished = spent > 0 ? most * asked / spent : most + asked;
+      state.demand[budget.name] = std::min(wished, std::max(budget.whole, most));
+      state.spent[budget.name] = most;
+    }
+  }
+  const Sample& old = before(now, kSpan);
+  const double seconds = std::max(now - old.at, kSpan / 2) / 1000;
+  for (std::size_t n = 0; n < cells_.ranks.size(); ++n) {
+    const std::size_t at = 2 * budgets_.size() + kOfRank * n;
+    const auto rate = [&](std::size_t k) { return (latest.counts[at + k] - old.counts[at + k]) / seconds; };
+    state.ranks[cells_.ranks[n]] = {rate(0), rate(1), rate(2), rate(3), rate(4)};
+  }
+  return state;
+}
+
+}  // namespace shorelead::fleet
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-int Stream::open_count_ = 0;
+std::atomic<int> Stream::open_count_{0};
 
 const char* name_of(Ending ending) {
   switch (ending) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -5,6 +5,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -94,7 +95,7 @@
   void close_sending();      // the other side sees the end; what it sends is still taken
   void close();
 
-  static int open_count() { return open_count_; }
+  static int open_count() { return open_count_.load(std::memory_order_relaxed); }
 
  private:
   void on_readable() override;
@@ -114,7 +115,7 @@
   Ending failure_ = Ending::kNoDescriptor;
   std::string input_;
   std::string output_;
-  static int open_count_;
+  static std::atomic<int> open_count_;  // of all threads' loops
 };
 
 // "a.b.c.d:port"; no names are looked up.
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -288,7 +288,7 @@
 
 int serve(const Options& options) {
   Config config = load(options, false);
-  spdlog::set_default_logger(spdlog::stdout_logger_st(config.name));
+  spdlog::set_default_logger(spdlog::stdout_logger_mt(config.name));
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %l %v");
   spdlog::set_level(spdlog::level::from_str(options.log_level));
   spdlog::flush_on(spdlog::level::info);
--- a/tests/layers.sh
+++ b/tests/layers.sh
@@ -21,7 +21,7 @@
   [membership]="base net membership"
   [node]="base policy settings subset limits language manage handover routing membership net node"
   [drill]="base peers policy settings drill"
-  [fleet]="base limits fleet"
+  [fleet]="base limits net membership fleet"
 
   [lab]="base policy subset lab"  # pure decisions for the scale model; never the node's parser, or it is tested against itself
 )
@@ -38,4 +38,11 @@
     esac
   done < <(grep -rnE '^ *#include +"[^"/]+/' --include='*.h' --include='*.cpp' "$folder" || true)
 done
+# The core of the fleet is pure: only the thread beside it and its client of the store know sockets.
+while IFS=: read -r file line text; do
+  case "$(basename "$file")" in
+    control.*|plan_watch.*|record_reading.*|store.*|store_lines.*) ;;
+    *) echo "$file:$line: the fleet's core may not include sockets or the registry"; fail=1 ;;
+  esac
+done < <(grep -rnE '^ *#include +"(net|membership)/' --include='*.h' --include='*.cpp' src/fleet 2>/dev/null || true)
 exit "$fail"
