--- a/tests/fleet/fleet_bench.h
+++ b/tests/fleet/fleet_bench.h
@@ -91,7 +91,7 @@
     spec.sharing = sharing_of_a_second();
     spec.budgets = two_budgets();
     spec.name = name;
-    spec.seed = seed; spec.log = [](const std::string& t) { fprintf(stderr, "LOG %s\n", t.c_str()); };
+    spec.seed = seed;
     control = std::make_unique<Control>(spec, channel);
   }
   Part has(const std::string& budget) const {
@@ -112,7 +112,6 @@
   while (true) {
     for (Process* process : processes) process->port.take_up();
     if (until()) return;
-    static double last = 0; if (boot_now() - last > 1000) { last = boot_now(); for (Process* p : processes) { auto& c = p->channel->control; fprintf(stderr, "joined %lu ended %lu lapsed %lu refused %lu epochs %lu older %lu elections %lu plans %lu held %lu calls %lu lost %lu watches %lu unread %lu gen %lu rate %.1f once %.1f elected %lu\n", c.joined.get(), c.ended.get(), c.lapsed.get(), c.refused.get(), c.epochs.get(), c.older.get(), c.elections.get(), c.plans.get(), c.held.get(), c.calls.get(), c.calls_lost.get(), c.watches.get(), c.unreadable.get(), p->channel->traffic.generation.get(), p->has("rate").amount, p->has("at once").amount, c.elected.get()); } }
     std::vector<pollfd> bells;
     for (Process* process : processes) bells.push_back({process->port.wake_fd(), POLLIN, 0});
     ::poll(bells.data(), bells.size(), 5);
