The auditor judges many processes: budgets, order of shedding, one box a key

Cause: what processes share can only be proved by what clients and boxes saw of all of them together.

When a process decided is not to be seen, so only what surely lies within a window counts: between the client's sending (or the end of the process's pause) and the first byte at a box.

--- a/src/lab/audit.h
+++ b/src/lab/audit.h
@@ -1,9 +1,11 @@
 // The auditor: puts the clients' records, the boxes' ledgers and discovery's log side by side and says which
-// of the four rules broke, for which request, and on what evidence. Pure: it takes a finished run and must
-// never excuse what it has no record for, nor judge how well a run went.
+// of the four rules broke, for which request, and on what evidence; and the three rules of many processes
+// (F1 to F3), summed over them all. Pure: it takes a finished run and must never excuse what it has no record
+// for, nor judge how well a run went, nor take a process's word.
 //
 // What is beyond a node's power is told apart from what it did. A request that was with a node when that node
-// was killed is lost with it, which the rules allow; a second run of it is not.
+// was killed is lost with it, which the rules allow; a second run of it is not. Likewise one whose process
+// stood still past its due time; what the process does when it goes on is judged as ever.
 #pragma once
 
 #include <map>
@@ -29,10 +31,13 @@
   kTooMany,     // 2: more than five attempts
   kDrained,     // 3: a new send to a box past the grace after it was told draining or gone
   kPushedOver,  // 4: a cold box fell, by nodes that were told of its start
+  kOverBudget,  // F1: all processes together spent more than the whole
+  kShedOrder,   // F2: a higher rank refused beside a lower one taken
+  kTwoBoxes,    // F3: one key at two boxes by two processes
 };
 
 const char* name_of(Breach breach);
-int rule_of(Breach breach);  // 1 to 4
+const char* rule_of(Breach breach);  // "1" to "4", "F1" to "F3"
 
 struct Finding {
   Breach breach = Breach::kLost;
@@ -45,6 +50,7 @@
   std::vector<Finding> findings;  // in order of time, at most kMostFindings of each breach
   std::map<Breach, int> counts;
   int lost_with_node = 0;    // with a node that was killed; allowed
+  int lost_in_pause = 0;     // with a node that stood still past the due time; allowed
   int unknown_at_boxes = 0;  // attempts whose id no client ever sent; counted under kInvented as well
   Millis worst_drain = 0;    // longest time from word of a drain to a send begun after it
   bool clean() const { return findings.empty(); }
--- a/src/lab/box.cpp
+++ b/src/lab/box.cpp
@@ -419,6 +419,7 @@
     for (const auto& connection : link.connections_) {
       if (connection->busy() && connection->line() < world_.ledger.size()) {
         Arrived& record = world_.ledger[connection->line()];
+        if (record.hidden == 0) record.hidden = clock_now();
         if (record.end == BoxEnd::kOpen) record.end = BoxEnd::kSwallowed;
       }
     }
--- a/src/lab/records.cpp
+++ b/src/lab/records.cpp
@@ -66,6 +66,10 @@
       return "reloaded";
     case NodeDid::kExited:
       return "exited";
+    case NodeDid::kPaused:
+      return "paused";
+    case NodeDid::kWentOn:
+      return "went on";
   }
   return "?";
 }
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/millis.h"
+#include "lab/fleet_rules.h"
 
 namespace shorelead::lab {
 
@@ -38,6 +39,8 @@
 struct Asked {
   std::string id;
   std::string key;
+  std::string tenant;  // empty where the experiment has none
+  std::string basket;  // likewise: what rules of affinity keep at one box
   int request_class = 0;
   int node = 0;
   Millis intended = 0;  // when the schedule wanted it sent
@@ -78,6 +81,7 @@
   Millis began = 0;       // its effect took place then; 0 = it never ran
   Millis answered = 0;    // last byte of the answer handed to the system
   Millis closed = 0;      // the sender had ended the connection by then, before the answer; 0 = it had not
+  Millis hidden = 0;      // its link passed nothing from then on: what the sender did is not to be seen
   Millis work = 0;        // on a standard core
   bool repeat = false;    // a key seen before in this group and window: answered, not run
   BoxEnd end = BoxEnd::kOpen;
@@ -100,7 +104,7 @@
   Millis at = 0;
 };
 
-enum class NodeDid { kStarted, kReady, kTerminated, kKilled, kReloaded, kExited };
+enum class NodeDid { kStarted, kReady, kTerminated, kKilled, kReloaded, kExited, kPaused, kWentOn };
 
 struct NodeEvent {
   int node = 0;
@@ -151,6 +155,7 @@
 struct Run {
   std::vector<ClassRules> classes;
   std::vector<BoxNote> boxes;
+  FleetRules fleet;
   std::vector<Asked> asked;
   std::vector<Arrived> arrived;
   std::vector<Told> told;
--- a/src/lab/records_io.cpp
+++ b/src/lab/records_io.cpp
@@ -11,7 +11,7 @@
 namespace shorelead::lab {
 namespace {
 
-constexpr const char* kRecords = "shorelead-lab-records/1";
+constexpr const char* kRecords = "shorelead-lab-records/2";
 
 // Each shape names its fields once, for writing and reading alike; `io` is the writer or the reader.
 void fields(auto& io, auto& v, ClassRules*) {
@@ -19,11 +19,27 @@
   io("give_up", v.give_up), io("worth", v.worth);
 }
 void fields(auto& io, auto& v, BoxNote*) {
-  io("host", v.host), io("zone", v.zone), io("cell", v.cell), io("born", v.born);
+  io("host", v.host), io("zone", v.zone), io("cell", v.cell), io("born", v.born), io("pool", v.pool);
+}
+void fields(auto& io, auto& v, Scope*) {
+  io("classes", v.classes), io("tenants", v.tenants), io("pool", v.pool);
+}
+void fields(auto& io, auto& v, BudgetRule*) {
+  io("name", v.name), io("kind", v.kind), io("whole", v.whole), io("burst", v.burst), io("ratio", v.ratio);
+  io("window", v.window), io("scope", v.scope);
+}
+void fields(auto& io, auto& v, RankRule*) { io("rank", v.rank), io("floor", v.floor), io("scope", v.scope); }
+void fields(auto& io, auto& v, KeyRule*) {
+  io("name", v.name), io("must", v.must), io("tenant", v.tenant), io("back_after", v.back_after);
+  io("scope", v.scope);
+}
+void fields(auto& io, auto& v, FleetRules*) {
+  io("budgets", v.budgets), io("ranks", v.ranks), io("keys", v.keys), io("shed_window", v.shed_window);
+  io("shed_share", v.shed_share);
 }
 void fields(auto& io, auto& v, Asked*) {
-  io("id", v.id), io("key", v.key), io("class", v.request_class), io("node", v.node),
-      io("intended", v.intended);
+  io("id", v.id), io("key", v.key), io("tenant", v.tenant), io("basket", v.basket),
+      io("class", v.request_class), io("node", v.node), io("intended", v.intended);
   io("sent", v.sent), io("due", v.due), io("ended", v.ended), io("end", v.end), io("status", v.status);
   io("resent", v.resent), io("right_body", v.right_body), io("run", v.run), io("extra", v.extra),
       io("tries_before", v.tries_before);
@@ -32,8 +48,8 @@
 void fields(auto& io, auto& v, Arrived*) {
   io("serial", v.serial), io("id", v.id), io("key", v.key), io("class", v.request_class), io("box", v.box);
   io("node", v.node), io("first_byte", v.first_byte), io("last_byte", v.last_byte), io("began", v.began);
-  io("answered", v.answered), io("closed", v.closed), io("work", v.work), io("repeat", v.repeat),
-      io("end", v.end);
+  io("answered", v.answered), io("closed", v.closed), io("hidden", v.hidden), io("work", v.work),
+      io("repeat", v.repeat), io("end", v.end);
 }
 void fields(auto& io, auto& v, Told*) {
   io("node", v.node), io("box", v.box), io("state", v.state), io("at", v.at);
@@ -55,8 +71,8 @@
       io("settled", v.settled);
 }
 void fields(auto& io, auto& v, Run*) {
-  io("classes", v.classes), io("boxes", v.boxes), io("asked", v.asked), io("arrived", v.arrived),
-      io("told", v.told);
+  io("classes", v.classes), io("boxes", v.boxes), io("fleet", v.fleet), io("asked", v.asked),
+      io("arrived", v.arrived), io("told", v.told);
   io("changed", v.changed), io("nodes", v.nodes), io("fallen", v.fallen), io("samples", v.samples),
       io("marks", v.marks);
   io("bad_clients", v.bad_clients), io("began", v.began), io("ended", v.ended),
@@ -171,6 +187,12 @@
                                std::to_string(count));
     }
   };
+  const auto scope = [&](const Scope& s) {
+    for (const int request_class : s.classes) within(request_class, run.classes.size(), "class");
+  };
+  for (const BudgetRule& rule : run.fleet.budgets) scope(rule.scope);
+  for (const RankRule& rule : run.fleet.ranks) scope(rule.scope);
+  for (const KeyRule& rule : run.fleet.keys) scope(rule.scope);
   for (const Asked& asked : run.asked) within(asked.request_class, run.classes.size(), "class");
   for (const Arrived& arrived : run.arrived) {
     within(arrived.request_class, run.classes.size(), "class");
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -57,6 +57,7 @@
   out.Key("audit");
   out.StartObject();
   put(out, "lost_with_node", static_cast<std::size_t>(audit.lost_with_node));
+  put(out, "lost_in_pause", static_cast<std::size_t>(audit.lost_in_pause));
   put(out, "unknown_at_boxes", static_cast<std::size_t>(audit.unknown_at_boxes));
   put(out, "worst_drain_ms", audit.worst_drain);
   out.Key("breaches");
@@ -67,7 +68,7 @@
   out.StartArray();
   for (const Finding& finding : audit.findings) {
     out.StartObject();
-    put(out, "rule", static_cast<std::size_t>(rule_of(finding.breach)));
+    put(out, "rule", rule_of(finding.breach));
     put(out, "breach", name_of(finding.breach));
     put(out, "request", finding.request);
     put(out, "evidence", finding.evidence);
@@ -207,8 +208,11 @@
       out << " " << kind << "=" << counts.first << "/" << counts.second;
     out << "\n";
   }
-  line(out, "  lost with a killed node (allowed): %d; longest from word of a drain to a send: %.1f ms",
-       run.audit.lost_with_node, run.audit.worst_drain);
+  line(out,
+       "  lost with a killed node (allowed): %d, with a paused one: %d; longest from word of a drain to a "
+       "send: "
+       "%.1f ms",
+       run.audit.lost_with_node, run.audit.lost_in_pause, run.audit.worst_drain);
   line(out, "  the lab's own lateness: clients %.2f ms at p99, %.1f at worst; stand-ins %.2f and %.1f",
        run.load_late_p99, run.load_late, run.fleet_late_p99, run.fleet_late);
   for (const Finding& finding : run.audit.findings) {
--- a/src/lab/summary.cpp
+++ b/src/lab/summary.cpp
@@ -73,8 +73,8 @@
     return;
   }
   for (const auto& [breach, count] : summary.audit.counts) {
-    summary.reasons.push_back("rule " + std::to_string(rule_of(breach)) + " broken: " + name_of(breach) +
-                              ", " + std::to_string(count) + (count == 1 ? " time" : " times"));
+    summary.reasons.push_back(std::string("rule ") + rule_of(breach) + " broken: " + name_of(breach) + ", " +
+                              std::to_string(count) + (count == 1 ? " time" : " times"));
   }
   for (const NodeFigure& node : summary.nodes) {
     if (node.crashes > 0)
