The lab's faults between processes: pause, late start, rolling restart, a way to the store of each one's own

Cause: what processes share breaks between them: one stands still beyond its lease, comes late, cannot reach the store.

--- a/src/lab/box.cpp
+++ b/src/lab/box.cpp
@@ -539,7 +539,6 @@
 }
 
 void Box::drain() { draining_since_ = clock_now(); }
-
 void Box::stall(Millis until) {
   step();
   model_.stall(clock_now(), until);
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -59,8 +59,22 @@
   std::string own;      // the node's file of our own, as text; empty = none
   // The node's configuration as .shore texts in place of the platform's JSON; each reload takes the next, and
   // after the last the first. What stands between two "@" is put in: @listen@, @seed@, @nodes@, @index@,
-  // @zone@, and @discovery@ or @discovery.POOL@.
+  // @zone@, @discovery@ or @discovery.POOL@, and @store@.
   std::vector<std::string> shore;
+  std::vector<int> later;  // not started with the others, but by an event
+};
+
+// The store of keys that nodes share, and its troubles: a stand-in of its own, apart from discovery. Each
+// process reaches it by addresses of its own ("@store@"), where it can be cut off alone.
+struct StoreSpec {
+  bool there = false;
+  std::string prefix = "/fleet/";  // of the fleet's keys; P/planner and P/plan are looked at by kill_planner
+  int members = 1;
+  double cuts = 0;           // share of answers cut after some byte; what they answer was done
+  double lost = 0;           // share of calls whose connection ends before they are carried out
+  Millis compact_every = 0;  // 0 = never
+  int lag = 0;               // changes that a member may be behind
+  double deaf = 0;           // watches that go deaf, a second each
 };
 
 struct DiscoverySpec {
@@ -83,6 +97,14 @@
   double drop = 0;    // share that closes its connection after an answer
   double bad_per_second = 0;
   std::vector<std::string> bad_kinds;  // empty = all
+  std::string tenant_header = "X-Tenant";
+  std::string basket_header = "X-Basket";
+  int baskets = 0;  // each wish is about one of so many; 0 = none
+};
+
+struct TenantSpec {
+  std::string name;
+  double share = 1;
 };
 
 struct Rules {
@@ -106,8 +128,16 @@
     kDiscovery,  // discovery is down, restarts with old numbers, or serves an empty list
     kNodeKill,
     kNodeTerm,
-    kNodeReload
+    kNodeReload,
+    kPause,       // processes stand still (SIGSTOP) and go on
+    kNodeStart,   // processes of `later` are started
+    kRolling,     // each process in turn is asked to end and started anew, `every` apart
+    kCut,         // the way to the store is cut, slow, or cuts bytes
+    kStore,       // the store's own troubles
+    kKillPlanner  // whoever holds P/planner is killed, once P/plan holds a text
   };
+  bool on_boxes() const { return kind <= Kind::kLink; }
+  bool on_nodes() const { return kind >= Kind::kNodeKill && kind <= Kind::kRolling; }
   Kind kind = Kind::kKill;
   Millis at = 0;
   int line = 0;
@@ -126,9 +156,17 @@
   bool same_address = false;  // the successor takes the address of the one that went
   std::string fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
                       // discovery: down, restart, empty
+                      // cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
   double share = 1;   // of the answers hurt
   Millis latency = 0;
-  int after_bytes = 0;  // reset and truncate: so many bytes of the answer pass
+  int after_bytes = 0;        // reset and truncate: so many bytes of the answer pass
+  bool stay_away = false;     // node_kill, node_term, kill_planner: it is not started again
+  bool unnoticed = false;     // pause: clients go on sending there
+  int text = -1;              // node_reload: this one of the texts; -1 = the next
+  std::string way;            // cut: both, asks, answers
+  std::string holds;          // kill_planner: a text to wait for in the plan; empty = at once
+  int forgets = 0;            // store, restart: so many changes are lost ...
+  bool same_cluster = false;  // ... and its number stays
 };
 
 struct Must {
@@ -145,16 +183,19 @@
   FleetSpec fleet;
   NodesSpec nodes;
   DiscoverySpec discovery;
+  StoreSpec store;
   ClientsSpec clients;
+  std::vector<TenantSpec> tenants;  // each wish is one's, by their shares; empty = none
   Rules rules;
   LoadPlan load;
   std::vector<ClassSpec> classes;
+  FleetRules together;           // what all processes are to keep
   std::vector<Action> timeline;  // in order of time
   Must must;
 };
 
 // What may stand between two "@" in a node's .shore text.
-std::vector<std::string> place_names(const FleetSpec& fleet);
+std::vector<std::string> place_names(const FleetSpec& fleet, const StoreSpec& store);
 
 // Throws ExperimentError.
 Experiment parse_experiment(std::string_view text, const std::string& file);
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -48,6 +48,7 @@
   void begin(const std::shared_ptr<Wish>& wish);
   void ended(const std::shared_ptr<Wish>& wish, std::size_t record, double retry_after);
   int next_node();
+  void choose_owner(Wish& wish);  // tenant and basket
   void finish_when_quiet();
 
   boost::asio::io_context& context_;
@@ -61,6 +62,7 @@
   Lateness lateness_;
   Draw habits_;
   Draw ids_;
+  Draw whose_;
   std::vector<Asked> records_;
   std::vector<std::vector<std::shared_ptr<Client>>> unused_;  // by node, the one used last at the back
   std::size_t open_ = 0;                                      // wishes under way
--- a/src/lab/nodes.h
+++ b/src/lab/nodes.h
@@ -1,10 +1,8 @@
-// The nodes under test as processes: their configuration, start, signals, end, memory and descriptors, and
-// the front that takes a node in once it says it is ready and notices only after a while that it has died.
-// Owns the processes that it started, and ends them; it must never touch another process.
+// The nodes under test as processes: who is started when, what is done to them, what they took, and the front
+// that takes a node in once it says it is ready and notices only after a while that it has died or stands
+// still. Owns their lives; it must never touch another process.
 #pragma once
 
-#include <sys/types.h>
-
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -14,6 +12,8 @@
 
 #include "lab/clock.h"
 #include "lab/experiment.h"
+#include "lab/node_config.h"
+#include "lab/process.h"
 #include "lab/records.h"
 
 namespace shorelead::lab {
@@ -25,23 +25,23 @@
   std::vector<std::string> addresses;  // "a.b.c.d:port", fixed before anyone reads
 };
 
-// The node's configuration, in the platform's form.
-std::string node_configuration(const Experiment& experiment, int node, const std::string& listen,
-                               const std::string& discovery, const std::string& known);
-
-// The same as the n-th of the experiment's .shore texts; `discovery` says where a pool's list is.
-std::string node_shore(const Experiment& experiment, int node, const std::string& listen,
-                       const std::function<std::string(int)>& discovery, std::size_t n);
+// How nodes find what they need to be told of.
+struct NodesWorld {
+  std::function<std::string(int node, int pool)> discovery;
+  std::function<std::string(int node)> known;  // the list as it would have had it
+  std::function<std::string(int node)> store;  // empty = there is none
+  // Which node holds the planner's key, where the plan holds this text; -1 = none. Only when to act is taken
+  // from it, and never a verdict.
+  std::function<int(const std::string& holds)> planner;
+};
 
 class Nodes {
  public:
   // `command` is what starts a node: the program and its first arguments; the rest comes by NODE_* variables.
   Nodes(boost::asio::io_context& context, const Experiment& experiment, std::vector<std::string> command,
-        std::string folder, std::function<std::string(int, int)> discovery,
-        std::function<std::string(int)> known, Front& front);
-  ~Nodes();  // ends what still runs
+        std::string folder, NodesWorld world, Front& front);
 
-  void start_all();
+  void start_all();  // but for those that come later
   bool all_ready() const;
   std::string failure() const { return failure_; }  // why a node did not start; empty = none failed
   void act(const Action& action);
@@ -52,23 +52,33 @@
 
  private:
   struct Node {
-    pid_t pid = 0;
-    bool up = false;     // runs, as far as we know
+    Process process;
+    bool later = false;  // not started yet
     bool asked = false;  // told to end
+    bool paused = false;
     bool ready = false;
     int life = 0;
-    Millis started = 0;
     std::size_t texts = 0;  // of its configuration, so far
   };
 
   void start(int node);
   void configure(int node);
-  void reload(int node, Millis every, Millis until);
+  void reload(int node, int text, Millis every, Millis until);
+  void kill(int node, const Action& action);
+  void term(int node, const Action& action);
+  void pause(int node, const Action& action);
+  void go_on(int node);
+  void roll(std::vector<int> left, const Action& action);
+  void kill_planner(const Action& action, Millis until);
   void start_when_gone(int node, Millis wait);
+  // Clients notice after a while, unless it has come back by then.
+  void notice(int node, int life);
   void look(int node, int life);  // for whether it is ready
   void watch();                   // for ends, memory and descriptors
   void ended(int node, int status);
+  Node& at(int node) { return nodes_[static_cast<std::size_t>(node)]; }
   void later(Millis wait, std::function<void()> task);
+  void mark(const std::string& what, int node);
   void event(int node, NodeDid what, int code = 0);
   std::string path(int node, const char* suffix) const;
   bool answers_ready(int node) const;
@@ -77,8 +87,7 @@
   const Experiment& experiment_;
   const std::vector<std::string> command_;
   const std::string folder_;
-  const std::function<std::string(int, int)> discovery_;
-  const std::function<std::string(int)> known_;
+  const NodesWorld world_;
   Front& front_;
   std::vector<Node> nodes_;
   std::vector<NodeEvent> events_;
--- a/src/lab/session.cpp
+++ b/src/lab/session.cpp
@@ -2,19 +2,17 @@
 
 #include <sys/resource.h>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
-#include <boost/asio/post.hpp>
 #include <fstream>
 #include <future>
 #include <ostream>
 #include <stdexcept>
-#include <thread>
 
 #include "lab/bad_clients.h"
 #include "lab/load.h"
 #include "lab/nodes.h"
 #include "lab/stand_ins.h"
+#include "lab/worker.h"
 
 namespace shorelead::lab {
 namespace {
@@ -30,64 +28,9 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-// To sleep and be woken costs a millisecond now and then, which would be taken for the node's.
-void work(asio::io_context& context, bool spin) {
-  if (!spin) {
-    context.run();
-    return;
-  }
-  while (!context.stopped()) context.poll();
-}
-
-// An io_context with a thread of its own; what a handler throws comes out of join().
-class Worker {
- public:
-  Worker() : guard_(asio::make_work_guard(context)) {}
-  ~Worker() {
-    context.stop();
-    if (thread_.joinable()) thread_.join();
-  }
-  void start(bool spin) {
-    thread_ = std::thread([this, spin] {
-      try {
-        work(context, spin);
-      } catch (...) {
-        error_ = std::current_exception();
-        failed = true;
-      }
-    });
-  }
-  // Does it in that thread and waits for it.
-  template <typename Task>
-  void with(Task task) {
-    auto promise = std::make_shared<std::promise<void>>();
-    std::future<void> done = promise->get_future();
-    asio::post(context, [promise, task = std::move(task)]() mutable {
-      try {
-        task();
-        promise->set_value();
-      } catch (...) {
-        promise->set_exception(std::current_exception());
-      }
-    });
-    while (done.wait_for(std::chrono::milliseconds(50)) != std::future_status::ready) rethrow();
-    done.get();
-  }
-  void rethrow() {
-    if (failed) std::rethrow_exception(error_);
-  }
-
-  asio::io_context context{1};
-  std::atomic<bool> failed{false};
-
- private:
-  asio::executor_work_guard<asio::io_context::executor_type> guard_;
-  std::thread thread_;
-  std::exception_ptr error_;
-};
-
 void describe(const Experiment& experiment, Run& run) {
   for (const ClassSpec& spec : experiment.classes) run.classes.push_back(spec.rules);
+  run.fleet = experiment.together;
   run.node_count = experiment.nodes.count;
   run.parallel_allowed = experiment.rules.parallel;
   run.most_attempts = experiment.rules.most_attempts;
@@ -128,10 +71,12 @@
   Worker world;
   Worker clients;
   StandIns stand_ins(world.context, experiment);
-  Nodes nodes(
-      world.context, experiment, options.node_command, options.folder,
-      [&stand_ins](int node, int pool) { return stand_ins.discovery_dial(node, pool); },
-      [&stand_ins](int node) { return stand_ins.known_list(node); }, front);
+  NodesWorld told;
+  told.discovery = [&stand_ins](int node, int pool) { return stand_ins.discovery_dial(node, pool); };
+  told.known = [&stand_ins](int node) { return stand_ins.known_list(node); };
+  told.store = [](int) { return std::string(); };
+  told.planner = [](const std::string&) { return -1; };
+  Nodes nodes(world.context, experiment, options.node_command, options.folder, told, front);
   Load load(clients.context, experiment, front);
   BadClients bad(clients.context, experiment, front);
   world.start(options.spin);
@@ -205,7 +150,7 @@
     const auto discovery = [&stand_ins, node](int pool) { return stand_ins.discovery_dial(node, pool); };
     const bool shore = !experiment.nodes.shore.empty();
     const std::string path = folder + "/n" + std::to_string(node) + (shore ? ".shore" : ".json");
-    std::ofstream(path) << (shore ? node_shore(experiment, node, listen, discovery, 0)
+    std::ofstream(path) << (shore ? node_shore(experiment, node, listen, discovery, "", 0)
                                   : node_configuration(experiment, node, listen, discovery(0),
                                                        stand_ins.known_list(node)));
     out << "node n" << node << ": NODE_CONFIG=" << path << " (discovery " << discovery(0) << ", clients at "
--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -278,9 +278,7 @@
         });
       }
       break;
-    case Action::Kind::kNodeKill:
-    case Action::Kind::kNodeTerm:
-    case Action::Kind::kNodeReload:
+    default:  // of nodes, or the store
       break;
   }
 }
--- /dev/null
+++ b/tests/lab/fleet_experiment_test.cpp
@@ -0,0 +1,126 @@
+// Experiments with many processes: what is wrong with their words is named with its place; what is right is
+// read.
+#include <gtest/gtest.h>
+
+#include "lab/experiment.h"
+
+namespace shorelead::lab {
+namespace {
+
+const std::string kSound = R"(name = "x"
+[nodes]
+count = 4
+later = [3]
+shore = ["node n@index@ { store @store@ }", "two"]
+[store]
+prefix = "/f/"
+[clients]
+baskets = 8
+[load]
+rate = 100
+for = "5 s"
+[[class]]
+name = "check"
+effect = "safe"
+aim = "410 ms"
+give_up = "1 s"
+work = "20 ms"
+[[tenant]]
+name = "a"
+share = 3
+[[budget]]
+name = "all"
+kind = "rate"
+whole = 50
+burst = 5
+classes = ["check"]
+[[rank]]
+rank = 1
+tenants = ["a"]
+[[affinity]]
+name = "baskets"
+[[event]]
+at = "1 s"
+do = "pause"
+for = "2 s"
+nodes = [1]
+)";
+
+struct Bad {
+  const char* from;  // empty = put at the end
+  const char* to;
+  const char* message;
+};
+void PrintTo(const Bad& bad, std::ostream* out) { *out << bad.to; }
+
+class BadWords : public testing::TestWithParam<Bad> {};
+
+TEST_P(BadWords, AreRefusedWithPlaceAndCause) {
+  const std::string from = GetParam().from;
+  std::string text = kSound;
+  const std::size_t at = from.empty() ? text.size() : text.find(from);
+  ASSERT_NE(at, std::string::npos);
+  text.replace(at, from.size(), GetParam().to);
+  try {
+    parse_experiment(text, "f");
+    FAIL() << "let pass: " << GetParam().to;
+  } catch (const ExperimentError& error) {
+    EXPECT_STREQ(error.what(), GetParam().message);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, BadWords,
+    testing::Values(
+        Bad{"[store]\nprefix = \"/f/\"", "", "f:5:9: nothing is put in for \"@store@\""},
+        Bad{"later = [3]", "later = [0, 1, 2, 3]", "f:4:9: no node is left to begin with"},
+        Bad{"kind = \"rate\"", "kind = \"rates\"",
+            "f:24:8: \"rates\" is none of rate, at_once, attempts; did you mean \"rate\"?"},
+        Bad{"kind = \"rate\"", "kind = \"at_once\"", "f:26:9: only a rate has a \"burst\""},
+        Bad{"burst = 5", "window = \"1 s\"",
+            "f:26:10: attempts are counted in a \"window\", and nothing else is"},
+        Bad{"burst = 5", "ratio = 0.1", "f:26:9: only attempts have a \"ratio\""},
+        Bad{"classes = [\"check\"]", "classes = [\"chek\"]",
+            "f:27:11: \"chek\" is none of check; did you mean \"check\"?"},
+        Bad{"tenants = [\"a\"]", "tenants = [\"b\"]", "f:30:11: \"b\" is none of a; did you mean \"a\"?"},
+        Bad{"tenants = [\"a\"]", "pool = \"b\"", "f:30:8: \"b\" is none of "},
+        Bad{"baskets = 8", "", "f:31:1: [clients] has no \"baskets\""},
+        Bad{"share = 3", "share = 0", "f:1:1: no tenant has a \"share\" over 0"},
+        Bad{"for = \"2 s\"", "", "f:33:1: [[event]] needs \"for\""},
+        Bad{"nodes = [1]", "back = \"1 s\"", "f:37:1: [[event]] has no key \"back\""},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"node_start\"\nnodes = [1]\n",
+            "f:41:9: node 1 is not among [nodes] \"later\""},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"node_reload\"\ntext = 2\n",
+            "f:41:8: \"text\" is 2, not from 0 to 1"},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"node_kill\"\nstay_away = true\nback = \"1 s\"\n",
+            "f:42:8: it is to \"stay_away\""},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"cut\"\nfor = \"1 s\"\nway = \"ask\"\n",
+            "f:42:7: \"ask\" is none of both, asks, answers; did you mean \"asks\"?"},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"cut\"\nfor = \"1 s\"\nfault = \"latency\"\n",
+            "f:38:1: [[event]] needs \"latency\""},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"store\"\nfault = \"ful\"\n",
+            "f:41:9: \"ful\" is none of down, restart, slow, deaf, full, cuts; did you mean \"full\"?"},
+        Bad{"", "[[event]]\nat = \"1 s\"\ndo = \"store\"\nfault = \"full\"\n",
+            "f:38:1: [[event]] needs \"for\""}));
+
+TEST(FleetExperiment, ReadsWhatIsRight) {
+  const Experiment e = parse_experiment(
+      kSound + "[[event]]\nat = \"2 s\"\ndo = \"cut\"\nnodes = [0]\nway = \"answers\"\nfor = \"1 s\"\n" +
+          "[[event]]\nat = \"3 s\"\ndo = \"store\"\nfault = \"restart\"\nforgets = 4\n" +
+          "[[event]]\nat = \"3 s\"\ndo = \"rolling\"\n" +
+          "[[event]]\nat = \"4 s\"\ndo = \"kill_planner\"\nholds = \"x\"\nfor = \"1 s\"\n",
+      "f");
+  EXPECT_TRUE(e.store.there);
+  EXPECT_EQ(e.nodes.later, std::vector<int>{3});
+  EXPECT_EQ(e.together.budgets.at(0), (BudgetRule{"all", Spending::kRate, 50, 5, 0, 0, {{0}, {}, -1}}));
+  EXPECT_EQ(e.together.ranks.at(0), (RankRule{1, 0, {{}, {"a"}, -1}}));
+  EXPECT_TRUE(e.together.keys.at(0).must);
+  EXPECT_EQ(e.timeline.at(0).length, 2000);
+  EXPECT_EQ(e.timeline.at(1).way, "answers");
+  EXPECT_EQ(e.timeline.at(2).forgets, 4);
+  EXPECT_EQ(e.timeline.at(3).every, 1000);
+  EXPECT_EQ(e.timeline.at(4).holds, "x");
+}
+
+}  // namespace
+}  // namespace shorelead::lab
