Forwarders with flaws as several processes: each found as its rule and nothing else

Cause: the auditor's rules of many processes were held by records written by hand only.

Change: the plain forwarder, told so by its own file, shares a rate, an order of ranks or baskets with others by the machine's clock, each phase followed by a pause in which nobody has what passes on. Three experiments of four processes that stand still, die and come late. Six flaws: ignores expiry, raises before the other lowered, spends after a pause, sheds upside down, keeps a stale slot, lets both boxes open in a move. A rule of affinity may be about cells or zones.

--- a/src/lab/audit_budgets.cpp
+++ b/src/lab/audit_budgets.cpp
@@ -7,6 +7,7 @@
 // way.
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <optional>
 
 #include "lab/audit_view.h"
@@ -67,6 +68,12 @@
   }
 }
 
+std::string figure(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.6g", value);
+  return text;
+}
+
 class Budgets {
  public:
   Budgets(const RunView& view, Audit& audit) : view_(view), findings_(audit) {}
@@ -75,9 +82,8 @@
     if (rule.kind == Spending::kRate) {
       over_rate(taken(rule), rule.whole / 1000, rule.burst, [&](const Excess& e) {
         tell(rule, e.window.to, *e.request,
-             std::to_string(e.units) + " more than " + std::to_string(rule.whole) + " a second and " +
-                 std::to_string(rule.burst) + " within " + std::to_string(e.window.to - e.window.from) +
-                 " ms from " + view_.at(e.window.from));
+             figure(e.units) + " more than " + figure(rule.whole) + " a second and " + figure(rule.burst) +
+                 " within " + figure(e.window.to - e.window.from) + " ms from " + view_.at(e.window.from));
       });
     } else if (rule.kind == Spending::kAtOnce) {
       judge_at_once(rule);
@@ -149,7 +155,7 @@
       if (now <= rule.whole || over) continue;
       over = true;
       tell(rule, edge.at, *edge.request,
-           std::to_string(now) + " in work at once, and " + std::to_string(rule.whole) + " may be");
+           figure(now) + " in work at once, and " + figure(rule.whole) + " may be");
     }
   }
 
@@ -190,9 +196,8 @@
       const double allowed = rule.whole + rule.ratio * std::max(0.0, perhaps);
       if (surely <= allowed + kRounding) continue;
       tell(rule, to, *further[n].request,
-           std::to_string(surely) + " further attempts within " + std::to_string(rule.window) +
-               " ms, and beside " + std::to_string(perhaps) + " requests " + std::to_string(allowed) +
-               " may be");
+           figure(surely) + " further attempts within " + figure(rule.window) + " ms, and beside " +
+               figure(perhaps) + " requests " + figure(allowed) + " may be");
       told = to;
     }
   }
--- a/src/lab/audit_keys.cpp
+++ b/src/lab/audit_keys.cpp
@@ -15,7 +15,7 @@
 
 struct Send {
   const Arrived* arrived = nullptr;
-  int box = 0;
+  int unit = 0;                    // box, cell or zone
   std::pair<int, Millis> process;  // its number, and when it was started
   Millis low = 0;                  // not sent before
   Millis high = 0;                 // and there by then
@@ -32,7 +32,7 @@
       const std::string& key = rule.tenant ? asked.tenant : asked.basket;
       if (key.empty() || !view_.in_scope(asked, rule.scope)) continue;
       for (const Arrived* a : view_.attempts(asked.id)) {
-        if (view_.in_pool(*a, rule.scope)) by_key[key].push_back(send(asked, *a));
+        if (view_.in_pool(*a, rule.scope)) by_key[key].push_back(send(rule, asked, *a));
       }
     }
     for (auto& [key, sends] : by_key) {
@@ -43,11 +43,16 @@
   }
 
  private:
-  Send send(const Asked& asked, const Arrived& a) const {
+  int unit_of(const KeyRule& rule, const Arrived& a) const {
+    const BoxNote& note = view_.run.boxes[static_cast<std::size_t>(a.box)];
+    return rule.to == Unit::kBox ? a.box : rule.to == Unit::kCell ? note.cell : note.zone;
+  }
+
+  Send send(const KeyRule& rule, const Asked& asked, const Arrived& a) const {
     const Millis slack = view_.limits.slack;
     Send s;
     s.arrived = &a;
-    s.box = a.box;
+    s.unit = unit_of(rule, a);
     s.process = {a.node, view_.started(a.node, a.first_byte)};
     s.high = a.first_byte;
     s.low = std::min(s.high, view_.awake(asked.node, std::max(asked.intended, a.first_byte - slack)));
@@ -65,7 +70,7 @@
     for (const Send& s : sends) {
       std::erase_if(open, [&](const Send* o) { return o->until <= s.high; });
       const auto other = std::find_if(open.begin(), open.end(), [&](const Send* o) {
-        return o->box != s.box && o->process != s.process;
+        return o->unit != s.unit && o->process != s.process;
       });
       if (other != open.end()) {
         tell(rule, key, s, view_.attempt(*(*other)->arrived) + "; at once with " + view_.attempt(*s.arrived));
@@ -83,10 +88,10 @@
     const Send& back = sends[n];
     for (std::size_t m = n; m-- > 1 && sends[m].high > back.low - rule.back_after;) {
       const Send& between = sends[m];
-      if (between.box == back.box || between.high >= back.low) continue;
+      if (between.unit == back.unit || between.high >= back.low) continue;
       for (std::size_t k = m; k-- > 0 && sends[k].high > back.low - rule.back_after;) {
         const Send& old = sends[k];
-        if (old.box != back.box || old.high >= between.low) continue;
+        if (old.unit != back.unit || old.high >= between.low) continue;
         if (between.process == back.process && between.process == old.process) continue;
         tell(rule, key, back,
              view_.attempt(*old.arrived) + "; then " + view_.attempt(*between.arrived) + "; then back, " +
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -97,7 +97,7 @@
   double drop = 0;    // share that closes its connection after an answer
   double bad_per_second = 0;
   std::vector<std::string> bad_kinds;  // empty = all
-  std::string tenant_header = "X-Tenant";
+  std::string tenant_header = "X-Tenant-Id";
   std::string basket_header = "X-Basket";
   int baskets = 0;  // each wish is about one of so many; 0 = none
 };
@@ -164,7 +164,7 @@
   bool unnoticed = false;     // pause: clients go on sending there
   int text = -1;              // node_reload: this one of the texts; -1 = the next
   std::string way;            // cut: both, asks, answers
-  std::string holds;          // kill_planner: a text to wait for in the plan; empty = at once
+  std::string holds;          // kill_planner: a regular expression to wait for in the plan; empty = at once
   int forgets = 0;            // store, restart: so many changes are lost ...
   bool same_cluster = false;  // ... and its number stays
 };
--- a/src/lab/experiment_rules.cpp
+++ b/src/lab/experiment_rules.cpp
@@ -59,10 +59,12 @@
 KeyRule read_key(Reader& in, const Experiment& experiment) {
   static const std::array<std::string, 2> kStrengths{"must", "prefer"};
   static const std::array<std::string, 2> kKeys{"basket", "tenant"};
+  static const std::array<std::string, 3> kUnits{"box", "cell", "zone"};
   KeyRule rule;
   rule.name = in.text("name");
   if (in.has("strength")) rule.must = in.word("strength", kStrengths) == 0;
   if (in.has("key")) rule.tenant = in.word("key", kKeys) == 1;
+  if (in.has("to")) rule.to = static_cast<Unit>(in.word("to", kUnits));
   if (rule.tenant ? experiment.tenants.empty() : experiment.clients.baskets == 0) {
     in.bad_here(rule.tenant ? "there is no [[tenant]]" : "[clients] has no \"baskets\"");
   }
--- a/src/lab/fleet_rules.h
+++ b/src/lab/fleet_rules.h
@@ -46,13 +46,16 @@
   bool operator==(const RankRule&) const = default;
 };
 
-// F3. Requests in scope that carry the same key go to one box, whichever process they come by.
+enum class Unit { kBox, kCell, kZone };
+
+// F3. Requests in scope that carry the same key go to one box (cell, zone), whichever process they come by.
 struct KeyRule {
   std::string name;
   bool must = true;     // or "prefer", which is not judged
   bool tenant = false;  // the key is the tenant, not the basket
-  Millis back_after =
-      400;  // least time from the last send to a box to the next there, with another's between
+  Unit to = Unit::kBox;
+  // Least time from the last send to a unit to the next there, with another's between.
+  Millis back_after = 400;
   Scope scope;
 
   bool operator==(const KeyRule&) const = default;
--- a/src/lab/records_io.cpp
+++ b/src/lab/records_io.cpp
@@ -30,7 +30,8 @@
 }
 void fields(auto& io, auto& v, RankRule*) { io("rank", v.rank), io("floor", v.floor), io("scope", v.scope); }
 void fields(auto& io, auto& v, KeyRule*) {
-  io("name", v.name), io("must", v.must), io("tenant", v.tenant), io("back_after", v.back_after);
+  io("name", v.name), io("must", v.must), io("tenant", v.tenant), io("to", v.to),
+      io("back_after", v.back_after);
   io("scope", v.scope);
 }
 void fields(auto& io, auto& v, FleetRules*) {
--- a/tests/lab/forwarder.cpp
+++ b/tests/lab/forwarder.cpp
@@ -1,27 +1,23 @@
 // A plain forwarder, round robin, which keeps the four rules, and has one flaw on demand: what the auditor is
-// seen to catch. A thread for each connection and blocking calls throughout, so that it shares nothing with
-// the node.
-#include <poll.h>
+// seen to catch. Told so by its own file (NODE_OWN: rate, plans or baskets) it is one of several that share
+// by the machine's clock. A thread for each connection and blocking calls throughout, so that it shares
+// nothing with the node.
 #include <rapidjson/document.h>
 #include <rapidjson/istreamwrapper.h>
 
-#include <atomic>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
-#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
-#include <map>
-#include <mutex>
 #include <optional>
-#include <set>
-#include <string>
 #include <thread>
-#include <vector>
+
+#include "forwarder_boxes.h"
+#include "forwarder_sharing.h"
+#include "lab/dial.h"
 
 namespace {
 
@@ -29,80 +25,20 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
-using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
-using Request = http::request<http::string_body>;
-using Response = http::response<http::string_body>;
+using namespace forwarder;  // its own parts
 
 std::string flaw;
-
-struct Box {
-  std::string dial;
-  std::string site;
-  double born = 0;
-};
-
-std::mutex mutex;
-std::map<std::string, Box> ready;
-bool listed = false;
+std::string shared;  // empty: it stands alone
+int me = 0;
+std::unique_ptr<Boxes> boxes;
+std::unique_ptr<Turns> turns;
+Heart heart;
 std::atomic<unsigned> turn{0};
 std::atomic<unsigned> served{0};
 
-tcp::endpoint endpoint(const std::string& dial) {
-  const std::size_t colon = dial.rfind(':');
-  return {asio::ip::make_address(dial.substr(0, colon)),
-          static_cast<unsigned short>(std::stoi(dial.substr(colon + 1)))};
-}
-
-void take_list(const std::string& text) {
-  rapidjson::Document list;
-  list.Parse(text.c_str());
-  if (list.HasParseError() || !list.IsObject()) return;
-  const std::lock_guard<std::mutex> lock(mutex);
-  if (list["whole"].GetBool() && flaw != "ignores_drains") ready.clear();
-  for (const auto& host : list["hosts"].GetArray()) {
-    const std::string name = host["host"].GetString();
-    if (std::string(host["health"].GetString()) == "ready") {
-      ready[name] = {host["dial"].GetString(), host["site"].GetString(), host["born_ms"].GetDouble()};
-    } else if (flaw != "ignores_drains") {
-      ready.erase(name);
-    }
-  }
-  listed = true;
-}
-
-void follow(const std::string& discovery) {
-  while (true) {
-    try {
-      asio::io_context context;
-      tcp::socket socket(context);
-      socket.connect(endpoint(discovery));
-      const std::string ask = "GET /api/targets?watch=1&from=0 HTTP/1.1\r\nHost: d\r\n\r\n";
-      asio::write(socket, asio::buffer(ask));
-      std::string input;
-      char part[4096];
-      // Every line of the list stands between two line ends, whatever the chunks are.
-      while (const std::size_t size = socket.read_some(asio::buffer(part))) {
-        input.append(part, size);
-        for (std::size_t end = 0; (end = input.find('\n')) != std::string::npos; input.erase(0, end + 1)) {
-          if (input.front() == '{') take_list(input.substr(0, end));
-        }
-      }
-    } catch (const std::exception&) {
-      std::this_thread::sleep_for(milliseconds(100));
-    }
-  }
-}
-
-std::vector<Box> boxes() {
-  const std::lock_guard<std::mutex> lock(mutex);
-  std::vector<Box> all;
-  for (const auto& [name, box] : ready) all.push_back(box);
-  return all;
-}
-
 std::optional<Box> pick() {
-  const std::vector<Box> all = boxes();
+  const std::vector<Box> all = boxes->all();
   if (all.empty()) return std::nullopt;
   if (flaw == "floods_cold") {
     const auto newest =
@@ -112,30 +48,6 @@
   return all[turn++ % all.size()];
 }
 
-enum class End { kAnswered, kNeverRan, kMayHaveRun };
-
-End attempt(const Box& box, const Request& request, Clock::time_point due, Response& answer) {
-  asio::io_context context;
-  tcp::socket socket(context);
-  error_code error;
-  socket.connect(endpoint(box.dial), error);
-  if (error) return End::kNeverRan;
-  socket.set_option(tcp::no_delay(true));
-  http::write(socket, request, error);
-  if (error) return End::kNeverRan;
-  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(due - Clock::now()).count();
-  if (left <= 0) return End::kMayHaveRun;
-  // A blocking read of Asio's waits without end, whatever SO_RCVTIMEO says: so wait here for the first byte.
-  pollfd wait{socket.native_handle(), POLLIN, 0};
-  if (::poll(&wait, 1, static_cast<int>(left / 1000)) <= 0) return End::kMayHaveRun;
-  boost::beast::flat_buffer buffer;
-  answer = {};
-  http::read(socket, buffer, answer, error);
-  if (error) return End::kMayHaveRun;
-  if (answer.result_int() == 503 && answer["X-Not-Processed"] == "1") return End::kNeverRan;
-  return End::kAnswered;
-}
-
 Response plain(unsigned status, const std::string& body = "") {
   Response answer;
   answer.result(status);
@@ -150,7 +62,7 @@
   for (int n = 0; n < 5 && Clock::now() < due; ++n) {
     const std::optional<Box> box = pick();
     if (!box) return plain(503);
-    const End end = attempt(*box, request, due, answer);
+    const End end = attempt(*box, request, due, answer, [] { return true; });
     if (end == End::kAnswered) return answer;
     if (end == End::kMayHaveRun) return plain(502);
   }
@@ -168,8 +80,8 @@
 template <typename Fits>
 void once_more(const Request& request, Clock::time_point due, const Fits& fits) {
   Response unused;
-  for (const Box& box : boxes()) {
-    if (fits(box) && attempt(box, request, due, unused) == End::kAnswered) return;
+  for (const Box& box : boxes->all()) {
+    if (fits(box) && attempt(box, request, due, unused, [] { return true; }) == End::kAnswered) return;
   }
 }
 
@@ -177,15 +89,29 @@
   const std::string& body = answer.body();
   const std::size_t at = body.find(";box=");
   if (at == std::string::npos) return "";
-  const std::string name = body.substr(at + 5, body.find(';', at + 5) - at - 5);
-  const std::lock_guard<std::mutex> lock(mutex);
-  const auto it = ready.find(name);
-  return it == ready.end() ? "" : it->second.site;
+  return boxes->site_of(body.substr(at + 5, body.find(';', at + 5) - at - 5));
 }
 
 // Whether it is the turn of one in so many requests.
 bool now_and_then(unsigned each) { return served++ % each == each - 1; }
 
+// As one of several processes, by what they share.
+Response share(const Request& request, Clock::time_point due) {
+  const std::string key(request["X-Basket"]);
+  const std::string id(request["X-Request-ID"]);
+  if (shared == "rate" && !turns->spend()) return plain(429);
+  if (shared == "plans" && shed(std::string(request["X-Tenant-Id"]), id, flaw)) return plain(429);
+  if (shared != "baskets") return forward(request, due);
+  const std::vector<Box> all = boxes->all();
+  const std::optional<std::size_t> at = box_of(key, all.size(), me, flaw);
+  if (!at) return plain(503);
+  Response answer;
+  // The map may have moved while the connection came up.
+  const auto still = [&] { return box_of(key, all.size(), me, flaw) == at; };
+  const End end = attempt(all[*at], request, due, answer, still);
+  return end == End::kAnswered ? answer : plain(end == End::kNeverRan ? 503 : 502);
+}
+
 void serve(tcp::socket socket) {
   boost::beast::flat_buffer buffer;
   error_code error;
@@ -195,12 +121,22 @@
     http::read(socket, buffer, request, error);
     if (error) return;
     if (request.target() == "/-/ready") {
-      const std::lock_guard<std::mutex> lock(mutex);
-      http::write(socket, plain(listed ? 200 : 503), error);
+      http::write(socket, plain(boxes->listed() ? 200 : 503), error);
       continue;
     }
     const long wait = std::max(1L, std::strtol(std::string(request["X-Timeout-Ms"]).c_str(), nullptr, 10));
-    const Clock::time_point due = Clock::now() + milliseconds(wait);
+    // It may have lain unread while this process stood still.
+    const auto lain = static_cast<long>(machine_ms() - heart.unread_since());
+    const Clock::time_point due = Clock::now() + milliseconds(wait - lain);
+    if (Clock::now() >= due) {
+      http::write(socket, plain(504), error);
+      continue;
+    }
+    if (!shared.empty()) {
+      http::write(socket, share(request, due), error);
+      if (error) return;
+      continue;
+    }
     const Kind kind = kind_of(request);
     const auto any = [](const Box&) { return true; };
     if (flaw == "late" && now_and_then(20)) {
@@ -258,9 +194,17 @@
   rapidjson::IStreamWrapper stream(file);
   rapidjson::Document config;
   config.ParseStream(stream);
-  std::thread(follow, std::string(config["discovery"].GetString())).detach();
+  const auto& settings = config["settings"];
+  me = settings["Me"].GetInt();
+  if (const char* const own = std::getenv("NODE_OWN")) std::ifstream(own) >> shared;
+  boxes = std::make_unique<Boxes>(flaw == "ignores_drains");
+  turns = std::make_unique<Turns>(me, settings["Instances"].GetInt(), flaw);
+  std::thread([discovery = std::string(config["discovery"].GetString())] {
+    boxes->follow(discovery);
+  }).detach();
+  std::thread([] { heart.beat(); }).detach();
   asio::io_context context;
-  tcp::acceptor acceptor(context, endpoint(config["listen"].GetString()), true);
+  tcp::acceptor acceptor(context, shorelead::lab::endpoint_of(config["listen"].GetString()), true);
   while (true) {
     tcp::socket socket(context);
     error_code error;
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -70,6 +70,7 @@
 struct Flaw {
   const char* name;
   std::set<Breach> caught;
+  const char* experiment = "forwarder";
 };
 
 void PrintTo(const Flaw& flaw, std::ostream* out) { *out << flaw.name; }
@@ -77,7 +78,8 @@
 class Flaws : public testing::TestWithParam<Flaw> {};
 
 TEST_P(Flaws, AreCaughtAsWhatTheyAre) {
-  const Experiment experiment = load_experiment(std::string(SHORELEAD_EXPERIMENTS) + "/flaws/forwarder.toml");
+  const Experiment experiment =
+      load_experiment(std::string(SHORELEAD_EXPERIMENTS) + "/flaws/" + GetParam().experiment + ".toml");
   const Summary summary = play_and_judge(experiment, {SHORELEAD_FORWARDER, "--flaw", GetParam().name});
   ASSERT_NE(summary.verdict, "void");
   std::set<Breach> found;
@@ -96,5 +98,19 @@
                     Flaw{"ignores_drains", {Breach::kDrained}}, Flaw{"floods_cold", {Breach::kPushedOver}}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Several of them, which stand still, die and come late.
+INSTANTIATE_TEST_SUITE_P(Forwarders, Flaws,
+                         testing::Values(Flaw{"none", {}, "shared_rate"}, Flaw{"none", {}, "shared_plans"},
+                                         Flaw{"none", {}, "shared_baskets"},
+                                         Flaw{"ignores_expiry", {Breach::kOverBudget}, "shared_rate"},
+                                         Flaw{"raises_early", {Breach::kOverBudget}, "shared_rate"},
+                                         Flaw{"spends_after_a_pause", {Breach::kOverBudget}, "shared_rate"},
+                                         Flaw{"sheds_upside_down", {Breach::kShedOrder}, "shared_plans"},
+                                         Flaw{"stale_slot", {Breach::kTwoBoxes}, "shared_baskets"},
+                                         Flaw{"both_open", {Breach::kTwoBoxes}, "shared_baskets"}),
+                         [](const auto& info) {
+                           return std::string(info.param.experiment) + "_" + info.param.name;
+                         });
+
 }  // namespace
 }  // namespace shorelead::lab
