--- a/src/lab/dial.h
+++ b/src/lab/dial.h
@@ -1,6 +1,9 @@
-// "a.b.c.d:port" as an endpoint, for all of the lab's connections. It must never look a name up.
+// "a.b.c.d:port" as an endpoint, for all of the lab's connections, and the addresses that are this process's
+// own. It must never look a name up.
 #pragma once
 
+#include <unistd.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
@@ -13,4 +16,10 @@
           static_cast<unsigned short>(std::stoi(dial.substr(colon + 1)))};
 }
 
+// Loopback addresses of this process, so that much that listens finds ports and labs side by side do not
+// meet.
+inline std::string loopback(int b, int c) {
+  return "127." + std::to_string(32 + ::getpid() % 200) + "." + std::to_string(b) + "." + std::to_string(c);
+}
+
 }  // namespace shorelead::lab
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -1,5 +1,6 @@
 #include "lab/experiment.h"
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -7,15 +8,58 @@
 
 namespace shorelead::lab {
 
-Experiment parse_experiment(std::string_view text, const std::string& file) {
-  toml::table table;
+namespace {
+
+constexpr int kMostLike = 4;  // files that each are like another
+
+toml::table parse(std::string_view text, const std::string& file) {
   try {
-    table = toml::parse(text, file);
+    return toml::parse(text, file);
   } catch (const toml::parse_error& error) {
     const toml::source_position from = error.source().begin;
     throw ExperimentError(file + ":" + std::to_string(from.line) + ":" + std::to_string(from.column) + ": " +
                           std::string(error.description()));
   }
+}
+
+std::string text_of(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) throw ExperimentError(path + ": cannot be read");
+  return std::move(text).str();
+}
+
+// Tables are joined key by key; anything else stands in place of what the other file has.
+void lay_over(toml::table& below, toml::table&& over) {
+  for (auto&& [key, node] : over) {
+    toml::table* const mine = below.get_as<toml::table>(key.str());
+    if (mine != nullptr && node.is_table()) {
+      lay_over(*mine, std::move(*node.as_table()));
+    } else {
+      below.insert_or_assign(key, std::move(node));
+    }
+  }
+}
+
+// With `like = "other.toml"`: that file, and this one laid over it.
+toml::table whole(toml::table table, const std::string& file, int depth) {
+  const toml::node* const like = table.get("like");
+  if (like == nullptr) return table;
+  const Reader in(table, file, "an experiment");
+  const auto other = like->value_exact<std::string>();
+  if (!other) in.bad(*like, "\"like\" is not a text in quotes");
+  if (depth >= kMostLike) in.bad(*like, "too many files that are like another");
+  const std::string path = (std::filesystem::path(file).parent_path() / *other).string();
+  toml::table below = whole(parse(text_of(path), path), path, depth + 1);
+  table.erase("like");
+  lay_over(below, std::move(table));
+  return below;
+}
+
+}  // namespace
+
+Experiment parse_experiment(std::string_view text, const std::string& file) {
+  const toml::table table = whole(parse(text, file), file, 0);
   Reader in(table, file, "an experiment");
   Experiment experiment;
   experiment.file = file;
@@ -76,11 +120,6 @@
   return experiment;
 }
 
-Experiment load_experiment(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!file || !(text << file.rdbuf())) throw ExperimentError(path + ": cannot be read");
-  return parse_experiment(std::move(text).str(), path);
-}
+Experiment load_experiment(const std::string& path) { return parse_experiment(text_of(path), path); }
 
 }  // namespace shorelead::lab
--- a/src/lab/experiment_events.cpp
+++ b/src/lab/experiment_events.cpp
@@ -1,4 +1,6 @@
 // What is done to the world, and when.
+#include <regex>
+
 #include "lab/experiment_parts.h"
 
 namespace shorelead::lab {
@@ -69,6 +71,11 @@
   if (!experiment.store.there) in.bad("do", "there is no [store]");
   if (action.kind == Kind::kKillPlanner) {
     in.text("holds", action.holds);
+    try {
+      const std::regex readable(action.holds);
+    } catch (const std::regex_error&) {
+      in.bad("holds", "\"" + action.holds + "\" is not a regular expression");
+    }
     return;
   }
   const bool cut = action.kind == Kind::kCut;
--- a/src/lab/nodes.cpp
+++ b/src/lab/nodes.cpp
@@ -10,6 +10,8 @@
 #include <cstring>
 #include <fstream>
 
+#include "lab/dial.h"
+
 namespace shorelead::lab {
 namespace {
 
@@ -18,10 +20,6 @@
 constexpr int kSampleEach = 2;  // of the watch's rounds
 constexpr Millis kStopWithin = 8000;
 
-std::string node_address(int node) {
-  return "127." + std::to_string(32 + ::getpid() % 200) + ".255." + std::to_string(node + 1);
-}
-
 // A port that is free at that address now. Another process could take it before the node does, but none of
 // ours uses these addresses.
 unsigned short free_port(const std::string& address) {
@@ -43,7 +41,7 @@
       nodes_(static_cast<std::size_t>(experiment.nodes.count)),
       watch_(context) {
   for (int node = 0; node < experiment.nodes.count; ++node) {
-    const std::string address = node_address(node);
+    const std::string address = loopback(255, node + 1);
     front_.addresses.push_back(address + ":" + std::to_string(free_port(address)));
   }
   for (const int node : experiment.nodes.later) at(node).later = true;
--- a/src/lab/nodes.h
+++ b/src/lab/nodes.h
@@ -30,8 +30,8 @@
   std::function<std::string(int node, int pool)> discovery;
   std::function<std::string(int node)> known;  // the list as it would have had it
   std::function<std::string(int node)> store;  // empty = there is none
-  // Which node holds the planner's key, where the plan holds this text; -1 = none. Only when to act is taken
-  // from it, and never a verdict.
+  // Which node holds the planner's key, where the plan holds this (a regular expression); -1 = none. Only
+  // when to act is taken from it, and never a verdict.
   std::function<int(const std::string& holds)> planner;
 };
 
--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -1,22 +1,16 @@
 #include "lab/stand_ins.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <cmath>
 
 #include "lab/box.h"
+#include "lab/dial.h"
 #include "lab/etcd.h"
 #include "lab/registry.h"
 
 namespace shorelead::lab {
 namespace {
 
-// Loopback addresses of this process, so that many boxes find ports and labs side by side do not meet.
-std::string loopback(int b, int c) {
-  return "127." + std::to_string(32 + ::getpid() % 200) + "." + std::to_string(b) + "." + std::to_string(c);
-}
-
 std::string slot_address(int slot) { return loopback(slot / 250, slot % 250 + 1); }
 
 constexpr std::uint64_t kBornBefore = 0;
--- a/src/lab/toml_reader.cpp
+++ b/src/lab/toml_reader.cpp
@@ -34,12 +34,14 @@
   return std::nullopt;
 }
 
-void Reader::bad(const toml::node& at, const std::string& cause) const {
-  const toml::source_position from = at.source().begin;
-  throw ExperimentError(file_ + ":" + std::to_string(from.line) + ":" + std::to_string(from.column) + ": " +
-                        cause);
+void Reader::fail(const toml::source_region& where, const std::string& cause) const {
+  const std::string& file = where.path ? *where.path : file_;
+  throw ExperimentError(file + ":" + std::to_string(where.begin.line) + ":" +
+                        std::to_string(where.begin.column) + ": " + cause);
 }
 
+void Reader::bad(const toml::node& at, const std::string& cause) const { fail(at.source(), cause); }
+
 void Reader::bad(const std::string& key, const std::string& cause) const {
   const toml::node* const node = table_.get(key);
   bad(node != nullptr ? *node : table_, cause);
@@ -173,9 +175,7 @@
   for (const auto& [key, node] : table_) {
     const std::string name(key.str());
     if (known_.contains(name)) continue;
-    const toml::source_position from = key.source().begin;
-    throw ExperimentError(file_ + ":" + std::to_string(from.line) + ":" + std::to_string(from.column) + ": " +
-                          place_ + " has no key \"" + name + "\"" + did_you_mean(name, known_));
+    fail(key.source(), place_ + " has no key \"" + name + "\"" + did_you_mean(name, known_));
   }
 }
 
--- a/src/lab/toml_reader.h
+++ b/src/lab/toml_reader.h
@@ -85,6 +85,8 @@
   void finish() const;  // every key must have been asked for by now
 
  private:
+  [[noreturn]] void fail(const toml::source_region& where, const std::string& cause) const;
+
   const toml::table& table_;
   std::string file_;
   std::string place_;
--- a/src/lab/worker.h
+++ b/src/lab/worker.h
@@ -26,7 +26,9 @@
 class Worker {
  public:
   Worker() : guard_(boost::asio::make_work_guard(context)) {}
-  ~Worker() {
+  ~Worker() { stop(); }
+  // Its thread is gone after this, and what it used may go.
+  void stop() {
     context.stop();
     if (thread_.joinable()) thread_.join();
   }
@@ -69,4 +71,14 @@
   std::exception_ptr error_;
 };
 
+// Stops threads before what they use goes; to be declared after that.
+struct Stop {
+  Worker& first;
+  Worker& second;
+  ~Stop() {
+    first.stop();
+    second.stop();
+  }
+};
+
 }  // namespace shorelead::lab
--- a/tests/lab/fleet_experiment_test.cpp
+++ b/tests/lab/fleet_experiment_test.cpp
@@ -2,6 +2,9 @@
 // read.
 #include <gtest/gtest.h>
 
+#include <filesystem>
+#include <fstream>
+
 #include "lab/experiment.h"
 
 namespace shorelead::lab {
@@ -122,5 +125,58 @@
   EXPECT_EQ(e.timeline.at(4).holds, "x");
 }
 
+// One file laid over another: tables are joined, the rest is replaced; what is wrong is named where it
+// stands.
+TEST(FleetExperiment, IsLikeAnother) {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("like-" + std::to_string(::getpid()));
+  std::filesystem::create_directories(folder);
+  const auto put = [&folder](const char* name, const std::string& text) {
+    std::ofstream(folder / name) << text;
+    return (folder / name).string();
+  };
+  const auto wrong = [&](const std::string& path) -> std::string {
+    try {
+      load_experiment(path);
+      return "";
+    } catch (const ExperimentError& error) {
+      return std::string(error.what()).substr(folder.string().size() + 1);
+    }
+  };
+  put("base.toml", kSound);
+  const Experiment e = load_experiment(put(
+      "a.toml",
+      "like = \"base.toml\"\nname = \"y\"\n[nodes]\ncount = 9\n[[event]]\nat = \"2 s\"\ndo = \"rolling\"\n"));
+  EXPECT_EQ(e.name, "y");
+  EXPECT_EQ(e.nodes.count, 9);
+  EXPECT_EQ(e.nodes.later, std::vector<int>{3});
+  ASSERT_EQ(e.timeline.size(), 1U);
+  EXPECT_EQ(e.timeline[0].kind, Action::Kind::kRolling);
+  EXPECT_EQ(wrong(put("b.toml", "like = \"base.toml\"\n[nodes]\ncuont = 9\n")),
+            "b.toml:3:1: [nodes] has no key \"cuont\"; did you mean \"count\"?");
+  EXPECT_EQ(wrong(put("c.toml", "like = \"base.toml\"\n[nodes]\ncount = 3\n")),
+            "base.toml:4:10: there is no node 3: they go from 0 to 2");
+  EXPECT_EQ(wrong(put("d.toml", "like = \"none.toml\"\n")), "none.toml: cannot be read");
+  EXPECT_EQ(wrong(put("e.toml", "like = \"e.toml\"\n")), "e.toml:1:8: too many files that are like another");
+  std::filesystem::remove_all(folder);
+}
+
+TEST(FleetExperiment, AllOfThemAreRead) {
+  int count = 0;
+  for (const auto& file : std::filesystem::directory_iterator(SHORELEAD_EXPERIMENTS "/fleet")) {
+    if (file.path().extension() != ".toml") continue;
+    ++count;
+    try {
+      const Experiment e = load_experiment(file.path().string());
+      EXPECT_EQ(e.name, file.path().stem().string());
+      EXPECT_TRUE(e.store.there);
+      EXPECT_FALSE(e.together.empty());
+    } catch (const ExperimentError& error) {
+      ADD_FAILURE() << error.what();
+    }
+  }
+  EXPECT_GE(count, 19);
+}
+
 }  // namespace
 }  // namespace shorelead::lab
