--- a/src/lab/session.cpp
+++ b/src/lab/session.cpp
@@ -5,12 +5,14 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <fstream>
 #include <future>
+#include <optional>
 #include <ostream>
 #include <stdexcept>
 
 #include "lab/bad_clients.h"
 #include "lab/load.h"
 #include "lab/nodes.h"
+#include "lab/shared_store.h"
 #include "lab/stand_ins.h"
 #include "lab/worker.h"
 
@@ -71,14 +73,18 @@
   Worker world;
   Worker clients;
   StandIns stand_ins(world.context, experiment);
+  std::optional<SharedStore> store;
+  if (experiment.store.there) store.emplace(world.context, experiment);
   NodesWorld told;
   told.discovery = [&stand_ins](int node, int pool) { return stand_ins.discovery_dial(node, pool); };
   told.known = [&stand_ins](int node) { return stand_ins.known_list(node); };
-  told.store = [](int) { return std::string(); };
-  told.planner = [](const std::string&) { return -1; };
+  told.store = [&store](int node) { return store ? store->dial(node) : std::string(); };
+  told.planner = [&store](const std::string& holds) { return store ? store->planner(holds) : -1; };
   Nodes nodes(world.context, experiment, options.node_command, options.folder, told, front);
   Load load(clients.context, experiment, front);
   BadClients bad(clients.context, experiment, front);
+  std::vector<std::unique_ptr<Alarm>> alarms;
+  const Stop stop{world, clients};
   world.start(options.spin);
   clients.start(options.spin);
   world.with([&nodes] { nodes.start_all(); });
@@ -102,12 +108,12 @@
 
   const Millis begin = clock_now() + kLead;
   run.began = begin;
-  std::vector<std::unique_ptr<Alarm>> alarms;
   world.with([&] {
     for (const Action& action : experiment.timeline) {
       alarms.push_back(std::make_unique<Alarm>(world.context));
-      alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &nodes, &action] {
+      alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &nodes, &store, &action] {
         stand_ins.act(action);
+        if (store) store->act(action);
         nodes.act(action);
       });
     }
@@ -132,6 +138,7 @@
     alarms.clear();
     nodes.collect(run);
     stand_ins.collect(run);
+    if (store) store->collect(run);
   });
   clients.with([&] {
     load.collect(run);
@@ -145,12 +152,15 @@
   raise_descriptors();
   asio::io_context context(1);
   StandIns stand_ins(context, experiment);
+  std::optional<SharedStore> store;
+  if (experiment.store.there) store.emplace(context, experiment);
   for (int node = 0; node < experiment.nodes.count; ++node) {
     const std::string listen = "127.0.0.1:" + std::to_string(8081 + node);
     const auto discovery = [&stand_ins, node](int pool) { return stand_ins.discovery_dial(node, pool); };
     const bool shore = !experiment.nodes.shore.empty();
     const std::string path = folder + "/n" + std::to_string(node) + (shore ? ".shore" : ".json");
-    std::ofstream(path) << (shore ? node_shore(experiment, node, listen, discovery, "", 0)
+    std::ofstream(path) << (shore ? node_shore(experiment, node, listen, discovery,
+                                               store ? store->dial(node) : "", 0)
                                   : node_configuration(experiment, node, listen, discovery(0),
                                                        stand_ins.known_list(node)));
     out << "node n" << node << ": NODE_CONFIG=" << path << " (discovery " << discovery(0) << ", clients at "
@@ -164,7 +174,10 @@
   const Millis begin = clock_now();
   for (const Action& action : experiment.timeline) {
     alarms.push_back(std::make_unique<Alarm>(context));
-    alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &action] { stand_ins.act(action); });
+    alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &store, &action] {
+      stand_ins.act(action);
+      if (store) store->act(action);
+    });
   }
   asio::posix::stream_descriptor stop(context, stop_fd);
   stop.async_wait(asio::posix::stream_descriptor::wait_read,
