--- a/src/lab/box.cpp
+++ b/src/lab/box.cpp
@@ -419,6 +419,7 @@
     for (const auto& connection : link.connections_) {
       if (connection->busy() && connection->line() < world_.ledger.size()) {
         Arrived& record = world_.ledger[connection->line()];
+        if (record.hidden == 0) record.hidden = clock_now();
         if (record.end == BoxEnd::kOpen) record.end = BoxEnd::kSwallowed;
       }
     }
@@ -538,7 +539,6 @@
 }
 
 void Box::drain() { draining_since_ = clock_now(); }
-
 void Box::stall(Millis until) {
   step();
   model_.stall(clock_now(), until);
--- a/src/lab/session.cpp
+++ b/src/lab/session.cpp
@@ -2,19 +2,19 @@
 
 #include <sys/resource.h>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
-#include <boost/asio/post.hpp>
 #include <fstream>
 #include <future>
+#include <optional>
 #include <ostream>
 #include <stdexcept>
-#include <thread>
 
 #include "lab/bad_clients.h"
 #include "lab/load.h"
 #include "lab/nodes.h"
+#include "lab/shared_store.h"
 #include "lab/stand_ins.h"
+#include "lab/worker.h"
 
 namespace shorelead::lab {
 namespace {
@@ -30,64 +30,9 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-// To sleep and be woken costs a millisecond now and then, which would be taken for the node's.
-void work(asio::io_context& context, bool spin) {
-  if (!spin) {
-    context.run();
-    return;
-  }
-  while (!context.stopped()) context.poll();
-}
-
-// An io_context with a thread of its own; what a handler throws comes out of join().
-class Worker {
- public:
-  Worker() : guard_(asio::make_work_guard(context)) {}
-  ~Worker() {
-    context.stop();
-    if (thread_.joinable()) thread_.join();
-  }
-  void start(bool spin) {
-    thread_ = std::thread([this, spin] {
-      try {
-        work(context, spin);
-      } catch (...) {
-        error_ = std::current_exception();
-        failed = true;
-      }
-    });
-  }
-  // Does it in that thread and waits for it.
-  template <typename Task>
-  void with(Task task) {
-    auto promise = std::make_shared<std::promise<void>>();
-    std::future<void> done = promise->get_future();
-    asio::post(context, [promise, task = std::move(task)]() mutable {
-      try {
-        task();
-        promise->set_value();
-      } catch (...) {
-        promise->set_exception(std::current_exception());
-      }
-    });
-    while (done.wait_for(std::chrono::milliseconds(50)) != std::future_status::ready) rethrow();
-    done.get();
-  }
-  void rethrow() {
-    if (failed) std::rethrow_exception(error_);
-  }
-
-  asio::io_context context{1};
-  std::atomic<bool> failed{false};
-
- private:
-  asio::executor_work_guard<asio::io_context::executor_type> guard_;
-  std::thread thread_;
-  std::exception_ptr error_;
-};
-
 void describe(const Experiment& experiment, Run& run) {
   for (const ClassSpec& spec : experiment.classes) run.classes.push_back(spec.rules);
+  run.fleet = experiment.together;
   run.node_count = experiment.nodes.count;
   run.parallel_allowed = experiment.rules.parallel;
   run.most_attempts = experiment.rules.most_attempts;
@@ -128,12 +73,18 @@
   Worker world;
   Worker clients;
   StandIns stand_ins(world.context, experiment);
-  Nodes nodes(
-      world.context, experiment, options.node_command, options.folder,
-      [&stand_ins](int node, int pool) { return stand_ins.discovery_dial(node, pool); },
-      [&stand_ins](int node) { return stand_ins.known_list(node); }, front);
+  std::optional<SharedStore> store;
+  if (experiment.store.there) store.emplace(world.context, experiment);
+  NodesWorld told;
+  told.discovery = [&stand_ins](int node, int pool) { return stand_ins.discovery_dial(node, pool); };
+  told.known = [&stand_ins](int node) { return stand_ins.known_list(node); };
+  told.store = [&store](int node) { return store ? store->dial(node) : std::string(); };
+  told.planner = [&store](const std::string& holds) { return store ? store->planner(holds) : -1; };
+  Nodes nodes(world.context, experiment, options.node_command, options.folder, told, front);
   Load load(clients.context, experiment, front);
   BadClients bad(clients.context, experiment, front);
+  std::vector<std::unique_ptr<Alarm>> alarms;
+  const Stop stop{world, clients};
   world.start(options.spin);
   clients.start(options.spin);
   world.with([&nodes] { nodes.start_all(); });
@@ -157,12 +108,12 @@
 
   const Millis begin = clock_now() + kLead;
   run.began = begin;
-  std::vector<std::unique_ptr<Alarm>> alarms;
   world.with([&] {
     for (const Action& action : experiment.timeline) {
       alarms.push_back(std::make_unique<Alarm>(world.context));
-      alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &nodes, &action] {
+      alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &nodes, &store, &action] {
         stand_ins.act(action);
+        if (store) store->act(action);
         nodes.act(action);
       });
     }
@@ -187,6 +138,7 @@
     alarms.clear();
     nodes.collect(run);
     stand_ins.collect(run);
+    if (store) store->collect(run);
   });
   clients.with([&] {
     load.collect(run);
@@ -200,12 +152,15 @@
   raise_descriptors();
   asio::io_context context(1);
   StandIns stand_ins(context, experiment);
+  std::optional<SharedStore> store;
+  if (experiment.store.there) store.emplace(context, experiment);
   for (int node = 0; node < experiment.nodes.count; ++node) {
     const std::string listen = "127.0.0.1:" + std::to_string(8081 + node);
     const auto discovery = [&stand_ins, node](int pool) { return stand_ins.discovery_dial(node, pool); };
     const bool shore = !experiment.nodes.shore.empty();
     const std::string path = folder + "/n" + std::to_string(node) + (shore ? ".shore" : ".json");
-    std::ofstream(path) << (shore ? node_shore(experiment, node, listen, discovery, 0)
+    std::ofstream(path) << (shore ? node_shore(experiment, node, listen, discovery,
+                                               store ? store->dial(node) : "", 0)
                                   : node_configuration(experiment, node, listen, discovery(0),
                                                        stand_ins.known_list(node)));
     out << "node n" << node << ": NODE_CONFIG=" << path << " (discovery " << discovery(0) << ", clients at "
@@ -219,7 +174,10 @@
   const Millis begin = clock_now();
   for (const Action& action : experiment.timeline) {
     alarms.push_back(std::make_unique<Alarm>(context));
-    alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &action] { stand_ins.act(action); });
+    alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &store, &action] {
+      stand_ins.act(action);
+      if (store) store->act(action);
+    });
   }
   asio::posix::stream_descriptor stop(context, stop_fd);
   stop.async_wait(asio::posix::stream_descriptor::wait_read,
