An example of a fleet's file: budgets of each kind and two plans

Need: operators have no whole file with the fleet's blocks to copy. Change: deploy/fleet.shore, held by the test that holds deploy/example.shore (no mistake, no warning, the one form).

--- a/tests/language/language_test.cpp
+++ b/tests/language/language_test.cpp
@@ -101,11 +101,13 @@
 
 // What newcomers copy has no mistake, no warning, and the one form.
 TEST(Example, IsCleanAndInItsForm) {
-  const std::string path = SHORELEAD_DOCS "/../deploy/example.shore";
-  const Document document = check(path, disk());
-  for (const Problem& p : document.problems) ADD_FAILURE() << p.text();
-  for (const Problem& p : document.warnings) ADD_FAILURE() << p.text();
-  EXPECT_EQ(format(parse(contents(path), path)), contents(path));
+  for (const char* const name : {"example", "fleet"}) {
+    const std::string path = std::string(SHORELEAD_DOCS "/../deploy/") + name + ".shore";
+    const Document document = check(path, disk());
+    for (const Problem& p : document.problems) ADD_FAILURE() << p.text();
+    for (const Problem& p : document.warnings) ADD_FAILURE() << p.text();
+    EXPECT_EQ(format(parse(contents(path), path)), contents(path));
+  }
 }
 
 // ---- warnings ----
