--- a/src/plans/coin.cpp
+++ b/src/plans/coin.cpp
@@ -3,7 +3,7 @@
 
 #include <xxhash.h>
 
-#include <cmath>
+#include <algorithm>
 #include <cstdint>
 
 #include "base/random.h"
@@ -12,11 +12,12 @@
 
 double coin_of(std::string_view tenant, std::string_view key, Millis wall, Millis lasts) {
   // The tenant's hash is the seed of the key's: no joined text, and "ab" + "c" is not "a" + "bc".
-  const std::uint64_t who = XXH64(key.data(), key.size(), XXH64(tenant.data(), tenant.size(), 0));
+  const std::uint64_t who =
+      XXH3_64bits_withSeed(key.data(), key.size(), XXH3_64bits(tenant.data(), tenant.size()));
   const double phase = static_cast<double>(who >> 11) * 0x1.0p-53;
-  const auto turn = static_cast<std::int64_t>(std::floor(wall / lasts + phase));
+  const auto turn = static_cast<std::uint64_t>(std::max(0.0, wall) / lasts + phase);
   // SplitMix64 over both: neighbouring turns give coins that have nothing to do with one another.
-  return Random(who ^ Random(static_cast<std::uint64_t>(turn)).next()).unit();
+  return Random(who ^ Random(turn).next()).unit();
 }
 
 }  // namespace shorelead::plans
