--- /dev/null
+++ b/tests/fleet/planner_test.cpp
@@ -0,0 +1,173 @@
+// Of one planner: when it must not write, and what it must not raise.
+#include "fleet/planner.h"
+
+#include <gtest/gtest.h>
+
+namespace shorelead::fleet {
+namespace {
+
+constexpr Header kHere{1, 100};
+
+Sharing sharing() {
+  Sharing sharing;
+  sharing.most_processes = 4;
+  sharing.lease = 3000;
+  sharing.plan_every = 300;
+  return sharing;
+}
+
+Budget units() {
+  Budget budget;
+  budget.name = "units";
+  budget.kind = BudgetKind::kAtOnce;
+  budget.whole = 10;
+  budget.hold = 500;
+  budget.reserve = 0;
+  return budget;
+}
+
+struct OneSlot : PlanShaper {
+  void shape(Plan& next, const Plan*, const std::vector<Record>&, Millis) override {
+    next.affinity["rule"].slots = {{"b", true, "", 0}};
+  }
+};
+
+Record record(const std::string& name, std::uint64_t epoch, double has, double asks) {
+  Record record;
+  record.id = {name, 1};
+  record.epoch = epoch;
+  if (has > 0) record.in_force["units"].amount = has;
+  record.demand["units"] = record.spent["units"] = asks;
+  return record;
+}
+
+// An elected planner, and the last of what it called.
+struct Talk {
+  Planner planner{"a", sharing(), {units()}, {std::make_shared<OneSlot>()}, 3};
+  Millis now = 0;
+  std::optional<Elect> elect;
+  std::optional<ReadAll> read;
+  std::optional<PutPlan> put;
+  std::optional<Abdicate> abdicate;
+
+  void tell(const PlannerEvent& event) {
+    for (const PlannerCall& call : planner.handle(event, now).calls) {
+      if (const auto* it = std::get_if<Elect>(&call)) elect = *it;
+      if (const auto* it = std::get_if<ReadAll>(&call)) read = *it;
+      if (const auto* it = std::get_if<PutPlan>(&call)) put = *it;
+      if (const auto* it = std::get_if<Abdicate>(&call)) abdicate = *it;
+    }
+  }
+  // A read that shows this, `after` the last.
+  void show(Millis after, const std::optional<Plan>& plan, std::vector<Record> records, bool newer = false,
+            std::size_t unreadable = 0) {
+    if (put) tell(PlanPut{std::exchange(put, std::nullopt)->call, true, kHere});
+    now += after;
+    tell(PlannerTick{});
+    ASSERT_TRUE(read.has_value());
+    AllRead answer{read->call, 50, plan, 60, newer, std::move(records), unreadable, kHere};
+    read.reset();
+    tell(answer);
+  }
+
+  Talk() {
+    tell(LeaseValid{5, 1e6});
+    now = 400;
+    tell(PlannerTick{});
+    tell(Elected{elect->call, 50, elect->value, kHere});
+    EXPECT_TRUE(planner.elected());
+  }
+};
+
+Plan standing(std::uint64_t epoch, double a, double b) {
+  Plan plan;
+  plan.epoch = epoch;
+  plan.fence = 50;
+  plan.history = 1;
+  plan.wholes["units"] = {10, 0};
+  plan.shares["a#1"]["units"].amount = a;
+  plan.shares["b#1"]["units"].amount = b;
+  plan.affinity["rule"].slots = {{"b", true, "", 0}};
+  return plan;
+}
+
+double sum(const Plan& plan) {
+  double sum = 0;
+  for (const auto& [id, parts] : plan.shares) {
+    for (const auto& [name, part] : parts) sum += part.amount;
+  }
+  return sum;
+}
+
+TEST(Planner, RaisesOnlyAfterAWholeLeaseOfOneHistory) {
+  Talk talk;
+  const std::vector<Record> records = {record("a", 1, 1, 9), record("b", 1, 1, 9)};
+  talk.show(0, standing(1, 1, 1), records);
+  EXPECT_TRUE(!talk.put || sum(talk.put->plan) <= 2);
+  talk.show(3600, standing(1, 1, 1), records);
+  ASSERT_TRUE(talk.put.has_value());
+  EXPECT_GT(sum(talk.put->plan), 2);
+  EXPECT_EQ(talk.put->fence, 50u);
+  EXPECT_EQ(talk.put->modified, 60u);
+}
+
+TEST(Planner, ARecordThatCannotBeReadHoldsAllRaises) {
+  Talk talk;
+  const std::vector<Record> records = {record("a", 1, 1, 9), record("b", 1, 1, 9)};
+  talk.show(0, standing(1, 1, 1), records);
+  talk.show(3600, standing(1, 1, 1), records, false, 1);
+  EXPECT_TRUE(!talk.put || sum(talk.put->plan) <= 2);
+}
+
+TEST(Planner, APlanOfANewerFormIsLeftAlone) {
+  Talk talk;
+  talk.show(3600, std::nullopt, {record("a", 1, 1, 9)}, true);
+  EXPECT_FALSE(talk.put.has_value());
+  EXPECT_FALSE(talk.planner.elected());
+  ASSERT_TRUE(talk.abdicate.has_value());
+  EXPECT_EQ(talk.abdicate->fence, 50u);
+  talk.tell(Abdicated{talk.abdicate->call, kHere});
+  talk.elect.reset();
+  talk.now += 3500;
+  talk.tell(PlannerSeen{0});
+  EXPECT_FALSE(talk.elect.has_value());
+}
+
+TEST(Planner, ABrokenPlanIsOverwrittenAfterALeaseAboveAllEpochs) {
+  Talk talk;
+  const std::vector<Record> records = {record("a", 7, 4, 9), record("b", 6, 6, 9)};
+  talk.show(0, std::nullopt, records);
+  EXPECT_FALSE(talk.put.has_value());
+  talk.show(2900, std::nullopt, records);
+  EXPECT_FALSE(talk.put.has_value());
+  talk.show(700, std::nullopt, records);
+  ASSERT_TRUE(talk.put.has_value());
+  EXPECT_EQ(talk.put->plan.epoch, 8u);
+  EXPECT_LE(sum(talk.put->plan), 10);
+  EXPECT_FALSE(talk.put->plan.affinity.at("rule").slots[0].open) << "somebody may have it elsewhere";
+}
+
+TEST(Planner, WhoHasLeftCountsAsLongAsItsRequestsMayLast) {
+  Talk talk;
+  talk.show(0, standing(1, 4, 6), {record("a", 1, 4, 9), record("b", 1, 6, 9)});
+  talk.show(3600, standing(1, 4, 6), {record("a", 1, 4, 9)});
+  EXPECT_TRUE(!talk.put || talk.put->plan.shares.at("a#1").at("units").amount <= 4);
+  talk.show(600, standing(1, 4, 6), {record("a", 1, 4, 9)});
+  ASSERT_TRUE(talk.put.has_value());
+  EXPECT_GT(talk.put->plan.shares.at("a#1").at("units").amount, 4);
+}
+
+TEST(Planner, ResignsWhenItsLeaseRanOutOrAnotherIsElected) {
+  Talk talk;
+  talk.tell(LeaseValid{5, 2900});
+  talk.now = 2950;
+  talk.tell(PlannerTick{});
+  EXPECT_FALSE(talk.planner.elected());
+  Talk other;
+  other.tell(AllRead{other.read->call, 51, standing(1, 1, 1), 60, false, {}, 0, kHere});
+  EXPECT_FALSE(other.planner.elected());
+  EXPECT_FALSE(other.put.has_value());
+}
+
+}  // namespace
+}  // namespace shorelead::fleet
