A member that lags is no lost history: held by the test of the store's troubles

Need: keepalives and watches tell a member's own revision. Without the guard (the header taken as it is) the test now fails: 4 lost histories heard where there was none.

--- a/tests/fleet/control_test.cpp
+++ b/tests/fleet/control_test.cpp
@@ -110,6 +110,8 @@
   run({&a, &b}, [&] { return shared({&a, &b}); });
   Process c(store, "c", 3);
   run({&a, &b, &c}, [&] { return shared({&a, &b, &c}); });
+  // Members that lag are no lost history.
+  for (const Process* one : {&a, &b, &c}) EXPECT_EQ(one->channel->control.histories.get(), 0U);
   expect_within(store.copy());
 }
 
