--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -18,98 +18,16 @@
 constexpr Millis kIdleUntold = 10000;    // where the settings do not tell that time
 constexpr Millis kConnectUntold = 1000;  // nor for how long to wait for a connection
 constexpr Millis kProbeWait = 250;       // a probe unanswered by then tells nothing any more
-constexpr double kConnectTimes = 10;     // the median that connections took, after which one is given up,
-constexpr Millis kConnectLeast = 20;     // but not sooner than a busy machine may take
-constexpr double kMedianStep = 1.1;      // by which one of them moves the median
-constexpr Millis kConnectTiniest = 0.1;  // and how low
 constexpr Millis kSweepEvery = 1000;
 constexpr Millis kStandstill = 30000;  // of an answer that has begun: then its backend will not go on
 constexpr double kHoldBegun = 0.7;     // of an attempt's time, for which an answer of unknown length is kept
 constexpr Millis kLookAtBody = 250;    // how often a request's body that goes out is looked after
 constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of it
-constexpr double kMostLoad = 1e5;         // in any figure of a load report: no machine has so many in hand
 constexpr std::size_t kMostIdle = 32;     // connections kept for one backend
-// KeptRecord
-constexpr Millis kYoung = 25;        // unused for less, a connection is as good as in use
-constexpr double kBrokeGain = 0.1;   // weight of one request
-constexpr double kBrokeMore = 0.2;   // share broken, on top of
-constexpr double kBrokeTimes = 2;    // this multiple of the share on young ones, from which an age is unfit
-constexpr Millis kUnfitFor = 10000;  // after which it is tried again
+constexpr std::size_t kMostSettling = 8;  // of them, those held back until they have settled
 
 }  // namespace
 
-std::optional<LoadReport> parse_load(std::string_view text) {
-  static constexpr std::array<std::pair<std::string_view, double LoadReport::*>, 6> kNames = {
-      {{"inflight", &LoadReport::in_hand},
-       {"queue", &LoadReport::waiting},
-       {"util", &LoadReport::busy},
-       {"qps", &LoadReport::rate},
-       {"latency_ms", &LoadReport::latency},
-       {"eps", &LoadReport::error_rate}}};
-  LoadReport report;
-  bool any = false;
-  while (!text.empty()) {
-    const std::size_t comma = std::min(text.find(','), text.size());
-    const std::string_view pair = text.substr(0, comma);
-    text.remove_prefix(std::min(comma + 1, text.size()));
-    const std::size_t equals = std::min(pair.find('='), pair.size());
-    const auto named =
-        std::find_if(kNames.begin(), kNames.end(),
-                     [name = trim(pair.substr(0, equals))](const auto& n) { return n.first == name; });
-    if (named == kNames.end() || equals == pair.size()) continue;
-    // A report that is wrong in one figure is not to be believed in the others; and one huge figure would
-    // outweigh all that is known of a fleet for hours.
-    const std::optional<double> value = parse_decimal(trim(pair.substr(equals + 1)));
-    if (!value || *value < 0 || *value > kMostLoad) return std::nullopt;
-    report.*(named->second) = *value;
-    any = true;
-  }
-  return any ? std::optional(report) : std::nullopt;
-}
-
-std::size_t KeptRecord::slot(Millis age) {
-  std::size_t n = 0;
-  for (Millis most = kYoung; age >= most && n + 1 < std::tuple_size_v<decltype(slots_)>; most *= 2) ++n;
-  return n;
-}
-
-void KeptRecord::note(Millis age, bool broke, Millis now) {
-  const std::size_t n = slot(age);
-  Slot& at = slots_[n];
-  at.broke += kBrokeGain * ((broke ? 1 : 0) - at.broke);
-  // Compared with connections just used: where those break as well, age is not the cause.
-  if (n == 0 || at.broke <= kBrokeMore + kBrokeTimes * slots_[0].broke) return;
-  at.unfit_until = now + kUnfitFor;
-  at.broke = 0;
-}
-
-bool KeptRecord::fit(Millis age, Millis now) const {
-  const auto last = slots_.begin() + static_cast<std::ptrdiff_t>(slot(age)) + 1;
-  return std::none_of(slots_.begin(), last, [now](const Slot& one) { return now < one.unfit_until; });
-}
-
-Millis ConnectWait::common() const {
-  if (median_ <= 0) return most_;
-  return std::min(most_, std::max(kConnectLeast, kConnectTimes * median_));
-}
-
-Millis ConnectWait::limit(BackendId backend, bool probe) const {
-  return probe || far_.count(backend) != 0 ? most_ : common();
-}
-
-void ConnectWait::came_up(BackendId backend, Millis took) {
-  took > common() ? void(far_.insert(backend)) : forget(backend);
-  if (median_ <= 0) {
-    median_ = std::max(took, kConnectTiniest);
-  } else {
-    median_ = std::max(kConnectTiniest, took > median_ ? median_ * kMedianStep : median_ / kMedianStep);
-  }
-}
-
-// Where more than half are given up it is the path that has become slow, and the median follows.
-void ConnectWait::gave_up() { median_ = std::min(most_, median_ * kMedianStep); }
-
-// One attempt or probe under way.
 struct Upstream::Job {
   bool probe = false;
   RequestId request = 0;
@@ -246,6 +164,7 @@
                       clean && !withdrawn && stream.open() && owner.listener_.keep(false);
     if (keep) {
       stream.want_input(true);
+      settled_at = owner.loop_.now() + owner.settle_;
       owner.rest(*this);
     } else {
       owner.forget(*this);
@@ -326,18 +245,19 @@
   bool withdrawn = false;  // not to be kept: its backend was withdrawn, and its number may go to another
   Message answer{Parser::Kind::kResponse};
   Millis unused_since = 0;
+  Millis settled_at = 0;                             // till then a second answer to its last attempt may come
   std::optional<std::list<Link*>::iterator> unused;  // its place among them
   Millis age = 0;                                    // for how long it had stood unused before this job
 };
 
-Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout,
+Upstream::Upstream(Loop& loop, Millis connect_timeout, Millis idle_timeout, Millis settle,
                    std::shared_ptr<net::FlowBudget> flows, Listener listener)
     : loop_(loop),
       connect_wait_(kConnectUntold),
       most_idle_(kIdleUntold),
       listener_(std::move(listener)),
       flows_(std::move(flows)) {
-  adopt(connect_timeout, idle_timeout);
+  adopt(connect_timeout, idle_timeout, settle);
   sweep();
 }
 
@@ -352,7 +272,8 @@
   }
 }
 
-void Upstream::adopt(Millis connect_timeout, Millis idle_timeout) {
+void Upstream::adopt(Millis connect_timeout, Millis idle_timeout, Millis settle) {
+  settle_ = settle;
   connect_wait_.state(connect_timeout > 0 ? connect_timeout : kConnectUntold);
   most_idle_ = idle_timeout > 0 ? kIdleShare * idle_timeout : kIdleUntold;
 }
@@ -377,7 +298,7 @@
 }
 
 void Upstream::begin(BackendId backend, const std::string& dial, std::unique_ptr<Job> job) {
-  std::shared_ptr<Link> link = take_idle(backend, dial);
+  std::shared_ptr<Link> link = take_idle(backend, dial, job->probe);
   const bool reused = link != nullptr;
   if (!reused) {
     link = std::make_shared<Link>(*this, backend, dial,
@@ -492,15 +413,33 @@
   if (link.answer_flow && !flow->has_sink()) link.end_flow(false);  // its request had been answered before
 }
 
-std::shared_ptr<Upstream::Link> Upstream::take_idle(BackendId backend, const std::string& dial) {
-  // The one used last first, so that those beyond need grow old and go.
+// The one used last first, so that those beyond need grow old and go. Guards against a second answer that
+// comes some milliseconds after the first: it would be passed on as that to the next request; of a probe it
+// would only be a wrong report. Where many settle, as at a backend that is asked hundreds of times a second,
+// the one that has for longest will do.
+std::shared_ptr<Upstream::Link> Upstream::best_idle(const std::vector<std::shared_ptr<Link>>& pool,
+                                                    bool probe) const {
+  std::shared_ptr<Link> best;
+  std::shared_ptr<Link> first;
+  std::size_t settling = 0;
+  const Millis now = loop_.now();
+  for (const auto& link : pool) {
+    if (!link->idle()) continue;
+    if (probe || link->settled_at <= now) {
+      if (!best || link->unused_since > best->unused_since) best = link;
+    } else {
+      ++settling;
+      if (!first || link->settled_at < first->settled_at) first = link;
+    }
+  }
+  return best || settling < kMostSettling ? best : first;
+}
+
+std::shared_ptr<Upstream::Link> Upstream::take_idle(BackendId backend, const std::string& dial, bool probe) {
   while (true) {
     const auto pool = pools_.find(backend);
     if (pool == pools_.end()) return nullptr;
-    std::shared_ptr<Link> best;
-    for (const auto& link : pool->second) {
-      if (link->idle() && (!best || link->unused_since > best->unused_since)) best = link;
-    }
+    const std::shared_ptr<Link> best = best_idle(pool->second, probe);
     if (!best) return nullptr;
     const Millis now = loop_.now();
     const Millis age = now - best->unused_since;
@@ -545,6 +484,7 @@
   if (link.answer_flow) {
     // Goes on carrying it.
   } else if (keep && !link.withdrawn && listener_.keep(job->probe)) {
+    if (!job->probe) link.settled_at = loop_.now() + settle_;
     rest(link);
   } else {
     forget(link);
