--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -71,6 +71,11 @@
   double attempts_left(int pool);
   void attempt_made(int pool);
 
+  // What tells its client apart within its tenant; empty = nothing does.
+  std::string_view client_of(const Message& message) const {
+    return fleet_.client.empty() ? std::string_view() : message.value(fleet_.client);
+  }
+
   void room(double share) { port_.room(share); }  // of the boxes' capacity, that is unused
   void leave();                                   // gives back all; what is in use goes on
   bool left() const { return !control_ || control_->left(); }
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -60,6 +60,8 @@
   // What a fleet allows of further attempts from now on.
   void bound_attempts(Facade::Further further) { facade_.bound_attempts(std::move(further), loop_.now()); }
   double room() const { return facade_.room(); }
+  // That a refusal may say to wait; 0 = it may say nothing.
+  Millis most_advice() const { return config_.settings.advise_wait ? config_.settings.max_wait_advice : 0; }
   bool idle() const;  // nothing is under way
 
   const std::string& name() const { return config_.name; }
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -230,11 +230,8 @@
   if (traffic.gate) {
     FleetGate& gate = *traffic.gate;
     gate.room(traffic.pools[n]->room());
-    const std::string& field = gate.config().client;
-    const Settings& settings = traffic.pools[n]->config().settings;
     const auto said = gate.admit({to, way.route, way.request_class, message->value("x-tenant-id"),
-                                  field.empty() ? std::string_view() : message->value(field),
-                                  settings.advise_wait ? settings.max_wait_advice : 0},
+                                  gate.client_of(*message), traffic.pools[n]->most_advice()},
                                  request_class.aim);
     if (said.refused != 0) return front_->refuse(request, said.come_back, said.refused, said.cause);
     ticket = said.ticket;
