The language has rules of affinity, checked, explained and compared

`config explain` says rule, key and slot of a request, `config diff` which rules change and under "keys" whose map is made anew.

Seen failing without: the windows for repeats completed at load, routes' paths, the plan of tenants that no plan names, the fact "keys", the form of a key.

--- a/src/language/fit.h
+++ b/src/language/fit.h
@@ -39,6 +39,7 @@
 void fit_endpoints(const Section& s, const std::string& field, Problems& problems);
 // The fleet, its budgets and plans.
 void fit_fleet(const Document& document, const Index& index, Problems& problems);
+void fit_affinity(const Section& rule, Problems& problems);
 void doubt_fleet(const Document& document, Problems& problems);
 // Warnings, looked for only where there is no mistake.
 void doubt(const Document& document, const Index& index, Problems& problems);
--- a/src/language/fit_fleet.cpp
+++ b/src/language/fit_fleet.cpp
@@ -101,12 +101,13 @@
     }
   }
   for (const Section& s : document.sections) {
-    if (s.block->name != "budget" && s.block->name != "plan") continue;
+    if (s.block->name != "budget" && s.block->name != "plan" && s.block->name != "affinity") continue;
     if (fleet == nullptr) {
       problems.problem(s.place, called(s) + " is the fleet's, and nothing says what the fleet is",
                        "as in: fleet { store 127.0.0.1:2379; prefix \"/fleet/\"; processes 20 }");
     }
     if (s.block->name == "budget") fit_budget(s, index, problems);
+    if (s.block->name == "affinity") fit_affinity(s, problems);
   }
   if (index.named("budget").size() > kMostBudgets) {
     problems.problem(index.section("budget", index.named("budget")[kMostBudgets])->place,
--- a/src/language/schema.cpp
+++ b/src/language/schema.cpp
@@ -157,6 +157,28 @@
     {"default", Type::kFlag, 0, 0, false, "", "yes: also of tenants that no plan names"},
 };
 
+constexpr Field kAffinity[] = {
+    {"when", Type::kWord, 0, 0, false, "",
+     "which requests, as in: \"class = check and not header X-Test = yes\"; all if not told"},
+    {"key", Type::kWords, 0, 0, true, "",
+     "what keeps to one place: header NAME, cookie NAME, part N (of the path, from 1), parameter NAME (of "
+     "the "
+     "route's path) or tenant"},
+    {"to", Type::kWord, 0, 0, false, "box|cell|zone", "what a key keeps to; box if not told"},
+    {"must", Type::kFlag, 0, 0, false, "", "yes: there or nowhere; no: there if it can be; no if not told"},
+    {"hold", Type::kTime, 0, kHour, false, "",
+     "with on_loss refuse: how long keys wait for a box that is lost; none if not told"},
+    {"on_drain", Type::kWord, 0, 0, false, "finish|move",
+     "what is under way at a box that drains may finish, or is called off; finish if not told"},
+    {"finish", Type::kTime, 0, kHour, false, "", "for at most so long; 30 s if not told"},
+    {"on_loss", Type::kWord, 0, 0, false, "move|refuse",
+     "keys of a box that is lost move, or wait for it; move if not told"},
+    {"bound", Type::kShare, 1, 10, false, "", "most of a box's part that it gets; 125 % if not told"},
+    {"slots", Type::kCount, 16, 65536, false, "", "a power of two, some 20 for each box; 1,024 if not told"},
+    {"wait", Type::kTime, 0, 60000, false, "",
+     "must: a request waits at most so long for its key's place; 1 s if not told"},
+};
+
 constexpr Block kBlocks[] = {
     {"node", "", true, true, kNode, "this node; its name behind the word"},
     {"class", "", true, false, kClass, "a class of requests: the first part of their path"},
@@ -171,6 +193,9 @@
     {"fleet", "", false, true, kFleet, "what processes of one fleet share, and where"},
     {"budget", "", true, false, kBudget, "a bound on the whole fleet, divided among its processes"},
     {"plan", "", true, false, kPlan, "tenants that go together in a shortage of the fleet"},
+    {"affinity", "", true, false, kAffinity,
+     "requests of one key go to one place, whichever process has them; of these rules the first that matches "
+     "counts"},
 };
 
 }  // namespace
--- a/src/node/explain.cpp
+++ b/src/node/explain.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 
+#include "node/affinity_words.h"
 #include "node/fleet_rules.h"
 #include "node/fleet_words.h"
 #include "plans/order.h"
@@ -38,9 +39,10 @@
   return first;
 }
 
-// Budgets, plan and rank.
+// Budgets, plan, rank and affinity.
 void fleet_words(const Config& config, int pool, int route, int request_class,
-                 const std::function<std::string_view(std::string_view)>& field, std::ostream& out) {
+                 const std::function<std::string_view(std::string_view)>& field, affinity::Request request,
+                 std::ostream& out) {
   const FleetConfig& fleet = *config.shared;
   const std::string_view tenant = field("x-tenant-id");
   const std::uint64_t mask = FleetRules(fleet, config).budgets_of(pool, route, request_class, tenant);
@@ -49,13 +51,23 @@
     out << "budget " << fleet.budgets[b].name << ": " << words_of(fleet.budgets[b])
         << ", of all processes together\n";
   }
-  if (fleet.plans.empty()) return;
   std::vector<double> worths;
   for (const RequestClass& c : config.settings.classes) worths.push_back(c.worth);
   const plans::Order order(fleet.plans, worths);
   const int plan = order.plan_of(tenant);
-  out << "plan " << order.plans()[static_cast<std::size_t>(plan)].name << ": in a shortage of the fleet rank "
-      << order.rank_of(plan, request_class) + 1 << " of " << order.ranks() << ", the last goes first\n";
+  if (!fleet.plans.empty())
+    out << "plan " << order.plans()[static_cast<std::size_t>(plan)].name
+        << ": in a shortage of the fleet rank " << order.rank_of(plan, request_class) + 1 << " of "
+        << order.ranks() << ", the last goes first\n";
+  if (route >= 0) {
+    const auto n = static_cast<std::size_t>(route);
+    request.route = config.routes->routes[n].name;
+    request.pattern = config.routes->rules[n].path;
+  }
+  request.request_class = config.host.classes[static_cast<std::size_t>(request_class)];
+  request.tenant = tenant;
+  request.plan = order.plans()[static_cast<std::size_t>(plan)].name;
+  explain_affinity(fleet.affinity, request, out);
 }
 
 }  // namespace
@@ -108,7 +120,13 @@
       << c.aim << " ms, given up after " << c.deadline << " ms\n"
       << "attempts: " << config.settings.max_attempts << " at most"
       << (c.effect == Effect::kUnsafe ? ", another only where none can have run" : "") << "\n";
-  if (config.shared) fleet_words(config, pool, number, *found, field, out);
+  if (config.shared) {
+    affinity::Request asked;
+    asked.method = method;
+    asked.path = target;
+    asked.field = &field;
+    fleet_words(config, pool, number, *found, field, asked, out);
+  }
   return true;
 }
 
--- a/src/node/fleet_config.h
+++ b/src/node/fleet_config.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "affinity/rules.h"
 #include "fleet/spec.h"
 #include "plans/order.h"
 
@@ -16,6 +17,7 @@
   fleet::Sharing sharing;
   std::vector<fleet::Budget> budgets;
   std::vector<plans::PlanSpec> plans;
+  std::vector<affinity::Rule> affinity;  // in their order
   std::string client;  // the header that tells a tenant's clients apart, in small letters; empty = none
   std::string zone;
 
--- a/src/node/fleet_words.cpp
+++ b/src/node/fleet_words.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "node/affinity_words.h"
+
 namespace shorelead::node {
 
 std::string words_of(const fleet::Budget& budget) {
@@ -45,9 +47,11 @@
   for (const plans::PlanSpec& plan : fleet.plans) {
     facts["plan " + plan.name + ": rank"] = fmt::format("{}", plan.rank);
     facts["plan " + plan.name + ": floor"] = fmt::format("{} %", plan.floor * 100);
-    for (const std::string& tenant : plan.tenants) facts["tenant " + tenant] = fmt::format("plan {}", plan.name);
+    for (const std::string& tenant : plan.tenants)
+      facts["tenant " + tenant] = fmt::format("plan {}", plan.name);
     if (plan.is_default) facts["tenants that no plan names"] = fmt::format("plan {}", plan.name);
   }
+  affinity_facts(fleet.affinity, facts);
 }
 
 }  // namespace shorelead::node
--- /dev/null
+++ b/src/node/shore_affinity.cpp
@@ -0,0 +1,126 @@
+#include "node/shore_affinity.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include "affinity/condition.h"
+#include "node/shore_words.h"
+
+namespace shorelead::node {
+namespace {
+
+using affinity::KeySource;
+using language::Section;
+
+KeySource key_of(const std::vector<std::string>& words) {
+  constexpr std::array<std::pair<std::string_view, KeySource::From>, 5> kSources = {
+      {{"header", KeySource::From::kField},
+       {"cookie", KeySource::From::kCookie},
+       {"part", KeySource::From::kPart},
+       {"parameter", KeySource::From::kParameter},
+       {"tenant", KeySource::From::kTenant}}};
+  KeySource key;
+  for (const auto& [name, from] : kSources) {
+    if (name == words.front()) key.from = from;
+  }
+  if (key.from == KeySource::From::kField) key.name = in_small(words[1]);
+  if (key.from == KeySource::From::kCookie || key.from == KeySource::From::kParameter) key.name = words[1];
+  if (key.from == KeySource::From::kPart) {
+    std::from_chars(words[1].data(), words[1].data() + words[1].size(), key.part);
+  }
+  return key;
+}
+
+affinity::Rule rule_of(const Section& section) {
+  affinity::Rule rule;
+  rule.name = section.name;
+  rule.place = section.place.file + ":" + std::to_string(section.place.line);
+  rule.key = key_of(section.words.at("key"));
+  const std::string to = section.word("to");
+  rule.to = to == "cell" ? affinity::To::kCell : to == "zone" ? affinity::To::kZone : affinity::To::kBox;
+  rule.must = section.number("must").value_or(0) > 0;
+  rule.hold = section.number("hold").value_or(rule.hold);
+  if (section.word("on_drain") == "move") rule.on_drain = affinity::OnDrain::kMove;
+  rule.finish = section.number("finish").value_or(rule.finish);
+  if (section.word("on_loss") == "refuse") rule.on_loss = affinity::OnLoss::kRefuse;
+  rule.bound = section.number("bound").value_or(rule.bound);
+  rule.slots = static_cast<std::size_t>(section.number("slots").value_or(static_cast<double>(rule.slots)));
+  rule.wait = section.number("wait").value_or(rule.wait);
+  return rule;
+}
+
+// The condition as it stands, with a caret under the mistake.
+std::string shown(const std::string& text, const affinity::Parsed& parsed) {
+  return "\n    " + text + "\n    " + std::string(parsed.column - 1, ' ') + "^";
+}
+
+}  // namespace
+
+affinity::Universe universe_of(const Config& config, const FleetConfig& fleet) {
+  affinity::Universe universe;
+  std::vector<double> worths;
+  for (std::size_t n = 0; n < config.settings.classes.size(); ++n) {
+    const RequestClass& c = config.settings.classes[n];
+    const bool keyed = c.effect == Effect::kKeyed;
+    universe.classes[config.host.classes[n]] = {keyed ? c.dedup_window : 0, c.group != DedupGroup::kAll};
+    worths.push_back(c.worth);
+  }
+  if (config.routes) {
+    for (std::size_t n = 0; n < config.routes->routes.size(); ++n) {
+      const routing::Route& route = config.routes->routes[n];
+      universe.routes[route.name] = config.host.classes[static_cast<std::size_t>(route.request_class)];
+      universe.paths[route.name] = config.routes->rules[n].path;
+    }
+  }
+  const plans::Order order(fleet.plans, worths);
+  const auto name_of = [&order](std::string_view tenant) {
+    return order.plans()[static_cast<std::size_t>(order.plan_of(tenant))].name;
+  };
+  for (const plans::PlanSpec& plan : fleet.plans) {
+    universe.plans.push_back(plan.name);
+    for (const std::string& tenant : plan.tenants) universe.tenants[tenant] = name_of(tenant);
+  }
+  universe.no_plan = name_of("");
+  // Boxes that stand in the file; where they come from a registry their number is not known.
+  for (const PoolConfig& pool : config.pools) universe.units += pool.known.backends.size();
+  return universe;
+}
+
+std::vector<affinity::Rule> affinity_of(const language::Document& document, const Config& config,
+                                        const FleetConfig& fleet) {
+  std::vector<affinity::Rule> rules;
+  std::string wrong;
+  for (const Section& section : document.sections) {
+    if (section.block->name != "affinity") continue;
+    rules.push_back(rule_of(section));
+    if (section.places.count("when") == 0) continue;
+    affinity::Parsed parsed = affinity::parse_condition(section.word("when"));
+    if (!parsed.cause.empty()) {
+      const language::Place& place = section.places.at("when");
+      wrong.append(wrong.empty() ? "" : "\n")
+          .append(place.file)
+          .append(":")
+          .append(std::to_string(place.line));
+      wrong.append(":")
+          .append(std::to_string(place.column))
+          .append(": error: affinity ")
+          .append(section.name);
+      wrong.append(": ").append(parsed.cause).append(shown(section.word("when"), parsed));
+    }
+    rules.back().when = std::move(parsed.condition);
+  }
+  if (!wrong.empty()) throw FieldError(wrong);
+  const affinity::Universe universe = universe_of(config, fleet);
+  for (const affinity::Problem& problem : affinity::problems_of(rules, universe)) {
+    wrong.append(wrong.empty() ? "" : "\n").append(problem.place).append(": error: affinity ");
+    wrong.append(rules[problem.rule].name).append(": ").append(problem.cause);
+    if (!problem.other) continue;
+    const affinity::Rule& other = rules[*problem.other];
+    wrong.append("\n  ").append(other.place).append(": here is affinity ").append(other.name);
+  }
+  if (!wrong.empty()) throw FieldError(wrong);
+  return affinity::completed(std::move(rules), universe);
+}
+
+}  // namespace shorelead::node
--- a/src/node/shore_fleet.cpp
+++ b/src/node/shore_fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 
+#include "node/shore_affinity.h"
 #include "node/shore_words.h"
 
 namespace shorelead::node {
@@ -86,6 +87,7 @@
   for (fleet::Budget& budget : fleet.budgets) {
     if (budget.kind == fleet::BudgetKind::kAtOnce) budget.hold = longest_wait(budget, config);
   }
+  fleet.affinity = affinity_of(document, config, fleet);
   return fleet;
 }
 
