--- a/src/node/fleet_words.cpp
+++ b/src/node/fleet_words.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "node/affinity_words.h"
+
 namespace shorelead::node {
 
 std::string words_of(const fleet::Budget& budget) {
@@ -49,6 +51,7 @@
       facts["tenant " + tenant] = fmt::format("plan {}", plan.name);
     if (plan.is_default) facts["tenants that no plan names"] = fmt::format("plan {}", plan.name);
   }
+  affinity_facts(fleet.affinity, facts);
 }
 
 }  // namespace shorelead::node
