A node with rules of affinity refuses to start, as it does not carry them out yet

Need: the language checks and explains affinity blocks now; a node that took them and sent keys anywhere would break what must promises.

--- a/src/node/fleet_gates.cpp
+++ b/src/node/fleet_gates.cpp
@@ -31,6 +31,12 @@
 // before it lives until it has given all back.
 std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) const {
   if (!config.shared) return nullptr;
+  // Better not to serve than to serve without what `must` promises.
+  if (!config.shared->affinity.empty()) {
+    throw FieldError(
+        config.shared->affinity.front().place +
+        ": error: rules of affinity are checked and explained, but not yet carried out by a node");
+  }
   FleetGate::Names names = FleetGate::names_of(config);
   if (now != nullptr && now->gate && now->gate->serves(*config.shared, names)) return now->gate;
   std::string name = config.name;
