--- a/src/lab/audit_keys.cpp
+++ b/src/lab/audit_keys.cpp
@@ -43,16 +43,11 @@
   }
 
  private:
-  int unit_of(const KeyRule& rule, const Arrived& a) const {
-    const BoxNote& note = view_.run.boxes[static_cast<std::size_t>(a.box)];
-    return rule.to == Unit::kBox ? a.box : rule.to == Unit::kCell ? note.cell : note.zone;
-  }
-
   Send send(const KeyRule& rule, const Asked& asked, const Arrived& a) const {
     const Millis slack = view_.limits.slack;
     Send s;
     s.arrived = &a;
-    s.unit = unit_of(rule, a);
+    s.unit = view_.unit_of(a, rule.to);
     s.process = {a.node, view_.started(a.node, a.first_byte)};
     s.high = a.first_byte;
     s.low = std::min(s.high, view_.awake(asked.node, std::max(asked.intended, a.first_byte - slack)));
--- a/src/lab/audit_view.cpp
+++ b/src/lab/audit_view.cpp
@@ -161,6 +161,11 @@
   return scope.pool < 0 || run.boxes[static_cast<std::size_t>(arrived.box)].pool == scope.pool;
 }
 
+int RunView::unit_of(const Arrived& arrived, Unit unit) const {
+  const BoxNote& note = run.boxes[static_cast<std::size_t>(arrived.box)];
+  return unit == Unit::kBox ? arrived.box : unit == Unit::kCell ? note.cell : note.zone;
+}
+
 void Findings::add(Breach breach, const std::string& request, Millis at, std::string evidence) {
   if (++audit_.counts[breach] > Audit::kMostFindings) return;
   audit_.findings.push_back({breach, request, at, std::move(evidence)});
--- a/src/lab/audit_view.h
+++ b/src/lab/audit_view.h
@@ -58,6 +58,7 @@
 
   bool in_scope(const Asked& asked, const Scope& scope) const;  // but for the pool
   bool in_pool(const Arrived& arrived, const Scope& scope) const;
+  int unit_of(const Arrived& arrived, Unit unit) const;
 
  private:
   std::unordered_map<std::string, Attempts> attempts_;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -70,6 +70,46 @@
   out.EndObject();
 }
 
+void write_together(Writer& out, const Together& together) {
+  out.Key("together");
+  out.StartObject();
+  out.Key("budgets");
+  out.StartArray();
+  for (const BudgetUse& use : together.budgets) {
+    out.StartObject();
+    put(out, "name", use.name);
+    put(out, "seconds_bound", static_cast<std::size_t>(use.seconds));
+    put(out, "used_mean", use.mean);
+    put(out, "used_least", use.least);
+    out.EndObject();
+  }
+  out.EndArray();
+  out.Key("ranks");
+  out.StartArray();
+  for (const RankFare& rank : together.ranks) {
+    out.StartObject();
+    put(out, "rank", static_cast<std::size_t>(rank.rank));
+    put(out, "offered", rank.offered);
+    put(out, "taken", rank.taken);
+    put(out, "in_aim", rank.in_aim);
+    out.EndObject();
+  }
+  out.EndArray();
+  out.Key("affinities");
+  out.StartArray();
+  for (const KeyMoves& keys : together.keys) {
+    out.StartObject();
+    put(out, "name", keys.name);
+    put(out, "keys", keys.keys);
+    put(out, "sends", keys.sends);
+    put(out, "moves", keys.moves);
+    put(out, "longest_gap_ms", keys.longest_gap);
+    out.EndObject();
+  }
+  out.EndArray();
+  out.EndObject();
+}
+
 void write_run(Writer& out, const Summary& run) {
   out.StartObject();
   put(out, "seed", static_cast<std::size_t>(run.seed));
@@ -90,6 +130,7 @@
   for (const Service& service : run.classes) write_service(out, service);
   out.EndArray();
   write_audit(out, run.audit);
+  write_together(out, run.together);
   out.Key("lab");
   out.StartObject();
   put(out, "clients_late_p99_ms", run.load_late_p99);
--- a/src/lab/report_table.cpp
+++ b/src/lab/report_table.cpp
@@ -13,6 +13,10 @@
   out << text << "\n";
 }
 
+double per_cent(std::size_t part, std::size_t whole) {
+  return whole == 0 ? 0 : 100 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
 }  // namespace
 
 void write_table(std::ostream& out, const Summary& run) {
@@ -43,6 +47,18 @@
       out << " " << kind << "=" << counts.first << "/" << counts.second;
     out << "\n";
   }
+  for (const BudgetUse& use : run.together.budgets) {
+    line(out, "  budget %s: bound in %d s, of its whole used %.2f on average, %.2f in the least second",
+         use.name.c_str(), use.seconds, use.mean, use.least);
+  }
+  for (const RankFare& rank : run.together.ranks) {
+    line(out, "  rank %d: offered %zu, taken %.2f%%, in aim %.2f%%", rank.rank, rank.offered,
+         per_cent(rank.taken, rank.offered), per_cent(rank.in_aim, rank.offered));
+  }
+  for (const KeyMoves& keys : run.together.keys) {
+    line(out, "  affinity %s: %zu keys, %zu sends, %zu moves, longest without a box %.0f ms",
+         keys.name.c_str(), keys.keys, keys.sends, keys.moves, keys.longest_gap);
+  }
   line(out,
        "  lost with a killed node (allowed): %d, with a paused one: %d; longest from drain to send: %.1f ms",
        run.audit.lost_with_node, run.audit.lost_in_pause, run.audit.worst_drain);
--- a/src/lab/summary.h
+++ b/src/lab/summary.h
@@ -10,6 +10,7 @@
 #include "lab/audit.h"
 #include "lab/experiment.h"
 #include "lab/records.h"
+#include "lab/together.h"
 
 namespace shorelead::lab {
 
@@ -92,6 +93,7 @@
   std::map<std::string, std::size_t> box_ends;
   std::map<std::string, std::pair<std::size_t, std::size_t>> bad_clients;  // by kind: settled, all
   Audit audit;
+  Together together;
   Millis load_late_p99 = 0;
   Millis load_late = 0;
   Millis fleet_late_p99 = 0;
--- a/tests/lab/fleet_records.h
+++ b/tests/lab/fleet_records.h
@@ -23,7 +23,7 @@
 // it is refused.
 inline Asked& ask(Run& run, Millis at, int node, int box, int request_class = kCheck) {
   Asked asked;
-  asked.id = "r" + std::to_string(run.asked.size());
+  asked.id = std::string("r").append(std::to_string(run.asked.size()));
   asked.request_class = request_class;
   asked.node = node;
   asked.intended = asked.sent = at;
