A first call before an old list counts as told; a call without a word is asked anew

Need: two gaps of the standing terms that were left open. A process of 300 asked first up to 15 s after its start, though one that has not asked for AskEvery (10 s) counts as told of all that is new. A call that got no word was given up after 5 s and asked anew by the module 2.5 to 7.5 s later, though what it missed counts as told 6 s after it fell silent.

Change: the first call comes within three quarters of AskEvery (Lists::start, src/policy/lists.h); a call without a word is given up after 3 s (discovery gives calls up in words after 2 s) and is then asked anew as a silent watch is, once (WatchWaits).

--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -24,8 +24,9 @@
 
   struct Waits {
     Millis connect = 1000;
-    // Calls wait in turn at discovery, which gives them up itself; this is for one that is silent altogether.
-    Millis first = 5000;
+    // Calls wait in turn at discovery, which gives them up itself after 2 s; this is for one that is silent
+    // altogether.
+    Millis first = 3000;
     // An empty line comes each 2 s: a watch silent for longer than this is dead, though its connection
     // stands.
     Millis silence = 3000;
--- a/src/node/watch_waits.h
+++ b/src/node/watch_waits.h
@@ -33,8 +33,10 @@
   // `nodes`: that do so; `random` is of [0, 1).
   std::optional<Millis> ended(net::Ending ending, bool asked, int nodes, double random) {
     if (asked) {
-      // Once: where the next one says nothing either, discovery is not well.
-      if (ending != net::Ending::kSilent || std::exchange(again_, true)) return std::nullopt;
+      // Once: where the next one says nothing either, discovery is not well. A call without any word
+      // (kTimeout) is as broken as a watch: one that waits too long is told so, within those 2 s.
+      const bool silent = ending == net::Ending::kSilent || ending == net::Ending::kTimeout;
+      if (!silent || std::exchange(again_, true)) return std::nullopt;
       return random * std::min(kEachNode * nodes, kMostAfterSilence);
     }
     wait_ = std::clamp(wait_ * 2, kLeast, kMost);
--- a/src/policy/lists.h
+++ b/src/policy/lists.h
@@ -12,12 +12,16 @@
 constexpr Millis kListRetryMin = 200;    // first wait before asking for the list again; doubles, with jitter
 constexpr Millis kListRetryMax = 10000;  // longest such wait
 constexpr double kListCalls = 20;        // calls a second that the list service is taken to bear
+constexpr double kFirstCall = 0.75;      // of the time that settings give: the rest is for the answer
 
 class Lists {
  public:
   explicit Lists(Context& context) : c_(context) {}
+  // The first call, too, comes before the list of earlier counts as told anew.
   void start() {
-    if (c_.settings.list_on_request) c_.timer(kListTimer, c_.now + c_.random.unit() * spread());
+    if (!c_.settings.list_on_request) return;
+    const Millis most = c_.settings.ask_every > 0 ? kFirstCall * c_.settings.ask_every : spread();
+    c_.timer(kListTimer, c_.now + c_.random.unit() * std::min(spread(), most));
   }
   void ask() {
     if (c_.settings.list_on_request && !std::exchange(asked_, true)) c_.act(SubscribeList{});
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -140,7 +140,7 @@
   Millis late = 0;          // and for how long one has it not, from there on, in the mean
 };
 
-Silence fall_silent(int silent, bool to_module) {
+Silence fall_silent(int silent, bool to_module, Ending how = Ending::kSilent) {
   constexpr int kNodes = 300;
   constexpr Millis kCall = 6500.0 / kNodes;
   Random random(5);
@@ -149,8 +149,8 @@
   for (int node = 0; node < silent; ++node) {
     WatchWaits waits;
     waits.told();
-    const Millis noticed = 3000 - 2000 * random.unit();
-    const auto wait = waits.ended(Ending::kSilent, true, kNodes, random.unit());
+    const Millis noticed = how == Ending::kSilent ? 3000 - 2000 * random.unit() : Discovery::Waits().first;
+    const auto wait = waits.ended(how, true, kNodes, random.unit());
     calls.emplace(noticed + (to_module ? module(5000) : wait.value()), to_module ? 10000 : 5000);
   }
   Silence found;
@@ -174,6 +174,7 @@
   // not all can be, whoever spreads them.
   EXPECT_LT(fall_silent(30, true).told_in_time, 0.6);
   EXPECT_EQ(fall_silent(30, false).late, 0);
+  EXPECT_EQ(fall_silent(30, false, Ending::kTimeout).late, 0) << "nor where calls get no word at all";
   EXPECT_GT(fall_silent(300, false).told_in_time, 1.5 * fall_silent(300, true).told_in_time);
   // A small fleet, or a node alone, has nobody to wait for.
   for (const double random : {0.0, 0.99}) {
