A rate's share and reserve fill one bucket; demand follows change, not chance

The reserve's token stood in a bucket of its own, full beside an empty one.

Start: rates and windows wait for one history for a lease only, what counts at once for its hold too (all waited for both).

Random histories 1,000 and the search of all states hold.

--- a/src/fleet/division.h
+++ b/src/fleet/division.h
@@ -49,6 +49,9 @@
   // One history was heard for a whole lease, and there is neither a plan nor a record that cannot be read:
   // else nobody gets more than his record says, or the plan that stands.
   bool may_raise = false;
+  // Though others may be raised, what counts at once may not: what a lost history's shares began may be under
+  // way for the longest `hold` more. A rate, or a count in a window, is spent when it is let through.
+  bool at_once_waits = false;
   // Members of the standing plan whose record is gone for less than the longest `hold`, by MemberId::text():
   // what they had at once may still be in use at the boxes, so that their parts of that kind stand.
   std::set<std::string> lately_gone;
@@ -60,6 +63,10 @@
 // file. `cut_off` and `affinity` are taken over from the old plan, for others to change.
 std::optional<Plan> next_plan(const PlannerInput& input, std::uint64_t turn);
 
+// Whether a plan leaves something of a budget to nobody, or a slot closed, as it does while what was lowered
+// or closed is not acknowledged: then it is worth looking again soon.
+bool unfinished(const Plan& plan, const std::vector<Budget>& budgets, const Sharing& sharing);
+
 // max(record, plan) of one process for one budget.
 Part bound_of(const Plan* plan, const Record* record, const std::string& member, const std::string& budget);
 
--- a/src/fleet/next_plan.cpp
+++ b/src/fleet/next_plan.cpp
@@ -92,7 +92,7 @@
   }
   // Who asks for nothing gets from what is free, but nobody is lowered for it.
   pressed = pressed || (idle && amount.most - amount.sum(amount.bound) >= worth);
-  amount.cut(input.may_raise);
+  amount.cut(input.may_raise && !(input.at_once_waits && budget.kind == BudgetKind::kAtOnce));
   burst.cut(input.may_raise);
   for (std::size_t n = 0; n < members.size(); ++n) {
     Part part{amount.next[n], rate ? burst.next[n] : 0};
@@ -140,4 +140,19 @@
   return next;
 }
 
+bool unfinished(const Plan& plan, const std::vector<Budget>& budgets, const Sharing& sharing) {
+  for (const auto& [rule, map] : plan.affinity) {
+    if (std::any_of(map.slots.begin(), map.slots.end(), [](const Slot& slot) { return !slot.open; }))
+      return true;
+  }
+  return !plan.shares.empty() && std::any_of(budgets.begin(), budgets.end(), [&](const Budget& budget) {
+    const Part all = divisible(budget, sharing);
+    double given = 0;
+    for (const auto& [member, parts] : plan.shares)
+      given += bound_of(&plan, nullptr, member, budget.name).amount;
+    const bool units = budget.kind != BudgetKind::kRate;
+    return given <= all.amount - std::max(units ? 1.0 : 0.0, kWorth * all.amount) + kNone;
+  });
+}
+
 }  // namespace shorelead::fleet
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -12,6 +12,7 @@
 constexpr double kAgain = 20;    // tries of a call that was lost, within a lease
 constexpr double kSpread = 0.1;  // of a lease, over which processes stand once there is no planner
 constexpr std::uint64_t kGreatestEpoch = 1e15;  // a record that says more lies
+constexpr double kLooksAgain = 0.25;            // of a round, after a plan that left something to nobody
 constexpr double kGivesWay = 10;  // leases, to processes that read the plan that this one cannot
 
 bool same_but_for_number(Plan a, const Plan& b) {
@@ -101,6 +102,8 @@
   if (!underway_.ended_by(event.call) || !hear(event.header, underway_.begun)) return;
   ++(event.done ? counters_.plans : counters_.refused);
   if (!event.done) read_at_ = now_;
+  // Not after a whole round: by then all that hear it have long lowered what is to be given on.
+  if (event.done && unfinished_) read_at_ = std::min(read_at_, now_ + sharing_.plan_every * kLooksAgain);
 }
 
 void Planner::on(const AllRead& event) {
@@ -119,7 +122,9 @@
   if (!may_raise) ++counters_.held;
   if (broken_since_ >= 0 && now_ - broken_since_ < sharing_.lease) return;
   std::optional<Plan> plan = plan_from(event, may_raise);
-  if (plan) put_ = PutPlan{0, std::move(*plan), fence_, event.plan_modified};
+  if (!plan) return;
+  unfinished_ = unfinished(*plan, budgets_, sharing_);
+  put_ = PutPlan{0, std::move(*plan), fence_, event.plan_modified};
 }
 
 bool Planner::all_known(const AllRead& read) {
@@ -127,14 +132,16 @@
   if (!broken) broken_since_ = -1;
   if (broken && broken_since_ < 0) broken_since_ = now_;
   if (broken || read.unreadable > 0) ++counters_.unreadable;
-  return read.unreadable == 0 && now_ - history_.since() >= sharing_.lease + leavers_.wait();
+  return read.unreadable == 0 && now_ - history_.since() >= sharing_.lease;
 }
 
 std::optional<Plan> Planner::plan_from(const AllRead& read, bool may_raise) {
   // A copy's maps tell nothing of who has what open; its shares are taken over and only fall.
   const bool ours = read.plan && read.plan->history == history_.cluster();
   const Plan* standing = ours ? &*read.plan : nullptr;
-  const PlannerInput input{budgets_, sharing_, read.plan, read.records, fence_, may_raise, leavers_.gone()};
+  const bool nothing_under_way = may_raise && now_ - history_.since() >= sharing_.lease + leavers_.wait();
+  const PlannerInput input{budgets_, sharing_,  read.plan,          read.records,
+                           fence_,   may_raise, !nothing_under_way, leavers_.gone()};
   const auto turn = static_cast<std::uint64_t>(now_ / sharing_.plan_every);
   Plan next = next_plan(input, turn).value_or(read.plan.value_or(Plan{}));
   next.epoch = (read.plan ? read.plan->epoch : 0) + 1;
@@ -146,7 +153,7 @@
   for (const auto& shaper : shapers_) shaper->shape(next, standing, read.records, now_);
   std::vector<Record> with_ghosts = leavers_.ghosts();
   with_ghosts.insert(with_ghosts.end(), read.records.begin(), read.records.end());
-  hold_slots(next, standing, with_ghosts, may_raise && leavers_.knows_all(now_));
+  hold_slots(next, standing, with_ghosts, nothing_under_way && leavers_.knows_all(now_));
   if (standing != nullptr && same_but_for_number(next, *standing) &&
       std::all_of(read.records.begin(), read.records.end(), [&](const Record& record) {
         return record.epoch <= standing->epoch || record.epoch >= kGreatestEpoch;
--- a/src/fleet/planner.h
+++ b/src/fleet/planner.h
@@ -91,6 +91,7 @@
   Underway underway_;
   std::uint64_t leave_ = 0;  // fence of an election that is to be given back
   Millis read_at_ = 0;
+  bool unfinished_ = false;   // the plan put last: something waits for records to follow
   Millis broken_since_ = -1;  // the plan that stands cannot be read; -1 = it can
   Leavers leavers_;
   std::optional<PutPlan> put_;  // that comes next
--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -6,22 +6,24 @@
   if (at_ < 0) at_ = now;
   const double seconds = std::max(0.0, now - at_) / 1000;
   at_ = std::max(at_, now);
-  kept_ = std::min(reserve_.burst, kept_ + reserve_.amount * seconds);
-  // Somebody else may have it by now: neither what was saved nor the time since counts.
-  tokens_ = now < valid_until ? std::min(part_.burst, tokens_ + part_.amount * seconds) : 0;
+  // Past its validity somebody else may have the part: neither what was saved beyond the reserve nor the
+  // time since counts.
+  const bool valid = now < valid_until;
+  if (!valid) tokens_ = std::min(tokens_, reserve_.burst);
+  const double amount = reserve_.amount + (valid ? part_.amount : 0);
+  tokens_ = std::min(reserve_.burst + (valid ? part_.burst : 0), tokens_ + amount * seconds);
 }
 
 void RateShare::set(const Part& part, Millis now, Millis valid_until) {
   fill(now, valid_until);
   part_ = part;
-  tokens_ = std::min(tokens_, part.burst);
+  tokens_ = std::min(tokens_, reserve_.burst + part_.burst);
 }
 
 Spent RateShare::spend(Millis now, Millis valid_until) {
   fill(now, valid_until);
-  for (double* tokens : {&tokens_, &kept_}) {
-    if (*tokens < 1) continue;
-    *tokens -= 1;
+  if (tokens_ >= 1) {
+    tokens_ -= 1;
     return Spent::kYes;
   }
   return now < valid_until ? Spent::kShare : Spent::kReserve;
--- a/src/fleet/share.h
+++ b/src/fleet/share.h
@@ -28,7 +28,9 @@
 using limits::AttemptShare;
 using limits::Spent;
 
-// A rate with a burst: a token bucket for the share, one for the reserve.
+// A rate with a burst: one bucket, as large and filled as fast as the reserve, and the share while that is
+// valid. Two of them would admit no more over any window, but less in all: what one has no room for is lost
+// though the other is empty.
 class RateShare {
  public:
   explicit RateShare(const Part& reserve) : reserve_(reserve) {}
@@ -41,7 +43,6 @@
   Part part_;
   const Part reserve_;
   double tokens_ = 0;
-  double kept_ = 0;  // of the reserve
   Millis at_ = -1;
 };
 
--- a/src/fleet/traffic_reading.cpp
+++ b/src/fleet/traffic_reading.cpp
@@ -1,18 +1,21 @@
 #include "fleet/traffic_reading.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shorelead::fleet {
 namespace {
 
-constexpr Millis kSpan = 1000;      // that rates are of
+constexpr Millis kSpan = 1000;      // that rates are of, where they have changed
+constexpr Millis kLongSpan = 8000;  // where chance alone explains what differs from it
+constexpr double kChance = 3;       // standard deviations of a Poisson count
 constexpr Millis kBetween = 90;     // samples at least
 constexpr std::size_t kOfRank = 5;  // cells
 
 }  // namespace
 
 TrafficReading::TrafficReading(const std::vector<Budget>& budgets, const TrafficCells& cells)
-    : budgets_(budgets), cells_(cells), longest_(kSpan) {
+    : budgets_(budgets), cells_(cells), longest_(kLongSpan) {
   for (const Budget& budget : budgets_) longest_ = std::max(longest_, budget.window);
 }
 
@@ -38,6 +41,19 @@
   return *found;
 }
 
+// Counts wobble by their root. What the last second differs from a long span by no more than that is the long
+// span's: else every division would follow chance, and what it moves is nobody's while it moves.
+double TrafficReading::steady(std::size_t count, const Sample& latest) const {
+  const auto rate = [&](const Sample& old, double& seconds) {
+    seconds = std::max(latest.at - old.at, kSpan / 2) / 1000;
+    return (latest.counts[count] - old.counts[count]) / seconds;
+  };
+  double seconds = 0;
+  const double longer = rate(before(latest.at, kLongSpan), seconds);
+  const double now = rate(before(latest.at, kSpan), seconds);
+  return std::abs(now - longer) * seconds <= kChance * std::sqrt(longer * seconds) + 1 ? longer : now;
+}
+
 TrafficState TrafficReading::read(Millis now) {
   TrafficState state;
   // First: whatever is read behind it was written with, or after, that generation.
@@ -59,9 +75,8 @@
       state.demand[budget.name] = asked;
       state.spent[budget.name] = spent;
     } else if (budget.kind == BudgetKind::kRate) {
-      const double seconds = std::max(now - old.at, kSpan / 2) / 1000;
-      state.demand[budget.name] = asked / seconds;
-      state.spent[budget.name] = spent / seconds;
+      state.demand[budget.name] = steady(2 * n, latest);
+      state.spent[budget.name] = steady(2 * n + 1, latest);
     } else {
       double most = latest.in_use[n];
       for (const Sample& sample : samples_) {
--- a/src/fleet/traffic_reading.h
+++ b/src/fleet/traffic_reading.h
@@ -1,4 +1,4 @@
-// What the traffic's cells say, as a member reports it: rates of the last second or so, what is in use now.
+// What the traffic's cells say, as a member reports it: rates as they are but for chance, what is in use now.
 // Pure but for the cells it reads. It must never tell a generation in force with figures from before it.
 #pragma once
 
@@ -25,6 +25,7 @@
     std::vector<double> in_use;
   };
   Sample sample(Millis now) const;
+  double steady(std::size_t count, const Sample& latest) const;  // a second
   // The oldest sample kept that is at least so old, or the oldest.
   const Sample& before(Millis now, Millis span) const;
 
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -22,6 +22,7 @@
       habits_(experiment.seed, "habits"),
       ids_(experiment.seed, "ids"),
       whose_(experiment.seed, "whose"),
+      where_(experiment.seed, "where"),
       unused_(static_cast<std::size_t>(experiment.nodes.count)) {
   std::vector<std::string> names;
   for (const ClassSpec& spec : experiment.classes) names.push_back(spec.rules.name);
@@ -78,15 +79,23 @@
   }
 }
 
-int Load::next_node() {
-  const int count = experiment_.nodes.count;
-  for (int n = 0; n < count; ++n) {
-    turn_ = (turn_ + 1) % count;
-    if (front_.taken_in[static_cast<std::size_t>(turn_)]) return turn_;
+int Load::next_in(int from, int to, int& turn) const {
+  for (int n = from; n < to; ++n) {
+    turn = turn + 1 < to ? std::max(from, turn + 1) : from;
+    if (front_.taken_in[static_cast<std::size_t>(turn)]) return turn;
   }
   return -1;
 }
 
+int Load::next_node() {
+  const int count = experiment_.nodes.count;
+  const int hot = std::min(experiment_.clients.hot, count - 1);
+  if (hot <= 0) return next_in(0, count, turn_);
+  const bool there = where_.chance(experiment_.clients.hot_share);
+  const int node = there ? next_in(0, hot, hot_turn_) : next_in(hot, count, turn_);
+  return node >= 0 ? node : next_in(0, count, turn_);
+}
+
 void Load::begin(const std::shared_ptr<Wish>& wish) {
   Asked asked;
   asked.id = ids_.hex(16);
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -48,7 +48,8 @@
   void begin(const std::shared_ptr<Wish>& wish);
   void ended(const std::shared_ptr<Wish>& wish, std::size_t record, double retry_after);
   int next_node();
-  void choose_owner(Wish& wish);  // tenant and basket
+  int next_in(int from, int to, int& turn) const;  // in turns among those taken in; -1 = none is
+  void choose_owner(Wish& wish);                   // tenant and basket
   void finish_when_quiet();
 
   boost::asio::io_context& context_;
@@ -63,11 +64,13 @@
   Draw habits_;
   Draw ids_;
   Draw whose_;
+  Draw where_;
   std::vector<Asked> records_;
   std::vector<std::vector<std::shared_ptr<Client>>> unused_;  // by node, the one used last at the back
   std::size_t open_ = 0;                                      // wishes under way
   std::uint32_t chains_ = 0;
   int turn_ = 0;
+  int hot_turn_ = 0;
   bool settling_ = false;
   Progress progress_;
 };
--- a/tests/fleet/search_print.cpp
+++ b/tests/fleet/search_print.cpp
@@ -107,6 +107,7 @@
     ink.number(it.fence_ == 0 ? 2 : store.leader && store.leader->created == it.fence_);
     ink.moment(it.stand_at_);
     ink.moment(it.read_at_);
+    ink.number(it.unfinished_);
     ink.moment(it.history_.since());
     ink.number(it.underway_.call != 0);
     ink.number(it.put_.has_value());
