--- a/src/language/fit_fleet.cpp
+++ b/src/language/fit_fleet.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t kMostBudgets = 64;  // what a request spends of is a word of bits
 
+constexpr double kFewTokens = 2;  // of a burst, for each process: a reserve and a share have one each
+
 // What each kind of budget says, and what it must say.
 struct Kind {
   std::string_view name;
@@ -135,6 +137,13 @@
       problems.warning(s.places.at("reserve"),
                        "the reserve of " + called(s) + " is less than one for each process, so there is none",
                        "at least " + plain(100 * processes / whole) + " %, or 0 %");
+    } else if (kind->name == "rate" && whole > 0 && whole < kFewTokens * processes) {
+      problems.warning(
+          s.places.at(counted),
+          called(s) +
+              " has a burst of less than two for each process: what comes close together there is "
+              "refused while the whole is not used up",
+          "four for each let nearly all through: burst " + plain(2 * kFewTokens * processes));
     }
   }
   const bool any = std::any_of(document.sections.begin(), document.sections.end(), [](const Section& s) {
