A record that tells nothing new is put three times a lease, not four

At 20 real control threads a lease of 5 s came to 1.98 calls a second each, the planner's with it: figures move by a tenth within most seconds, and four puts a lease are hardly fewer than one a second.

--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr double kPuts = 4;           // of the record within a lease, though nothing changed
+constexpr double kPuts = 3;           // of the record within a lease, though nothing changed
 constexpr double kChangedPuts = 5;    // where what it tells did ...
 constexpr Millis kLongestPut = 1000;  // ... or one in so long
-constexpr double kChanged = 0.1;      // of a figure
+constexpr double kChanged = 0.25;     // of a figure
 constexpr double kAgain = 20;         // tries of a call that was lost or refused, within a lease
 constexpr double kSmallSteps = 25;    // puts that only lower, within a lease: what is in use ends one by one
 
--- a/tests/fleet/model_calm_test.cpp
+++ b/tests/fleet/model_calm_test.cpp
@@ -87,7 +87,7 @@
   world.run(30000);
   const double each = static_cast<double>(world.calls - before) / (6 * 30.0);
   RecordProperty("calls_a_second", std::to_string(each));
-  EXPECT_LE(each, 1.7 + 2.0 / 6) << "the planner's two reads a second apart";
+  EXPECT_LE(each, 1.5 + 2.0 / 6) << "the planner's two reads a second apart";
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Calm, testing::Range(1, 21));
