--- /dev/null
+++ b/src/node/box_source.h
@@ -0,0 +1,75 @@
+// Where a pool's list of boxes comes from: discovery, a registry, or the configuration itself; what the view
+// believes of it, and the copy on disk. Owns the watch, when it is opened again, and that copy. It must never
+// decide what a box is good for, nor speak to the module: what it has gone through it hands on.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "membership/kept_list.h"
+#include "membership/registry/client.h"
+#include "membership/view.h"
+#include "node/config.h"
+#include "node/discovery.h"
+#include "node/net.h"
+#include "node/watch_waits.h"
+
+namespace shorelead::node {
+
+class BoxSource {
+ public:
+  struct Listener {
+    std::function<void(const List&, ListSource)> list;
+    std::function<void()> watch_ended;  // and who asks for lists is to ask again
+  };
+
+  BoxSource(Loop& loop, const PoolConfig& config, std::uint64_t seed, Listener listener);
+  ~BoxSource();
+  BoxSource(const BoxSource&) = delete;
+  BoxSource& operator=(const BoxSource&) = delete;
+
+  void start();
+  void watch();  // the list is asked for
+  void follow(const PoolConfig& config);
+  void adopt(const Settings& settings) { config_.settings = settings; }
+
+  bool told() const;  // has its list of now
+  // Whether discovery tells by itself, and no list was kept for a time without it.
+  bool pushed() const { return discovery_ && !config_.settings.list_on_request && !keeper_; }
+  void log_counters(const std::string& before) const;
+
+ private:
+  void take_boxes();
+  void list_changed(const List& list);
+  void watch_ended(Ending ending);
+  void tell(const membership::Update& update);
+  membership::Update through_view(const List& list);
+  void tick_view();
+  void keep_list();
+  void start_from_disk();
+
+  Loop& loop_;
+  PoolConfig config_;
+  const Listener listener_;
+  std::unique_ptr<membership::View> view_;
+  std::unique_ptr<Discovery> discovery_;  // without it and a registry the list stands in the configuration
+  std::unique_ptr<membership::registry::Client> registry_;
+  std::unique_ptr<membership::Keeper> keeper_;
+  bool changed_since_kept_ = false;
+  bool stale_ = false;
+  std::uint64_t unreadable_ = 0;   // told of in the log
+  std::uint64_t epoch_ = 1;        // of discovery's numbers
+  std::uint64_t list_number_ = 0;  // of what was told to the module, where there is no version
+  Loop::TimerId view_tick_ = 0;
+  Loop::TimerId keep_at_ = 0;
+  Loop::TimerId rewatch_ = 0;
+  WatchWaits watch_waits_;
+  std::mt19937_64 jitter_;
+  std::map<Ending, std::uint64_t> watch_endings_;
+};
+
+}  // namespace shorelead::node
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -1,4 +1,4 @@
-// One pool of boxes: its decision module behind the facade, its connections, its source of lists, and the
+// One pool of boxes: its decision module behind the facade, its connections, its source of boxes, and the
 // requests that are with it. It owns these and their order. It must never speak to a client but through its
 // host, never see another pool, and never send anything new once it has been left, except for what it has.
 #pragma once
@@ -7,20 +7,16 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 #include <unordered_map>
 
 #include "limits/descriptors.h"
-#include "membership/kept_list.h"
-#include "membership/registry/client.h"
-#include "membership/view.h"
+#include "node/box_source.h"
 #include "node/config.h"
-#include "node/discovery.h"
+#include "node/counts_text.h"
 #include "node/facade.h"
 #include "node/net.h"
 #include "node/upstream.h"
-#include "node/watch_waits.h"
 
 namespace shorelead::node {
 
@@ -66,9 +62,8 @@
 
   const std::string& name() const { return config_.name; }
   const PoolConfig& config() const { return config_; }
-  bool told() const;  // has its list of now
-  // Whether discovery tells by itself, and no list was kept for a time without it.
-  bool pushed() const { return discovery_ && !config_.settings.list_on_request && !keeper_; }
+  bool told() const { return source_->told(); }  // has its list of now
+  bool pushed() const { return source_->pushed(); }
   // What is out by hand from now on; nothing that is not yet written goes there any more.
   void ban(const manage::BanSet& bans) { upstream_->withdraw(facade_.report_bans(bans, loop_.now())); }
   std::string list_text() const { return facade_.list_text(); }  // in discovery's form
@@ -96,56 +91,23 @@
   void settle();
   void probe(BackendId backend);
   void attempt_done(RequestId request, int attempt, const Result& result);
-  void list_changed(const List& list);
-  void watch_ended(Ending ending);
-  void take_boxes();
-  void tell(const membership::Update& update);
-  membership::Update through_view(const List& list);
-  void tick_view();
-  void keep_list();
-  void start_from_disk();
 
   Loop& loop_;
   PoolConfig config_;
   const Host host_;
   Facade facade_;
   std::unique_ptr<Upstream> upstream_;
-  std::unique_ptr<membership::View> view_;
-  std::unique_ptr<Discovery> discovery_;  // without it and a registry the list stands in the configuration
-  std::unique_ptr<membership::registry::Client> registry_;
-  std::unique_ptr<membership::Keeper> keeper_;
-  bool changed_since_kept_ = false;
-  bool stale_ = false;
-  std::uint64_t unreadable_ = 0;   // told of in the log
-  std::uint64_t epoch_ = 1;        // of discovery's numbers
-  std::uint64_t list_number_ = 0;  // of what was told to the module, where there is no version
-  Loop::TimerId view_tick_ = 0;
-  Loop::TimerId keep_at_ = 0;
+  std::unique_ptr<BoxSource> source_;
   std::unordered_map<RequestId, Open> open_;
   bool settling_ = false;
   bool left_ = false;
   Loop::TimerId wake_ = 0;
   Millis wake_at_ = 0;
-  Loop::TimerId rewatch_ = 0;
-  WatchWaits watch_waits_;
-  std::mt19937_64 jitter_;
   // counters
   std::uint64_t sent_ = 0;
   std::uint64_t probes_ = 0;
   std::map<Ending, std::uint64_t> attempt_endings_;
   std::map<Ending, std::uint64_t> probe_endings_;
-  std::map<Ending, std::uint64_t> watch_endings_;
 };
 
-// "200=5 503=1" from counts by some key; "none" where there are none.
-template <typename Counts, typename Name>
-std::string listed(const Counts& counts, const Name& name) {
-  std::string text;
-  for (const auto& [key, count] : counts) {
-    if (!text.empty()) text += ' ';
-    text.append(name(key)).append("=").append(std::to_string(count));
-  }
-  return text.empty() ? std::string("none") : text;
-}
-
 }  // namespace shorelead::node
