A request may have a home to the module; the facade's roster is a part of its own

Rules of affinity need the module to choose among the boxes of one unit (a box, a cell, a zone), for every attempt. RequestArrived names it: with `only` nobody else is allowed, else its best box is the first choice where that is usable and as good as the rotation's next; rules 2 to 4 come first as before, since both go through `allowed`. Weighed: a filter at the host (it would have to refuse what the module sends elsewhere, and the module's retries and rotation would be spent on it), and a policy of its own for bound requests (two that choose).

The facade held the module's timers, the boxes' numbers, the subset and the open requests.

--- /dev/null
+++ b/src/node/drawn_part.cpp
@@ -0,0 +1,101 @@
+#include "node/drawn_part.h"
+
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
+#include "node/outcome.h"
+
+namespace shorelead::node {
+namespace {
+
+// Changes of the fleet are gathered for so long before a subset is drawn anew, since a drawing costs by the
+// fleet. A member that drains is told to the module at once; who takes its place comes well before its grace
+// ends.
+constexpr Millis kDrawEvery = 100;
+
+}  // namespace
+
+std::vector<DrawnPart::Listed> DrawnPart::take(const std::vector<Listed>& list, bool whole) {
+  std::vector<Listed> entries;
+  std::vector<Listed> missing;
+  if (whole) {
+    std::unordered_set<std::string_view> named;
+    named.reserve(list.size());
+    for (const Listed& listed : list) named.insert(listed.host);
+    for (const auto& [host, listed] : fleet_) {
+      if (named.count(host) > 0) continue;
+      missing.push_back(listed);
+      missing.back().health = "gone";
+    }
+  }
+  const auto take_in = [this, &entries](const Listed& listed) {
+    const auto known_as = fleet_.find(listed.host);
+    if (known_as != fleet_.end() && known_as->second == listed) return;  // as it was
+    if (roster_.known(listed.host)) entries.push_back(listed);
+    put(listed);
+  };
+  for (const Listed& listed : missing) take_in(listed);
+  for (const Listed& listed : list) take_in(listed);
+  unsettled_ = true;
+  std::erase_if(entries, [this](const Listed& listed) {
+    return !subset_.holds(listed.host) && state_of(listed.health) == BackendState::kReady;
+  });
+  return entries;
+}
+
+void DrawnPart::put(const Listed& listed) {
+  if (state_of(listed.health) == BackendState::kGone) {
+    subset_.remove(listed.host);
+    fleet_.erase(listed.host);
+    return;
+  }
+  subset_.put({listed.host, roster_.zone_number(listed.site), listed.size, roster_.ready(listed)});
+  Listed& known = fleet_[listed.host];
+  const std::string dial = listed.dial.empty() ? known.dial : listed.dial;
+  known = listed;
+  known.dial = dial;
+}
+
+void DrawnPart::changed(const Listed& listed) {
+  subset_.put({listed.host, roster_.zone_number(listed.site), listed.size, roster_.ready(listed)});
+  unsettled_ = true;
+}
+
+void DrawnPart::heard(const std::string& host, bool answers) {
+  subset_.set_answering(host, answers);
+  unsettled_ = true;
+}
+
+Millis DrawnPart::draw_at() const { return unsettled_ ? drawn_at_ + kDrawEvery : 0; }
+
+std::optional<std::vector<DrawnPart::Listed>> DrawnPart::draw(Millis now) {
+  unsettled_ = false;
+  drawn_at_ = now;
+  ++counters_.drawings;
+  const subset::Change change = subset_.settle();
+  counters_.changes += change.added.size() + change.removed.size();
+  if (change.empty()) return std::nullopt;
+  std::vector<Listed> entries;
+  for (const std::string& host : change.removed) {
+    // To the module one that is no longer a member is gone; what is under way there goes on.
+    const auto it = fleet_.find(host);
+    if (!roster_.known(host) || (it != fleet_.end() && it->second.health != "ready")) continue;
+    entries.emplace_back();
+    entries.back().host = host;
+    entries.back().health = "gone";
+  }
+  for (const std::string& host : change.added) entries.push_back(fleet_.at(host));
+  return entries;
+}
+
+SubsetCounters DrawnPart::counters() const {
+  SubsetCounters counters = counters_;
+  counters.fleet = subset_.fleet();
+  counters.members = subset_.size();
+  counters.borrowed = subset_.borrowed();
+  counters.lots = subset_.lots();
+  return counters;
+}
+
+}  // namespace shorelead::node
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -1,5 +1,5 @@
 // The decision module as the network code sees it: one asks for a pick, reports how things ended and calls
-// tick() when it is time. It owns the module, its timers, the numbers of backends and the count of attempts.
+// tick() when it is time. It owns the module, its timers, the roster and the requests that are open.
 // It must never do I/O, read a clock or decide; and the module's events and actions stay behind it.
 #pragma once
 
@@ -7,19 +7,15 @@
 #include <limits>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "estimate/room.h"
-#include "manage/bans.h"
-#include "membership/member.h"
 #include "node/net.h"
+#include "node/open_requests.h"
+#include "node/roster.h"
 #include "policy/policy.h"
 #include "settings/settings.h"
-#include "subset/subset.h"
 
 namespace shorelead::node {
 
@@ -30,7 +26,9 @@
   double expected_work = -1;
   bool client_retry = false;
   bool body_comes =
-      false;  // by parts: its time counts from body_whole(), and until then there is no due time
+      false;    // by parts: its time counts from body_whole(), and until then there is no due time
+  Unit home{};  // where a rule of affinity keeps it
+  Hold hold{};
 };
 
 // What is to be done about a request now.
@@ -62,31 +60,6 @@
   Millis next = 0;                  // call tick() again by then; 0 = no need
 };
 
-using ListedBackend = membership::Member;
-
-struct List {
-  std::uint64_t version = 0;
-  bool whole = false;
-  std::vector<ListedBackend> backends;
-};
-
-// How the node works with a fleet too large for it; all off unless set.
-struct FleetOptions {
-  std::optional<subset::Options> subset;
-  subset::Place place;
-
-  bool operator==(const FleetOptions&) const = default;
-};
-
-struct SubsetCounters {
-  std::size_t fleet = 0;
-  std::size_t members = 0;
-  std::size_t borrowed = 0;
-  int lots = 0;
-  std::uint64_t drawings = 0;
-  std::uint64_t changes = 0;  // members taken in or given up
-};
-
 enum class ListSource { kStored, kWatch };
 
 class Facade {
@@ -113,6 +86,9 @@
   void report_watch_ended(Millis now);
   void body_whole(RequestId request, Millis due);
   void report_client_gone(RequestId request, Millis now);
+  // All that is out of it, whether the settings allow that or not; its answer, if it has none, is the
+  // caller's.
+  void call_off(RequestId request, Millis now);
   Errands tick(Millis now);
 
   // What a fleet allows of further attempts: how many are left now, and that one was made, or wanted and not
@@ -128,75 +104,33 @@
   // Set by the host: called when something for tick() came up outside of it.
   void on_errand(std::function<void()> wake) { wake_ = std::move(wake); }
 
-  const std::string& dial(BackendId backend) const { return backends_.at(backend).dial; }
-  const std::string& host(BackendId backend) const { return backends_.at(backend).host; }
-  bool wanted(BackendId backend) const { return backends_.at(backend).ready; }
-  std::size_t ready() const { return ready_; }  // of those known to the module
-  std::size_t backends() const { return subset_ ? subset_->fleet() : numbers_.size(); }
-  std::string list_text() const;              // in discovery's form
-  bool lists(const std::string& host) const;  // whether the list names it now
-  std::size_t listed() const;                 // how many it names
-  // Of these, how many are avoided now: out by hand, draining, or passed over by the module's choice.
-  std::size_t skipped(Millis now) const;
-  std::optional<SubsetCounters> subset_counters() const;
+  std::optional<Seen> see(Unit::Kind kind, const std::string& unit) { return roster_.see(kind, unit); }
+  const Roster& roster() const { return roster_; }
+  const std::string& dial(BackendId backend) const { return roster_.dial(backend); }
+  const std::string& host(BackendId backend) const { return roster_.host(backend); }
+  bool wanted(BackendId backend) const { return roster_.wanted(backend); }
+  std::size_t ready() const { return roster_.ready(); }
+  std::size_t backends() const { return roster_.backends(); }
+  std::optional<SubsetCounters> subset_counters() const { return roster_.subset_counters(); }
+  // Of those listed, how many are avoided now: out by hand, draining, or passed over by the module's choice.
+  std::size_t skipped(Millis now) const { return policy_.avoided(now) + roster_.out(); }
   std::size_t open_requests() const { return requests_.size(); }
 
  private:
-  struct Known {
-    std::string host;  // empty: the number is free
-    std::string dial;
-    ListedBackend listed;  // as the list last had it
-    bool ready = false;
-    bool gone = false;
-    bool leaving = false;  // its number is to be given back
-    int uses = 0;          // probes under way, and attempts of open requests, that name it
-    int silences = 0;      // in a row
-  };
-  struct Open {
-    Millis due = 0;
-    std::vector<BackendId> attempts;
-    int out = 0;
-    int most_attempts = 1;  // as the settings said when it came
-    bool over = false;
-  };
-
   void feed(const Event& event, Millis now);
   void handle(const Event& event, Millis now);
   void perform(const Action& action, Millis now);
   void start_attempt(const SendAttempt& send, Millis now);
   void answer(RequestId request, Choice choice);
   Choice take(RequestId request, Choice::Kind otherwise);
-  int zone_number(const std::string& name);
-  std::optional<BackendId> number_of(const ListedBackend& listed);
-  void give_back_numbers();
-  // Takes entries in and tells the module.
-  std::vector<BackendId> take(const std::vector<const ListedBackend*>& entries, ListKind kind, Millis now);
-  BackendState state_with_bans(const ListedBackend& listed) const;
-  void leave(BackendId number);
-  bool set_ready(Known& known, bool ready);
-  void settle_subset(ListKind kind, Millis now);
-  void heard(BackendId backend, Outcome outcome);
-  void erase(std::unordered_map<RequestId, Open>::iterator it);
+  std::vector<BackendId> tell(const Roster::Told& told, Millis now);
 
   Settings settings_;  // with all classes that ever were
   std::vector<std::string> class_names_;
-  std::vector<std::string> zones_;
   Policy policy_;
-  std::vector<Known> backends_;
-  manage::BanSet bans_;
-  std::unordered_map<std::string, BackendId> numbers_;
-  std::vector<BackendId> free_;
-  std::size_t ready_ = 0;
-  std::vector<BackendId> leaving_;  // numbers of those that are gone, to be given back
-  subset::Place place_;
-  std::optional<subset::Subset> subset_;
-  std::unordered_map<std::string, ListedBackend> fleet_;  // all that are listed, where subsets are drawn
-  Millis settled_at_ = 0;
-  bool unsettled_ = false;
-  SubsetCounters subset_counters_;
-  std::unordered_map<RequestId, Open> requests_;
+  Roster roster_;
+  OpenRequests requests_;
   std::multimap<Millis, std::uint64_t> timers_;
-  std::set<std::pair<Millis, RequestId>> deadlines_;
   Further further_;
   double told_left_ = std::numeric_limits<double>::infinity();
   estimate::Room room_;
--- /dev/null
+++ b/src/node/open_requests.cpp
@@ -0,0 +1,60 @@
+#include "node/open_requests.h"
+
+namespace shorelead::node {
+namespace {
+
+// A request that got no answer in its time is given up by the host, this long after, so that the time-out of
+// its last attempt, which falls on the same moment, is told to the module first.
+constexpr Millis kAfterDue = 1;
+
+}  // namespace
+
+void OpenRequests::begin(RequestId request, Open open) {
+  deadlines_.emplace(open.due + kAfterDue, request);
+  if (open.home.kind == Unit::Kind::kBackend) roster_.use(open.home.backend);
+  requests_[request] = std::move(open);
+}
+
+OpenRequests::Open* OpenRequests::find(RequestId request) {
+  const auto it = requests_.find(request);
+  return it == requests_.end() ? nullptr : &it->second;
+}
+
+void OpenRequests::answered(RequestId request, Open& open) {
+  open.over = true;
+  if (open.out == 0) forget(request, open);
+}
+
+void OpenRequests::ended(RequestId request, Open& open) {
+  open.out -= 1;
+  if (open.over && open.out == 0) forget(request, open);
+}
+
+void OpenRequests::due(RequestId request, Millis due) {
+  Open* const open = find(request);
+  if (open == nullptr) return;
+  deadlines_.erase({open->due + kAfterDue, request});
+  open->due = due;
+  if (!open->over) deadlines_.emplace(due + kAfterDue, request);
+}
+
+std::optional<RequestId> OpenRequests::overdue(Millis now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const RequestId request = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    const Open* const open = find(request);
+    if (open != nullptr && !open->over) return request;
+  }
+  return std::nullopt;
+}
+
+void OpenRequests::forget(RequestId request, Open& open) {
+  deadlines_.erase({open.due + kAfterDue, request});
+  for (const BackendId backend : open.attempts) roster_.release(backend);
+  if (open.home.kind == Unit::Kind::kBackend) roster_.release(open.home.backend);
+  const Hold hold = std::move(open.hold);
+  requests_.erase(request);
+  hold.over();
+}
+
+}  // namespace shorelead::node
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -90,6 +90,13 @@
   close(request);
 }
 
+void Pool::call_off(RequestId request) {
+  facade_.call_off(request, loop_.now());
+  if (open_.count(request) == 0) return;
+  host_.fail(request, 502);
+  close(request);
+}
+
 void Pool::carry_out(const Choice& choice) {
   const auto it = open_.find(choice.request);
   switch (choice.kind) {
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -40,6 +40,11 @@
   void start();
   void request(RequestId request, const Ask& ask, std::shared_ptr<const Message> message);
   void gone(RequestId request);  // its client is
+  // All of it that is out; where it has no answer yet it is answered as failed.
+  void call_off(RequestId request);
+  // A box, cell or zone of this pool, as it stands now.
+  std::optional<Seen> see(Unit::Kind kind, const std::string& unit) { return facade_.see(kind, unit); }
+  std::vector<ListedBackend> boxes() const { return facade_.roster().all(); }
   // The body of one that came by parts is whole now; its client waits until `due`.
   void body_whole(RequestId request, Millis due) { facade_.body_whole(request, due); }
 
@@ -66,9 +71,9 @@
   bool pushed() const { return source_->pushed(); }
   // What is out by hand from now on; nothing that is not yet written goes there any more.
   void ban(const manage::BanSet& bans) { upstream_->withdraw(facade_.report_bans(bans, loop_.now())); }
-  std::string list_text() const { return facade_.list_text(); }  // in discovery's form
-  bool lists(const std::string& host) const { return facade_.lists(host); }
-  std::size_t in_list() const { return facade_.listed(); }
+  std::string list_text() const { return facade_.roster().text(); }  // in discovery's form
+  bool lists(const std::string& host) const { return facade_.roster().lists(host); }
+  std::size_t in_list() const { return facade_.roster().listed(); }
   std::size_t skipped() const { return facade_.skipped(loop_.now()); }
   std::uint64_t written() const { return upstream_->written(); }
   std::size_t backends() const { return facade_.backends(); }
--- a/src/policy/choosing.h
+++ b/src/policy/choosing.h
@@ -22,6 +22,10 @@
   // The next in the rotation, or the best of those looked at; and whether it is good enough without more
   // news.
   std::pair<std::optional<BackendId>, bool> pick(const Request& r) const {
+    if (r.home.kind != Unit::Kind::kAny) {
+      const std::optional<BackendId> i = soonest(r, kSkipShare * (r.aim_at - c_.now), true);
+      if (i) return {i, true};
+    }
     if (!c_.looks_first()) {
       const std::optional<BackendId> i = propose(r);
       return {i, i.has_value()};
@@ -33,7 +37,7 @@
   // The pick where no more news is to be had; none: the request is better turned away.
   std::optional<BackendId> settle(const Request& r, std::optional<BackendId> pick) const {
     if (pick && c_.looks_first() && !suits(r, *pick, admitted(r))) pick.reset();
-    return pick || (c_.looks_first() && !r.asked.empty()) ? pick : soonest(r);
+    return pick || (c_.looks_first() && !r.asked.empty()) ? pick : soonest(r, admitted(r));
   }
 
   // The next in the rotation that may have it and can answer in time (exception "skip": it loses its turn).
@@ -50,6 +54,7 @@
   }
 
   bool allowed(const Request& r, BackendId i) const {
+    if (r.home.only && !r.home.has(lists_[i])) return false;
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
     }
@@ -87,21 +92,23 @@
  private:
   // Without a pick from the rotation: who is expected to answer first. Exception "admission": nobody, if even
   // that would be too late, since trying would only slow the others. Dropped backends are a last resort.
-  std::optional<BackendId> soonest(const Request& r) const {
+  // Exception "home": first of all the best of what it belongs to, where that is as good as the rotation's
+  // next.
+  std::optional<BackendId> soonest(const Request& r, Millis within, bool home = false) const {
     std::optional<BackendId> best;
     Millis least = 0;
     const std::size_t start = lists_.size() == 0 ? 0 : c_.random.below(lists_.size());
     std::size_t weighed = 0;
     for (std::size_t n = 0; n < lists_.size() && weighed < kMostWeighed; ++n) {
       const BackendId i = static_cast<BackendId>((start + n) % lists_.size());
-      if (!lists_.ready(i) || !allowed(r, i)) continue;
+      if (!lists_.ready(i) || !allowed(r, i) || (home && !r.home.has(lists_[i]))) continue;
       weighed += 1;
       const Millis expect = expected(r, i);
       const bool usable = rotation_.usable(i);
       const bool better = !best || (usable != rotation_.usable(*best) ? usable : expect < least);
       if (better) best = i, least = expect;
     }
-    if (!best || least > admitted(r)) return std::nullopt;
+    if (!best || least > within || (home && !rotation_.usable(*best))) return std::nullopt;
     rotation_.turn_taken_early(*best);
     return best;
   }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -104,6 +104,21 @@
 
 enum class ListKind { kDelta, kFull, kStored, kFailed };
 
+// What a request belongs to, as its host knows: one backend, or all of a cell or zone.
+struct Unit {
+  enum class Kind { kAny, kBackend, kCell, kZone };
+  Kind kind = Kind::kAny;
+  BackendId backend = 0;
+  int zone = 0;
+  int cell = 0;
+  bool only = false;  // it may go nowhere else; without it, rather there
+
+  bool has(const BackendEntry& entry) const {
+    if (kind == Kind::kBackend) return entry.backend == backend;
+    return kind != Kind::kAny && entry.zone == zone && (kind == Kind::kZone || entry.cell == cell);
+  }
+};
+
 struct Started {};
 struct ListUpdate {
   ListKind kind = ListKind::kFull;
@@ -118,6 +133,7 @@
   double expected_work = -1;  // on a standard core; negative = unknown
   bool client_retry = false;
   std::uint64_t key = 0;  // of what it concerns, the same on every node; 0 = none
+  Unit home{};            // for every attempt
 };
 struct StreamStarted {
   RequestId request = 0;
