Rules of affinity are carried out by the node

A node with rules of affinity refused to start. Validity is looked at again before each send. A reload leaves the old gate as it is until nothing has a place with it. A rule has one pool: one whose requests lead to several is refused at load, as is `must` on a part of a large fleet.

Test with two whole nodes, stand-in store and four boxes (tests/keys_node_test.cpp): all keys at the same box by both, after a restart of one too; one box drains, its keys move, no other; with the store away beyond the lease `must` is refused and `prefer` goes on. Bindings by random histories.

--- a/src/affinity/rules.h
+++ b/src/affinity/rules.h
@@ -65,6 +65,8 @@
   double bound = 1.25;       // most slots of one over its part, at least 1
   std::size_t slots = 1024;  // a power of two
   Millis wait = 1000;        // `must`: a request waits at most so long for its slot to open
+  // Set at load: the one pool whose boxes its requests can go to; empty: all that there are.
+  std::string pool{};
   // Set at load: the longest window for repeats among the classes that the rule takes and whose repeats are
   // dropped only within a cell or zone. A slot that moves stays closed so long, and moves only where it has
   // to.
--- a/src/affinity/shaper.cpp
+++ b/src/affinity/shaper.cpp
@@ -33,12 +33,13 @@
   std::set<std::string> listed;      // those that drain too
 };
 
-Shaper::Units Shaper::units_of(To to) const {
+Shaper::Units Shaper::units_of(const Rule& rule) const {
   Units units;
   std::map<std::string, double> weights;
   for (const BoxSeen& box : boxes_) {
-    const std::string& name = unit_name(box, to);
-    if (name.empty()) continue;  // a box without a cell is in none
+    const bool its = rule.pool.empty() || box.pool.empty() || rule.pool == box.pool;
+    const std::string& name = unit_name(box, rule.to);
+    if (name.empty() || !its) continue;  // a box without a cell is in none
     units.listed.insert(name);
     if (!box.draining && box.weight > 0) weights[name] += box.weight * warm_step(box.warm);
   }
@@ -69,7 +70,7 @@
   } else {
     map = standing->slots.size() == rule.slots ? *standing : resized(*standing, rule.slots, epoch);
   }
-  const Units units = units_of(rule.to);
+  const Units units = units_of(rule);
   std::vector<int> owners;
   std::map<std::string, int> place = units.place;  // and what was found out of those that are not ready
   std::size_t closed = 0;
--- a/src/affinity/shaper.h
+++ b/src/affinity/shaper.h
@@ -34,6 +34,7 @@
 // A box in the planner's list, those that drain too.
 struct BoxSeen {
   std::string name, cell, zone;
+  std::string pool{};
   double weight = 1;  // its ALBL share, in any measure; 0 or less: no slots
   double warm = 1;    // share of its capacity that it has now, 0 to 1
   bool draining = false;
@@ -68,7 +69,7 @@
 
  private:
   struct Units;
-  Units units_of(To to) const;
+  Units units_of(const Rule& rule) const;
   bool stays(const Rule& rule, const std::string& unit, const Units& units, Millis now);
   void forget(const std::map<std::string, fleet::SlotMap>& maps);
   fleet::SlotMap shaped(const Rule& rule, const fleet::SlotMap* standing, std::uint64_t epoch,
--- /dev/null
+++ b/src/node/desk.h
@@ -0,0 +1,54 @@
+// Where each open request is: with a pool, or waiting for its key's box; and what it has of the fleet. Owns
+// that book, and the order in which a request meets stand-ins, the fleet's gate and rules of affinity. It
+// must never choose a box, nor let go of what a request has of the fleet before it is over.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "node/facade.h"
+#include "node/fleet_gate.h"
+#include "node/pool.h"
+#include "node/traffic.h"
+
+namespace shorelead::node {
+
+class Desk {
+ public:
+  using Refuse = std::function<void(RequestId, Millis come_back, int status, const char* cause)>;
+
+  explicit Desk(Refuse refuse) : refuse_(std::move(refuse)) {}
+
+  void take(RequestId request, Ask ask, const Way& way, std::shared_ptr<const Message> message);
+  // One that waits for its key's box: asks again.
+  void again(RequestId request);
+  void body_whole(RequestId request, Millis due);
+  void gone(RequestId request);  // its client is
+  // It has its answer; what it has of the fleet is given back.
+  void close(RequestId request, FleetGate::End end);
+  std::uint64_t stood_in() const { return stood_in_; }  // requests taken by a pool that stands in for another
+
+ private:
+  struct Waits {
+    Ask ask;
+    std::shared_ptr<const Message> message;
+    int place = -1;
+  };
+  struct With {
+    std::shared_ptr<Pool> pool;
+    std::shared_ptr<FleetGate> gate;
+    FleetGate::Ticket ticket;
+    std::unique_ptr<Waits> waits{};
+  };
+
+  // As a rule of affinity says.
+  void go(RequestId request, const KeyGate::Said& said, Ask ask, std::shared_ptr<const Message> message);
+
+  const Refuse refuse_;
+  std::unordered_map<RequestId, With> with_;
+  std::uint64_t stood_in_ = 0;
+};
+
+}  // namespace shorelead::node
--- a/src/node/fleet_gate.cpp
+++ b/src/node/fleet_gate.cpp
@@ -49,7 +49,7 @@
 }  // namespace
 
 FleetGate::FleetGate(Loop& loop, const FleetConfig& fleet, const Config& config, const std::string& name,
-                     std::uint64_t seed)
+                     std::uint64_t seed, const std::function<void(RequestId)>& again)
     : loop_(loop),
       fleet_(fleet),
       names_(names_of(config)),
@@ -73,6 +73,10 @@
     spec.shapers.push_back(
         std::make_shared<plans::CutOffShaper>(order_.ranks(), plans::CutOffSettings(), seed));
   }
+  if (!fleet.affinity.empty()) {
+    keys_ = std::make_unique<KeyGate>(loop, fleet, port_, again);
+    spec.shapers.push_back(keys_->planner());
+  }
   control_ = std::make_unique<fleet::Control>(spec, channel_);
   bell_ = std::make_unique<net::Descriptor>(::dup(port_.wake_fd()));
   on_bell_ = std::make_unique<OnBell>([this] {
@@ -101,7 +105,7 @@
 void FleetGate::follow() {
   if (!port_.take_up()) return;
   // Slots are given up when nothing is under way in them; without rules of affinity nothing ever is.
-  port_.slots_quiet();
+  keys_ ? keys_->take_up() : port_.slots_quiet();
   if (const fleet::Snapshot* const now = port_.last()) spdlog::debug("fleet: epoch {} in force", now->epoch);
 }
 
@@ -130,7 +134,7 @@
 FleetGate::Verdict FleetGate::admit(const Words& words, Millis aim) {
   Verdict verdict;
   const Millis now = fleet::boot_now();
-  follow();
+  if (!keys_) follow();  // maps are made ready by the bell, not on a request's path
   // The same for a client's repeats, and spread over clients.
   const double coin = plans::coin_of(words.tenant, words.client, loop_.now());
   if (!fleet_.plans.empty()) {
@@ -214,6 +218,7 @@
       c.histories.get(), c.name_taken.get(), c.refused.get(), c.elections.get(), c.resigned.get(),
       c.plans.get(), c.held.get(), c.older.get(), c.calls.get(), c.calls_lost.get(), c.watches.get(),
       c.deaf.get(), c.unreadable.get());
+  if (keys_) keys_->log_counters();
   const fleet::Snapshot* const last = port_.last();
   for (std::size_t b = 0; b < fleet_.budgets.size(); ++b) {
     const std::string& name = fleet_.budgets[b].name;
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -16,6 +16,7 @@
 #include "fleet/control.h"
 #include "fleet/port.h"
 #include "node/fleet_rules.h"
+#include "node/key_gate.h"
 #include "node/net.h"
 #include "plans/admission.h"
 #include "plans/cutoff.h"
@@ -45,7 +46,7 @@
   static Names names_of(const Config& config);
 
   FleetGate(Loop& loop, const FleetConfig& fleet, const Config& config, const std::string& name,
-            std::uint64_t seed);
+            std::uint64_t seed, const std::function<void(RequestId)>& again);
   ~FleetGate();
   FleetGate(const FleetGate&) = delete;
   FleetGate& operator=(const FleetGate&) = delete;
@@ -76,8 +77,15 @@
     return fleet_.client.empty() ? std::string_view() : message.value(fleet_.client);
   }
 
-  void room(double share) { port_.room(share); }  // of the boxes' capacity, that is unused
-  void leave();                                   // gives back all; what is in use goes on
+  // Rules of affinity; null where there are none.
+  KeyGate* keys() { return keys_.get(); }
+  const std::string& plan_of(std::string_view tenant) const {
+    return order_.plans()[static_cast<std::size_t>(order_.plan_of(tenant))].name;
+  }
+
+  void room(double share) { port_.room(share); }         // of the boxes' capacity, that is unused
+  void leave();                                          // gives back all; what is in use goes on
+  bool bound() const { return keys_ && keys_->busy(); }  // requests have places, which end with it
   bool left() const { return !control_ || control_->left(); }
   void log_counters() const;
 
@@ -97,6 +105,7 @@
   plans::LocalShedder shedder_;
   fleet::CutOff cut_off_;
   std::vector<fleet::RankLoad> counted_;  // by rank: at the last second
+  std::unique_ptr<KeyGate> keys_;
   std::unique_ptr<fleet::Control> control_;
   std::unique_ptr<net::Descriptor> bell_;
   std::unique_ptr<net::Watch::Handler> on_bell_;
--- a/src/node/fleet_gates.cpp
+++ b/src/node/fleet_gates.cpp
@@ -31,12 +31,6 @@
 // before it lives until it has given all back.
 std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) const {
   if (!config.shared) return nullptr;
-  // Better not to serve than to serve without what `must` promises.
-  if (!config.shared->affinity.empty()) {
-    throw FieldError(
-        config.shared->affinity.front().place +
-        ": error: rules of affinity are checked and explained, but not yet carried out by a node");
-  }
   FleetGate::Names names = FleetGate::names_of(config);
   if (now != nullptr && now->gate && now->gate->serves(*config.shared, names)) return now->gate;
   std::string name = config.name;
@@ -44,20 +38,26 @@
   if (now != nullptr) name.append(".").append(std::to_string(now->number + 1));
   std::random_device entropy;
   return std::make_shared<FleetGate>(loop_, *config.shared, config, name,
-                                     (std::uint64_t{entropy()} << 32) ^ entropy());
+                                     (std::uint64_t{entropy()} << 32) ^ entropy(), again_);
 }
 
+// What the one before has under way in slots keeps its epoch, so it goes on as it is until that is over.
 void FleetGates::go_by(const Traffic& before, const Traffic& next) {
   if (before.gate && before.gate != next.gate) {
-    before.gate->leave();
     left_.push_back(before.gate);
     sweep();
   }
   bound_attempts(next);
+  if (next.gate && next.gate->keys() != nullptr) next.gate->keys()->watch(next.pools);
 }
 
 void FleetGates::sweep() {
   loop_.cancel(sweep_);
+  for (const auto& gate : left_) {
+    if (gate->bound()) continue;
+    if (gate->keys() != nullptr) gate->keys()->watch({});
+    gate->leave();
+  }
   std::erase_if(left_, [](const auto& gate) { return gate->left() && gate.use_count() == 1; });
   if (!left_.empty()) sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
 }
--- a/src/node/fleet_gates.h
+++ b/src/node/fleet_gates.h
@@ -3,6 +3,7 @@
 // with.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,7 +18,9 @@
 class FleetGates {
  public:
   // `beside`: another process of the same node lives, which has its name in the fleet.
-  FleetGates(Loop& loop, bool beside) : loop_(loop), beside_(beside) {}
+  // `again`: called for requests that wait for their keys' boxes, when it may be time to ask again.
+  FleetGates(Loop& loop, bool beside, std::function<void(RequestId)> again)
+      : loop_(loop), beside_(beside), again_(std::move(again)) {}
   ~FleetGates() { loop_.cancel(sweep_); }
   FleetGates(const FleetGates&) = delete;
   FleetGates& operator=(const FleetGates&) = delete;
@@ -32,6 +35,7 @@
 
   Loop& loop_;
   const bool beside_;
+  const std::function<void(RequestId)> again_;
   std::vector<std::shared_ptr<FleetGate>> left_;
   Loop::TimerId sweep_ = 0;
 };
--- /dev/null
+++ b/src/node/key_planner.h
@@ -0,0 +1,48 @@
+// The planner's side of affinity in this process: the shaper of maps, on the control's thread, and the list
+// of boxes that the traffic hands it. Owns the way of that list from one thread to the other and the figures
+// back; it must never lock, nor let a plan be shaped by a list that was never told.
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "affinity/shaper.h"
+#include "fleet/cells.h"
+#include "fleet/mailbox.h"
+
+namespace shorelead::node {
+
+struct KeyPlannerCells {
+  fleet::Cell<std::uint64_t> closed, opened, returned, held, waiting;
+};
+
+class KeyPlanner : public fleet::PlanShaper {
+ public:
+  explicit KeyPlanner(std::vector<affinity::Rule> rules)
+      : shaper_(std::move(rules), affinity::ShaperOptions()) {}
+
+  // The traffic's thread.
+  void put(std::vector<affinity::BoxSeen> boxes) { boxes_.put(std::move(boxes)); }
+  const KeyPlannerCells& cells() const { return cells_; }
+
+  // The control's.
+  void shape(fleet::Plan& next, const fleet::Plan* standing, const std::vector<fleet::Record>& records,
+             Millis now) override {
+    if (boxes_.take()) shaper_.see(*boxes_.current());
+    if (boxes_.current() == nullptr) return;
+    shaper_.shape(next, standing, records, now);
+    const affinity::ShaperCounters& c = shaper_.counters();
+    cells_.closed.set(c.closed);
+    cells_.opened.set(c.opened);
+    cells_.returned.set(c.returned);
+    cells_.held.set(c.held);
+    cells_.waiting.set(c.waiting);
+  }
+
+ private:
+  fleet::Mailbox<std::vector<affinity::BoxSeen>> boxes_;
+  affinity::Shaper shaper_;
+  KeyPlannerCells cells_;
+};
+
+}  // namespace shorelead::node
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -35,7 +35,10 @@
       place_(place),
       waits_(waits),
       room_(pools_, [this] { return most_streams(); }),
-      gates_(loop, place.legacy.has_value()),
+      desk_([this](RequestId request, Millis come_back, int status, const char* cause) {
+        front_->refuse(request, come_back, status, cause);
+      }),
+      gates_(loop, place.legacy.has_value(), [this](RequestId request) { desk_.again(request); }),
       started_(loop.now()) {
   flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
   const auto listed = [this](const std::string& id) {
@@ -53,21 +56,14 @@
       loop_, entry, traffic_,
       Front::Listener{
           [this](RequestId request, const Ask& ask, const Way& way, std::shared_ptr<const Message> message) {
-            take(request, ask, way, std::move(message));
+            desk_.take(request, ask, way, std::move(message));
           },
-          [this](RequestId request) {
-            if (const auto pool = close(request, FleetGate::End::kGone)) pool->gone(request);
-          },
-          [this] { return ready(); },
+          [this](RequestId request) { desk_.gone(request); }, [this] { return ready(); },
           [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
           [this] { return room_.make(limits::Purpose::kClient, *front_); },
-          [this](RequestId request, Millis due) {
-            const auto it = with_.find(request);
-            if (it != with_.end()) it->second.pool->body_whole(request, due);
-          },
-          flows_});
+          [this](RequestId request, Millis due) { desk_.body_whole(request, due); }, flows_});
   if (!place_.folder.empty()) {
     bans_->share(place_.bans());
   }
@@ -99,15 +95,15 @@
 std::shared_ptr<Pool> Server::make_pool(const PoolConfig& config, const Config& whole) {
   Pool::Host host;
   host.serve = [this](RequestId request, const Message& answer, const std::shared_ptr<net::Flow>& flow) {
-    close(request, FleetGate::End::kServed);
+    desk_.close(request, FleetGate::End::kServed);
     front_->serve(request, answer, flow);
   };
   host.refuse = [this](RequestId request, Millis wait) {
-    close(request, FleetGate::End::kFailed);
+    desk_.close(request, FleetGate::End::kFailed);
     front_->refuse(request, wait);
   };
   host.fail = [this](RequestId request, int status) {
-    close(request, FleetGate::End::kFailed);
+    desk_.close(request, FleetGate::End::kFailed);
     front_->fail(request, status);
   };
   host.make_room = [this](limits::Purpose purpose) { return room_.make(purpose, *front_); };
@@ -216,41 +212,6 @@
   });
 }
 
-void Server::take(RequestId request, Ask ask, const Way& way, std::shared_ptr<const Message> message) {
-  const Traffic& traffic = *way.traffic;
-  // A client's repeat of a keyed request stays where its key may be known.
-  const auto& request_class = traffic.classes[static_cast<std::size_t>(way.request_class)];
-  const bool bound = ask.client_retry && request_class.effect == Effect::kKeyed;
-  const int to = bound ? way.pool : routing::standing_in(traffic.fallbacks, way.pool, [&traffic](int n) {
-    return traffic.pools[static_cast<std::size_t>(n)]->anybody_ready();
-  });
-  if (to != way.pool) ++stood_in_;
-  const auto n = static_cast<std::size_t>(to);
-  FleetGate::Ticket ticket;
-  if (traffic.gate) {
-    FleetGate& gate = *traffic.gate;
-    gate.room(traffic.pools[n]->room());
-    const auto said = gate.admit({to, way.route, way.request_class, message->value("x-tenant-id"),
-                                  gate.client_of(*message), traffic.pools[n]->most_advice()},
-                                 request_class.aim);
-    if (said.refused != 0) return front_->refuse(request, said.come_back, said.refused, said.cause);
-    ticket = said.ticket;
-  }
-  ask.request_class = traffic.class_in_pool[n][static_cast<std::size_t>(way.request_class)];
-  const std::shared_ptr<Pool> pool = traffic.pools[n];
-  with_[request] = {pool, traffic.gate, ticket};
-  pool->request(request, ask, std::move(message));
-}
-
-std::shared_ptr<Pool> Server::close(RequestId request, FleetGate::End end) {
-  const auto it = with_.find(request);
-  if (it == with_.end()) return nullptr;
-  const With with = std::move(it->second);
-  with_.erase(it);
-  if (with.gate) with.gate->ended(with.ticket, end);
-  return with.pool;
-}
-
 // The node's, not this process's alone: replaced, it speaks for the one that serves.
 bool Server::ready() const {
   if (replaced_) return true;
@@ -501,7 +462,8 @@
       "counters: up_s={:.1f} taken={} served={} refused={} failed={} client_gone={} left_early={} "
       "malformed={} reloads={} bad_reloads={} generation={} pools={} stood_in={}",
       (now - started_) / 1000, all.taken(), all.passed, all.dropped, all.bad_gateway, all.left,
-      front.left_early, front.malformed, reloads_, bad_reloads_, traffic_->number, pools_.size(), stood_in_);
+      front.left_early, front.malformed, reloads_, bad_reloads_, traffic_->number, pools_.size(),
+      desk_.stood_in());
   spdlog::info("counters: answers {}", listed(front.by_status, status));
   if (traffic_->gate) traffic_->gate->log_counters();
   for (const auto& pool : pools_) {
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "handover/handover.h"
@@ -16,6 +15,7 @@
 #include "node/ban_keeper.h"
 #include "node/config.h"
 #include "node/descriptor_room.h"
+#include "node/desk.h"
 #include "node/door.h"
 #include "node/fleet_gates.h"
 #include "node/front.h"
@@ -78,8 +78,6 @@
   Pending make_traffic(const Config& config);
   void put_in_force();  // what is pending, if it is time
   void sweep_pools();
-  void take(RequestId request, Ask ask, const Way& way, std::shared_ptr<const Message> message);
-  std::shared_ptr<Pool> close(RequestId request, FleetGate::End end);
   bool ready() const;
   bool could_serve() const;
   bool two_run() const;
@@ -106,14 +104,8 @@
   std::shared_ptr<const Traffic> traffic_;  // in force
   std::optional<Pending> pending_;
   std::shared_ptr<net::FlowBudget> flows_;  // memory for bodies that are not kept whole
-  // Where an open request is, and what it has of the fleet.
-  struct With {
-    std::shared_ptr<Pool> pool;
-    std::shared_ptr<FleetGate> gate;
-    FleetGate::Ticket ticket;
-  };
-  std::unordered_map<RequestId, With> with_;
   DescriptorRoom room_;
+  Desk desk_;
   FleetGates gates_;
   std::unique_ptr<Front> front_;
   std::unique_ptr<BanKeeper> bans_;
@@ -128,7 +120,6 @@
   Loop::TimerId sweep_ = 0;
   Millis started_ = 0;
   // counters
-  std::uint64_t stood_in_ = 0;  // requests taken by a pool that stands in for another
   std::uint64_t reloads_ = 0;
   std::uint64_t bad_reloads_ = 0;
   std::uint64_t written_by_ended_ = 0;  // attempts of pools that have ended
--- a/src/node/shore_affinity.cpp
+++ b/src/node/shore_affinity.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
+#include <set>
 
 #include "affinity/condition.h"
 #include "node/shore_words.h"
@@ -55,8 +57,59 @@
   return "\n    " + text + "\n    " + std::string(parsed.column - 1, ' ') + "^";
 }
 
+bool may_take(const affinity::Rule& rule, affinity::Subject subject, const std::string& value,
+              const affinity::Universe& universe) {
+  return affinity::can_hold(affinity::all({affinity::is(subject, value), rule.when}), universe) !=
+         affinity::Can::kNo;
+}
+
+// The pools that a rule's requests can go to by themselves, by place.
+std::set<std::size_t> pools_of_rule(const affinity::Rule& rule, const Config& config,
+                                    const affinity::Universe& universe) {
+  std::set<std::size_t> pools;
+  if (!config.routes) return {0};
+  for (const routing::Route& route : config.routes->routes) {
+    if (!may_take(rule, affinity::Subject::kRoute, route.name, universe)) continue;
+    if (route.arms.empty()) pools.insert(0);
+    for (const routing::Arm& arm : route.arms) pools.insert(static_cast<std::size_t>(arm.pool));
+  }
+  return pools;
+}
+
+// One key has one box, so a rule's requests have one pool; and who has to find that box has to see all.
+void find_pool(affinity::Rule& rule, const Config& config, const affinity::Universe& universe) {
+  const std::set<std::size_t> pools = pools_of_rule(rule, config, universe);
+  const auto refuse = [&rule](const std::string& cause) {
+    throw FieldError(rule.place + ": error: affinity " + rule.name + ": " + cause);
+  };
+  if (pools.size() > 1) {
+    refuse("it takes requests of the pools " + config.pools[*pools.begin()].name + " and " +
+           config.pools[*std::next(pools.begin())].name +
+           ", and a key has one box: say in its condition which route it is for");
+  }
+  if (pools.empty() || config.pools.empty()) return;
+  const PoolConfig& pool = config.pools[*pools.begin()];
+  rule.pool = pool.name;
+  if (rule.must && pool.fleet.subset) {
+    refuse("pool " + pool.name + " shows this node a part of its boxes, and `must` needs them all");
+  }
+}
+
 }  // namespace
 
+Millis longest_bound(const std::vector<affinity::Rule>& rules, const Config& config,
+                     const FleetConfig& fleet) {
+  const affinity::Universe universe = universe_of(config, fleet);
+  Millis longest = 0;
+  for (const affinity::Rule& rule : rules) {
+    for (std::size_t n = 0; rule.must && n < config.settings.classes.size(); ++n) {
+      if (!may_take(rule, affinity::Subject::kClass, config.host.classes[n], universe)) continue;
+      longest = std::max(longest, config.settings.classes[n].deadline);
+    }
+  }
+  return longest;
+}
+
 affinity::Universe universe_of(const Config& config, const FleetConfig& fleet) {
   affinity::Universe universe;
   std::vector<double> worths;
@@ -120,6 +173,7 @@
     wrong.append("\n  ").append(other.place).append(": here is affinity ").append(other.name);
   }
   if (!wrong.empty()) throw FieldError(wrong);
+  for (affinity::Rule& rule : rules) find_pool(rule, config, universe);
   return affinity::completed(std::move(rules), universe);
 }
 
--- a/src/node/shore_affinity.h
+++ b/src/node/shore_affinity.h
@@ -13,6 +13,9 @@
 std::vector<affinity::Rule> affinity_of(const language::Document& document, const Config& config,
                                         const FleetConfig& fleet);
 
+// How long what `must` rules bind can be under way, whatever becomes of who sent it.
+Millis longest_bound(const std::vector<affinity::Rule>& rules, const Config& config,
+                     const FleetConfig& fleet);
 // What the rules are held against.
 affinity::Universe universe_of(const Config& config, const FleetConfig& fleet);
 
--- a/src/node/shore_fleet.cpp
+++ b/src/node/shore_fleet.cpp
@@ -88,6 +88,7 @@
     if (budget.kind == fleet::BudgetKind::kAtOnce) budget.hold = longest_wait(budget, config);
   }
   fleet.affinity = affinity_of(document, config, fleet);
+  fleet.sharing.longest = longest_bound(fleet.affinity, config, fleet);
   return fleet;
 }
 
--- /dev/null
+++ b/tests/affinity/bindings_test.cpp
@@ -0,0 +1,202 @@
+// From a request's arrival to the end of what was sent for it, over random histories of snapshots, requests,
+// endings and time; and the few rules that stand beside, by example.
+#include "affinity/bindings.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "base/random.h"
+
+namespace shorelead::affinity {
+namespace {
+
+constexpr std::size_t kSlots = 4;
+constexpr int kMost = 3;
+constexpr Millis kFinish = 100;
+constexpr Millis kWait = 60;
+
+Rule a_rule() {
+  Rule rule;
+  rule.name = "keys";
+  rule.must = true;
+  rule.slots = kSlots;
+  rule.finish = kFinish;
+  rule.wait = kWait;
+  return rule;
+}
+
+// A host of one process, which holds what it is told against what it knows itself.
+struct World {
+  explicit World(std::uint64_t seed) : random(seed), bindings({a_rule()}, kMost) {
+    snapshot.incarnation = 1;
+    fleet::SlotMap& map = snapshot.affinity[map_name(a_rule())];
+    for (std::size_t n = 0; n < kSlots; ++n) map.slots.push_back({n % 2 == 0 ? "a" : "b", true, "", 1});
+    bindings.take_up(snapshot, now);
+  }
+
+  std::vector<fleet::Slot>& slots() { return snapshot.affinity.begin()->second.slots; }
+  std::uint64_t key(std::size_t slot) { return std::uint64_t{slot} << 62; }
+  bool open(std::size_t slot, const std::string& box) {
+    return slots()[slot].open && slots()[slot].box == box;
+  }
+  Bindings::Look look() {
+    return [this](To, const std::string& box) -> std::optional<Standing> {
+      if (unknown.count(box) > 0) return std::nullopt;
+      return draining.count(box) > 0 ? Standing::kDraining : Standing::kReady;
+    };
+  }
+
+  struct Sent {
+    std::size_t slot;
+    std::string box;
+    std::uint64_t incarnation;
+    Millis closed_at;
+  };
+  void told(std::size_t slot, const Bindings::Said& said) {
+    if (said.go == Go::kOnly) {
+      RC_ASSERT(valid);
+      RC_ASSERT(open(slot, *said.unit));
+      RC_ASSERT(draining.count(*said.unit) == 0U && unknown.count(*said.unit) == 0U);
+      RC_ASSERT(sent.emplace(said.place, Sent{slot, *said.unit, snapshot.incarnation, -1}).second);
+    } else {
+      RC_ASSERT(said.go == Go::kRefuse);
+      RC_ASSERT(said.unit == nullptr);
+    }
+  }
+  void arrive() {
+    const std::size_t slot = random.below(kSlots);
+    ++came;
+    const auto said = bindings.arrive(came, {0, true, key(slot)}, valid, now + 50, now, look());
+    if (said.go != Go::kWait) return told(slot, said);
+    RC_ASSERT(waiting.size() < std::size_t{kMost});
+    waiting[said.place] = {slot, now};
+  }
+  void ask_again() {
+    const std::vector<int> all = bindings.waiting();
+    RC_ASSERT(all.size() == waiting.size());
+    for (const int place : all) {
+      const auto [slot, since] = waiting.at(place);
+      const auto said = bindings.again(place, valid, now, look());
+      if (said.go == Go::kWait) {
+        RC_ASSERT(now - since < 50);  // its client's time is sooner than the rule's
+        continue;
+      }
+      waiting.erase(place);
+      told(slot, said);
+    }
+  }
+  void take_up() {
+    for (auto& [place, one] : sent) {
+      if (one.incarnation == snapshot.incarnation && open(one.slot, one.box)) {
+        if (off.count(place) == 0) one.closed_at = -1;
+      } else if (one.closed_at < 0) {
+        one.closed_at = now;
+      }
+    }
+    bindings.take_up(snapshot, now);
+  }
+  void call_off() {
+    for (const int place : bindings.call_off(valid, now, look())) {
+      const Sent& one = sent.at(place);
+      RC_ASSERT(off.insert(place).second);
+      const bool lost = !valid || one.incarnation != snapshot.incarnation;
+      RC_ASSERT(lost || (one.closed_at >= 0 && now - one.closed_at >= kFinish));
+    }
+    for (const auto& [place, one] : sent) {
+      const bool lost = !valid || one.incarnation != snapshot.incarnation;
+      if (lost || (one.closed_at >= 0 && now - one.closed_at >= kFinish)) RC_ASSERT(off.count(place) == 1U);
+    }
+  }
+  void end_one() {
+    if (sent.empty()) return;
+    auto it = sent.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(random.below(sent.size())));
+    off.erase(it->first);
+    bindings.over(it->first);
+    sent.erase(it);
+  }
+  void check() {
+    bool quiet = true;
+    for (const auto& [place, one] : sent) {
+      const bool its = one.incarnation == snapshot.incarnation && open(one.slot, one.box);
+      quiet = quiet && its && one.closed_at < 0;
+      RC_ASSERT(bindings.may_send(place, valid) == (valid && its && off.count(place) == 0));
+    }
+    RC_ASSERT(bindings.quiet() == quiet);
+    RC_ASSERT(bindings.busy() == !(sent.empty() && waiting.empty()));
+  }
+  void change() {
+    fleet::Slot& slot = slots()[random.below(kSlots)];
+    if (slot.open) {
+      slot.open = false;
+    } else if (bindings.quiet()) {  // as the plan has it: not before every process has said so
+      slot = {random.below(2) == 0 ? "a" : "b", true, "", 1};
+    }
+    if (random.below(8) == 0) ++snapshot.incarnation;
+    take_up();
+  }
+  void step() {
+    now += static_cast<Millis>(random.below(20));
+    const std::string box = random.below(2) == 0 ? "a" : "b";
+    switch (random.below(10)) {
+      case 0:
+        change();
+        break;
+      case 1:
+        valid = !valid;
+        break;
+      case 2:
+        draining.erase(box) == 0 ? (void)draining.insert(box) : (void)0;
+        break;
+      case 3:
+        unknown.erase(box) == 0 ? (void)unknown.insert(box) : (void)0;
+        break;
+      case 4:
+        end_one();
+        break;
+      case 5:
+        ask_again();
+        break;
+      case 6:
+        call_off();
+        break;
+      default:
+        arrive();
+        break;
+    }
+    check();
+  }
+
+  Random random;
+  Bindings bindings;
+  fleet::Snapshot snapshot;
+  std::set<std::string> draining, unknown;
+  bool valid = true;
+  Millis now = 1000;
+  std::uint32_t came = 0;
+  std::map<int, Sent> sent;
+  std::set<int> off;
+  std::map<int, std::pair<std::size_t, Millis>> waiting;
+};
+
+RC_GTEST_PROP(Bindings, NothingGoesWhereASlotIsNotOpenAndNoneIsQuietTooSoon, (std::uint64_t seed)) {
+  World world(seed);
+  for (int n = 0; n < 300; ++n) world.step();
+  // All end in the end, and every request is accounted for.
+  while (!world.sent.empty()) world.end_one();
+  world.now += kWait;
+  world.ask_again();
+  while (!world.sent.empty()) world.end_one();
+  world.check();
+  RC_ASSERT(world.bindings.quiet());
+  std::uint64_t sum = 0;
+  for (const std::uint64_t count : world.bindings.counters(0).by) sum += count;
+  RC_ASSERT(sum == world.came);
+}
+
+}  // namespace
+}  // namespace shorelead::affinity
--- /dev/null
+++ b/tests/keys_node_test.cpp
@@ -0,0 +1,225 @@
+// Whole nodes that keep keys at boxes: two processes' servers before the stand-in registry and boxes that
+// answer with their names. What is waited for is a state, never a time.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "fleet/fleet_bench.h"
+#include "node/server.h"
+#include "node/shore.h"
+#include "peer.h"
+
+namespace shorelead::node {
+namespace {
+
+// What each key met, in the order in which boxes had it; a box that it meets again stands twice.
+class Book {
+ public:
+  void met(const std::string& key, const std::string& box) {
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string>& all = met_[key];
+    if (all.empty() || all.back() != box) all.push_back(box);
+  }
+  std::map<std::string, std::vector<std::string>> all() {
+    const std::lock_guard lock(mutex_);
+    return met_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::string, std::vector<std::string>> met_;
+};
+
+class Box {
+ public:
+  Box(std::string name, Book& book) : name(std::move(name)), book_(book), thread_([this] { serve(); }) {}
+  ~Box() {
+    peer.stop();
+    thread_.join();
+    for (std::thread& one : connections_) one.join();
+  }
+
+  const std::string name;
+  Peer peer;
+
+ private:
+  void serve() {
+    while (auto line = peer.accept_until_stopped()) {
+      connections_.emplace_back([this, line = std::make_shared<Line>(std::move(*line))] {
+        for (std::string asked = line->request(); !asked.empty(); asked = line->request()) {
+          const std::size_t at = asked.find("X-Basket: ");
+          if (at != std::string::npos) book_.met(asked.substr(at + 10, 2), name);
+          line->write("HTTP/1.1 200 OK\r\nX-Box: " + name + "\r\nContent-Length: 0\r\n\r\n");
+        }
+      });
+    }
+  }
+
+  Book& book_;
+  std::vector<std::thread> connections_;
+  std::thread thread_;
+};
+
+struct Fleet {
+  Fleet() {
+    for (const char* const name : {"a", "b", "c", "d"}) boxes.push_back(std::make_unique<Box>(name, book));
+  }
+
+  Config config_of(const std::string& name) {
+    std::string text =
+        "node " + name +
+        " { listen 127.0.0.1:1; seed 1f; sockets 256 }\n"
+        "class look { effect safe; aim 500 ms; give_up 1 s }\n"
+        "class rather { effect safe; aim 500 ms; give_up 1 s }\n"
+        "shared usual { probing no; attempts 3; connect_within 500 ms; idle 60 s; advise_wait 600 ms\n"
+        "  cold { share 100 %; warm_up 1 s; fall_multiple 3; fall_span 1 s } }\n"
+        "pool main { use usual;";
+    for (const auto& box : boxes) text += " box " + box->name + " { dial " + box->peer.dial() + " }";
+    text +=
+        " }\n"
+        "route looks { path /look/*; class look; pool main }\n"
+        "route rathers { path /rather/*; class rather; pool main }\n"
+        "fleet { store 127.0.0.1:1; prefix \"/fleet/\"; processes 4; lease 1 s }\n"
+        "affinity baskets { when \"class = look\"; key header X-Basket; to box; must yes; slots 64 }\n"
+        "affinity others { when \"class = rather\"; key header X-Basket; to box; must no; slots 64 }\n";
+    language::Reader reader;
+    reader.read = [&text](const std::string&) { return std::optional(text); };
+    reader.glob = [](const std::string& path) { return std::vector{path}; };
+    Config config = load_shore("t.shore", {}, reader);
+    config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+    config.shared->store = store.spec().endpoints;
+    config.shared->sharing.plan_every = 50;
+    config.shared->sharing.margin = 20;
+    for (PoolConfig& pool : config.pools) {
+      pool.host.settle = 0;
+      for (ListedBackend& box : pool.known.backends) box.health = draining == box.host ? "draining" : "ready";
+    }
+    return config;
+  }
+
+  Book book;
+  std::vector<std::unique_ptr<Box>> boxes;
+  fleet::StandIn store;
+  std::string draining;
+};
+
+class Node {
+ public:
+  Node(Fleet& fleet, const std::string& name) : fleet_(fleet), name_(name), config_(fleet.config_of(name)) {
+    loop_ = std::make_unique<Loop>();
+    server_ = std::make_unique<Server>(*loop_, config_);
+    loop_->on_signals([this](int) {
+      server_->reload([this] { return fleet_.config_of(name_); });
+      ++reloads_;
+    });
+    port_ = server_->port();
+    thread_ = std::thread([this] { loop_->run(); });
+  }
+  ~Node() {
+    loop_->stop();
+    thread_.join();
+    server_.reset();
+  }
+  void reload() {
+    const int before = reloads_;
+    ::pthread_kill(thread_.native_handle(), SIGHUP);
+    while (reloads_ == before) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+
+  // The box that answered, or the status where none did.
+  std::string ask(const std::string& path, const std::string& key) const {
+    static int last = 0;
+    Line line = Line::connect(port_);
+    line.write("GET " + path + " HTTP/1.1\r\nHost: x\r\nX-Request-ID: r" + std::to_string(++last) +
+               "\r\nX-Basket: " + key + "\r\nConnection: close\r\n\r\n");
+    const std::string answer = line.answer();
+    const std::size_t at = answer.find("X-Box: ");
+    return at == std::string::npos ? answer.substr(9, 3) : answer.substr(at + 7, 1);
+  }
+
+ private:
+  Fleet& fleet_;
+  const std::string name_;
+  const Config config_;
+  std::unique_ptr<Loop> loop_;
+  std::unique_ptr<Server> server_;
+  unsigned short port_ = 0;
+  std::atomic<int> reloads_ = 0;
+  std::thread thread_;
+};
+
+std::vector<std::string> keys() {
+  std::vector<std::string> keys;
+  for (int n = 10; n < 34; ++n) keys.push_back(std::to_string(n));
+  return keys;
+}
+
+// Where every key of a rule is, once all of them are somewhere.
+std::map<std::string, std::string> whole_map(const Node& node, const std::string& path = "/look/1") {
+  std::map<std::string, std::string> map;
+  while (map.size() < keys().size()) {
+    for (const std::string& key : keys()) {
+      const std::string at = node.ask(path, key);
+      if (at.size() == 1) map[key] = at;
+    }
+  }
+  return map;
+}
+
+template <typename Until>
+void wait_for(const Until& until) {
+  while (!until()) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+}
+
+TEST(KeysNode, AKeyHasOneBoxWhicheverProcessIsAskedThroughARestartADrainAndAStoreThatIsAway) {
+  Fleet fleet;
+  auto one = std::make_unique<Node>(fleet, "one");
+  Node two(fleet, "two");
+  const auto map = whole_map(*one);
+  EXPECT_EQ(whole_map(two), map);
+  std::set<std::string> in_use;
+  for (const auto& [key, box] : map) in_use.insert(box);
+  EXPECT_EQ(in_use.size(), fleet.boxes.size());
+
+  // A process that comes anew moves no key.
+  one.reset();
+  EXPECT_EQ(whole_map(two), map);
+  one = std::make_unique<Node>(fleet, "one");
+  EXPECT_EQ(whole_map(*one), map);
+
+  // One box drains: its keys move, no other does, and none ever comes back.
+  fleet.draining = "b";
+  one->reload();
+  two.reload();
+  std::map<std::string, std::string> moved;
+  wait_for([&] {
+    moved = whole_map(*one);
+    return std::none_of(moved.begin(), moved.end(), [](const auto& at) { return at.second == "b"; });
+  });
+  EXPECT_EQ(whole_map(two), moved);
+  for (const auto& [key, box] : map) {
+    if (box != "b") {
+      EXPECT_EQ(moved[key], box);
+    }
+  }
+  for (const auto& [key, met] : fleet.book.all()) EXPECT_LE(met.size(), map.at(key) == "b" ? 2U : 1U) << key;
+
+  // Without the store a key has no box once the lease has run out; who would only rather have one goes on.
+  fleet.store.with([](lab::EtcdServer& server) { server.down(true); });
+  wait_for([&] { return two.ask("/look/1", "10") == "503"; });
+  for (const std::string& key : keys()) {
+    EXPECT_EQ(two.ask("/look/1", key), "503");
+    EXPECT_EQ(two.ask("/rather/1", key).size(), 1U);
+  }
+  fleet.store.with([](lab::EtcdServer& server) { server.down(false); });
+  EXPECT_EQ(whole_map(two), moved);
+}
+
+}  // namespace
+}  // namespace shorelead::node
