Server and facade in parts; a must request is looked at again before its write

Of rules of affinity, found on reading: - A process that stood still between a decision and its write could write past its lease: Upstream asks just before the write, with the clock read then (request_head.cpp out of upstream.cpp, which has not grown). - A process that ended left its record to the lease, so its slots could not move and its name could not join again: it gives all back at its end, for 0.3 s at most. - A process that begins refused `must` until its first plan: it is not ready before, for two leases at most. - After a reload that changes what is shared, a client's repeat went by the former gate, which had left: it stays for as long as anything may come by it, 30 s at most. - The planner heard of a changed list after up to 250 ms: after 50 ms, and of the whole list only where it changed. - BoxSeen's new member stood in the middle, where tests name them by place; now it is the last.

keys_node 1, pools 13, node 20, facade 21, handover 5 tests pass.

--- a/src/affinity/shaper.h
+++ b/src/affinity/shaper.h
@@ -34,10 +34,10 @@
 // A box in the planner's list, those that drain too.
 struct BoxSeen {
   std::string name, cell, zone;
-  std::string pool{};
   double weight = 1;  // its ALBL share, in any measure; 0 or less: no slots
   double warm = 1;    // share of its capacity that it has now, 0 to 1
   bool draining = false;
+  std::string pool{};  // empty: of any rule's
 };
 
 struct ShaperOptions {
--- /dev/null
+++ b/src/node/departure.h
@@ -0,0 +1,50 @@
+// How a process lets go of its clients: drained by hand, replaced by another process of its node, or ending.
+// Owns the drain's state and the order of an end: it must never end without having answered what it had
+// taken, nor make an end wait for the store.
+#pragma once
+
+#include <functional>
+
+#include "manage/drain.h"
+#include "node/front.h"
+#include "node/net.h"
+
+namespace shorelead::node {
+
+class Departure {
+ public:
+  struct Host {
+    std::function<Front&()> front;
+    std::function<std::size_t()> open_requests;
+    // Gives back what is shared with other processes; whether that is done.
+    std::function<bool()> give_back;
+  };
+
+  // `accept_on`: after the word to end clients go on coming for so long.
+  Departure(Loop& loop, Millis accept_on, Host host)
+      : loop_(loop), accept_on_(accept_on), host_(std::move(host)) {}
+  ~Departure() { loop_.cancel(drain_at_); }
+  Departure(const Departure&) = delete;
+  Departure& operator=(const Departure&) = delete;
+
+  bool serving() const { return drain_.serving(); }
+  bool leaving() const { return drain_.leaving(); }
+  void drain();
+  bool resume();  // false: it is about to end
+  void replaced();
+  // `longest`: what is under way may take so long. `replaced`: nobody comes here any more.
+  void shut_down(Millis longest, bool replaced);
+
+ private:
+  void let_go();  // as the drain's state says, now and when it changes
+  void leave_when_empty(Millis until);
+  void end(Millis until);
+
+  Loop& loop_;
+  const Millis accept_on_;
+  const Host host_;
+  manage::Drain drain_;
+  Loop::TimerId drain_at_ = 0;
+};
+
+}  // namespace shorelead::node
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -13,15 +13,17 @@
 // Of a request whose body is still coming.
 constexpr Millis kNotDue = 1e15;
 
+template <typename Ended>
+void take_report(const LoadReport* load, Ended& event) {
+  event.has_report = load != nullptr;
+  if (load != nullptr) event.report = *load;
+}
+
 }  // namespace
 
 Facade::Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed,
                const FleetOptions& fleet)
-    : settings_(settings),
-      class_names_(host.classes),
-      policy_(settings, seed),
-      roster_(host, fleet),
-      requests_(roster_) {}
+    : classes_(settings, host), policy_(settings, seed), roster_(host, fleet), requests_(roster_) {}
 
 void Facade::start(const List& known, Millis now) {
   feed(Started{}, now);
@@ -29,39 +31,19 @@
 }
 
 std::vector<int> Facade::adopt(const Settings& settings, const HostSettings& host, Millis now) {
-  Settings next = settings;
-  next.classes = settings_.classes;
-  std::vector<int> numbers;
-  for (std::size_t n = 0; n < settings.classes.size(); ++n) {
-    std::size_t at = 0;
-    while (at < next.classes.size() &&
-           (class_names_[at] != host.classes[n] || !(next.classes[at] == settings.classes[n])))
-      ++at;
-    if (at == next.classes.size()) {
-      next.classes.push_back(settings.classes[n]);
-      class_names_.push_back(host.classes[n]);
-    }
-    numbers.push_back(static_cast<int>(at));
-  }
-  settings_ = next;
-  feed(SettingsChanged{next}, now);
+  std::vector<int> numbers = classes_.adopt(settings, host);
+  feed(SettingsChanged{classes_.settings()}, now);
   return numbers;
 }
 
 Choice Facade::pick(RequestId request, const Ask& ask, Millis now) {
   requests_.begin(request, {.due = ask.body_comes ? kNotDue : ask.due,
-                            .most_attempts = settings_.max_attempts,
+                            .most_attempts = classes_.settings().max_attempts,
                             .home = ask.home,
                             .hold = ask.hold});
-  RequestArrived event;
-  event.request = request;
-  event.request_class = ask.request_class;
-  event.tenant = ask.tenant;
-  event.due = ask.due;
-  event.expected_work = ask.expected_work;
-  event.client_retry = ask.client_retry;
-  event.home = ask.home;
-  feed(event, now);
+  feed(RequestArrived{request, ask.request_class, ask.tenant, ask.due, ask.expected_work, ask.client_retry, 0,
+                      ask.home},
+       now);
   return take(request, Choice::Kind::kHold);
 }
 
@@ -76,8 +58,7 @@
   event.attempt = attempt;
   event.outcome = outcome_of(ending);
   event.elapsed = elapsed;
-  event.has_report = load != nullptr;
-  if (load != nullptr) event.report = *load;
+  take_report(load, event);
   const bool pass = event.outcome == Outcome::kServed && !open.over;
   open.over = open.over || pass;
   event.request_over = open.over;
@@ -96,8 +77,7 @@
   event.backend = backend;
   event.outcome = outcome_of(ending);
   event.elapsed = elapsed;
-  event.has_report = load != nullptr;
-  if (load != nullptr) event.report = *load;
+  take_report(load, event);
   roster_.heard(backend, event.outcome);
   feed(event, now);
 }
@@ -106,26 +86,21 @@
   const ListKind kind = source == ListSource::kStored ? ListKind::kStored
                         : list.whole                  ? ListKind::kFull
                                                       : ListKind::kDelta;
-  auto told = roster_.take(list, kind, now);
-  std::vector<BackendId> unwanted;
-  if (told) unwanted = tell(*told, now);
+  const auto told = roster_.take(list, kind, now);
+  if (told) feed(told->update, now);
   if (wake_) wake_();  // a part may have to be drawn
-  return unwanted;
-}
-
-std::vector<BackendId> Facade::tell(const Roster::Told& told, Millis now) {
-  feed(told.update, now);
-  return told.unwanted;
+  return told ? told->unwanted : std::vector<BackendId>();
 }
 
 std::vector<BackendId> Facade::report_bans(const manage::BanSet& bans, Millis now) {
   const auto told = roster_.take(bans);
-  return told ? tell(*told, now) : std::vector<BackendId>();
+  if (told) feed(told->update, now);
+  return told ? told->unwanted : std::vector<BackendId>();
 }
 
 void Facade::report_watch_ended(Millis now) {
   // Where lists come by themselves the module never asked, and the host alone sees to the watch.
-  if (!settings_.list_on_request) return;
+  if (!classes_.settings().list_on_request) return;
   feed(ListUpdate{ListKind::kFailed, {}}, now);
 }
 
@@ -164,16 +139,16 @@
   }
   if (roster_.draw_at() > 0 && now >= roster_.draw_at()) {
     if (const auto told = roster_.draw(now)) {
-      const std::vector<BackendId> unwanted = tell(*told, now);
-      errands_.unwanted.insert(errands_.unwanted.end(), unwanted.begin(), unwanted.end());
+      feed(told->update, now);
+      errands_.unwanted.insert(errands_.unwanted.end(), told->unwanted.begin(), told->unwanted.end());
     }
   }
   Errands due = std::exchange(errands_, {});
   Millis timer = timers_.empty() ? 0 : timers_.begin()->first;
-  const Millis draw_at = roster_.draw_at();
-  if (draw_at > 0) timer = timer > 0 ? std::min(timer, draw_at) : draw_at;
-  const Millis deadline = requests_.next();
-  due.next = timer > 0 && deadline > 0 ? std::min(timer, deadline) : std::max(timer, deadline);
+  for (const Millis other : {roster_.draw_at(), requests_.next()}) {
+    if (other > 0) timer = timer > 0 ? std::min(timer, other) : other;
+  }
+  due.next = timer;
   return due;
 }
 
@@ -188,26 +163,15 @@
 
 void Facade::handle(const Event& event, Millis now) {
   std::vector<Action> actions;
-  if (further_.left) {
-    const double left = further_.left();
-    if (left != told_left_) policy_.handle(FurtherAllowed{told_left_ = left}, now, actions);
-  }
+  if (const auto left = further_.news()) policy_.handle(*left, now, actions);
   policy_.handle(event, now, actions);
-  const auto* const ended = std::get_if<AttemptEnded>(&event);
-  if (further_.made && ended != nullptr && ended->outcome != Outcome::kServed && !ended->request_over &&
-      told_left_ < 1) {
-    const auto sends = [](const Action& action) { return std::holds_alternative<SendAttempt>(action); };
-    if (std::none_of(actions.begin(), actions.end(), sends)) further_.made();  // it is counted as wanted
-  }
+  further_.after(event, actions);
   for (const Action& action : actions) perform(action, now);
 }
 
 void Facade::bound_attempts(Further further, Millis now) {
-  further_ = std::move(further);
-  if (further_.left) return;
-  told_left_ = std::numeric_limits<double>::infinity();
   std::vector<Action> none;
-  policy_.handle(FurtherAllowed{told_left_}, now, none);
+  if (const auto left = further_.set(std::move(further))) policy_.handle(*left, now, none);
 }
 
 void Facade::perform(const Action& action, Millis now) {
@@ -249,17 +213,12 @@
   open.attempts.push_back(send.backend);
   roster_.use(send.backend);
   if (open.over || choice.until <= now || choice.attempt >= open.most_attempts || !open.hold.may_send()) {
-    AttemptEnded ended;
-    ended.request = send.request;
-    ended.backend = send.backend;
-    ended.attempt = choice.attempt;
-    ended.outcome = outcome_of(Ending::kNotSent);
-    ended.request_over = open.over;
-    unsent_.emplace_back(ended);
+    unsent_.emplace_back(AttemptEnded{
+        send.request, send.backend, choice.attempt, outcome_of(Ending::kNotSent), 0, open.over, false, {}});
     return;
   }
   open.out += 1;
-  if (choice.attempt > 0 && further_.made) further_.made();
+  if (choice.attempt > 0) further_.made();
   errands_.choices.push_back(choice);
 }
 
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -4,13 +4,14 @@
 #pragma once
 
 #include <functional>
-#include <limits>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "estimate/room.h"
+#include "node/class_numbers.h"
+#include "node/further.h"
 #include "node/net.h"
 #include "node/open_requests.h"
 #include "node/roster.h"
@@ -85,18 +86,15 @@
   std::vector<BackendId> report_bans(const manage::BanSet& bans, Millis now);
   void report_watch_ended(Millis now);
   void body_whole(RequestId request, Millis due);
+  // Whether what was decided of it may still be written: looked at just before.
+  bool may_write(RequestId request) { return requests_.may_write(request); }
   void report_client_gone(RequestId request, Millis now);
   // All that is out of it, whether the settings allow that or not; its answer, if it has none, is the
   // caller's.
   void call_off(RequestId request, Millis now);
   Errands tick(Millis now);
 
-  // What a fleet allows of further attempts: how many are left now, and that one was made, or wanted and not
-  // left.
-  struct Further {
-    std::function<double()> left;
-    std::function<void()> made;
-  };
+  using Further = node::Further;
   // From now on; with empty functions only the module's own bound counts.
   void bound_attempts(Further further, Millis now);
   double room() const { return room_.value(); }  // share of the backends' capacity that is unused
@@ -123,16 +121,13 @@
   void start_attempt(const SendAttempt& send, Millis now);
   void answer(RequestId request, Choice choice);
   Choice take(RequestId request, Choice::Kind otherwise);
-  std::vector<BackendId> tell(const Roster::Told& told, Millis now);
 
-  Settings settings_;  // with all classes that ever were
-  std::vector<std::string> class_names_;
+  ClassNumbers classes_;
   Policy policy_;
   Roster roster_;
   OpenRequests requests_;
   std::multimap<Millis, std::uint64_t> timers_;
-  Further further_;
-  double told_left_ = std::numeric_limits<double>::infinity();
+  FurtherBound further_;
   estimate::Room room_;
   std::vector<Event> unsent_;  // attempts that could not be begun, to be told to the module
   Errands errands_;
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -83,8 +83,9 @@
     return order_.plans()[static_cast<std::size_t>(order_.plan_of(tenant))].name;
   }
 
-  void room(double share) { port_.room(share); }         // of the boxes' capacity, that is unused
-  void leave();                                          // gives back all; what is in use goes on
+  void room(double share) { port_.room(share); }  // of the boxes' capacity, that is unused
+  void leave();                                   // gives back all; what is in use goes on
+  bool told() const { return !keys_ || keys_->told(); }
   bool bound() const { return keys_ && keys_->busy(); }  // requests have places, which end with it
   bool left() const { return !control_ || control_->left(); }
   void log_counters() const;
--- a/src/node/fleet_gates.cpp
+++ b/src/node/fleet_gates.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Millis kSweepEvery = 50;
+constexpr Millis kMostPast = 30000;
 
 // What the fleet allows of further attempts is each pool's module's to keep to.
 void bound_attempts(const Traffic& traffic) {
@@ -41,10 +42,11 @@
                                      (std::uint64_t{entropy()} << 32) ^ entropy(), again_);
 }
 
-// What the one before has under way in slots keeps its epoch, so it goes on as it is until that is over.
+// What the one before has under way in slots keeps its epoch, so it goes on as it is until that is over; and
+// for a while for clients' repeats, which still go by it.
 void FleetGates::go_by(const Traffic& before, const Traffic& next) {
   if (before.gate && before.gate != next.gate) {
-    left_.push_back(before.gate);
+    left_.push_back({before.gate, loop_.now() + kMostPast});
     sweep();
   }
   bound_attempts(next);
@@ -53,13 +55,26 @@
 
 void FleetGates::sweep() {
   loop_.cancel(sweep_);
-  for (const auto& gate : left_) {
-    if (gate->bound()) continue;
-    if (gate->keys() != nullptr) gate->keys()->watch({});
-    gate->leave();
+  for (const Left& left : left_) {
+    FleetGate& gate = *left.gate;
+    const bool met = gate.keys() != nullptr && left.gate.use_count() > 1 && loop_.now() < left.until;
+    if (met || gate.bound()) continue;
+    if (gate.keys() != nullptr) gate.keys()->watch({});
+    gate.leave();
   }
-  std::erase_if(left_, [](const auto& gate) { return gate->left() && gate.use_count() == 1; });
+  std::erase_if(left_, [](const Left& left) { return left.gate->left() && left.gate.use_count() == 1; });
   if (!left_.empty()) sweep_ = loop_.after(kSweepEvery, [this] { sweep(); });
 }
 
+bool FleetGates::give_back(const Traffic& now) {
+  bool all = true;
+  const auto ask = [&all](FleetGate& gate) {
+    if (!gate.bound()) gate.leave();
+    all = all && gate.left();
+  };
+  if (now.gate) ask(*now.gate);
+  for (const Left& left : left_) ask(*left.gate);
+  return all;
+}
+
 }  // namespace shorelead::node
--- a/src/node/fleet_gates.h
+++ b/src/node/fleet_gates.h
@@ -29,6 +29,8 @@
   std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now) const;
   // Requests go by `next` from now on, and no longer by `before`.
   void go_by(const Traffic& before, const Traffic& next);
+  // This process ends: gives back all of what is in force; whether that is done, as for those left before.
+  bool give_back(const Traffic& now);
 
  private:
   void sweep();
@@ -36,7 +38,11 @@
   Loop& loop_;
   const bool beside_;
   const std::function<void(RequestId)> again_;
-  std::vector<std::shared_ptr<FleetGate>> left_;
+  struct Left {
+    std::shared_ptr<FleetGate> gate;
+    Millis until = 0;  // then it gives back all, though a request may still come by it
+  };
+  std::vector<Left> left_;
   Loop::TimerId sweep_ = 0;
 };
 
--- /dev/null
+++ b/src/node/generations.h
@@ -0,0 +1,66 @@
+// Generations of the configuration: how a new one is made out of the pools that live, waits for their lists,
+// and comes in force. Owns the pools, which end once no generation can send to them and nothing is with them.
+// It must never touch what is under way.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "node/config.h"
+#include "node/fleet_gates.h"
+#include "node/net.h"
+#include "node/pool.h"
+#include "node/traffic.h"
+
+namespace shorelead::node {
+
+class Generations {
+ public:
+  struct Host {
+    std::function<std::shared_ptr<Pool>(const PoolConfig&, const Config&)> make_pool;
+    std::function<void(Pool&)> begin;  // of a pool that has come with a reload
+    std::function<void(std::shared_ptr<const Traffic>)> in_force;
+  };
+
+  Generations(Loop& loop, FleetGates& gates, Host host);
+  ~Generations();
+  Generations(const Generations&) = delete;
+  Generations& operator=(const Generations&) = delete;
+
+  void begin(const Config& config);  // the first one, in force at once
+  // The next one. Throws where it cannot be made; then all stays as it was.
+  void follow(const Config& config);
+  // The platform's form: the one pool goes on with what it has learnt.
+  void adopt(const Config& config);
+
+  const std::shared_ptr<const Traffic>& traffic() const { return traffic_; }  // in force
+  // All that live: in force, pending, or left with something to do.
+  const std::vector<std::shared_ptr<Pool>>& pools() const { return pools_; }
+  std::uint64_t written_by_ended() const { return written_by_ended_; }  // attempts of pools that have ended
+
+ private:
+  // One that waits for the lists of its new pools before requests go by it.
+  struct Pending {
+    std::shared_ptr<Traffic> traffic;
+    std::vector<PoolConfig> told;  // by pool: what it is to follow once the generation is in force
+    Millis until = 0;
+  };
+
+  Pending make_traffic(const Config& config);
+  void put_in_force();  // what is pending, if it is time
+  void sweep_pools();
+
+  Loop& loop_;
+  FleetGates& gates_;
+  const Host host_;
+  std::vector<std::shared_ptr<Pool>> pools_;
+  std::shared_ptr<const Traffic> traffic_;
+  std::optional<Pending> pending_;
+  Loop::TimerId look_ = 0;
+  Loop::TimerId sweep_ = 0;
+  std::uint64_t written_by_ended_ = 0;
+};
+
+}  // namespace shorelead::node
--- a/src/node/key_gate.cpp
+++ b/src/node/key_gate.cpp
@@ -16,9 +16,11 @@
 using affinity::To;
 using affinity::Why;
 
-constexpr int kMostWaiting = 1000;  // requests of this node that wait for slots
-constexpr Millis kLookEvery = 10;   // after those that wait, or that may have to be called off
-constexpr Millis kFeedEvery = 250;  // whether the list has changed
+constexpr int kMostWaiting = 1000;   // requests of this node that wait for slots
+constexpr Millis kLookEvery = 10;    // after those that wait, or that may have to be called off
+constexpr double kFirstPlan = 2;     // leases, for which a process that begins waits for its first plan
+constexpr Millis kFeedEvery = 50;    // whether the list has changed
+constexpr Millis kWarmEvery = 1000;  // and how warm boxes are
 constexpr std::array kWhyNames = {"kept",     "no_key", "no_map", "not_valid", "closed",    "unknown",
                                   "draining", "gone",   "full",   "repeat",    "queue_full"};
 static_assert(kWhyNames.size() == affinity::kWhys);
@@ -54,6 +56,7 @@
                  std::function<void(RequestId)> again)
     : loop_(loop),
       port_(port),
+      told_by_(loop.now() + kFirstPlan * fleet.sharing.lease),
       again_(std::move(again)),
       bindings_(fleet.affinity, kMostWaiting),
       planner_(std::make_shared<KeyPlanner>(fleet.affinity)) {}
@@ -65,6 +68,7 @@
 
 void KeyGate::watch(const std::vector<std::shared_ptr<Pool>>& pools) {
   pools_.assign(pools.begin(), pools.end());
+  fed_at_ = 0;
   loop_.cancel(feed_);
   feed_ = 0;
   if (!pools_.empty()) feed();
@@ -73,10 +77,18 @@
 // What the planner sees: all boxes of the list, once it is told. Who is out by hand is so at this node alone.
 void KeyGate::feed() {
   feed_ = loop_.after(kFeedEvery, [this] { feed(); });
-  std::vector<affinity::BoxSeen> boxes;
+  std::uint64_t changes = 0;
   for (const auto& watched : pools_) {
     const std::shared_ptr<Pool> pool = watched.lock();
     if (!pool || !pool->told()) return;
+    changes += pool->list_changes();
+  }
+  if (changes == seen_ && loop_.now() - fed_at_ < kWarmEvery) return;
+  seen_ = changes;
+  fed_at_ = loop_.now();
+  std::vector<affinity::BoxSeen> boxes;
+  for (const auto& watched : pools_) {
+    const std::shared_ptr<Pool> pool = watched.lock();
     for (const ListedBackend& one : pool->boxes()) {
       affinity::BoxSeen box;
       box.name = one.host;
@@ -136,6 +148,8 @@
   bindings_.leave(place);
 }
 
+bool KeyGate::told() const { return port_.last() != nullptr || loop_.now() >= told_by_; }
+
 bool KeyGate::may_send(int place) { return bindings_.may_send(place, valid(fleet::boot_now())); }
 
 void KeyGate::over(int place) {
--- a/src/node/key_gate.h
+++ b/src/node/key_gate.h
@@ -53,6 +53,8 @@
   void over(int place) override;
 
   void take_up();  // the port has a newer snapshot
+  // Whether a plan was ever in force, or none can be hoped for: until then clients are better off elsewhere.
+  bool told() const;
   bool busy() const { return bindings_.busy(); }
   void log_counters() const;
 
@@ -65,6 +67,7 @@
 
   Loop& loop_;
   fleet::Port& port_;
+  const Millis told_by_;
   const std::function<void(RequestId)> again_;
   affinity::Bindings bindings_;
   const std::shared_ptr<KeyPlanner> planner_;
@@ -72,6 +75,8 @@
   std::vector<std::weak_ptr<Pool>> places_;  // the pool of each place, which lives for as long as it
   std::vector<affinity::BoxSeen> told_;      // to the planner
   bool ever_told_ = false;
+  std::uint64_t seen_ = 0;  // changes of the list
+  Millis fed_at_ = 0;
   Loop::TimerId tick_ = 0;
   Loop::TimerId feed_ = 0;
 };
--- a/src/node/open_requests.cpp
+++ b/src/node/open_requests.cpp
@@ -12,6 +12,7 @@
 void OpenRequests::begin(RequestId request, Open open) {
   deadlines_.emplace(open.due + kAfterDue, request);
   if (open.home.kind == Unit::Kind::kBackend) roster_.use(open.home.backend);
+  any_held_ = any_held_ || open.hold.by;
   requests_[request] = std::move(open);
 }
 
@@ -48,6 +49,12 @@
   return std::nullopt;
 }
 
+bool OpenRequests::may_write(RequestId request) {
+  if (!any_held_) return true;
+  const Open* const open = find(request);
+  return open == nullptr || open->hold.may_send();
+}
+
 void OpenRequests::forget(RequestId request, Open& open) {
   deadlines_.erase({open.due + kAfterDue, request});
   for (const BackendId backend : open.attempts) roster_.release(backend);
--- a/src/node/open_requests.h
+++ b/src/node/open_requests.h
@@ -35,6 +35,7 @@
   void ended(RequestId request, Open& open);  // an attempt of it has
   void due(RequestId request, Millis due);    // from now on
   std::optional<RequestId> overdue(Millis now);
+  bool may_write(RequestId request);
   Millis next() const { return deadlines_.empty() ? 0 : deadlines_.begin()->first; }
   std::size_t size() const { return requests_.size(); }
 
@@ -44,6 +45,7 @@
   Roster& roster_;
   std::unordered_map<RequestId, Open> requests_;
   std::set<std::pair<Millis, RequestId>> deadlines_;
+  bool any_held_ = false;  // ever
 };
 
 }  // namespace shorelead::node
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -44,7 +44,8 @@
                                                 result.load ? &*result.load : nullptr, loop_.now());
                          },
                          [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
-                         [this, purpose](bool probe) { return host_.keep(purpose(probe)); }});
+                         [this, purpose](bool probe) { return host_.keep(purpose(probe)); },
+                         [this](RequestId request) { return facade_.may_write(request); }});
   source_ = std::make_unique<BoxSource>(
       loop_, config, seed,
       BoxSource::Listener{[this](const List& list, ListSource from) {
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -44,6 +44,7 @@
   void call_off(RequestId request);
   // A box, cell or zone of this pool, as it stands now.
   std::optional<Seen> see(Unit::Kind kind, const std::string& unit) { return facade_.see(kind, unit); }
+  std::uint64_t list_changes() const { return facade_.roster().changes(); }
   std::vector<ListedBackend> boxes() const { return facade_.roster().all(); }
   // The body of one that came by parts is whole now; its client waits until `due`.
   void body_whole(RequestId request, Millis due) { facade_.body_whole(request, due); }
--- /dev/null
+++ b/src/node/succession.cpp
@@ -0,0 +1,80 @@
+#include "node/succession.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kLookEvery = 10;  // whether it could serve
+
+}  // namespace
+
+Succession::Succession(Loop& loop, Place place, Host host)
+    : loop_(loop), place_(std::move(place)), host_(std::move(host)) {}
+
+Succession::~Succession() { loop_.cancel(look_); }
+
+void Succession::begin() {
+  if (!place_.legacy) return wait_for_successor();
+  predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, [this] {
+    spdlog::info("the process before this one has ended");
+    host_.two_or_one();
+  });
+  host_.hold(true);
+  look_if_it_could_serve();
+}
+
+bool Succession::two_run() const {
+  return (successors_ && successors_->has_successor()) || (predecessor_ && predecessor_->predecessor_lives());
+}
+
+void Succession::look_if_it_could_serve() {
+  if (!host_.could_serve()) {
+    look_ = loop_.after(kLookEvery, [this] { look_if_it_could_serve(); });
+    return;
+  }
+  spdlog::info("takes clients from now on, in place of the process before it");
+  host_.hold(false);
+  predecessor_->say_serving();
+  wait_for_successor();
+}
+
+void Succession::wait_for_successor() {
+  if (alone()) return;
+  handover::Predecessor::Listener listener;
+  listener.listener = host_.listener;
+  listener.list = host_.list;
+  listener.refusal = [this] {
+    if (host_.leaving()) return std::string("it is about to end");
+    return two_run() ? std::string("two processes run already") : std::string();
+  };
+  listener.successor_came = [this] {
+    spdlog::info("a successor has come, with the listening socket and the list");
+    host_.came();
+  };
+  listener.successor_serves = [this] { successor_serves(); };
+  listener.successor_gone = [this] { successor_gone(); };
+  try {
+    successors_ = std::make_unique<handover::Predecessor>(loop_, place_.socket(), std::move(listener));
+  } catch (const std::exception& error) {
+    spdlog::warn("no successor can be handed anything: {}", error.what());
+  }
+}
+
+void Succession::successor_serves() {
+  if (std::exchange(replaced_, true)) return;
+  spdlog::info("the successor takes clients from now on");
+  host_.hold(true);
+  host_.replaced();
+}
+
+void Succession::successor_gone() {
+  spdlog::warn("the successor has ended{}",
+               replaced_ ? ", this process takes clients again" : " before it served");
+  host_.two_or_one();
+  if (std::exchange(replaced_, false) && host_.resume()) host_.hold(false);
+}
+
+}  // namespace shorelead::node
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -4,13 +4,14 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <cstdio>
 #include <iterator>
 #include <map>
 #include <tuple>
 #include <utility>
 
+#include "node/request_head.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -51,6 +52,14 @@
   bool idle() const { return stream.open() && job == nullptr && answer_flow == nullptr; }
 
   void write_request() {
+    if (!job->probe && !owner.listener_.may_write(job->request)) {
+      // Not from within the caller, who is still busy with what it had decided.
+      return owner.loop_.later([hold = shared_from_this(), serial = job->serial] {
+        if (hold->job && hold->job->serial == serial) {
+          hold->owner.finish(*hold, Ending::kStoppedUnsent, nullptr, false);
+        }
+      });
+    }
     answer = Message(Parser::Kind::kResponse, net::kAnyLength);
     std::vector<std::string_view> pieces;
     std::string own;
@@ -59,21 +68,8 @@
       pieces.push_back(own);
     } else {
       const Message& message = *job->message;
-      const std::string_view raw = message.raw;
-      const Head& head = message.head();
-      pieces.insert(pieces.end(), {head.method.in(raw), " ", head.target.in(raw), " HTTP/1.1\r\n"});
-      pass_fields(head, raw, pieces);
-      const auto wait = static_cast<long>(std::ceil(std::max(1.0, job->until - owner.loop_.now())));
-      own = "X-Timeout-Ms: " + std::to_string(wait) + "\r\n";
-      if (head.method.in(raw) == "HEAD") answer.parser.expect_no_body();
-      if (message.flow) {
-        own += message.flow->length() ? "Content-Length: " + std::to_string(*message.flow->length()) + "\r\n"
-                                      : std::string("Transfer-Encoding: chunked\r\n");
-      } else if (!message.body().empty() || head.method.in(raw) != "GET") {
-        own += "Content-Length: " + std::to_string(message.body().size()) + "\r\n";
-      }
-      own += "\r\n";
-      pieces.push_back(own);
+      request_head(message, job->until - owner.loop_.now(), own, pieces);
+      if (message.head().method.in(message.raw) == "HEAD") answer.parser.expect_no_body();
       pieces.push_back(message.body());
     }
     stream.send(pieces);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -39,6 +39,8 @@
     std::function<bool(bool probe)> make_room;
     // Whether a connection is to be kept that carried one of the two.
     std::function<bool(bool probe)> keep;
+    // Whether an attempt may be written now; looked at just before.
+    std::function<bool(RequestId)> may_write = [](RequestId) { return true; };
   };
 
   // `flows`: the memory for bodies that are not kept whole.
--- a/tests/affinity/shaper_test.cpp
+++ b/tests/affinity/shaper_test.cpp
@@ -19,7 +19,7 @@
 
 std::vector<BoxSeen> boxes_of(int count) {
   std::vector<BoxSeen> boxes;
-  for (int n = 0; n < count; ++n) boxes.push_back({"box-" + std::to_string(n), "", "", "", 1, 1, false});
+  for (int n = 0; n < count; ++n) boxes.push_back({"box-" + std::to_string(n), "", "", 1, 1, false});
   return boxes;
 }
 
