Front in four parts: intake, client, answer passed on, words; refusals say why

Behaviour does not move but for two things: 429 has its name in the status line, and where a fleet block stands a refusal carries Proxy-Status (RFC 9209): destination_unavailable where the module found no box, http_request_denied with details shortage or budget.

--- /dev/null
+++ b/src/node/client.cpp
@@ -0,0 +1,248 @@
+#include "node/client.h"
+
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace shorelead::node {
+namespace {
+
+constexpr std::size_t kMostAhead = 131072;  // bytes taken of what follows the request at hand
+constexpr std::size_t kMostLeft = 1048576;  // and of what follows the last answer
+constexpr double kLeastRate = 32;           // bytes a ms: of a body, what a client has to bring on the whole
+
+}  // namespace
+
+bool Client::dispensable(Millis now, Millis speak) const {
+  if (state == State::kClosing) return stream.flushed();
+  return idle() && (used || now - last_used >= speak);
+}
+
+void Client::on_input(Stream&) {
+  if (state == State::kClosing) {
+    left_ += stream.input().size();
+    stream.input().clear();
+    input_at = loop_.now();
+    // Guards against work for a client that sends on without end.
+    if (left_ > (cut_short ? net::kMostLength : kMostLeft)) host_.forget(*this);
+    return;
+  }
+  input_at = loop_.now() - stream.waited();
+  if (state == State::kReading) return read();
+  if (uploading()) return take_upload();
+  if (stream.input().size() > kMostAhead) stream.want_input(false);
+}
+
+void Client::read() {
+  std::string& input = stream.input();
+  if (input.empty()) return;
+  if (begun_at == 0) begun_at = input_at;
+  const Parser::State parsed = message->parser.advance(input);
+  if (parsed == Parser::State::kBad) {
+    return answer(message->parser.refusal(), message->parser.cause(), 0, true);
+  }
+  if (parsed != Parser::State::kDone) {
+    if (parsed == Parser::State::kBody && !told_to_go_on_ && message->head().find(input, "expect")) {
+      told_to_go_on_ = true;
+      const std::array<std::string_view, 1> pieces = {"HTTP/1.1 100 Continue\r\n\r\n"};
+      stream.send(pieces);
+    }
+    if (parsed == Parser::State::kBody && message->parser.large()) begin_upload();
+    return;
+  }
+  // Guards against sending on for a client that left while its request lay unread: that end came right
+  // behind.
+  if (stream.ended()) {
+    host_.left_early();
+    return host_.forget(*this);
+  }
+  // The message keeps its bytes, whatever comes in after them.
+  const std::size_t size = message->parser.size();
+  std::string rest = input.size() > size ? input.substr(size) : std::string();
+  message->raw = std::move(input);
+  message->raw.resize(size);
+  input = std::move(rest);
+  keep_alive_ = message->head().keep_alive;
+  used = true;
+  stand_unused(false);
+  state = State::kWaiting;
+  host_.begin(*this);
+}
+
+// ---- a request's body that comes by parts ----
+
+void Client::begin_upload() {
+  if (stream.ended()) {
+    host_.left_early();
+    return host_.forget(*this);
+  }
+  used = true;
+  stand_unused(false);
+  state = State::kWaiting;
+  cut_short = true;
+  const auto& flows = host_.flows();
+  // Never sent on, so trying again is harmless.
+  if (!flows || !flows->room())
+    return answer(flows ? 503 : 413, "no memory for one more large body", 0, true);
+  message->raw = std::exchange(stream.input(), {});
+  std::string first = message->parser.take_body(message->raw);
+  keep_alive_ = message->head().keep_alive;
+  upload = message->flow = std::make_shared<net::Flow>(flows, message->parser.length());
+  upload->put(std::move(first));
+  upload->set_source({[this] {
+                        held_ += loop_.now() - std::exchange(held_at_, 0);
+                        stream.want_input(true);
+                      },
+                      {}});
+  host_.begin(*this);
+}
+
+void Client::take_upload() {
+  const std::shared_ptr<Client> hold = shared_from_this();
+  const std::shared_ptr<net::Flow> flow = upload;
+  message->raw += std::exchange(stream.input(), {});
+  const Parser::State parsed = message->parser.advance(message->raw);
+  if (parsed == Parser::State::kBad) {
+    return host_.spoil(*this, message->parser.refusal(), message->parser.cause());
+  }
+  std::string part = message->parser.take_body(message->raw);
+  if (parsed == Parser::State::kDone) {
+    stream.input() = message->raw.substr(message->parser.size());
+    message->raw.resize(message->parser.size());
+    host_.whole(*this);
+    flow->put(std::move(part));
+    return flow->end();
+  }
+  flow->put(std::move(part));
+  if (!flow->full() || !uploading()) return;
+  held_at_ = loop_.now();
+  stream.want_input(false);
+}
+
+bool Client::slow(Millis now, Millis head) const {
+  if (held_at_ > 0) return false;
+  const auto come = static_cast<double>(upload ? upload->passed() : stream.held());
+  return now - begun_at - held_ >= head + come / kLeastRate;
+}
+
+// ---- answers ----
+
+void Client::pass_on(const Message& answer, std::shared_ptr<net::Flow> flow) {
+  host_.answered(200);
+  passing = std::make_shared<Passing>(std::move(flow), message->head().minor, last());
+  state = State::kPassing;
+  passing->begin(
+      stream, answer, [this] { pump(); }, loop_.now());
+  pump();
+}
+
+void Client::pump() {
+  if (state != State::kPassing || !stream.open() || !stream.flushed()) return;
+  const std::shared_ptr<Passing> hold = passing;
+  switch (hold->pump(stream, loop_.now())) {
+    case Passing::Step::kGoesOn:
+      return;
+    case Passing::Step::kWhole:
+      host_.release(*this, manage::End::kPassed);
+      return answered(hold->last());
+    case Passing::Step::kCut:
+      // The client must see that it is not whole: an end of the connection alone may be one of the body.
+      host_.release(*this, manage::End::kBadGateway);
+      if (hold->ends_with_connection()) stream.reset_on_close();
+      host_.forget(*this);
+  }
+}
+
+void Client::leave_bodies() {
+  if (upload) {
+    upload->set_source({});
+    upload->cut();
+    upload.reset();
+  }
+  if (passing) {
+    passing->leave();
+    passing.reset();
+  }
+}
+
+void Client::answer(const Refusal& words, bool end) {
+  host_.answered(words.status);
+  if (end) keep_alive_ = false;
+  const bool bye = last();
+  const std::string_view line = words.cause;
+  const std::string head = own_head(words, line.size() + 1, bye);
+  const std::array<std::string_view, 3> pieces = {head, line, "\n"};
+  stream.send(pieces);
+  answered(bye);
+}
+
+void Client::pass(const Message& answer) {
+  host_.answered(200);
+  std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
+  pass_fields(answer.head(), answer.raw, pieces);
+  std::optional<std::size_t> length = answer.body().size();
+  if (message->head().method.in(message->raw) == "HEAD") {
+    const auto stated = parse_whole(answer.value("content-length"));
+    length = stated ? std::optional<std::size_t>(*stated) : std::nullopt;
+  }
+  const bool bye = last();
+  const std::string own = passed_lines(length, false, bye);
+  pieces.push_back(own);
+  pieces.push_back(answer.body());
+  stream.send(pieces);
+  answered(bye);
+}
+
+bool Client::last() const { return !keep_alive_ || uploading() || host_.ends_with(*this); }
+
+void Client::stand_unused(bool unused) {
+  if (unused != std::exchange(counted_, unused)) host_.unused(unused);
+}
+
+void Client::answered(bool bye) {
+  leave_bodies();
+  request = 0;
+  begun_at = held_ = held_at_ = 0;
+  told_to_go_on_ = false;
+  last_used = loop_.now();
+  answered_before = true;
+  stand_unused(!bye);
+  if (bye) {
+    // Closed by halves: with bytes unread, a close would reset the connection and take the answer along.
+    state = State::kClosing;
+    stream.want_input(true);
+    if (stream.flushed()) stream.close_sending();
+    return;
+  }
+  state = State::kReading;
+  host_.free_again();
+  message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMostLength);
+  stream.want_input(true);
+  if (stream.input().empty()) return;
+  // The next request has come already; not from within this one's answer.
+  loop_.later([this, hold = shared_from_this()] {
+    if (stream.open() && state == State::kReading) read();
+  });
+}
+
+void Client::on_flushed(Stream&) {
+  if (state == State::kPassing) return pump();
+  if (state == State::kClosing) stream.close_sending();
+}
+
+void Client::on_end(Stream&, Ending ending) {
+  if (state == State::kWaiting) {
+    spdlog::debug("client gone ({}) with request {} under way", name_of(ending), request);
+    const RequestId gone = request;
+    host_.release(*this, manage::End::kLeft);
+    host_.forget(*this);
+    if (gone != 0) host_.gone(gone);
+    return;
+  }
+  if (state == State::kPassing) host_.release(*this, manage::End::kLeft);
+  host_.forget(*this);
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/client.h
@@ -0,0 +1,100 @@
+// One client's connection: requests on it, one after the other, and the answers to them. It owns the bytes of
+// the request at hand, and whether the connection goes on behind its answer. It must never choose an answer,
+// nor answer a request twice.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "manage/figures.h"
+#include "net/flow.h"
+#include "node/answer_words.h"
+#include "node/net.h"
+#include "node/passing.h"
+#include "policy/policy.h"
+
+namespace shorelead::node {
+
+class Client : public Stream::Handler, public std::enable_shared_from_this<Client> {
+ public:
+  enum class State { kReading, kWaiting, kPassing, kClosing };
+
+  // Who took it in.
+  class Host {
+   public:
+    virtual ~Host() = default;
+    virtual void begin(Client& client) = 0;  // the request at hand, whole or with its body still to come
+    virtual void whole(Client& client) = 0;  // that body has come
+    virtual void spoil(Client& client, int status, const char* cause) = 0;  // or never will
+    virtual void release(Client& client, manage::End end) = 0;              // the request is over
+    virtual void forget(Client& client) = 0;                                // the connection is
+    virtual void gone(RequestId request) = 0;                // nobody waits for its answer any more
+    virtual bool ends_with(const Client& client) const = 0;  // the answer at hand is to be its last
+    virtual void answered(int status) = 0;
+    virtual void left_early() = 0;         // it was gone when its request was read
+    virtual void unused(bool stands) = 0;  // one more, or one less, has asked and stands unused
+    virtual void free_again() = 0;         // it has had its answer and may give way
+    virtual const std::shared_ptr<net::FlowBudget>& flows() const = 0;
+  };
+
+  Client(Loop& loop, Host& host, int fd) : stream(loop, *this, fd), loop_(loop), host_(host) {
+    last_used = input_at = loop.now();
+  }
+
+  // Between requests, as far as has been read.
+  bool idle() const { return state == State::kReading && begun_at == 0; }
+  // Little is lost if it is closed now: it had its answer and asks for nothing yet, or it has connected and
+  // said nothing for longer than `speak`, as one does who has something to ask.
+  bool dispensable(Millis now, Millis speak) const;
+  bool uploading() const { return upload != nullptr && !upload->ended(); }
+  // Whether the client brings less than the least rate, `head` ms after it began, for what it has brought so
+  // far; while this node holds it back, time stands.
+  bool slow(Millis now, Millis head) const;
+
+  void answer(const Refusal& words, bool end);
+  void answer(int status, const char* words, Millis wait, bool end) {
+    answer({status, words, "", wait}, end);
+  }
+  void pass(const Message& message);
+  void pass_on(const Message& answer, std::shared_ptr<net::Flow> flow);  // while it comes
+  void leave_bodies();             // both end with the request or the connection
+  void stand_unused(bool unused);  // counts it among those that have asked and stand unused, or no longer
+
+  Stream stream;
+  State state = State::kReading;
+  std::shared_ptr<Message> message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMostLength);
+  RequestId request = 0;
+  std::string class_name;  // of that request
+  bool used = false;       // has carried a request
+  bool answered_before = false;
+  Millis begun_at = 0;  // when the request at hand began to come in; 0 = none has
+  Millis input_at = 0;  // when the system took in what was read last
+  Millis last_used = 0;
+  bool taken = false;                 // the request is in the ledger
+  Millis wait = 0;                    // that its client named
+  std::shared_ptr<net::Flow> upload;  // its body
+  std::shared_ptr<Passing> passing;   // the answer's
+  bool cut_short = false;             // it was answered in the middle of its body, and may send for a while
+
+ private:
+  void on_input(Stream&) override;
+  void on_flushed(Stream&) override;
+  void on_end(Stream&, Ending ending) override;
+  void read();
+  void begin_upload();
+  void take_upload();
+  void pump();
+  bool last() const;
+  void answered(bool bye);
+
+  Loop& loop_;
+  Host& host_;
+  bool keep_alive_ = true;
+  bool counted_ = false;  // among the unused
+  bool told_to_go_on_ = false;
+  std::size_t left_ = 0;  // bytes that came after the last answer
+  Millis held_ = 0;       // for so long this node held the body back
+  Millis held_at_ = 0;    // and does since then
+};
+
+}  // namespace shorelead::node
--- a/src/node/fleet_gate.cpp
+++ b/src/node/fleet_gate.cpp
@@ -8,6 +8,7 @@
 #include <numeric>
 #include <utility>
 
+#include "node/answer_words.h"
 #include "plans/coin.h"
 
 namespace shorelead::node {
@@ -143,6 +144,7 @@
       cells.refused.add(1);
       verdict.refused = 503;
       verdict.cause = "a shortage of the fleet, trying again later is harmless";
+      verdict.why = kWhyShortage;
       verdict.come_back = std::min(said.come_back, words.most_wait);
       return verdict;
     }
@@ -158,6 +160,7 @@
       ended(std::exchange(verdict.ticket, Ticket()), End::kGone);
       verdict.refused = 429;
       verdict.cause = "the fleet's budget is spent, trying again is harmless";
+      verdict.why = kWhyBudget;
       verdict.come_back = words.most_wait * (kSoonest + (1 - kSoonest) * coin);
       return verdict;
     }
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -34,6 +34,7 @@
   struct Verdict {
     int refused = 0;  // 0: taken; else the status to answer with
     const char* cause = "";
+    const char* why = "";
     Millis come_back = 0;
     Ticket ticket;
   };
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -3,9 +3,6 @@
 // must never answer a request twice or, while it stands, not at all; and it must never ask who will serve it.
 #pragma once
 
-#include <Poco/Net/Socket.h>
-#include <Poco/Net/SocketAddress.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -16,26 +13,25 @@
 
 #include "manage/drain.h"
 #include "manage/figures.h"
+#include "node/client.h"
 #include "node/config.h"
 #include "node/facade.h"
-#include "node/net.h"
+#include "node/intake.h"
 #include "node/readings.h"
 #include "node/traffic.h"
 
 namespace shorelead::node {
 
 struct FrontCounters {
-  std::uint64_t accepted = 0;    // connections
   std::uint64_t left_early = 0;  // clients that were gone when their request was read; not taken
   std::uint64_t malformed = 0;   // answered with 400, 404, 408, 409, 413 or 431
   std::uint64_t silent = 0;      // connections closed that had never asked for anything
   std::uint64_t idle = 0;        // and that had not for long
   std::uint64_t evicted = 0;
-  std::uint64_t paused = 0;  // times that accepting was stopped for want of descriptors
   std::map<int, std::uint64_t> by_status;
 };
 
-class Front : public Watch::Handler {
+class Front : private Client::Host {
  public:
   struct Listener {
     std::function<void(RequestId, const Ask&, const Way&, std::shared_ptr<const Message>)> request;
@@ -61,14 +57,7 @@
     Millis sweep = 250;  // how often all these are looked after
   };
 
-  // Where clients connect: an address to listen on, with another process of the node if `shared`, or a socket
-  // that listens there already, handed over by that process.
-  struct Entry {
-    Entry(const Poco::Net::SocketAddress& address) : address(address) {}  // NOLINT: an address is an entry
-    Poco::Net::SocketAddress address;
-    bool shared = false;
-    int listening = -1;
-  };
+  using Entry = node::Entry;
 
   // Throws Poco::Exception where the address cannot be listened on.
   Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener)
@@ -79,8 +68,7 @@
 
   // Final answers. To a client that is gone they are nothing.
   void serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow);  // flow: of its body
-  void refuse(RequestId request, Millis wait, int status = 503,
-              const char* cause = "refused, trying again is harmless");
+  void refuse(RequestId request, const Refusal& words);
   void fail(RequestId request, int status);
 
   // Requests read from now on go by this generation; but a client's repeat of a keyed one, for the class's
@@ -88,49 +76,50 @@
   void go_by(std::shared_ptr<const Traffic> traffic);
 
   // Whether to take in who connects: while held, whoever comes is left to the other process.
-  void hold(bool held);
-  bool held() const { return held_; }
-  int listening() const { return socket_ ? socket_->impl()->sockfd() : -1; }
+  void hold(bool held) { intake_.hold(held); }
+  bool held() const { return intake_.held(); }
+  int listening() const { return intake_.listening(); }
 
   bool evict_idle();  // closes the connection that was unused for longest
   // Lets go of clients, or takes them again, as the drain's state says: from draining on it is not ready and
   // every answer is the last on its connection; once drained, unused connections are closed.
   void follow(manage::DrainState state);
-  void close_listener();  // after it has taken in all who had connected, unless they are left to the other
+  void close_listener() { intake_.close(); }
   // Closes connections that have no request under way; true when none is left.
   bool empty();
   // This process ends now: answers as failed whatever is under way, and has it given up.
   void give_up();
 
-  unsigned short port() const;
+  unsigned short port() const { return intake_.port(); }
+  const Intake& intake() const { return intake_; }
   std::size_t clients() const { return clients_.size(); }
   const FrontCounters& counters() const { return counters_; }
   const manage::Ledger& ledger() const { return ledger_; }
 
  private:
-  class Client;
-  friend class Client;
-
-  void on_readable() override;  // somebody connects
-  void accept_all();
-  void pause_accepting();
-  void look_for_room();
-  void begin(Client& client);  // the request at hand
-  void release(Client& client, manage::End end);
-  void take(Client& client);   // into the ledger, once its last byte has come
-  void whole(Client& client);  // the body that came by parts is
-  void spoil(Client& client, int status, const char* cause);
+  void begin(Client& client) override;
+  void whole(Client& client) override;
+  void spoil(Client& client, int status, const char* cause) override;
+  void release(Client& client, manage::End end) override;
+  void forget(Client& client) override;
+  void gone(RequestId request) override { listener_.gone(request); }
+  bool ends_with(const Client& client) const override;
+  void answered(int status) override;
+  void left_early() override { ++counters_.left_early; }
+  void unused(bool stands) override { stands ? ++unused_ : --unused_; }
+  void free_again() override;
+  const std::shared_ptr<net::FlowBudget>& flows() const override { return listener_.flows; }
+
+  void take(Client& client);  // into the ledger, once its last byte has come
+  Client* waiting(RequestId request);
   void close_idle(bool only_used);
   bool overdue(const Client& client, Millis now) const;
-  void forget(Client& client);
   void sweep();
 
   Loop& loop_;
   Readings readings_;
   Listener listener_;
   const Waits waits_;
-  std::unique_ptr<Poco::Net::Socket> socket_;
-  std::unique_ptr<Watch> watch_;
   std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
   std::unordered_map<RequestId, Client*> waiting_;
   std::unordered_set<std::string> open_ids_;  // X-Request-ID of those that wait
@@ -138,11 +127,9 @@
   RequestId last_request_ = 0;
   manage::DrainState drain_ = manage::DrainState::kServing;
   manage::Ledger ledger_;
-  bool paused_ = false;
-  bool held_ = false;
-  Loop::TimerId resume_ = 0;
   Loop::TimerId sweep_ = 0;
   FrontCounters counters_;
+  Intake intake_;
 };
 
 }  // namespace shorelead::node
--- /dev/null
+++ b/src/node/intake.cpp
@@ -0,0 +1,81 @@
+#include "node/intake.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kPause = 20;  // accepting stopped for want of descriptors
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Intake::Intake(Loop& loop, const Entry& entry, Host host) : loop_(loop), host_(std::move(host)) {
+  if (entry.listening >= 0) {
+    socket_ = std::make_unique<net::Descriptor>(entry.listening);
+  } else {
+    auto socket = std::make_unique<Poco::Net::ServerSocket>();
+    socket->bind(entry.address, true, entry.shared);
+    socket->listen(kBacklog);
+    socket_ = std::move(socket);
+  }
+  socket_->setBlocking(false);
+  watch_ = std::make_unique<Watch>(loop_, *socket_, *this, true, false);
+}
+
+Intake::~Intake() { loop_.cancel(resume_); }
+
+void Intake::accept_all() {
+  while (socket_ && !held_) {
+    const int fd = ::accept4(socket_->impl()->sockfd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        if (!host_.evict_unused()) pause();
+      }
+      return;
+    }
+    ++accepted_;
+    host_.take(fd);
+    if (!host_.make_room()) return pause();  // for the next one
+  }
+}
+
+void Intake::pause() {
+  if (paused_ || !watch_) return;
+  paused_ = true;
+  ++pauses_;
+  watch_->want_read(false);
+  resume_ = loop_.after(kPause, [this] { look_for_room(); });
+}
+
+void Intake::look_for_room() {
+  loop_.cancel(resume_);
+  if (!paused_ || !watch_) return;
+  if (!host_.make_room()) {
+    resume_ = loop_.after(kPause, [this] { look_for_room(); });
+    return;
+  }
+  paused_ = false;
+  watch_->want_read(!held_);
+  accept_all();
+}
+
+void Intake::hold(bool held) {
+  held_ = held;
+  if (!watch_ || paused_) return;
+  watch_->want_read(!held);
+  accept_all();
+}
+
+void Intake::close() {
+  accept_all();
+  watch_.reset();
+  socket_.reset();
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/passing.cpp
@@ -0,0 +1,40 @@
+#include "node/passing.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "node/answer_words.h"
+
+namespace shorelead::node {
+
+void Passing::begin(Stream& stream, const Message& answer, const std::function<void()>& pump, Millis now) {
+  std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
+  pass_fields(answer.head(), answer.raw, pieces);
+  std::optional<std::size_t> length;
+  if (flow_->length()) length = static_cast<std::size_t>(*flow_->length());
+  const std::string own = passed_lines(length, chunked_, last_);
+  pieces.push_back(own);
+  moved_at_ = now;
+  stream.bound_send_buffer();
+  stream.send(pieces);
+  flow_->set_sink({pump, pump});
+}
+
+Passing::Step Passing::pump(Stream& stream, Millis now) {
+  const std::string part = flow_->take();
+  const bool last_part = flow_->ended() && flow_->empty();
+  if (!part.empty() || last_part) {
+    moved_at_ = now;
+    stream.send(net::FramedPart(part, chunked_, last_part).pieces());
+  }
+  if (last_part) return Step::kWhole;
+  return flow_->was_cut() && stream.flushed() ? Step::kCut : Step::kGoesOn;
+}
+
+void Passing::leave() {
+  flow_->clear_sink();
+  flow_->leave();
+}
+
+}  // namespace shorelead::node
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -104,7 +104,7 @@
   };
   host.refuse = [this](RequestId request, Millis wait) {
     close(request, FleetGate::End::kFailed);
-    front_->refuse(request, wait);
+    front_->refuse(request, {.why = traffic_->gate ? kWhyNoRoom : "", .wait = wait});
   };
   host.fail = [this](RequestId request, int status) {
     close(request, FleetGate::End::kFailed);
@@ -233,7 +233,8 @@
     const auto said = gate.admit({to, way.route, way.request_class, message->value("x-tenant-id"),
                                   gate.client_of(*message), traffic.pools[n]->most_advice()},
                                  request_class.aim);
-    if (said.refused != 0) return front_->refuse(request, said.come_back, said.refused, said.cause);
+    if (said.refused != 0)
+      return front_->refuse(request, {said.refused, said.cause, said.why, said.come_back});
     ticket = said.ticket;
   }
   ask.request_class = traffic.class_in_pool[n][static_cast<std::size_t>(way.request_class)];
@@ -509,8 +510,8 @@
   }
   spdlog::info(
       "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} paused={}",
-      Stream::open_count(), room_.most_seen(), front_->clients(), front.accepted, front.silent, front.idle,
-      front.evicted, front.paused);
+      Stream::open_count(), room_.most_seen(), front_->clients(), front_->intake().accepted(), front.silent,
+      front.idle, front.evicted, front_->intake().pauses());
   spdlog::info("counters: descriptors state={} most={} backends_budget={} probing={}",
                limits::name_of(room_.rules().state(room_.counts())), most_streams(),
                room_.rules().backends_budget(), room_.counts().probing);
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -442,7 +442,7 @@
   Clients c;
   c.after_each = [&c](RequestId request) {
     if (c.taken.size() == 2) return c.loop.stop();
-    c.loop.after(50, [&c, request] { c.front.refuse(request, 0); });
+    c.loop.after(50, [&c, request] { c.front.refuse(request, {}); });
   };
   const std::string one = "GET /safe HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\nX-Timeout-Ms: 60000\r\n\r\n";
   Line client = Line::connect(c.front.port());
@@ -481,7 +481,7 @@
 // connection is its last, while one that has been in use goes on.
 TEST(Front, WhereManyStandUnusedAFirstAnswerIsTheLast) {
   Clients c;
-  c.after_each = [&c](RequestId request) { c.front.refuse(request, 0); };
+  c.after_each = [&c](RequestId request) { c.front.refuse(request, {}); };
   std::vector<std::string> answers;
   std::thread reading([&] {
     std::vector<Line> clients;
@@ -512,7 +512,7 @@
   waits.sweep = 5;
   Clients c(waits);
   c.roomy = false;
-  c.after_each = [&c](RequestId request) { c.front.refuse(request, 0); };
+  c.after_each = [&c](RequestId request) { c.front.refuse(request, {}); };
   Line client = c.ask("/safe");
   std::string answer;
   std::string end = "?";
