--- a/src/node/desk.cpp
+++ b/src/node/desk.cpp
@@ -50,7 +50,7 @@
     const auto said = gate->admit({to, way.route, way.request_class, message->value("x-tenant-id"),
                                    gate->client_of(*message), traffic.pools[n]->most_advice()},
                                   request_class.aim);
-    if (said.refused != 0) return refuse_(request, said.come_back, said.refused, said.cause);
+    if (said.refused != 0) return refuse_(request, {said.refused, said.cause, said.why, said.come_back});
     ticket = said.ticket;
   }
   ask.request_class = traffic.class_in_pool[n][static_cast<std::size_t>(way.request_class)];
@@ -70,7 +70,7 @@
     case affinity::Go::kRefuse: {
       const Millis come_back = with.pool->most_advice();
       close(request, FleetGate::End::kFailed);
-      return refuse_(request, come_back, 503, cause_of(said.why));
+      return refuse_(request, {503, cause_of(said.why), kWhyAffinity, come_back});
     }
     case affinity::Go::kOnly:
       // Both live for as long as anything of it is out.
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -35,9 +35,7 @@
                     },
                     [this](std::shared_ptr<const Traffic> next) { front_->go_by(std::move(next)); }}),
       room_(generations_.pools(), [this] { return most_streams(); }),
-      desk_([this](RequestId request, Millis come_back, int status, const char* cause) {
-        front_->refuse(request, come_back, status, cause);
-      }),
+      desk_([this](RequestId request, const Refusal& words) { front_->refuse(request, words); }),
       departure_(loop, waits.accept_on,
                  {[this]() -> Front& { return *front_; }, [this] { return open_requests(); },
                   [this] { return gates_.give_back(traffic()); }}),
@@ -93,7 +91,7 @@
   };
   host.refuse = [this](RequestId request, Millis wait) {
     desk_.close(request, FleetGate::End::kFailed);
-    front_->refuse(request, wait);
+    front_->refuse(request, {.why = traffic().gate ? kWhyNoRoom : "", .wait = wait});
   };
   host.fail = [this](RequestId request, int status) {
     desk_.close(request, FleetGate::End::kFailed);
@@ -236,8 +234,8 @@
   }
   spdlog::info(
       "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} paused={}",
-      Stream::open_count(), room_.most_seen(), front_->clients(), front.accepted, front.silent, front.idle,
-      front.evicted, front.paused);
+      Stream::open_count(), room_.most_seen(), front_->clients(), front_->intake().accepted(), front.silent,
+      front.idle, front.evicted, front_->intake().pauses());
   spdlog::info("counters: descriptors state={} most={} backends_budget={} probing={}",
                limits::name_of(room_.rules().state(room_.counts())), most_streams(),
                room_.rules().backends_budget(), room_.counts().probing);
