Auditor, F2: a refusal for want of room is told from one for the shortage

Changed: clients' records keep the cause that an answer names (Proxy-Status). A refusal that says destination_unavailable counts as one for want of room where half of the boxes, by their own ledgers, made work wait for 0.3 of the aim or turned it away within the second before; else it counts for the shortage, and the rule for that is as strict as it was. What is believed is judged twice: at the same moments higher ranks may not be refused more often than lower ones beyond chance (Mantel and Haenszel's test over 200 ms, first tries, 4 standard deviations, a process and all together); and once boxes have been crowded for 20 s no more than a quarter of a higher rank may meet full boxes while a lower one is taken, or no plan is in force. A new flaw of the forwarder, blames_boxes, sheds upside down and says that it found no room: found as F2.

Weighed: inferring all from the boxes' records. In a shortage boxes are always full, so every cut would be excused, and the rule for the cut-off would be lost.

--- a/src/lab/audit_order.cpp
+++ b/src/lab/audit_order.cpp
@@ -6,10 +6,15 @@
 // refused, and what came while boxes that had just died refused connections. A decision lies between the
 // client's sending and its answer, so windows are shorter by the slack at both ends: what is found in one
 // surely was decided within a whole one.
+//
+// A process may say that it refused for another reason: that it found no room at any box just then. That is
+// believed only where the boxes' own ledgers bear it out, and within limits (room_claims.h); else it counts
+// as refused for the shortage.
 #include <algorithm>
 #include <optional>
 
 #include "lab/audit_view.h"
+#include "lab/room_claims.h"
 
 namespace shorelead::lab {
 namespace {
@@ -20,14 +25,6 @@
 constexpr int kTakenByChance = 2;
 constexpr Millis kBoxDied = 1000;  // for so long processes may still dial it: no ledger has that
 
-struct Decided {
-  Millis at = 0;
-  std::size_t rule = 0;  // FleetRules::ranks
-  bool taken = false;
-  bool refused = false;
-  const std::string* request = nullptr;
-};
-
 struct Count {
   int offered = 0;
   int taken = 0;
@@ -36,7 +33,8 @@
 
 class Order {
  public:
-  Order(const RunView& view, Audit& audit) : view_(view), rules_(view.run.fleet), findings_(audit) {}
+  Order(const RunView& view, Audit& audit)
+      : view_(view), rules_(view.run.fleet), findings_(audit), claims_(view, audit) {}
 
   void judge() {
     find_deaths();
@@ -46,14 +44,23 @@
       const std::optional<std::size_t> rule = rule_of(asked);
       if (!rule) continue;
       const Attempts& attempts = view_.attempts(asked.id);
-      Decided decided{view_.awake(asked.node, asked.sent), *rule, !attempts.empty(), false, &asked.id};
+      Decided decided{view_.awake(asked.node, asked.sent), *rule, !attempts.empty(), false, false, &asked};
       decided.refused = attempts.empty() && asked.end == ClientEnd::kAnswered &&
                         (asked.status == 429 || asked.status == 503) &&
                         asked.ended <= std::min(decided.at + view_.limits.held, asked.due) &&
                         !view_.ending(asked.node, asked.ended) && !otherwise_refused(asked);
+      decided.no_room = decided.refused && claims_.believed(asked, rules_.ranks[*rule].scope.pool);
+      decided.refused = decided.refused && !decided.no_room;
       by_process[{asked.node, view_.started(asked.node, asked.sent)}].push_back(decided);
     }
-    for (auto& [process, list] : by_process) judge(process.first, list);
+    std::vector<Decided> all;
+    for (auto& [process, list] : by_process) {
+      judge(process.first, list);
+      claims_.judge_evenness("node " + std::to_string(process.first), list);
+      all.insert(all.end(), list.begin(), list.end());
+    }
+    claims_.judge_evenness("all processes", all);
+    claims_.judge_lasting(all);
   }
 
  private:
@@ -119,7 +126,7 @@
         const auto refused = std::find_if(list.begin() + static_cast<std::ptrdiff_t>(begin),
                                           list.begin() + static_cast<std::ptrdiff_t>(end),
                                           [high](const Decided& d) { return d.refused && d.rule == high; });
-        findings_.add(Breach::kShedOrder, *refused->request, refused->at,
+        findings_.add(Breach::kShedOrder, refused->asked->id, refused->at,
                       "of rank " + std::to_string(a.rank) + " refused by node " + std::to_string(node) + " " +
                           view_.at(refused->at) + " (" + std::to_string(counts[high].refused) + " of " +
                           std::to_string(counts[high].offered) + " from " + view_.at(list[begin].at) +
@@ -134,6 +141,7 @@
   const RunView& view_;
   const FleetRules& rules_;
   Findings findings_;
+  RoomClaims claims_;
   std::vector<Millis> deaths_;
 };
 
--- a/src/lab/load_client.cpp
+++ b/src/lab/load_client.cpp
@@ -20,6 +20,8 @@
 constexpr Millis kBeyondDue =
     1000;  // a client goes on reading so long, or lateness could not be told from silence
 
+constexpr std::size_t kMostSaid = 120;  // kept of an answer's cause
+
 std::string_view value_of(std::string_view body, std::string_view name) {
   const std::size_t at = body.find(name);
   if (at == std::string_view::npos) return {};
@@ -27,6 +29,13 @@
   return body.substr(from, body.find(';', from) - from);
 }
 
+// Where the answer names its cause in the published form (RFC 9209), that; else its first line.
+std::string said_by(const http::response<http::string_body>& answer) {
+  const auto field = answer.find("Proxy-Status");
+  const std::string text = field != answer.end() ? std::string(field->value()) : answer.body();
+  return text.substr(0, std::min(text.find('\n'), kMostSaid));
+}
+
 }  // namespace
 
 Load::Client::Client(Load& owner, int node)
@@ -161,6 +170,7 @@
     const std::string_view run = value_of(body, "run=");
     std::from_chars(run.data(), run.data() + run.size(), asked.run);
   }
+  if (asked.status != 200) asked.said = said_by(answer);
   asked.extra = !input_.empty();
   retry_after_ = -1;
   if (const auto field = answer.find("Retry-After"); field != answer.end()) {
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -52,6 +52,7 @@
   Millis resent = 0;        // sent once more: its kept connection ended with no byte of an answer; 0 = never
   bool right_body = false;  // the body of a box's answer to this very request
   std::uint64_t run = 0;    // which attempt the body says it is from: Arrived::serial
+  std::string said;         // why, in the words of an answer that is no box's: a claim, never a judgement
   bool extra = false;       // bytes came behind the whole answer, before anything else was asked
   int tries_before = 0;     // by the client
   std::uint32_t chain = 0;  // the same for all tries of one wish
--- a/src/lab/records_io.cpp
+++ b/src/lab/records_io.cpp
@@ -11,7 +11,7 @@
 namespace shorelead::lab {
 namespace {
 
-constexpr const char* kRecords = "shorelead-lab-records/2";
+constexpr const char* kRecords = "shorelead-lab-records/3";
 
 // Each shape names its fields once, for writing and reading alike; `io` is the writer or the reader.
 void fields(auto& io, auto& v, ClassRules*) {
@@ -36,7 +36,7 @@
 }
 void fields(auto& io, auto& v, FleetRules*) {
   io("budgets", v.budgets), io("ranks", v.ranks), io("keys", v.keys), io("shed_window", v.shed_window);
-  io("shed_share", v.shed_share);
+  io("shed_share", v.shed_share), io("shed_within", v.shed_within);
 }
 void fields(auto& io, auto& v, Asked*) {
   io("id", v.id), io("key", v.key), io("tenant", v.tenant), io("basket", v.basket),
@@ -44,7 +44,7 @@
   io("sent", v.sent), io("due", v.due), io("ended", v.ended), io("end", v.end), io("status", v.status);
   io("resent", v.resent), io("right_body", v.right_body), io("run", v.run), io("extra", v.extra),
       io("tries_before", v.tries_before);
-  io("chain", v.chain);
+  io("chain", v.chain), io("said", v.said);
 }
 void fields(auto& io, auto& v, Arrived*) {
   io("serial", v.serial), io("id", v.id), io("key", v.key), io("class", v.request_class), io("box", v.box);
--- a/tests/lab/fleet_audit_test.cpp
+++ b/tests/lab/fleet_audit_test.cpp
@@ -20,6 +20,22 @@
   ask(run, refused_at, refusing_node, -1);
 }
 
+// `refused` in a hundred of rank 1 beside `lower` in a hundred of rank 2, all over 2 s at node 0 by its word
+// for want of room; all else is taken. The boxes are crowded from 1000 on, or idle.
+void no_room(Run& run, int refused, int lower, bool crowded = true) {
+  run.fleet.ranks = {{1, 0, {{kCheck}, {}, -1}}, {2, 0, {{kLook}, {}, -1}}};
+  run.began = 0, run.ended = 4000;
+  for (int n = 0; n < 400; ++n) {
+    for (const int one : {kCheck, kLook}) {
+      const bool takes = n * 37 % 100 >= (one == kCheck ? refused : lower);
+      ask(run, 1000 + 5 * n, 0, takes ? n % 3 : -1, one).said =
+          takes ? "" : "shorelead; error=destination_unavailable";
+      if (takes && crowded)
+        run.arrived.back().began += 150, run.arrived.back().answered += 150, run.asked.back().ended += 150;
+    }
+  }
+}
+
 void one_box(Run& run, bool must = true) {
   KeyRule rule;
   rule.name = "baskets";
@@ -124,6 +140,23 @@
          r.changed.push_back({2, BoxState::kGone, 1500});
        },
        {{Breach::kShedOrder, 1}}},
+      // and what a process says that found no room
+      {"no_room_in_crowded_boxes", [](Run& r) { no_room(r, 10, 10); }, {}},
+      {"no_room_for_lower_ranks_first", [](Run& r) { no_room(r, 5, 20); }, {}},
+      {"no_room_said_of_idle_boxes", [](Run& r) { no_room(r, 10, 10, false); }, {{Breach::kShedOrder, 1}}},
+      // By the node, and by all processes together.
+      {"no_room_for_higher_ranks_first", [](Run& r) { no_room(r, 20, 5); }, {{Breach::kShedOrder, 2}}},
+      {"no_room_for_a_while", [](Run& r) { no_room(r, 30, 30); }, {}},
+      {"no_room_for_longer_than_a_plan_takes",
+       [](Run& r) { no_room(r, 30, 30), r.fleet.shed_within = 1000; },
+       {{Breach::kShedOrder, 5}}},
+      {"little_room_for_longer", [](Run& r) { no_room(r, 10, 10), r.fleet.shed_within = 1000; }, {}},
+      {"another_word_in_crowded_boxes",
+       [](Run& r) {
+         no_room(r, 10, 10);
+         for (Asked& asked : r.asked) asked.said = "shorelead; error=http_request_denied";
+       },
+       {{Breach::kShedOrder, 1}}},
       // F3
       {"two_boxes_at_once",
        [](Run& r) { one_box(r), put(r, 100, 0, 0), put(r, 110, 1, 1); },
--- a/tests/lab/forwarder.cpp
+++ b/tests/lab/forwarder.cpp
@@ -100,7 +100,11 @@
   const std::string key(request["X-Basket"]);
   const std::string id(request["X-Request-ID"]);
   if (shared == "rate" && !turns->spend()) return plain(429);
-  if (shared == "plans" && shed(std::string(request["X-Tenant-Id"]), id, flaw)) return plain(429);
+  if (shared == "plans" && shed(std::string(request["X-Tenant-Id"]), id, flaw)) {
+    Response answer = plain(429);
+    if (flaw == "blames_boxes") answer.set("Proxy-Status", "forwarder; error=destination_unavailable");
+    return answer;
+  }
   if (shared != "baskets") return forward(request, due);
   const std::vector<Box> all = boxes->all();
   const std::optional<std::size_t> at = box_of(key, all.size(), me, flaw);
--- a/tests/lab/forwarder_sharing.cpp
+++ b/tests/lab/forwarder_sharing.cpp
@@ -80,7 +80,7 @@
   double middle = 0;
   if (at >= 2000) lowest = at < 3000 || at >= 9500 ? 0.5 : 1;
   if (at >= 5400 && at < 7000) middle = 0.5;
-  const int low = flaw == "sheds_upside_down" ? 1 : 3;
+  const int low = flaw == "sheds_upside_down" || flaw == "blames_boxes" ? 1 : 3;
   return rank == low ? coin < lowest : rank == 2 && coin < middle;
 }
 
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -106,6 +106,7 @@
                                          Flaw{"raises_early", {Breach::kOverBudget}, "shared_rate"},
                                          Flaw{"spends_after_a_pause", {Breach::kOverBudget}, "shared_rate"},
                                          Flaw{"sheds_upside_down", {Breach::kShedOrder}, "shared_plans"},
+                                         Flaw{"blames_boxes", {Breach::kShedOrder}, "shared_plans"},
                                          Flaw{"stale_slot", {Breach::kTwoBoxes}, "shared_baskets"},
                                          Flaw{"both_open", {Breach::kTwoBoxes}, "shared_baskets"}),
                          [](const auto& info) {
