Plans: under a cut half as many misses count as a shortage

Cause: at twice what the fleet can do, six real processes, 10 to 17 % of gold met full boxes for ten seconds after a trial: just under what counts as a shortage (a tenth missed), which is right for the first cut and too much for what is left under one, since it falls on all ranks alike.

Changed: while anything is cut a twentieth missed is a shortage.

--- a/src/plans/controller.cpp
+++ b/src/plans/controller.cpp
@@ -88,6 +88,12 @@
   return level_;
 }
 
+ShortageSettings Controller::shortage() const {
+  ShortageSettings now = settings_.shortage;
+  if (level_ < ranks_) now.missed = std::min(now.missed, settings_.missed_under_cut);
+  return now;
+}
+
 bool Controller::settled(bool in_force, Millis now) {
   if (settled_at_ >= 0) return true;
   if (in_force_at_ < 0 && (in_force || now - moved_at_ >= kLate)) in_force_at_ = now;
