--- a/src/lab/room_claims.cpp
+++ b/src/lab/room_claims.cpp
@@ -15,10 +15,6 @@
 constexpr int kWindows = 4;          // in the time that shedding by plan may take
 constexpr int kLeastOffered = 20;
 
-bool says_no_room(const Asked& asked) {
-  return asked.end == ClientEnd::kAnswered && asked.said.find(kNoRoom) != std::string::npos;
-}
-
 std::string rounded(double value, const char* form) {
   char text[32];
   std::snprintf(text, sizeof text, form, value);
@@ -27,6 +23,10 @@
 
 }  // namespace
 
+bool says_no_room(const Asked& asked) {
+  return asked.end == ClientEnd::kAnswered && asked.said.find(kNoRoom) != std::string::npos;
+}
+
 bool RoomClaims::comparable(std::size_t high, std::size_t low) const {
   const RankRule& a = rules_.ranks[high];
   const RankRule& b = rules_.ranks[low];
@@ -34,7 +34,7 @@
 }
 
 bool RoomClaims::believed(const Asked& asked, int pool) const {
-  return says_no_room(asked) && press_.crowded(pool, asked.sent - kNews, asked.ended);
+  return press_.crowded(pool, asked.sent - kNews, asked.ended);
 }
 
 // Of first tries alone: a client's repeats share their fate with the first.
--- a/tests/lab/fleet_audit_test.cpp
+++ b/tests/lab/fleet_audit_test.cpp
@@ -36,6 +36,12 @@
   }
 }
 
+// So many more of rank 1, refused with that word.
+void blame(Run& run, int refused) {
+  for (int n = 0; n < refused; ++n)
+    ask(run, 2000 + n, 0, -1).said = "shorelead; error=destination_unavailable";
+}
+
 void one_box(Run& run, bool must = true) {
   KeyRule rule;
   rule.name = "baskets";
@@ -143,6 +149,12 @@
       // and what a process says that found no room
       {"no_room_in_crowded_boxes", [](Run& r) { no_room(r, 10, 10); }, {}},
       {"no_room_for_lower_ranks_first", [](Run& r) { no_room(r, 5, 20); }, {}},
+      {"no_room_said_of_idle_boxes_once_in_a_while",
+       [](Run& r) { no_room(r, 0, 0, false), blame(r, 2); },
+       {}},
+      {"no_room_said_of_idle_boxes_thrice",
+       [](Run& r) { no_room(r, 0, 0, false), blame(r, 3); },
+       {{Breach::kShedOrder, 1}}},
       {"no_room_said_of_idle_boxes", [](Run& r) { no_room(r, 10, 10, false); }, {{Breach::kShedOrder, 1}}},
       // By the node, and by all processes together.
       {"no_room_for_higher_ranks_first", [](Run& r) { no_room(r, 20, 5); }, {{Breach::kShedOrder, 2}}},
