A request's rank is told to the module; under many misses the cut-off falls faster

The module turns away sooner what is worth less and knew the class's worth alone, which goes against the fleet's order where a higher plan's lesser class stands above a lower plan's better one.

With half of the boxes dead the cut-off took four moves in 18 s, as it fell by half of what was missed; now by three quarters.

--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -76,7 +76,7 @@
   event.tenant = ask.tenant;
   event.due = ask.due;
   event.expected_work = ask.expected_work;
-  event.client_retry = ask.client_retry;
+  event.client_retry = ask.client_retry, event.worth = ask.worth;
   feed(event, now);
   return take(request, Choice::Kind::kHold);
 }
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -29,6 +29,7 @@
   Millis due = 0;
   double expected_work = -1;
   bool client_retry = false;
+  double worth = -1;  // beside the dearest, by the fleet's order; negative = its class's
   bool body_comes =
       false;  // by parts: its time counts from body_whole(), and until then there is no due time
 };
--- a/src/node/fleet_gate.cpp
+++ b/src/node/fleet_gate.cpp
@@ -149,6 +149,7 @@
       return verdict;
     }
     verdict.ticket.rank = rank;
+    verdict.worth = 1 - rank / std::max(1.0, order_.ranks() - 1.0);
     verdict.ticket.aim_at = now + aim;
   }
   const std::uint64_t all = rules_.budgets_of(words.pool, words.route, words.request_class, words.tenant);
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -36,6 +36,7 @@
     const char* cause = "";
     const char* why = "";
     Millis come_back = 0;
+    double worth = -1;  // beside the highest rank; negative: no plans
     Ticket ticket;
   };
   enum class End { kServed, kFailed, kGone };
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -235,7 +235,7 @@
                                  request_class.aim);
     if (said.refused != 0)
       return front_->refuse(request, {said.refused, said.cause, said.why, said.come_back});
-    ticket = said.ticket;
+    ticket = said.ticket, ask.worth = said.worth;
   }
   ask.request_class = traffic.class_in_pool[n][static_cast<std::size_t>(way.request_class)];
   const std::shared_ptr<Pool> pool = traffic.pools[n];
--- a/src/plans/controller.cpp
+++ b/src/plans/controller.cpp
@@ -12,6 +12,7 @@
 constexpr Millis kDrains = 1500;      // queues drain, and a report of the time after it is in
 constexpr Millis kPassesRank = 2000;  // admission.cpp: kOrderHolds
 constexpr double kNearBest = 0.95;    // of what could be done: aimed at
+constexpr double kOfMissed = 0.75;    // of what is taken and missed: cut, where nothing else tells
 constexpr double kSomeRoom = 0.08;
 constexpr double kAmple = 0.25;
 constexpr double kJitter = 0.2;  // of a hold: processes alone do not try at the same moment
@@ -88,12 +89,6 @@
   return level_;
 }
 
-ShortageSettings Controller::shortage() const {
-  ShortageSettings now = settings_.shortage;
-  if (level_ < ranks_) now.missed = std::min(now.missed, settings_.missed_under_cut);
-  return now;
-}
-
 bool Controller::settled(bool in_force, Millis now) {
   if (settled_at_ >= 0) return true;
   if (in_force_at_ < 0 && (in_force || now - moved_at_ >= kLate)) in_force_at_ = now;
@@ -124,7 +119,7 @@
   // fleet can do less than it could, and only the misses tell by how much.
   double fall = settings_.least_step;
   if (best_ > 0 && best_ < view.taken) fall = 1 - kNearBest * best_ / view.taken;
-  if (fall < 2 * settings_.least_step) fall = view.missed / 2;
+  if (fall < 2 * settings_.least_step) fall = kOfMissed * view.missed;
   fall = std::clamp(fall, settings_.least_step, settings_.most_fall);
   best_ = std::min(best_, view.taken * (1 - fall));  // it is short all the same: that was too much
   const double aim = std::max(taken * (1 - fall), settings_.least_taken * offered);
--- a/src/plans/controller.h
+++ b/src/plans/controller.h
@@ -28,8 +28,6 @@
 
 struct CutOffSettings {
   ShortageSettings shortage;
-  double missed_under_cut =
-      0.05;               // its `missed` while anything is cut: what is missed then falls on all ranks
   Millis confirm = 3000;  // a shortage has to last before anything is cut; over 310 ms of stall and a report
   Millis watch = 2000;    // and before a cut is moved again
   Millis trial = 3000;    // a step up is good when it was not short for so long
@@ -58,8 +56,6 @@
   void adopt(double level, Millis now);
 
   double level() const { return level_; }
-  // What counts as a shortage now.
-  ShortageSettings shortage() const;
   const CutOffCounters& counters() const { return counters_; }
 
  private:
--- a/src/plans/cutoff.cpp
+++ b/src/plans/cutoff.cpp
@@ -25,7 +25,7 @@
       controller_.adopt(level_of(asked_, ranks_), now);
     }
   }
-  const FleetView view = view_of(records, ranks_, controller_.shortage());
+  const FleetView view = view_of(records, ranks_, settings_.shortage);
   const fleet::CutOff cut = cut_at(controller_.see(view, in_force(records), now), ranks_);
   if (cut != asked_) {
     before_ = standing ? standing->cut_off : asked_;
@@ -62,7 +62,7 @@
   }
   own_[0].ranks = ranks;
   own_[0].room = room;
-  return cut_at(controller_.see(view_of(own_, ranks_, controller_.shortage()), true, now), ranks_);
+  return cut_at(controller_.see(view_of(own_, ranks_, settings_.shortage), true, now), ranks_);
 }
 
 }  // namespace shorelead::plans
--- a/src/policy/choosing.h
+++ b/src/policy/choosing.h
@@ -139,7 +139,8 @@
   double value(const Request& r) const {
     const RequestClass& c = c_.request_class(r.request_class);
     const double late = r.client_retry ? c.late_value : 1;  // its time for the aim ran with the first try
-    return c.worth / c_.most_worth * late * (r.over_share ? c_.settings.over_share_worth : 1);
+    const double worth = r.worth < 0 ? c.worth / c_.most_worth : r.worth;
+    return worth * late * (r.over_share ? c_.settings.over_share_worth : 1);
   }
 
   // Exception "admission": an answer must be expected in this time, less for what is worth less.
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -118,6 +118,7 @@
   double expected_work = -1;  // on a standard core; negative = unknown
   bool client_retry = false;
   std::uint64_t key = 0;  // of what it concerns, the same on every node; 0 = none
+  double worth = -1;      // beside the dearest, where a fleet has an order; negative = its class's
 };
 struct StreamStarted {
   RequestId request = 0;
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -43,6 +43,7 @@
     r.most_attempts = retries_.most_attempts();
     r.aim_at = c_.now + c_.request_class(e.request_class).aim;
     r.key = e.key;
+    r.worth = e.worth;
     r.work = known_.arrived(e.expected_work);
     retries_.earn();
     r.client_retry = e.client_retry;
--- a/src/policy/retries.h
+++ b/src/policy/retries.h
@@ -28,6 +28,7 @@
   int most_attempts = 1;
   double work = 1;  // of a mean request, by its hint
   std::uint64_t key = 0;
+  double worth = -1;  // beside the dearest; negative: its class's
   bool client_retry = false;
   bool over_share = false;       // beyond its tenant's share
   std::vector<BackendId> asked;  // candidates whose news it waits for
