--- a/src/node/answer_words.h
+++ b/src/node/answer_words.h
@@ -15,6 +15,7 @@
 inline constexpr const char* kWhyNoRoom = "shorelead; error=destination_unavailable";
 inline constexpr const char* kWhyShortage = "shorelead; error=http_request_denied; details=\"shortage\"";
 inline constexpr const char* kWhyBudget = "shorelead; error=http_request_denied; details=\"budget\"";
+inline constexpr const char* kWhyKey = "shorelead; error=http_request_denied; details=\"affinity\"";
 
 struct Refusal {
   int status = 503;
--- a/src/node/fleet_gates.h
+++ b/src/node/fleet_gates.h
@@ -3,6 +3,7 @@
 // with.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,7 +18,9 @@
 class FleetGates {
  public:
   // `beside`: another process of the same node lives, which has its name in the fleet.
-  FleetGates(Loop& loop, bool beside) : loop_(loop), beside_(beside) {}
+  // `again`: called for requests that wait for their keys' boxes, when it may be time to ask again.
+  FleetGates(Loop& loop, bool beside, std::function<void(RequestId)> again)
+      : loop_(loop), beside_(beside), again_(std::move(again)) {}
   ~FleetGates() { loop_.cancel(sweep_); }
   FleetGates(const FleetGates&) = delete;
   FleetGates& operator=(const FleetGates&) = delete;
@@ -26,13 +29,20 @@
   std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now) const;
   // Requests go by `next` from now on, and no longer by `before`.
   void go_by(const Traffic& before, const Traffic& next);
+  // This process ends: gives back all of what is in force; whether that is done, as for those left before.
+  bool give_back(const Traffic& now);
 
  private:
   void sweep();
 
   Loop& loop_;
   const bool beside_;
-  std::vector<std::shared_ptr<FleetGate>> left_;
+  const std::function<void(RequestId)> again_;
+  struct Left {
+    std::shared_ptr<FleetGate> gate;
+    Millis until = 0;  // then it gives back all, though a request may still come by it
+  };
+  std::vector<Left> left_;
   Loop::TimerId sweep_ = 0;
 };
 
