--- a/src/node/answer_words.h
+++ b/src/node/answer_words.h
@@ -11,11 +11,11 @@
 namespace shorelead::node {
 
 // Why a request is refused, in the published form (RFC 9209, Proxy-Status); told where processes share a
-// fleet, whose clients may hear of four reasons in one status.
+// fleet, whose clients may hear of three reasons in one status.
 inline constexpr const char* kWhyNoRoom = "shorelead; error=destination_unavailable";
 inline constexpr const char* kWhyShortage = "shorelead; error=http_request_denied; details=\"shortage\"";
 inline constexpr const char* kWhyBudget = "shorelead; error=http_request_denied; details=\"budget\"";
-inline constexpr const char* kWhyAffinity = "shorelead; error=destination_unavailable; details=\"affinity\"";
+inline constexpr const char* kWhyKey = "shorelead; error=http_request_denied; details=\"affinity\"";
 
 struct Refusal {
   int status = 503;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -134,6 +134,7 @@
   bool client_retry = false;
   std::uint64_t key = 0;  // of what it concerns, the same on every node; 0 = none
   Unit home{};            // for every attempt
+  double worth = -1;      // beside the dearest, where a fleet has an order; negative = its class's
 };
 struct StreamStarted {
   RequestId request = 0;
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -37,13 +37,10 @@
       throw std::out_of_range("request of an unknown class");
     }
     Request r;
-    r.id = e.request;
-    r.request_class = e.request_class;
-    r.due = e.due;
+    r.id = e.request, r.request_class = e.request_class, r.due = e.due;
     r.most_attempts = retries_.most_attempts();
     r.aim_at = c_.now + c_.request_class(e.request_class).aim;
-    r.key = e.key;
-    r.home = e.home;
+    r.key = e.key, r.home = e.home, r.worth = e.worth;
     r.work = known_.arrived(e.expected_work);
     retries_.earn();
     r.client_retry = e.client_retry;
--- a/src/policy/retries.h
+++ b/src/policy/retries.h
@@ -29,6 +29,7 @@
   double work = 1;  // of a mean request, by its hint
   std::uint64_t key = 0;
   Unit home;
+  double worth = -1;  // beside the dearest; negative: its class's
   bool client_retry = false;
   bool over_share = false;       // beyond its tenant's share
   std::vector<BackendId> asked;  // candidates whose news it waits for
