--- a/tests/affinity/model.h
+++ b/tests/affinity/model.h
@@ -1,18 +1,19 @@
 // Several processes, a store and two planners in simulated time: messages late, lost and out of order,
 // processes that are killed, paused and cut off, boxes that come, go and drain. The processes here keep to
-// the rules of fleet/plan.h by a few lines of their own; shaper and choice are the real ones. What is looked
-// for:
+// the rules of fleet/plan.h by a few lines of their own; shaper, choice and bindings (what waits and is under
+// way) are the real ones. What is looked for:
 //   - a send for a slot at another box than one sent before, by an older opening (a token that went back);
 //   - two boxes that work for one slot at a time, by processes that are awake.
 #pragma once
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <string>
 #include <vector>
 
-#include "affinity/choice.h"
+#include "affinity/bindings.h"
 #include "affinity/shaper.h"
 #include "base/random.h"
 #include "fleet/plan.h"
@@ -56,6 +57,7 @@
     std::size_t slot;
     std::string box;
     Millis ends;
+    int place;
   };
   struct Process {
     std::string name;
@@ -68,6 +70,8 @@
     fleet::Plan in_force{}, seen{};
     std::uint64_t seen_modified = 0;
     fleet::SlotMap open{};  // what traffic goes by
+    std::uint64_t incarnation = 0;
+    std::shared_ptr<Bindings> keys{};
     std::vector<Work> work{};
   };
   struct Stored {
@@ -88,6 +92,9 @@
   void renew(std::size_t process);
   void put_record(std::size_t process, std::uint64_t epoch);
   void see(Process& p, const fleet::Plan& plan, std::uint64_t modified);
+  void take_up(Process& p);  // the traffic does
+  void look_after(Process& p);
+  void sent(Process& p, const Bindings::Said& said, std::size_t slot);
   void follow(std::size_t process);
   void send(std::size_t process);
   void plan(std::size_t planner);
@@ -103,7 +110,7 @@
   Random random_;
   const Flaw flaw_;
   std::priority_queue<Event> queue_;
-  std::uint64_t order_ = 0, calls_ = 0;
+  std::uint64_t order_ = 0, calls_ = 0, incarnations_ = 0;
   Millis now_ = 0;
   bool calm_ = false;
   std::uint64_t revision_ = 1;
--- a/tests/affinity/model_process.cpp
+++ b/tests/affinity/model_process.cpp
@@ -16,6 +16,11 @@
   return both;
 }
 
+constexpr int kSlotBits = 4;
+static_assert(kSlots == std::size_t{1} << kSlotBits);
+
+std::optional<Standing> ready(To, const std::string&) { return Standing::kReady; }
+
 }  // namespace
 
 // Nothing is in force any more; what it has in the store, if anything, runs out by itself.
@@ -24,6 +29,26 @@
   p.valid_until = -1;
   p.in_force = {};
   p.open = {};
+  p.incarnation = 0;
+  take_up(p);
+}
+
+void Model::take_up(Process& p) {
+  if (!p.keys) p.keys = std::make_shared<Bindings>(std::vector{rule_}, 8);
+  fleet::Snapshot snapshot;
+  snapshot.incarnation = p.incarnation;
+  if (!p.open.slots.empty()) snapshot.affinity[map_name(rule_)] = p.open;
+  p.keys->take_up(snapshot, now_);
+}
+
+// Every few milliseconds, and before anything is decided: what has ended, what is to be called off.
+void Model::look_after(Process& p) {
+  if (!p.keys) take_up(p);
+  const auto over = [&p](const Work& work) { return p.keys->over(work.place), true; };
+  std::erase_if(p.work, [&](const Work& work) { return work.ends <= now_ && over(work); });
+  for (const int place : p.keys->call_off(now_ < p.valid_until, now_, ready)) {
+    std::erase_if(p.work, [&](const Work& work) { return work.place == place && over(work); });
+  }
 }
 
 // One call that renews the lease, or makes the record where this process has none.
@@ -74,6 +99,7 @@
         if (has != modified) lose(q);
         return;
       }
+      if (q.modified == 0) q.incarnation = ++incarnations_;
       q.modified = revision;
       if (modified == 0) q.valid_until = begun + fleet::valid_for(sharing());
       if (epoch > 0 && epoch > q.in_force.epoch) {
@@ -81,6 +107,7 @@
         // A newer one that was seen meanwhile has closed what it has closed.
         const fleet::SlotMap& map = plan.affinity.at(map_name(rule_));
         q.open = q.seen.epoch > epoch ? common(map, q.seen.affinity.at(map_name(rule_))) : map;
+        take_up(q);
       }
     });
   });
@@ -96,35 +123,36 @@
   } else if (flaw_ != Flaw::kKeepsStale) {
     p.open = common(p.open, map);
   }
+  take_up(p);
 }
 
 void Model::follow(std::size_t n) {
   Process& p = processes_[n];
   if (p.paused_until > now_ || !p.alive || p.modified == 0 || p.seen.epoch <= p.in_force.epoch) return;
-  const bool valid = now_ < p.valid_until;
-  bool quiet = true;
-  for (const Work& work : p.work) {
-    const fleet::SlotMap& map = p.seen.affinity.at(map_name(rule_));
-    if (map.slots[work.slot].open && map.slots[work.slot].box == work.box) continue;
-    quiet = quiet && closing(rule_, {work.ends > now_ ? 1 : 0, 0, false, valid}) != Closing::kUnderWay;
-  }
-  if (quiet || flaw_ == Flaw::kNotQuiet) put_record(n, p.seen.epoch);
+  look_after(p);
+  if (p.keys->quiet() || flaw_ == Flaw::kNotQuiet) put_record(n, p.seen.epoch);
 }
 
 void Model::send(std::size_t n) {
   Process& p = processes_[n];
   if (p.paused_until > now_ || !p.alive) return;
+  look_after(p);
   const bool valid = now_ < p.valid_until || flaw_ == Flaw::kIgnoresExpiry;
-  std::erase_if(p.work, [&](const Work& work) { return work.ends <= now_ || now_ >= p.valid_until; });
-  const std::size_t slot = random_.below(kSlots);
-  Ask ask{&rule_, true, !p.open.slots.empty(), valid, {}, Standing::kReady, -1, 0};
-  if (ask.mapped) ask.seat = {0, p.open.slots[slot].open};
-  const Decision decision = choose(ask);
-  if (decision.go != Go::kOnly) {
-    ++result_.refused;
-    return;
+  const std::vector<int> waiting = p.keys->waiting();
+  for (const int place : waiting) {
+    const std::size_t slot = p.keys->request_of(place);
+    sent(p, p.keys->again(place, valid, now_, ready), slot);
   }
+  const std::size_t slot = random_.below(kSlots);
+  const Found found{0, true, std::uint64_t{slot} << (64 - kSlotBits)};
+  sent(p, p.keys->arrive(static_cast<std::uint32_t>(slot), found, valid, now_ + 40, now_, ready), slot);
+}
+
+void Model::sent(Process& p, const Bindings::Said& said, std::size_t slot) {
+  result_.refused += said.go == Go::kRefuse;
+  if (said.go != Go::kOnly) return;
   const fleet::Slot& seat = p.open.slots[slot];
+  if (*said.unit != seat.box || !seat.open) broke(p.name + " sends where no slot is open");
   auto& [token, box] = last_[slot];
   if (seat.since < token && seat.box != box) broke(p.name + " sends by an older opening");
   result_.moves += token > 0 && seat.box != box;
@@ -135,7 +163,7 @@
       if (work.slot == slot && work.box != seat.box && work.ends > now_) broke("two boxes work for a slot");
     }
   }
-  p.work.push_back({slot, seat.box, now_ + kLongest * random_.unit()});
+  p.work.push_back({slot, seat.box, now_ + kLongest * random_.unit(), said.place});
   ++result_.sends;
 }
 
