--- a/src/policy/choosing.h
+++ b/src/policy/choosing.h
@@ -22,16 +22,14 @@
   // The next in the rotation, or the best of those looked at; and whether it is good enough without more
   // news.
   std::pair<std::optional<BackendId>, bool> pick(const Request& r) const {
-    if (r.home.kind != Unit::Kind::kAny) {
-      const std::optional<BackendId> i = soonest(r, kSkipShare * (r.aim_at - c_.now), true);
-      if (i) return {i, true};
-    }
+    const Millis patience = kSkipShare * (r.aim_at - c_.now);
+    if (const auto i = r.home.any() ? soonest(r, patience, true) : std::nullopt) return {i, true};
     if (!c_.looks_first()) {
       const std::optional<BackendId> i = propose(r);
       return {i, i.has_value()};
     }
     const std::optional<BackendId> i = best_asked(r);
-    return {i, i && suits(r, *i, kSkipShare * (r.aim_at - c_.now))};
+    return {i, i && suits(r, *i, patience)};
   }
 
   // The pick where no more news is to be had; none: the request is better turned away.
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -113,6 +113,7 @@
   int cell = 0;
   bool only = false;  // it may go nowhere else; without it, rather there
 
+  bool any() const { return kind != Kind::kAny; }
   bool has(const BackendEntry& entry) const {
     if (kind == Kind::kBackend) return entry.backend == backend;
     return kind != Kind::kAny && entry.zone == zone && (kind == Kind::kZone || entry.cell == cell);
