--- a/tests/affinity/shore_test.cpp
+++ b/tests/affinity/shore_test.cpp
@@ -24,9 +24,9 @@
 route desk { path "/desk/*"; class post }
 )";
 
-Config loaded(const std::string& rules) {
+Config loaded(const std::string& rules, std::string text = kSite) {
   language::Reader reader;
-  const std::string text = kSite + rules;
+  text += rules;
   reader.read = [text](const std::string&) { return std::optional(text); };
   return load_shore("a.shore", {}, reader);
 }
@@ -69,6 +69,27 @@
   const Config config = loaded(
       "affinity a { when \"route = desk\"; key tenant; must yes; on_loss refuse; hold 2 min; finish 1 min }");
   EXPECT_EQ(config.shared->affinity[0].still, 60000);
+  // What was sent before a process died may go on for the longest wait that the rule takes.
+  EXPECT_EQ(config.shared->sharing.longest, 1000);
+  EXPECT_EQ(loaded("affinity a { key tenant }").shared->sharing.longest, 0) << "must alone needs it";
+}
+
+// One key has one box: a rule's requests lead to one pool, and the planner looks for it among that one's.
+TEST(AffinityFile, ARuleHasOnePool) {
+  std::string two = kSite;
+  for (const char* const route : {"route shop { ", "route desk { "}) {
+    two.insert(two.find(route) + std::string(route).size(), route[6] == 's' ? "pool main; " : "pool two; ");
+  }
+  two += "pool two { box b { dial 127.0.0.1:9002 } }\n";
+  EXPECT_EQ(loaded("affinity a { when \"route = desk\"; key tenant }", two).shared->affinity[0].pool, "two");
+  try {
+    loaded("affinity a { key tenant }", two);
+    FAIL();
+  } catch (const FieldError& error) {
+    EXPECT_EQ(std::string(error.what()).find("a.shore:11: error: affinity a: it takes requests of the pools"),
+              0U)
+        << error.what();
+  }
 }
 
 std::string explained(const std::string& rules, const std::string& request,
--- /dev/null
+++ b/tests/home_test.cpp
@@ -0,0 +1,126 @@
+// A request's home, as a rule of affinity names it: the module chooses within it, for each attempt, and what
+// counts before affinity (drains, repeats) counts before it here as well.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "node/facade.h"
+
+namespace shorelead::node {
+namespace {
+
+struct Case {
+  Case() {
+    RequestClass c;
+    c.effect = Effect::kSafe;
+    c.aim = 400;
+    c.deadline = 1000;
+    settings.classes = {c};
+    settings.max_attempts = 3;
+    settings.probing = false;
+    HostSettings host;
+    host.zones = {"a", "b"};
+    facade = std::make_unique<Facade>(settings, host, 7);
+    list.whole = true;
+    for (int n = 1; n <= 8; ++n) {
+      const std::string number = std::to_string(n);
+      ListedBackend one{"s-", "127.0.0.1:900", std::string("ready"), std::string(1, n <= 4 ? 'a' : 'b'),
+                        n % 2};
+      one.host += number;
+      one.dial += number;
+      list.backends.push_back(one);
+    }
+    facade->start(list, now);
+  }
+  void health(const std::string& name, const std::string& health) {
+    for (ListedBackend& one : list.backends) {
+      if (one.host == name) one.health = health;
+    }
+    facade->report_list(list, ListSource::kWatch, now);
+  }
+  // The boxes that one request is sent to, where each turns it away; the last word is "" where nobody is
+  // left.
+  std::vector<std::string> tries(Unit home) {
+    std::vector<std::string> all;
+    now += 5;
+    Ask ask{0, 0, now + 1000, -1, false};
+    ask.home = home;
+    Choice choice = facade->pick(++last, ask, now);
+    while (choice.kind == Choice::Kind::kSend) {
+      all.push_back(facade->host(choice.backend));
+      choice = facade->report(last, choice.attempt, Ending::kTurnedAway, 1, nullptr, now);
+    }
+    EXPECT_EQ(choice.kind, Choice::Kind::kRefuse);
+    return all;
+  }
+  std::string served(Unit home) {
+    now += 5;
+    Ask ask{0, 0, now + 1000, -1, false};
+    ask.home = home;
+    const Choice choice = facade->pick(++last, ask, now);
+    if (choice.kind != Choice::Kind::kSend) return "";
+    facade->report(last, choice.attempt, Ending::kServed, 2, nullptr, now += 2);
+    return facade->host(choice.backend);
+  }
+  Unit unit(Unit::Kind kind, const std::string& name, bool only) {
+    Unit unit = facade->see(kind, name)->unit;
+    unit.only = only;
+    return unit;
+  }
+
+  Settings settings;
+  List list;
+  Millis now = 1.7e12;
+  RequestId last = 0;
+  std::unique_ptr<Facade> facade;
+};
+
+TEST(Home, WhatMayGoNowhereElseNeverDoesForAnyAttempt) {
+  struct Row {
+    Unit::Kind kind;
+    const char* name;
+    std::set<std::string> all;
+  };
+  const Row rows[] = {{Unit::Kind::kBackend, "s-3", {"s-3"}},
+                      {Unit::Kind::kCell, "a/1", {"s-1", "s-3"}},
+                      {Unit::Kind::kZone, "b", {"s-5", "s-6", "s-7", "s-8"}}};
+  for (const Row& row : rows) {
+    Case c;
+    std::set<std::string> met;
+    for (int n = 0; n < 60; ++n) {
+      if (n % 3 == 0) c.served({});  // others go where they like meanwhile
+      const std::vector<std::string> tries = c.tries(c.unit(row.kind, row.name, true));
+      for (const std::string& box : tries) {
+        EXPECT_EQ(row.all.count(box), 1U) << row.name << " " << box;
+        met.insert(box);
+      }
+    }
+    EXPECT_EQ(met, row.all);
+    // Nothing new goes to who drains, and to nobody else in its place.
+    for (const std::string& box : row.all) c.health(box, "draining");
+    EXPECT_TRUE(c.tries(c.unit(row.kind, row.name, true)).empty());
+    EXPECT_EQ(c.facade->see(row.kind, row.name)->standing, affinity::Standing::kDraining);
+  }
+}
+
+TEST(Home, WhoRatherGoesThereDoesSoWhileThatIsFit) {
+  Case c;
+  for (int n = 0; n < 40; ++n) {
+    EXPECT_EQ(c.served(c.unit(Unit::Kind::kBackend, "s-6", false)), "s-6");
+    c.served({});
+  }
+  // A further attempt goes elsewhere, and so does all where it drains.
+  const std::vector<std::string> tries = c.tries(c.unit(Unit::Kind::kBackend, "s-6", false));
+  ASSERT_GT(tries.size(), 1U);
+  EXPECT_EQ(tries.front(), "s-6");
+  EXPECT_NE(tries[1], "s-6");
+  c.health("s-6", "draining");
+  for (int n = 0; n < 20; ++n) {
+    const std::string box = c.served(c.unit(Unit::Kind::kBackend, "s-6", false));
+    EXPECT_NE(box, "s-6");
+    EXPECT_FALSE(box.empty());
+  }
+}
+
+}  // namespace
+}  // namespace shorelead::node
