--- a/bench/affinity/look_up.cpp
+++ b/bench/affinity/look_up.cpp
@@ -8,7 +8,7 @@
 #include <new>
 #include <string>
 
-#include "affinity/choice.h"
+#include "affinity/bindings.h"
 #include "affinity/shaper.h"
 
 namespace {
@@ -104,6 +104,41 @@
       static_cast<double>(allocations - before) / static_cast<double>(state.iterations());
 }
 
+// As a node has it: asked with how the box stands, given a place, and over; and what a snapshot costs.
+fleet::Snapshot snapshot_of(const std::vector<Rule>& rules, std::size_t slots) {
+  fleet::Snapshot snapshot;
+  snapshot.incarnation = 1;
+  for (const Rule& rule : rules) snapshot.affinity[map_name(rule)] = map_of(slots, 50);
+  return snapshot;
+}
+
+void place(benchmark::State& state) {
+  const auto slots = static_cast<std::size_t>(state.range(0));
+  const std::vector<Rule> rules = rules_of(slots);
+  Bindings bindings(rules, 1000);
+  bindings.take_up(snapshot_of(rules, slots), 0);
+  const Bindings::Look look = [](To, const std::string&) { return std::optional(Standing::kReady); };
+  std::uint64_t key = 1;
+  bindings.over(bindings.arrive(1, {2, true, key}, true, 1000, 0, look).place);
+  const std::uint64_t before = allocations;
+  for (auto _ : state) {
+    key = key * 6364136223846793005ULL + 1442695040888963407ULL;
+    const Bindings::Said said = bindings.arrive(1, {2, true, key}, true, 1000, 0, look);
+    benchmark::DoNotOptimize(bindings.may_send(said.place, true));
+    bindings.over(said.place);
+  }
+  state.counters["allocations"] =
+      static_cast<double>(allocations - before) / static_cast<double>(state.iterations());
+}
+
+void taken_up(benchmark::State& state) {
+  const auto slots = static_cast<std::size_t>(state.range(0));
+  const std::vector<Rule> rules = {rules_of(slots)[2]};
+  Bindings bindings(rules, 1000);
+  const fleet::Snapshot snapshot = snapshot_of(rules, slots);
+  for (auto _ : state) bindings.take_up(snapshot, 0);
+}
+
 std::vector<BoxSeen> boxes_of(std::int64_t count) {
   std::vector<BoxSeen> boxes;
   for (std::int64_t n = 0; n < count; ++n) boxes.push_back({"box-" + std::to_string(n), "", "", 1, 1, false});
@@ -138,6 +173,8 @@
 }
 
 BENCHMARK(request_path)->Arg(1024)->Arg(65536);
+BENCHMARK(place)->Arg(1024)->Arg(65536);
+BENCHMARK(taken_up)->Arg(1024)->Arg(65536);
 BENCHMARK(seat_alone)->Arg(1024)->Arg(65536);
 BENCHMARK(planner)
     ->Unit(benchmark::kMicrosecond)
