A reload of what is shared waits for the next gate's plan; no two gates have one name

Found by a test: after a reload that changes the fleet's part of the file `must` was refused (no_map) until the new member had its first plan. The generation now comes in force once it has, 3 s at most as for lists; the one before answers meanwhile. Gates were named by the generation, of which two that are pending in turn have the same: by count now. The test asks all keys throughout two reloads: none refused, none moved; it fails without the wait.

--- a/src/node/fleet_gates.cpp
+++ b/src/node/fleet_gates.cpp
@@ -30,13 +30,13 @@
 
 // One that shares the same as before goes on with what it has; another joins under another name, as the one
 // before it lives until it has given all back.
-std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) const {
+std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) {
   if (!config.shared) return nullptr;
   FleetGate::Names names = FleetGate::names_of(config);
   if (now != nullptr && now->gate && now->gate->serves(*config.shared, names)) return now->gate;
   std::string name = config.name;
   if (beside_) name.append("~").append(std::to_string(::getpid()));
-  if (now != nullptr) name.append(".").append(std::to_string(now->number + 1));
+  if (++made_ > 1) name.append(".").append(std::to_string(made_));
   std::random_device entropy;
   return std::make_shared<FleetGate>(loop_, *config.shared, config, name,
                                      (std::uint64_t{entropy()} << 32) ^ entropy(), again_);
--- a/src/node/fleet_gates.h
+++ b/src/node/fleet_gates.h
@@ -26,7 +26,7 @@
   FleetGates& operator=(const FleetGates&) = delete;
 
   // For a generation by `config`, the one in force being `now` (or none); null where nothing is shared.
-  std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now) const;
+  std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now);
   // Requests go by `next` from now on, and no longer by `before`.
   void go_by(const Traffic& before, const Traffic& next);
   // This process ends: gives back all of what is in force; whether that is done, as for those left before.
@@ -38,6 +38,7 @@
   Loop& loop_;
   const bool beside_;
   const std::function<void(RequestId)> again_;
+  int made_ = 0;  // so far: no two have one name
   struct Left {
     std::shared_ptr<FleetGate> gate;
     Millis until = 0;  // then it gives back all, though a request may still come by it
--- a/src/node/generations.cpp
+++ b/src/node/generations.cpp
@@ -114,7 +114,9 @@
   const std::shared_ptr<Traffic> next = pending_->traffic;
   const auto waits = [](const std::shared_ptr<Pool>& pool) { return !pool->told(); };
   const auto late = std::find_if(next->pools.begin(), next->pools.end(), waits);
-  if (late != next->pools.end() && loop_.now() < pending_->until) {
+  // Keys have no box by a gate that has no plan yet.
+  const bool planless = next->gate && !next->gate->told();
+  if ((late != next->pools.end() || planless) && loop_.now() < pending_->until) {
     look_ = loop_.after(kLookEvery, [this] { put_in_force(); });
     return;
   }
--- a/tests/keys_node_test.cpp
+++ b/tests/keys_node_test.cpp
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <map>
 #include <mutex>
-#include <set>
 #include <thread>
 
 #include "fleet/fleet_bench.h"
@@ -86,7 +85,9 @@
         "route looks { path /look/*; class look; pool main }\n"
         "route rathers { path /rather/*; class rather; pool main }\n"
         "fleet { store 127.0.0.1:1; prefix \"/fleet/\"; processes 4; lease 1 s }\n"
-        "affinity baskets { when \"class = look\"; key header X-Basket; to box; must yes; slots 64 }\n"
+        "affinity baskets { when \"class = look\"; key header X-Basket; to box; must yes; slots 64; wait " +
+        wait +
+        " }\n"
         "affinity others { when \"class = rather\"; key header X-Basket; to box; must no; slots 64 }\n";
     language::Reader reader;
     reader.read = [&text](const std::string&) { return std::optional(text); };
@@ -106,7 +107,7 @@
   Book book;
   std::vector<std::unique_ptr<Box>> boxes;
   fleet::StandIn store;
-  std::string draining;
+  std::string draining, wait = "1 s";
 };
 
 class Node {
@@ -114,9 +115,10 @@
   Node(Fleet& fleet, const std::string& name) : fleet_(fleet), name_(name), config_(fleet.config_of(name)) {
     loop_ = std::make_unique<Loop>();
     server_ = std::make_unique<Server>(*loop_, config_);
-    loop_->on_signals([this](int) {
-      server_->reload([this] { return fleet_.config_of(name_); });
-      ++reloads_;
+    loop_->on_signals([this](int signal) {
+      if (signal == SIGHUP) server_->reload([this] { return fleet_.config_of(name_); });
+      generation_ = static_cast<int>(server_->generation());
+      ++signals_;
     });
     port_ = server_->port();
     thread_ = std::thread([this] { loop_->run(); });
@@ -126,10 +128,10 @@
     thread_.join();
     server_.reset();
   }
-  void reload() {
-    const int before = reloads_;
-    ::pthread_kill(thread_.native_handle(), SIGHUP);
-    while (reloads_ == before) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  void reload() { signal(SIGHUP); }
+  int generation() {
+    signal(SIGUSR1);
+    return generation_;
   }
 
   // The box that answered, or the status where none did.
@@ -144,13 +146,20 @@
   }
 
  private:
+  void signal(int number) {
+    const int before = signals_;
+    ::pthread_kill(thread_.native_handle(), number);
+    while (signals_ == before) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+
   Fleet& fleet_;
   const std::string name_;
   const Config config_;
   std::unique_ptr<Loop> loop_;
   std::unique_ptr<Server> server_;
   unsigned short port_ = 0;
-  std::atomic<int> reloads_ = 0;
+  std::atomic<int> signals_ = 0;
+  std::atomic<int> generation_ = 0;
   std::thread thread_;
 };
 
@@ -221,5 +230,21 @@
   EXPECT_EQ(whole_map(two), moved);
 }
 
+// The next gate has its plan before requests go by it, and the one before keeps what is under way.
+TEST(KeysNode, AReloadOfWhatIsSharedRefusesNoKeyAndMovesNone) {
+  Fleet fleet;
+  Node one(fleet, "one");
+  const auto map = whole_map(one);
+  for (const char* const wait : {"900 ms", "800 ms"}) {
+    const int before = one.generation();
+    fleet.wait = wait;
+    one.reload();
+    while (one.generation() == before) {
+      for (const auto& [key, box] : map) EXPECT_EQ(one.ask("/look/1", key), box);
+    }
+    for (const auto& [key, box] : map) EXPECT_EQ(one.ask("/look/1", key), box);
+  }
+}
+
 }  // namespace
 }  // namespace shorelead::node
