--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -99,9 +99,10 @@
   std::vector<std::string> bad_kinds;  // empty = all
   std::string tenant_header = "X-Tenant-Id";
   std::string basket_header = "X-Basket";
-  int baskets = 0;       // each wish is about one of so many; 0 = none
-  int hot = 0;           // the first so many processes are asked ...
-  double hot_share = 0;  // ... by so much of all requests, the others by the rest
+  int baskets = 0;         // each wish is about one of so many; 0 = none
+  int hot = 0;             // the first so many processes are asked ...
+  double hot_share = 0;    // ... by so much of all requests, the others by the rest
+  bool at_random = false;  // which process is asked, of those that may be: else in turns
 };
 
 struct TenantSpec {
--- a/src/lab/experiment_load.cpp
+++ b/src/lab/experiment_load.cpp
@@ -102,6 +102,7 @@
   in.whole("baskets", clients.baskets, 0, 1000000);
   in.whole("hot", clients.hot, 0, 200);
   in.share("hot_share", clients.hot_share);
+  in.flag("at_random", clients.at_random);
   in.number("bad_per_second", clients.bad_per_second, 0, 10000);
   if (in.has("bad_kinds")) clients.bad_kinds = in.texts("bad_kinds");
   for (const std::string& kind : clients.bad_kinds) {
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -79,7 +79,9 @@
   }
 }
 
-int Load::next_in(int from, int to, int& turn) const {
+int Load::next_in(int from, int to, int& turn) {
+  if (experiment_.clients.at_random)
+    turn = from + static_cast<int>(where_.whole(static_cast<std::uint64_t>(to - from)));
   for (int n = from; n < to; ++n) {
     turn = turn + 1 < to ? std::max(from, turn + 1) : from;
     if (front_.taken_in[static_cast<std::size_t>(turn)]) return turn;
