Usable sums: the planner is who wrote most plans

A process that ends in good order gives the planning back first, and its last counters say planner=0.

--- a/bench/lab/fleet/usable/measure.py
+++ b/bench/lab/fleet/usable/measure.py
@@ -119,15 +119,16 @@
 
 def calls_a_second(folder):
     """Of all processes that ended in good order, by the counters in their logs: mean, and the planner's."""
-    all_, planner = [], []
+    all_, planner, most = [], None, 0
     for log in sorted(folder.glob("n*.log")):
         text = log.read_text()
         up, calls = re.findall(r"up_s=([0-9.]+)", text), re.findall(r" calls=([0-9]+)", text)
         if up and calls:
             all_.append(int(calls[-1]) / float(up[-1]))
-            if re.findall(r" planner=([01])", text)[-1] == "1":
-                planner.append(all_[-1])
-    return (sum(all_) / len(all_) if all_ else None), (planner[0] if planner else None)
+            plans = int(re.findall(r" plans=([0-9]+)", text)[-1])  # who wrote most of them was it for longest
+            if plans > most:
+                planner, most = all_[-1], plans
+    return (sum(all_) / len(all_) if all_ else None), planner
 
 
 def figures(name, run, findings):
