One reserve a node: it passes at a reload and to a successor, and is never counted twice

A reload that changes a budget made a gate whose reserve counted beside that of the one before, where a pool that is left still sends further attempts; a successor's counted beside its predecessor's for as long as that one drained (measured on two gates with the store away: both let through at once, where one node's reserve was for one). And a process that ended in good order never gave its share back: the others had it only a lease later.

A gate begins without the reserve. A reload passes it on; of two processes the old one ceases it when the successor serves and says so on the channel of the handover, with how long what it has at once may last; else the successor's begins at that channel's end. If the successor ends, the old one goes on with the gate that it has, its reserve begun anew. Gates are named by how many were made, so that of two quick reloads both may join.

Tests: gates through reloads and replacement; the word on the channel; reserves that pass among four processes in the shares' histories (found: a reserve that is not ceased, one that counts before its window).

--- a/src/fleet/port.cpp
+++ b/src/fleet/port.cpp
@@ -1,6 +1,7 @@
 #include "fleet/port.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "fleet/division.h"
@@ -49,6 +50,22 @@
   }
 }
 
+void Port::cease_reserve(Millis now) {
+  for (std::size_t n = 0; n < shares_.size(); ++n) {
+    std::visit([](auto& share) { share.reserve_from(std::numeric_limits<Millis>::infinity()); }, shares_[n]);
+    count_in_use(n, now);
+  }
+}
+
+void Port::begin_reserve(Millis now, Millis before) {
+  for (std::size_t n = 0; n < shares_.size(); ++n) {
+    // Only of a count at once does what was begun go on.
+    const bool lasts = budgets_[n].kind == BudgetKind::kAtOnce;
+    const Millis from = now + (lasts ? std::max(0.0, before - budgets_[n].hold) : 0);
+    std::visit([from](auto& share) { share.reserve_from(from); }, shares_[n]);
+  }
+}
+
 bool Port::take_up() {
   const Millis until_now = valid_until();
   if (!channel_->issues.take()) return false;
--- a/src/fleet/port.h
+++ b/src/fleet/port.h
@@ -23,6 +23,11 @@
 
   static Millis now() { return boot_now(); }
 
+  // The reserve is one's alone, of all that stand in for one another: not this one's from now on; or this
+  // one's, where what was begun with it before is over within `before`. Untold it begins with the first call.
+  void cease_reserve(Millis now);
+  void begin_reserve(Millis now, Millis before);
+
   // Once for each turn of the loop, and when `wake_fd` is readable: puts the newest snapshot in force, if
   // there is a newer one. Whether there was; then slots that it closed count as busy until `slots_quiet`.
   bool take_up();
--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -5,8 +5,9 @@
 void RateShare::fill(Millis now, Millis valid_until) {
   if (at_ < 0) at_ = now;
   const double seconds = std::max(0.0, now - at_) / 1000;
+  kept_ =
+      std::min(reserve_.burst, kept_ + reserve_.amount * std::max(0.0, now - std::max(at_, from_)) / 1000);
   at_ = std::max(at_, now);
-  kept_ = std::min(reserve_.burst, kept_ + reserve_.amount * seconds);
   // Somebody else may have it by now: neither what was saved nor the time since counts.
   tokens_ = now < valid_until ? std::min(part_.burst, tokens_ + part_.amount * seconds) : 0;
 }
--- a/src/fleet/share.h
+++ b/src/fleet/share.h
@@ -5,8 +5,9 @@
 //     a window is usable once the window has passed (limits/attempt_share.h); so what the one before has
 //     spent is not spent again;
 //   - a part lowered cuts what was saved up at once;
-//   - after `valid_until` nothing is left of it but the reserve, which is this process's own for good and
-//     begins empty. Validity is looked at when spending: a process that stood still finds it over.
+//   - after `valid_until` nothing is left of it but the reserve, which needs no plan and begins empty; of
+//     processes that stand in for one another one has it, from when it is told (`reserve_from`). Validity is
+//     looked at when spending: a process that stood still finds it over.
 // All tokens together never exceed the burst and are filled at most at the rate: so any window W sees at most
 // rate x W + burst.
 //
@@ -32,6 +33,7 @@
 class RateShare {
  public:
   explicit RateShare(const Part& reserve) : reserve_(reserve) {}
+  void reserve_from(Millis from) { kept_ = 0, from_ = from; }
   void set(const Part& part, Millis now, Millis valid_until);  // raises and lowers
   Spent spend(Millis now, Millis valid_until);
   double saved() const { return tokens_; }
@@ -41,7 +43,8 @@
   Part part_;
   const Part reserve_;
   double tokens_ = 0;
-  double kept_ = 0;  // of the reserve
+  double kept_ = 0;   // of the reserve
+  Millis from_ = -1;  // it fills; or the first call, where that is later
   Millis at_ = -1;
 };
 
@@ -51,6 +54,7 @@
   // `hold`: Budget::hold; the reserve is usable so long after the first call, as a process that was there
   // before may have it in use.
   explicit AtOnceShare(double reserve, Millis hold = 0) : reserve_(reserve), hold_(hold) {}
+  void reserve_from(Millis from) { began_ = from; }  // usable `hold` after that
   void set(double most) { most_ = most; }
   Spent spend(Millis now, Millis valid_until);
   void end() { --in_use_; }  // one of those spent is over
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -6,9 +6,12 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <cmath>
+#include <cstdint>
 #include <cstring>
 #include <stdexcept>
 #include <string_view>
@@ -21,6 +24,8 @@
 constexpr std::string_view kTitle = "shorelead handover 1 ";
 constexpr std::string_view kRefused = "shorelead refuses: ";
 constexpr std::string_view kServing = "serving\n";
+constexpr std::string_view kCeded = "ceded ";  // and so many milliseconds
+constexpr Millis kMostStill = 1e9;
 constexpr std::size_t kMostList = 131072;  // goes into the socket's buffer in one piece
 
 sockaddr_un address_of(const std::string& path) {
@@ -186,9 +191,15 @@
   listener_.successor_gone();
 }
 
-Successor::Successor(net::Loop& loop, int channel, std::function<void()> predecessor_gone)
+void Predecessor::cede(Millis still) {
+  const auto whole =
+      std::to_string(static_cast<std::uint64_t>(std::ceil(std::clamp(still, 0.0, kMostStill))));
+  if (heir_) send_with(heir_->socket.fd(), std::string(kCeded) + whole + "\n", -1);
+}
+
+Successor::Successor(net::Loop& loop, int channel, Listener listener)
     : loop_(loop),
-      gone_(std::move(predecessor_gone)),
+      listener_(std::move(listener)),
       socket_(std::make_unique<net::Descriptor>(channel)),
       watch_(std::make_unique<net::Watch>(loop, *socket_, *this, true, false)) {}
 
@@ -199,10 +210,25 @@
 void Successor::on_readable() {
   std::array<char, 64> part{};
   const ssize_t got = ::recv(socket_->fd(), part.data(), part.size(), MSG_DONTWAIT);
-  if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))) return;
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return;
+  if (got > 0) {
+    if (said_.size() < part.size()) said_.append(part.data(), static_cast<std::size_t>(got));
+    return hear();
+  }
   watch_.reset();
   socket_.reset();
-  gone_();
+  listener_.predecessor_gone();
+}
+
+// What is no such line is a later version's, and nothing to this one.
+void Successor::hear() {
+  if (said_.empty() || said_.back() != '\n' || said_.compare(0, kCeded.size(), kCeded) != 0) return;
+  std::uint64_t still = 0;
+  const char* const end = said_.data() + said_.size() - 1;
+  const auto [rest, error] = std::from_chars(said_.data() + kCeded.size(), end, still);
+  if (error != std::errc() || rest != end) return;
+  said_.clear();
+  if (listener_.ceded) listener_.ceded(std::min(static_cast<Millis>(still), kMostStill));
 }
 
 }  // namespace shorelead::handover
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -41,6 +41,9 @@
   ~Predecessor() override;
 
   bool has_successor() const { return heir_ != nullptr; }
+  // To the successor: what only one of the two may have (a fleet's reserve) is its from now on; what was
+  // begun with it here is over after `still`. One of an earlier version does not listen.
+  void cede(Millis still);
 
  private:
   class Heir;
@@ -59,16 +62,22 @@
 // The new process's side, for as long as the old one lives.
 class Successor : public net::Watch::Handler {
  public:
-  Successor(net::Loop& loop, int channel, std::function<void()> predecessor_gone);
+  struct Listener {
+    std::function<void()> predecessor_gone;
+    std::function<void(Millis still)> ceded;  // once, and not before its end where it says nothing
+  };
+  Successor(net::Loop& loop, int channel, Listener listener);
 
   void say_serving();
   bool predecessor_lives() const { return watch_ != nullptr; }
 
  private:
   void on_readable() override;
+  void hear();
 
   net::Loop& loop_;
-  std::function<void()> gone_;
+  Listener listener_;
+  std::string said_;
   std::unique_ptr<net::Descriptor> socket_;
   std::unique_ptr<net::Watch> watch_;
 };
--- a/src/limits/attempt_share.h
+++ b/src/limits/attempt_share.h
@@ -28,6 +28,7 @@
   // before may have spent it.
   AttemptShare(double reserve, double ratio, Millis window)
       : reserve_(reserve), ratio_(ratio), window_(window) {}
+  void reserve_from(Millis from) { began_ = from; }  // in place of the first call; infinity: there is none
   // Of another incarnation than the part before: set it to 0 first.
   void set(double amount, Millis now);
   void taken(Millis now);  // a request was
--- a/src/node/fleet_gate.cpp
+++ b/src/node/fleet_gate.cpp
@@ -73,6 +73,7 @@
     spec.shapers.push_back(
         std::make_shared<plans::CutOffShaper>(order_.ranks(), plans::CutOffSettings(), seed));
   }
+  cease_reserve();
   control_ = std::make_unique<fleet::Control>(spec, channel_);
   bell_ = std::make_unique<net::Descriptor>(::dup(port_.wake_fd()));
   on_bell_ = std::make_unique<OnBell>([this] {
@@ -202,6 +203,12 @@
   }
 }
 
+Millis FleetGate::longest_hold() const {
+  Millis longest = 0;
+  for (const fleet::Budget& budget : fleet_.budgets) longest = std::max(longest, budget.hold);
+  return longest;
+}
+
 void FleetGate::leave() { control_->leave(); }
 
 void FleetGate::log_counters() const {
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -77,7 +77,13 @@
   }
 
   void room(double share) { port_.room(share); }  // of the boxes' capacity, that is unused
-  void leave();                                   // gives back all; what is in use goes on
+  // A node has one reserve, whichever of its gates, generations and processes alike, serves. A gate begins
+  // without it. `before`: what another began with it is over after so long.
+  void begin_reserve(Millis before) { port_.begin_reserve(fleet::boot_now(), before); }
+  void cease_reserve() { port_.cease_reserve(fleet::boot_now()); }
+  Millis longest_hold() const;  // of what is at once
+
+  void leave();  // gives back all; what is in use goes on
   bool left() const { return !control_ || control_->left(); }
   void log_counters() const;
 
--- a/src/node/fleet_gates.h
+++ b/src/node/fleet_gates.h
@@ -1,8 +1,9 @@
 // The gates of a process, one for each generation that shares something else than the one before. Owns those
-// that are left until the store has all of theirs back. It must never end one that a request still counts
-// with.
+// that are left until the store has all of theirs back, and whether the node's reserve is with this process.
+// It must never end one that a request still counts with, nor let two have the reserve.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,24 +17,42 @@
 
 class FleetGates {
  public:
-  // `beside`: another process of the same node lives, which has its name in the fleet.
-  FleetGates(Loop& loop, bool beside) : loop_(loop), beside_(beside) {}
-  ~FleetGates() { loop_.cancel(sweep_); }
+  // `beside`: another process of the same node lives, which has its name in the fleet, and the reserve.
+  FleetGates(Loop& loop, bool beside) : loop_(loop), beside_(beside), has_reserve_(!beside) {}
+  ~FleetGates() {
+    loop_.cancel(sweep_);
+    loop_.cancel(leaving_);
+  }
   FleetGates(const FleetGates&) = delete;
   FleetGates& operator=(const FleetGates&) = delete;
 
   // For a generation by `config`, the one in force being `now` (or none); null where nothing is shared.
-  std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now) const;
+  std::shared_ptr<FleetGate> make(const Config& config, const Traffic* now);
   // Requests go by `next` from now on, and no longer by `before`.
   void go_by(const Traffic& before, const Traffic& next);
 
+  // The node's reserve, between the processes of it: another has it from now on, and what was begun with it
+  // here is over after the time that is given back; or it is this one's, where that of the other's is over
+  // after `before`.
+  Millis give_reserve();
+  void take_reserve(Millis before);
+
+  // Gives back all that this process has, and is done when the store has it, or after a moment.
+  void leave(std::function<void()> done);
+
  private:
   void sweep();
+  void look_if_left(Millis until, const std::function<void()>& done);
+  Millis longest_hold() const;
 
   Loop& loop_;
   const bool beside_;
+  bool has_reserve_;
+  int made_ = 0;
+  std::shared_ptr<FleetGate> in_force_;
   std::vector<std::shared_ptr<FleetGate>> left_;
   Loop::TimerId sweep_ = 0;
+  Loop::TimerId leaving_ = 0;
 };
 
 }  // namespace shorelead::node
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -74,10 +74,14 @@
   gates_.go_by(*traffic_, *traffic_);
   for (const auto& pool : pools_) pool->start();
   if (place_.legacy) {
-    predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, [this] {
+    const auto ended = [this] {
       spdlog::info("the process before this one has ended");
       flows_->state(flow_bytes());
-    });
+      gates_.take_reserve(0);
+    };
+    predecessor_ = std::make_unique<handover::Successor>(
+        loop_, place_.legacy->channel,
+        handover::Successor::Listener{ended, [this](Millis still) { gates_.take_reserve(still); }});
     front_->hold(true);
     look_if_it_could_serve();
   } else {
@@ -324,6 +328,7 @@
   if (replaced_) return;
   spdlog::info("the successor takes clients from now on");
   replaced_ = true;
+  successors_->cede(gates_.give_reserve());
   front_->hold(true);
   drain_.replaced(loop_.now());
   let_go();
@@ -333,6 +338,7 @@
   spdlog::warn("the successor has ended{}",
                replaced_ ? ", this process takes clients again" : " before it served");
   flows_->state(flow_bytes());
+  gates_.take_reserve(0);
   if (!std::exchange(replaced_, false) || !drain_.resume()) return;
   front_->hold(false);
   let_go();
@@ -479,7 +485,7 @@
 void Server::leave_when_empty(Millis until) {
   const auto end = [this] {
     spdlog::info("shut down, {} connections left", front_->clients());
-    loop_.stop();
+    gates_.leave([this] { loop_.stop(); });
   };
   if (front_->empty()) return end();
   if (loop_.now() < until) {
--- a/tests/fleet/share_world.h
+++ b/tests/fleet/share_world.h
@@ -4,7 +4,9 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <limits>
 #include <new>
+#include <numeric>
 #include <ostream>
 #include <vector>
 
@@ -13,13 +15,15 @@
 namespace shorelead::fleet {
 
 inline constexpr int kProcesses = 3;
+inline constexpr int kLive = kProcesses + 1;  // one replaces another, and both live for a while
 inline constexpr Millis kLease = 900;
 inline constexpr Millis kWindow = 1000;
 inline constexpr double kRate = 10;  // a second, and three units of burst or of a count
 inline constexpr double kUnits = 3;
 inline constexpr double kRatio = 0.25;
+inline constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
-enum What { kSpendAll, kRequests, kLower, kRaise, kMove, kRenew, kLose, kRejoin, kReplace, kEnd };
+enum What { kSpendAll, kRequests, kLower, kRaise, kMove, kRenew, kLose, kRejoin, kReplace, kPass, kEnd };
 
 struct Step {
   int what;
@@ -42,11 +46,12 @@
                                                    {1, kLose},
                                                    {3, kRejoin},
                                                    {1, kReplace},
+                                                   {2, kPass},
                                                    {3, kEnd}});
   const auto wait = rc::gen::weightedOneOf<Millis>(
       {{1, rc::gen::just(0.0)}, {1, rc::gen::cast<Millis>(rc::gen::inRange(0, 300))}});
   return rc::gen::scale(4, rc::gen::container<std::vector<Step>>(rc::gen::construct<Step>(
-                               what, rc::gen::inRange(0, kProcesses), rc::gen::inRange(1, 4), wait)));
+                               what, rc::gen::inRange(0, kLive), rc::gen::inRange(1, 4), wait)));
 }
 
 // `reserve`: units that each process has beside its part.
@@ -90,14 +95,17 @@
 struct World {
   static constexpr double kWhole = kUnits + kProcesses * Share::kReserve;
   Millis now = 1000;
-  std::vector<Share> shares = std::vector<Share>(kProcesses);
-  std::vector<double> parts = std::vector<double>(kProcesses, 0);
-  std::vector<Millis> valid = std::vector<Millis>(kProcesses, 0);
+  std::vector<Share> shares = std::vector<Share>(kLive);
+  std::vector<double> parts = std::vector<double>(kLive, 0);
+  std::vector<Millis> valid = std::vector<Millis>(kLive, 0);
+  int without = kProcesses;  // of the live ones, who has no reserve
   std::vector<Millis> spent, requests;
 
+  World() { shares[without].share.reserve_from(kNever); }
+
   double free() {
     double left = kUnits;
-    for (int n = 0; n < kProcesses; ++n) {
+    for (int n = 0; n < kLive; ++n) {
       if (now >= valid[n] && parts[n] > 0) quiet(shares[n]), parts[n] = 0;
       left -= parts[n];
     }
@@ -132,11 +140,12 @@
         share.set(parts[s.who] += std::min<double>(s.units, left), now, valid[s.who]);
         break;
       case kMove: {
-        const int next = (s.who + 1) % kProcesses;
+        const int next = (s.who + 1) % kLive;
         if (!member || now >= valid[next]) break;
         share.set(parts[s.who] = 0, now, valid[s.who]);
         quiet(share);
-        shares[next].set(parts[next] += kUnits - parts[0] - parts[1] - parts[2], now, valid[next]);
+        shares[next].set(parts[next] += kUnits - std::accumulate(parts.begin(), parts.end(), 0.0), now,
+                         valid[next]);
         break;
       }
       case kRenew:
@@ -157,6 +166,14 @@
         valid[s.who] = now;
         share.~Share();
         new (&share) Share;
+        if (s.who == without) share.share.reserve_from(kNever);
+        break;
+      case kPass:  // its reserve goes to the one without, what is in use with it is over
+        if (s.who == without) break;
+        share.share.reserve_from(kNever);
+        quiet(share);
+        shares[without].share.reserve_from(now);
+        without = s.who;
         break;
       default:
         share.end();
--- /dev/null
+++ b/tests/fleet_gates_test.cpp
@@ -0,0 +1,92 @@
+// One node has one reserve: through reloads that make another gate, and through processes that replace one
+// another, however these end. The store is away throughout, so that the reserve is all there is.
+#include "node/fleet_gates.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "node/shore.h"
+
+namespace shorelead::node {
+namespace {
+
+// A rate whose reserve is full again within a millisecond: who has none is turned away each time.
+Config config_of(int burst) {
+  const std::string text =
+      "node n { listen 127.0.0.1:8081; seed 1f }\n"
+      "class look { effect safe; aim 100 ms; give_up 1 s }\n"
+      "pool main { box a { dial 127.0.0.1:9001 } }\n"
+      "route r { path /look/*; class look; pool main }\n"
+      "fleet { store 127.0.0.1:9; prefix \"/fleet/\"; processes 2 }\n"
+      "budget all { kind rate; rate 1000000 rps; reserve 50 %; burst " +
+      std::to_string(burst) + " }\n";
+  language::Reader reader;
+  reader.read = [&text](const std::string&) { return std::optional(text); };
+  reader.glob = [](const std::string& path) { return std::vector{path}; };
+  return load_shore("t.shore", {}, reader);
+}
+
+struct Process {
+  Process(Loop& loop, bool beside) : gates(loop, beside) { follow(40); }
+  // A reload, or the start.
+  std::shared_ptr<FleetGate> follow(int burst) {
+    auto next = std::make_shared<Traffic>();
+    const Config config = config_of(burst);
+    next->gate = gates.make(config, traffic.get());
+    gates.go_by(traffic ? *traffic : *next, *next);
+    traffic = next;
+    return next->gate;
+  }
+
+  std::shared_ptr<Traffic> traffic;
+  FleetGates gates;
+};
+
+bool lets_in(FleetGate& gate) { return gate.admit({}, 1000).refused == 0; }
+
+// Some time is given, as a bucket that begins has nothing yet; the harness ends what never comes.
+void expect_one_has_it(FleetGate& has, const std::vector<FleetGate*>& others) {
+  while (!lets_in(has)) std::this_thread::yield();
+  for (int n = 0; n < 100; ++n) {
+    for (FleetGate* other : others) ASSERT_FALSE(lets_in(*other));
+  }
+}
+
+TEST(FleetGates, AReloadPassesTheReserveOn) {
+  Loop loop;
+  Process process(loop, false);
+  const auto first = process.traffic->gate;
+  expect_one_has_it(*first, {});
+  EXPECT_EQ(process.follow(40), first) << "nothing of it changed";
+  // Made, and not yet in force.
+  const auto waits = process.gates.make(config_of(60), process.traffic.get());
+  expect_one_has_it(*first, {waits.get()});
+  const auto second = process.follow(80);
+  expect_one_has_it(*second, {first.get()});
+}
+
+TEST(FleetGates, ASuccessorHasTheReserveOnceTheOneBeforeCededItOrEnded) {
+  Loop loop;
+  Process old(loop, false);
+  Process next(loop, true);
+  expect_one_has_it(*old.traffic->gate, {next.traffic->gate.get()});
+  next.follow(60);  // a reload meanwhile
+  expect_one_has_it(*old.traffic->gate, {next.traffic->gate.get()});
+  EXPECT_EQ(old.gates.give_reserve(), 0) << "nothing at once";
+  EXPECT_FALSE(lets_in(*next.traffic->gate)) << "not told yet";
+  const auto before = old.traffic->gate;
+  old.follow(60);
+  EXPECT_FALSE(lets_in(*old.traffic->gate) || lets_in(*before));
+  next.gates.take_reserve(0);
+  expect_one_has_it(*next.traffic->gate, {old.traffic->gate.get()});
+  // The successor is gone: the old one goes on with the gate that it has.
+  const auto kept = old.traffic->gate;
+  old.gates.take_reserve(0);
+  expect_one_has_it(*kept, {});
+}
+
+}  // namespace
+}  // namespace shorelead::node
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -9,10 +9,14 @@
 #include <cstdlib>
 #include <fstream>
 #include <future>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
+#include "fleet/bell.h"
 #include "handover/ban_file.h"
 #include "peer.h"
 
@@ -35,16 +39,29 @@
   node::Peer clients;  // the listening socket
   net::Loop loop;
   std::string refusal;
+  Millis still = 0;
   std::promise<void> came, serves, gone;
   Predecessor predecessor{loop,
                           folder.at("s"),
                           {[this] { return listening(); }, [] { return std::string(R"({"a":"list"})"); },
                            [this] { return refusal; }, [this] { came.set_value(); },
-                           [this] { serves.set_value(); }, [this] { gone.set_value(); }}};
+                           [this] {
+                             predecessor.cede(still);
+                             serves.set_value();
+                           },
+                           [this] { gone.set_value(); }}};
+  struct Ends : net::Watch::Handler {
+    explicit Ends(net::Loop& loop) : loop(loop) {}
+    void on_readable() override { loop.stop(); }
+    net::Loop& loop;
+  } ends{loop};
+  fleet::Bell end;
+  net::Descriptor rung{::dup(end.fd())};
+  net::Watch watch{loop, rung, ends, true, false};
   std::thread thread{[this] { loop.run(); }};
   int listening() const { return clients.fd(); }
   ~Old() {
-    loop.stop();
+    end.ring();  // the loop is stopped in its own thread, else it waits for its next event
     thread.join();
   }
 };
@@ -63,11 +80,36 @@
   node::Line later = node::Line::connect(node::port_of(legacy->listener));
   ::close(legacy->listener);
   net::Loop loop;
-  Successor successor(loop, legacy->channel, [] {});
+  Successor successor(loop, legacy->channel, {[] {}, {}});
   successor.say_serving();
   old.serves.get_future().wait();
 }
 
+// What only one of the two may have is ceded with how long it lasts still; without that word only the end is
+// told.
+TEST(Handover, ASuccessorThatServesIsToldWhatIsCeded) {
+  const std::vector<std::pair<Millis, Millis>> cases = {{0, 0}, {60000.2, 60001}, {1e300, 1e9}, {-5, 0}};
+  for (const auto& [said, heard] : cases) {
+    Old old;
+    old.still = said;
+    const auto legacy = ask(old.folder.at("s"), 5000);
+    ASSERT_TRUE(legacy);
+    ::close(legacy->listener);
+    net::Loop loop;
+    std::optional<Millis> ceded;
+    Successor successor(loop, legacy->channel,
+                        {[&] { loop.stop(); },
+                         [&](Millis still) {
+                           ceded = still;
+                           loop.stop();
+                         }});
+    successor.say_serving();
+    loop.run();
+    EXPECT_EQ(ceded, heard);
+    EXPECT_TRUE(successor.predecessor_lives());
+  }
+}
+
 TEST(Handover, ASuccessorThatEndsBeforeItServesIsToldAndAnotherMayCome) {
   Old old;
   const auto first = ask(old.folder.at("s"), 5000);
