--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -197,9 +197,9 @@
   if (heir_) send_with(heir_->socket.fd(), std::string(kCeded) + whole + "\n", -1);
 }
 
-Successor::Successor(net::Loop& loop, int channel, Listener listener)
+Successor::Successor(net::Loop& loop, int channel, Ceded ceded)
     : loop_(loop),
-      listener_(std::move(listener)),
+      ceded_(std::move(ceded)),
       socket_(std::make_unique<net::Descriptor>(channel)),
       watch_(std::make_unique<net::Watch>(loop, *socket_, *this, true, false)) {}
 
@@ -217,7 +217,7 @@
   }
   watch_.reset();
   socket_.reset();
-  listener_.predecessor_gone();
+  ceded_(true, 0);
 }
 
 // What is no such line is a later version's, and nothing to this one.
@@ -228,7 +228,7 @@
   const auto [rest, error] = std::from_chars(said_.data() + kCeded.size(), end, still);
   if (error != std::errc() || rest != end) return;
   said_.clear();
-  if (listener_.ceded) listener_.ceded(std::min(static_cast<Millis>(still), kMostStill));
+  ceded_(false, std::min(static_cast<Millis>(still), kMostStill));
 }
 
 }  // namespace shorelead::handover
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -62,11 +62,10 @@
 // The new process's side, for as long as the old one lives.
 class Successor : public net::Watch::Handler {
  public:
-  struct Listener {
-    std::function<void()> predecessor_gone;
-    std::function<void(Millis still)> ceded;  // once, and not before its end where it says nothing
-  };
-  Successor(net::Loop& loop, int channel, Listener listener);
+  // What only one of the two may have is this one's: the predecessor says so, once, with how long what it
+  // began with it lasts still; or it has ended, and said so or not.
+  using Ceded = std::function<void(bool ended, Millis still)>;
+  Successor(net::Loop& loop, int channel, Ceded ceded);
 
   void say_serving();
   bool predecessor_lives() const { return watch_ != nullptr; }
@@ -76,7 +75,7 @@
   void hear();
 
   net::Loop& loop_;
-  Listener listener_;
+  Ceded ceded_;
   std::string said_;
   std::unique_ptr<net::Descriptor> socket_;
   std::unique_ptr<net::Watch> watch_;
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -74,14 +74,13 @@
   gates_.go_by(*traffic_, *traffic_);
   for (const auto& pool : pools_) pool->start();
   if (place_.legacy) {
-    const auto ended = [this] {
+    const auto ceded = [this](bool ended, Millis still) {
+      gates_.take_reserve(still);
+      if (!ended) return;
       spdlog::info("the process before this one has ended");
       flows_->state(flow_bytes());
-      gates_.take_reserve(0);
     };
-    predecessor_ = std::make_unique<handover::Successor>(
-        loop_, place_.legacy->channel,
-        handover::Successor::Listener{ended, [this](Millis still) { gates_.take_reserve(still); }});
+    predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, ceded);
     front_->hold(true);
     look_if_it_could_serve();
   } else {
@@ -363,11 +362,7 @@
   spdlog::info("shutting down, {} requests under way", open_requests());
   drain_.leave(loop_.now());
   let_go();
-  Millis longest = 0;
-  for (const RequestClass& request_class : traffic_->classes) {
-    longest = std::max(longest, request_class.deadline);
-  }
-  const Millis until = loop_.now() + longest + kLeaveAfter;
+  const Millis until = loop_.now() + traffic_->longest_deadline() + kLeaveAfter;
   if (replaced_) {
     front_->close_listener();
     loop_.after(manage::Drain::kUnusedAtEnd, [this, until] { leave_when_empty(until); });
--- a/src/node/traffic.h
+++ b/src/node/traffic.h
@@ -3,6 +3,7 @@
 // change once requests are read by it: a reload makes another.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -25,6 +26,12 @@
   std::vector<std::vector<int>> class_in_pool;  // by pool and class; -1 = it never comes there
   std::vector<int> fallbacks;                   // by pool; -1 = none
   std::shared_ptr<FleetGate> gate;              // none: nothing is shared with other processes
+
+  Millis longest_deadline() const {
+    Millis longest = 0;
+    for (const RequestClass& one : classes) longest = std::max(longest, one.deadline);
+    return longest;
+  }
 };
 
 // Where a request goes by the generation that read it.
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -80,7 +80,7 @@
   node::Line later = node::Line::connect(node::port_of(legacy->listener));
   ::close(legacy->listener);
   net::Loop loop;
-  Successor successor(loop, legacy->channel, {[] {}, {}});
+  Successor successor(loop, legacy->channel, [](bool, Millis) {});
   successor.say_serving();
   old.serves.get_future().wait();
 }
@@ -97,12 +97,10 @@
     ::close(legacy->listener);
     net::Loop loop;
     std::optional<Millis> ceded;
-    Successor successor(loop, legacy->channel,
-                        {[&] { loop.stop(); },
-                         [&](Millis still) {
-                           ceded = still;
-                           loop.stop();
-                         }});
+    Successor successor(loop, legacy->channel, [&](bool ended, Millis still) {
+      if (!ended) ceded = still;
+      loop.stop();
+    });
     successor.say_serving();
     loop.run();
     EXPECT_EQ(ceded, heard);
