--- a/src/fleet/port.cpp
+++ b/src/fleet/port.cpp
@@ -50,10 +50,21 @@
   }
 }
 
+void Port::reserve_from(std::size_t budget, Millis from, Millis now) {
+  Share& share = shares_[budget];
+  if (auto* const rate = std::get_if<RateShare>(&share)) {
+    rate->reserve_from(from, now, valid_until());
+  } else if (auto* const at_once = std::get_if<AtOnceShare>(&share)) {
+    at_once->reserve_from(from);
+    count_in_use(budget, now);
+  } else {
+    std::get<AttemptShare>(share).reserve_from(from);
+  }
+}
+
 void Port::cease_reserve(Millis now) {
   for (std::size_t n = 0; n < shares_.size(); ++n) {
-    std::visit([](auto& share) { share.reserve_from(std::numeric_limits<Millis>::infinity()); }, shares_[n]);
-    count_in_use(n, now);
+    reserve_from(n, std::numeric_limits<Millis>::infinity(), now);
   }
 }
 
@@ -61,8 +72,7 @@
   for (std::size_t n = 0; n < shares_.size(); ++n) {
     // Only of a count at once does what was begun go on.
     const bool lasts = budgets_[n].kind == BudgetKind::kAtOnce;
-    const Millis from = now + (lasts ? std::max(0.0, before - budgets_[n].hold) : 0);
-    std::visit([from](auto& share) { share.reserve_from(from); }, shares_[n]);
+    reserve_from(n, now + (lasts ? std::max(0.0, before - budgets_[n].hold) : 0), now);
   }
 }
 
--- a/src/fleet/port.h
+++ b/src/fleet/port.h
@@ -56,6 +56,7 @@
     return now == nullptr ? 0 : now->validity->until.load(std::memory_order_acquire);
   }
   void set(std::size_t budget, const Part& part, Millis now, Millis valid_until);
+  void reserve_from(std::size_t budget, Millis from, Millis now);
   void count_in_use(std::size_t budget, Millis now);
 
   const std::shared_ptr<Channel> channel_;
--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -4,25 +4,33 @@
 
 void RateShare::fill(Millis now, Millis valid_until) {
   if (at_ < 0) at_ = now;
-  const double seconds = std::max(0.0, now - at_) / 1000;
-  kept_ =
-      std::min(reserve_.burst, kept_ + reserve_.amount * std::max(0.0, now - std::max(at_, from_)) / 1000);
+  // Past its validity somebody else may have the part: neither what was saved beyond the reserve nor the
+  // time since counts.
+  const bool valid = now < valid_until;
+  double filled = reserve_.amount * std::max(0.0, now - std::max(at_, from_));
+  if (valid) filled += part_.amount * std::max(0.0, now - at_);
   at_ = std::max(at_, now);
-  // Somebody else may have it by now: neither what was saved nor the time since counts.
-  tokens_ = now < valid_until ? std::min(part_.burst, tokens_ + part_.amount * seconds) : 0;
+  tokens_ = std::min((now < from_ ? 0 : reserve_.burst) + (valid ? part_.burst : 0), tokens_ + filled * 1e-3);
+}
+
+// What was saved is the share's, as the reserve begins empty: before and after, the bucket is as large as
+// what it is for.
+void RateShare::reserve_from(Millis from, Millis now, Millis valid_until) {
+  fill(now, valid_until);
+  from_ = from;
+  fill(now, valid_until);
 }
 
 void RateShare::set(const Part& part, Millis now, Millis valid_until) {
   fill(now, valid_until);
   part_ = part;
-  tokens_ = std::min(tokens_, part.burst);
+  fill(now, valid_until);
 }
 
 Spent RateShare::spend(Millis now, Millis valid_until) {
   fill(now, valid_until);
-  for (double* tokens : {&tokens_, &kept_}) {
-    if (*tokens < 1) continue;
-    *tokens -= 1;
+  if (tokens_ >= 1) {
+    tokens_ -= 1;
     return Spent::kYes;
   }
   return now < valid_until ? Spent::kShare : Spent::kReserve;
--- a/src/fleet/share.h
+++ b/src/fleet/share.h
@@ -29,11 +29,14 @@
 using limits::AttemptShare;
 using limits::Spent;
 
-// A rate with a burst: a token bucket for the share, one for the reserve.
+// A rate with a burst: one bucket, as large and filled as fast as the reserve, and the share while that is
+// valid. Two of them would admit no more over any window, but less in all: what one has no room for is lost
+// though the other is empty.
 class RateShare {
  public:
   explicit RateShare(const Part& reserve) : reserve_(reserve) {}
-  void reserve_from(Millis from) { kept_ = 0, from_ = from; }
+  // The reserve counts from `from` on, empty then; infinity: somebody else has it.
+  void reserve_from(Millis from, Millis now, Millis valid_until);
   void set(const Part& part, Millis now, Millis valid_until);  // raises and lowers
   Spent spend(Millis now, Millis valid_until);
   double saved() const { return tokens_; }
@@ -43,8 +46,7 @@
   Part part_;
   const Part reserve_;
   double tokens_ = 0;
-  double kept_ = 0;   // of the reserve
-  Millis from_ = -1;  // it fills; or the first call, where that is later
+  Millis from_ = -1;  // the reserve counts
   Millis at_ = -1;
 };
 
--- a/tests/fleet/share_world.h
+++ b/tests/fleet/share_world.h
@@ -63,6 +63,7 @@
     share.set({kRate * 0.9 * units / kUnits, units}, now, valid);
   }
   Spent spend(Millis now, Millis valid) { return share.spend(now, valid); }
+  void reserve_from(Millis from, Millis now, Millis valid) { share.reserve_from(from, now, valid); }
   void request(Millis) {}
   void end() {}
 };
@@ -73,6 +74,7 @@
   AtOnceShare share{reserve};
   void set(double units, Millis, Millis) { share.set(units); }
   Spent spend(Millis now, Millis valid) { return share.spend(now, valid); }
+  void reserve_from(Millis from, Millis, Millis) { share.reserve_from(from); }
   void request(Millis) {}
   void end() {
     if (share.in_use() > 0) share.end();
@@ -85,6 +87,7 @@
   AttemptShare share{reserve, kRatio, kWindow};
   void set(double units, Millis now, Millis) { share.set(units, now); }
   Spent spend(Millis now, Millis valid) { return share.spend(now, valid); }
+  void reserve_from(Millis from, Millis, Millis) { share.reserve_from(from); }
   void request(Millis now) { share.taken(now); }
   void end() {}
 };
@@ -101,7 +104,7 @@
   int without = kProcesses;  // of the live ones, who has no reserve
   std::vector<Millis> spent, requests;
 
-  World() { shares[without].share.reserve_from(kNever); }
+  World() { shares[without].reserve_from(kNever, now, 0); }
 
   double free() {
     double left = kUnits;
@@ -166,13 +169,13 @@
         valid[s.who] = now;
         share.~Share();
         new (&share) Share;
-        if (s.who == without) share.share.reserve_from(kNever);
+        if (s.who == without) share.reserve_from(kNever, now, valid[s.who]);
         break;
       case kPass:  // its reserve goes to the one without, what is in use with it is over
         if (s.who == without) break;
-        share.share.reserve_from(kNever);
+        share.reserve_from(kNever, now, valid[s.who]);
         quiet(share);
-        shares[without].share.reserve_from(now);
+        shares[without].reserve_from(now, now, valid[without]);
         without = s.who;
         break;
       default:
