A request reads the clock once for all it asks of the fleet; no coin out of a shortage

The wall time is the reading at hand and an offset; the coin is made where it is first asked for; the path is looked at only for keys in it; ranks are found by their number. Coins and slots of known clients and keys stand in tests, taken before the change. Weighed and left: a coarse clock (5 ns) lags behind by a tick, and after a machine's pause by all of it until the next tick, which is what validity is looked at for.

--- a/src/affinity/rules.cpp
+++ b/src/affinity/rules.cpp
@@ -77,6 +77,12 @@
   return {};
 }
 
+// Without a query; empty where it is no path.
+std::string_view path_of(const Request& request) {
+  const std::string_view path = request.path.substr(0, request.path.find_first_of("?#"));
+  return path.empty() || path[0] != '/' ? std::string_view() : path;
+}
+
 std::string hexadecimal(std::uint32_t bits) {
   std::string text;
   for (int shift = 28; shift >= 0; shift -= 4) text += "0123456789abcdef"[bits >> shift & 15];
@@ -107,7 +113,6 @@
 }
 
 bool holds(const Condition& c, const Request& request) {
-  const auto part_holds = [&request](const Condition& part) { return holds(part, request); };
   switch (c.op) {
     case Condition::Op::kAlways:
       return true;
@@ -116,9 +121,15 @@
     case Condition::Op::kPresent:
       return !field_of(request, c.name).empty();
     case Condition::Op::kAll:
-      return std::all_of(c.parts.begin(), c.parts.end(), part_holds);
+      for (const Condition& part : c.parts) {
+        if (!holds(part, request)) return false;
+      }
+      return true;
     case Condition::Op::kAny:
-      return std::any_of(c.parts.begin(), c.parts.end(), part_holds);
+      for (const Condition& part : c.parts) {
+        if (holds(part, request)) return true;
+      }
+      return false;
     case Condition::Op::kNot:
       return !holds(c.parts.front(), request);
   }
@@ -126,17 +137,15 @@
 }
 
 std::string_view key_of(const KeySource& source, const Request& request) {
-  std::string_view path = request.path.substr(0, request.path.find_first_of("?#"));
-  if (!path.empty() && path[0] != '/') path = {};
   switch (source.from) {
     case KeySource::From::kField:
       return field_of(request, source.name);
     case KeySource::From::kCookie:
       return cookie_of(field_of(request, "cookie"), source.name);
     case KeySource::From::kPart:
-      return part_of(path, source.part);
+      return part_of(path_of(request), source.part);
     case KeySource::From::kParameter:
-      return parameter_of(path, request.pattern, source.name);
+      return parameter_of(path_of(request), request.pattern, source.name);
     case KeySource::From::kTenant:
       return request.tenant;
   }
--- a/src/fleet/port.cpp
+++ b/src/fleet/port.cpp
@@ -153,6 +153,8 @@
 
 RankCells* Port::rank(int rank) {
   TrafficCells& cells = channel_->traffic;
+  const auto same = static_cast<std::size_t>(rank);  // as a rule they are numbered in their order
+  if (same < cells.ranks.size() && cells.ranks[same] == rank) return &cells.loads[same];
   for (std::size_t n = 0; n < cells.ranks.size(); ++n) {
     if (cells.ranks[n] == rank) return &cells.loads[n];
   }
--- a/src/node/fleet_gate.cpp
+++ b/src/node/fleet_gate.cpp
@@ -51,6 +51,7 @@
 FleetGate::FleetGate(Loop& loop, const FleetConfig& fleet, const Config& config, const std::string& name,
                      std::uint64_t seed)
     : loop_(loop),
+      wall_(loop.now() - fleet::boot_now()),
       fleet_(fleet),
       names_(names_of(config)),
       rules_(fleet, config),
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -93,6 +93,7 @@
   fleet::RankCells* cells_of(int rank) { return rank < 0 ? nullptr : port_.rank(rank); }
 
   Loop& loop_;
+  const Millis wall_;  // the wall's clock above the one of validity, as at the start
   const FleetConfig fleet_;
   const Names names_;
   const FleetRules rules_;
--- a/src/plans/admission.cpp
+++ b/src/plans/admission.cpp
@@ -27,7 +27,8 @@
       owed_(order.plans().size(), 0),
       counts_(static_cast<std::size_t>(order.ranks()) * 5, 0) {}
 
-Verdict Admission::decide(const fleet::CutOff& cut, int plan, int request_class, double coin, Millis now) {
+Verdict Admission::decide(const fleet::CutOff& cut, int plan, int request_class, const Coin& coin,
+                          Millis now) {
   const int rank = order_.rank_of(plan, request_class);
   const auto at = static_cast<std::size_t>(rank);
   Admitted as = Admitted::kTaken;
@@ -54,7 +55,7 @@
   return {as, as >= Admitted::kCut ? wait(cut, rank, coin) : 0};
 }
 
-bool Admission::owed(int plan, int request_class, double coin) {
+bool Admission::owed(int plan, int request_class, const Coin& coin) {
   const double floor = order_.plans()[static_cast<std::size_t>(plan)].floor;
   if (!(floor > 0)) return false;
   double& debt = owed_[static_cast<std::size_t>(plan)];
--- a/src/plans/admission.h
+++ b/src/plans/admission.h
@@ -18,6 +18,7 @@
 
 #include "base/millis.h"
 #include "fleet/plan.h"
+#include "plans/coin.h"
 #include "plans/order.h"
 
 namespace shorelead::plans {
@@ -48,7 +49,7 @@
   Admission(const Order& order, const AdmissionSettings& settings);
 
   // `now` never falls. `plan` and `request_class` as the order has them, the coin as coin_of gives it.
-  Verdict decide(const fleet::CutOff& cut, int plan, int request_class, double coin, Millis now);
+  Verdict decide(const fleet::CutOff& cut, int plan, int request_class, const Coin& coin, Millis now);
 
   // How many since the start, by what became of them: [rank * 5 + Admitted].
   const std::vector<std::uint64_t>& counts() const { return counts_; }
@@ -57,7 +58,7 @@
   }
 
  private:
-  bool owed(int plan, int request_class, double coin);
+  bool owed(int plan, int request_class, const Coin& coin);
   Millis wait(const fleet::CutOff& cut, int rank, double coin) const;
 
   const Order& order_;
--- a/src/plans/coin.h
+++ b/src/plans/coin.h
@@ -22,4 +22,24 @@
 // tenant has one coin. `wall`: the time since 1970 by the machine's clock.
 double coin_of(std::string_view tenant, std::string_view key, Millis wall, Millis lasts = kCoinLasts);
 
+// One request's coin, made when it is first asked for: out of a shortage nobody does. It must not outlive the
+// texts.
+class Coin {
+ public:
+  Coin(std::string_view tenant, std::string_view key, Millis wall)
+      : tenant_(tenant), key_(key), wall_(wall) {}
+  Coin(double value) : value_(value) {}
+
+  operator double() const {
+    if (value_ < 0) value_ = coin_of(tenant_, key_, wall_);
+    return value_;
+  }
+
+ private:
+  std::string_view tenant_;
+  std::string_view key_;
+  Millis wall_ = 0;
+  mutable double value_ = -1;
+};
+
 }  // namespace shorelead::plans
--- a/src/plans/level.h
+++ b/src/plans/level.h
@@ -10,7 +10,9 @@
 
 namespace shorelead::plans {
 
-inline bool is_cut(const fleet::CutOff& cut, int rank, double coin) {
+// `coin`: a number from 0, under 1, or what becomes one when it is asked.
+template <typename Coin>
+bool is_cut(const fleet::CutOff& cut, int rank, const Coin& coin) {
   return rank > cut.rank || (rank == cut.rank && coin < cut.share);
 }
 
--- a/tests/affinity/rules_test.cpp
+++ b/tests/affinity/rules_test.cpp
@@ -100,6 +100,20 @@
   EXPECT_FALSE(find({first}, with.request));
 }
 
+// Two versions of the program side by side have one map: a key's slot never changes.
+TEST(Rules, TheSlotsOfKnownKeysStand) {
+  struct Known {
+    const char* key;
+    std::size_t of_1024, of_65536;
+  };
+  for (const Known& known :
+       {Known{"basket-1000000", 952, 60952}, Known{"basket-1000001", 982, 62883}, Known{"7", 27, 1774},
+        Known{"a long key of more than sixteen bytes, as cookies are", 736, 47148}}) {
+    EXPECT_EQ(slot_of(hash_of(known.key), 1024), known.of_1024) << known.key;
+    EXPECT_EQ(slot_of(hash_of(known.key), 65536), known.of_65536) << known.key;
+  }
+}
+
 TEST(Rules, DoublingTheSlotsSplitsEach) {
   for (std::uint64_t n = 0; n < 2000; ++n) {
     const std::uint64_t key = hash_of(std::to_string(n));
--- a/tests/plans/admission_test.cpp
+++ b/tests/plans/admission_test.cpp
@@ -82,6 +82,16 @@
   EXPECT_NE(coin_of("ab", "c", 0), coin_of("a", "bc", 0));
 }
 
+// Two versions of the program side by side cut the same clients: a client's coin never changes but by the
+// time.
+TEST(Coin, TheCoinsOfKnownClientsStand) {
+  EXPECT_EQ(coin_of("acme", "u-1", 1.7e12), 0.70668487052039386);
+  EXPECT_EQ(coin_of("acme", "u-1", 1.7e12 + kHour), 0.0080067600416016127);
+  EXPECT_EQ(coin_of("acme", "", 1.7e12), 0.60702865070164291);
+  EXPECT_EQ(coin_of("", "10.0.0.7", 1.7e12), 0.32378886676851837);
+  EXPECT_EQ(Coin("acme", "u-1", 1.7e12), 0.70668487052039386) << "made late, the same";
+}
+
 TEST(Coin, LastsAnHourAndNotAllChangeAtOnce) {
   std::map<int, int> changed;  // by minute
   for (int n = 0; n < 6000; ++n) {
