--- a/bench/fleet/on_off.py
+++ b/bench/fleet/on_off.py
@@ -33,7 +33,7 @@
 
 def play(bench, node, env, options):
     out = subprocess.run([bench, "--node", node, "--boxes", "8", "--clients", str(options.clients), "--seconds",
-                          str(options.seconds), "--warm-up", "4"], env=env, capture_output=True, text=True, check=True)
+                          str(options.seconds), "--warm-up", "8"], env=env, capture_output=True, text=True, check=True)
     cells = [cell.strip() for cell in out.stdout.splitlines()[-1].strip("|").split("|")]
     rate, cpu, refused, failed = float(cells[2]), float(cells[3]), int(cells[6]), int(cells[7])
     return rate, cpu, refused, failed
--- a/bench/lab/fleet/usable/measure.py
+++ b/bench/lab/fleet/usable/measure.py
@@ -3,7 +3,7 @@
 seed, and prints what was let through as a share of the whole, beside equal parts by count and beside no budget
 at all on the same schedule. It reads the lab's records alone, never a process's word.
 
-  usable/measure.py [--repeat N] [--build FOLDER] [--out FOLDER] [NAME ...]
+  usable/measure.py [--repeat N] [--build FOLDER] [--node PROGRAM] [--out FOLDER] [NAME ...]
 
 Equal parts by count is simulated: each process has rate and burst divided by the processes it believes alive, a
 bucket that begins full; it hears of one that came after 0.3 s, of one that is gone or stands still after the lease
@@ -14,6 +14,7 @@
 import collections
 import json
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -25,13 +26,18 @@
 # nothing is divided for the first lease: spans begin after that.
 PLAN = {
     "calm": ([("calm", 8000, 24000)], None),
+    "tight": ([("calm", 8000, 24000)], None),
+    "twenty": ([("calm", 8000, 24000)], None),
     "skewed": ([("from 2 s after the first part", 8000, 24000)], None),
     "killed": ([("before", 8000, 12000), ("lease", 12000, 17000), ("after lease + 2 s", 19000, 30000)], 12000),
     "joined": ([("before", 8000, 12000), ("first 2 s", 12000, 14000), ("after 2 s", 14000, 24000)], 12000),
     "paused": ([("before", 8000, 12000), ("still", 12000, 20000), ("after lease + 2 s", 22000, 32000)], 12000),
     "store_away": ([("before", 8000, 12000), ("lease", 12000, 17000), ("reserve", 17500, 72000),
                     ("after 2 s", 74000, 86000)], 12000),
+    "store_away_joined": ([("before", 8000, 12000), ("reserve of 7", 17500, 20000), ("reserve of 10", 22000, 42000),
+                           ("after 2 s", 44000, 56000)], 12000),
 }
+AWAY = {"store_away": (12000, 72000), "store_away_joined": (12000, 42000)}
 
 
 class Bucket:
@@ -101,13 +107,29 @@
 
 
 def until_divided(times, change, whole):
-    """From the change until 2 s begin in which nine tenths of the whole are let through; none: None."""
+    """From the change until 2 s begin in which nine tenths of the whole are let through, once 2 s had less."""
+    fell = False
     for at in range(change, int(max(times, default=0)) - 2000, 50):
-        if sum(at <= t < at + 2000 for t in times) >= 0.9 * whole * 2:
+        enough = sum(at <= t < at + 2000 for t in times) >= 0.9 * whole * 2
+        if enough and fell:
             return (at - change) / 1000
+        fell = fell or not enough
     return None
 
 
+def calls_a_second(folder):
+    """Of all processes that ended in good order, by the counters in their logs: mean, and the planner's."""
+    all_, planner = [], []
+    for log in sorted(folder.glob("n*.log")):
+        text = log.read_text()
+        up, calls = re.findall(r"up_s=([0-9.]+)", text), re.findall(r" calls=([0-9]+)", text)
+        if up and calls:
+            all_.append(int(calls[-1]) / float(up[-1]))
+            if re.findall(r" planner=([01])", text)[-1] == "1":
+                planner.append(all_[-1])
+    return (sum(all_) / len(all_) if all_ else None), (planner[0] if planner else None)
+
+
 def figures(name, run, findings):
     rule = run["fleet"]["budgets"][0]
     began = run["began"]
@@ -118,19 +140,15 @@
     asked = sorted((a["intended"] - began, a["node"]) for a in run["asked"])
     # A request is taken when it was sent: what it waited behind on this machine moves nothing.
     real = sorted(a["intended"] - began for a in run["asked"] if a["id"] in first)
-    away = (12000, 72000) if name == "store_away" else None
+    away = AWAY.get(name)
     ways = {"fleet": real, "by count": by_count(asked, run, rule, away), "none": [at for at, _ in asked]}
     out = {}
     for way, times in ways.items():
         row = {span: sum(a <= t < b for t in times) / (rule["whole"] * (b - a) / 1000) for span, a, b in spans}
         if way == "fleet":
             row["over"] = findings
-            if change is not None and name in ("killed", "joined"):
-                late = [t for t in times if t >= change + (0 if name == "joined" else 1500)]
-                row["divided after s"] = until_divided(late, change + (0 if name == "joined" else 1500),
-                                                       rule["whole"])
-                if row["divided after s"] is not None and name == "killed":
-                    row["divided after s"] += 1.5
+            if name == "killed":
+                row["divided after s"] = until_divided(times, change, rule["whole"])
         else:
             row["over"] = most_over(times, rule["whole"], rule["burst"])
         out[way] = row
@@ -156,18 +174,25 @@
                "--records", str(records), "--folder", str(out / f"{name}-{seed}"),
                # What is sent late is still counted: only sums are judged here.
                "--late-p99", "1000", "--late-worst", "10000"]
-    done = subprocess.run(command, capture_output=True, text=True)
-    if not records.exists():
-        sys.exit(f"{name}: not played: {done.stderr.strip()[-300:]}")
-    findings = sum(int(line.split(", ")[-1].split()[0]) if line.split(", ")[-1].split()[0].isdigit() else 1
-                   for line in done.stdout.splitlines() if line.strip().startswith("rule F1 broken"))
-    return figures(name, json.loads(records.read_text()), findings)
+    if options.node:
+        command += ["--node", options.node]
+    said = out / f"{name}-{seed}.txt"
+    if not records.exists():  # what was played into that folder before is read again
+        done = subprocess.run(command, capture_output=True, text=True)
+        said.write_text(done.stdout)
+        if not records.exists():
+            sys.exit(f"{name}: not played: {done.stderr.strip()[-300:]}")
+    findings = sum(line.strip().startswith("rule F1,") for line in said.read_text().splitlines())
+    found = figures(name, json.loads(records.read_text())["run"], findings)
+    found["fleet"]["store calls/s"], found["fleet"]["planner's"] = calls_a_second(out / f"{name}-{seed}")
+    return found
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--repeat", type=int, default=3)
     parser.add_argument("--build", type=pathlib.Path, default=HERE.parents[3] / "build")
+    parser.add_argument("--node", default=None, help="the program under test, if not the build's")
     parser.add_argument("--out", type=pathlib.Path, default=None)
     parser.add_argument("names", nargs="*", default=list(PLAN))
     options = parser.parse_args()
