--- a/src/node/fleet_gates.h
+++ b/src/node/fleet_gates.h
@@ -1,6 +1,6 @@
 // The gates of a process, one for each generation that shares something else than the one before. Owns those
-// that are left until the store has all of theirs back. It must never end one that a request still counts
-// with.
+// that are left until the store has all of theirs back, and whether the node's reserve is with this process.
+// It must never end one that a request still counts with, nor let two have the reserve.
 #pragma once
 
 #include <functional>
@@ -17,10 +17,10 @@
 
 class FleetGates {
  public:
-  // `beside`: another process of the same node lives, which has its name in the fleet.
+  // `beside`: another process of the same node lives, which has its name in the fleet, and the reserve.
   // `again`: called for requests that wait for their keys' boxes, when it may be time to ask again.
   FleetGates(Loop& loop, bool beside, std::function<void(RequestId)> again)
-      : loop_(loop), beside_(beside), again_(std::move(again)) {}
+      : loop_(loop), beside_(beside), again_(std::move(again)), has_reserve_(!beside) {}
   ~FleetGates() { loop_.cancel(sweep_); }
   FleetGates(const FleetGates&) = delete;
   FleetGates& operator=(const FleetGates&) = delete;
@@ -32,8 +32,15 @@
   // This process ends: gives back all of what is in force; whether that is done, as for those left before.
   bool give_back(const Traffic& now);
 
+  // The node's reserve, between the processes of it: another has it from now on, and what was begun with it
+  // here is over after the time that is given back; or it is this one's, where that of the other's is over
+  // after `before`.
+  Millis give_reserve();
+  void take_reserve(Millis before);
+
  private:
   void sweep();
+  Millis longest_hold() const;
 
   Loop& loop_;
   const bool beside_;
@@ -43,6 +50,8 @@
     std::shared_ptr<FleetGate> gate;
     Millis until = 0;  // then it gives back all, though a request may still come by it
   };
+  bool has_reserve_;
+  std::shared_ptr<FleetGate> in_force_;
   std::vector<Left> left_;
   Loop::TimerId sweep_ = 0;
 };
--- a/src/node/succession.h
+++ b/src/node/succession.h
@@ -34,6 +34,10 @@
     std::function<void()> came;         // the next one has
     std::function<void()> replaced;     // and takes clients
     std::function<bool()> resume;       // it has ended: whether this one may take them again
+    // What one process of the node alone may have, a fleet's reserve: this one gives it up, and says how long
+    // what was begun with it lasts; or has it, the other's being over after `before`.
+    std::function<Millis()> give_reserve;
+    std::function<void(Millis before)> take_reserve;
   };
 
   Succession(Loop& loop, Place place, Host host);
