Lab: experiments of affinity, boxes that know keys, experiments side by side

Clients draw baskets by Zipf's law, boxes know the baskets that they met last and do less work for those; the table gives their share and the fullest box. A third flaw of forwarders, a slot used after a pause, is found as F3.

Each lab now holds a block of loopback addresses by a bound socket: by the process number alone two of some forty overlapping labs could share one, and a node that was away for two seconds find its port taken.

--- a/src/lab/box.h
+++ b/src/lab/box.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "lab/box_model.h"
+#include "lab/key_memory.h"
 #include "lab/stand_ins.h"
 
 namespace shorelead::lab {
@@ -55,7 +56,8 @@
     std::size_t line = 0;  // of the ledger
   };
 
-  void take(const std::shared_ptr<Connection>& connection, std::size_t line, Millis extra_work);
+  void take(const std::shared_ptr<Connection>& connection, std::size_t line, Millis extra_work,
+            const std::string& basket);
   void gone(std::size_t line);  // whoever sent it has ended the connection
   void cut(std::size_t line);   // the box ended it, by its death or a fault
   void step();
@@ -69,6 +71,7 @@
   const int number_;
   const BoxNote note_;
   BoxModel model_;
+  KeyMemory met_;
   bool up_ = true;
   Millis draining_since_ = 0;
   Millis stalled_until_ = 0;
--- a/src/lab/dial.h
+++ b/src/lab/dial.h
@@ -2,8 +2,6 @@
 // own. It must never look a name up.
 #pragma once
 
-#include <unistd.h>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
@@ -16,10 +14,9 @@
           static_cast<unsigned short>(std::stoi(dial.substr(colon + 1)))};
 }
 
-// Loopback addresses of this process, so that much that listens finds ports and labs side by side do not
-// meet.
-inline std::string loopback(int b, int c) {
-  return "127." + std::to_string(32 + ::getpid() % 200) + "." + std::to_string(b) + "." + std::to_string(c);
-}
+// Loopback addresses that no other lab on this machine has, so that much that listens finds ports and labs
+// side by side do not meet: a node that is away for a while finds its port free. Throws where all blocks are
+// taken.
+std::string loopback(int b, int c);
 
 }  // namespace shorelead::lab
--- a/src/lab/draw.cpp
+++ b/src/lab/draw.cpp
@@ -1,5 +1,6 @@
 #include "lab/draw.h"
 
+#include <algorithm>
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/lognormal_distribution.hpp>
 #include <boost/random/seed_seq.hpp>
@@ -66,4 +67,14 @@
   return mean;
 }
 
+Zipf::Zipf(int count, double skew) {
+  double sum = 0;
+  for (int n = 1; n <= count; ++n) sums_.push_back(sum += std::pow(n, -skew));
+}
+
+int Zipf::draw(Draw& from) const {
+  const auto at = std::upper_bound(sums_.begin(), sums_.end(), from.uniform(0, sums_.back()));
+  return static_cast<int>(std::min<std::ptrdiff_t>(at - sums_.begin(), std::ssize(sums_) - 1));
+}
+
 }  // namespace shorelead::lab
--- a/src/lab/draw.h
+++ b/src/lab/draw.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/millis.h"
 
@@ -27,6 +28,16 @@
   boost::random::mt19937_64 engine_;
 };
 
+// Ranks 0 to count - 1, the nth in proportion to (n + 1) to the power of -skew (Zipf's law); 0 = alike.
+class Zipf {
+ public:
+  Zipf(int count, double skew);
+  int draw(Draw& from) const;
+
+ private:
+  std::vector<double> sums_;
+};
+
 enum class Shape { kConstant, kExponential, kLognormal, kPareto };
 
 struct Work {
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -49,6 +49,9 @@
   Millis latency = 0;         // one way, on every link
   Millis jitter = 0;
   int port_base = 0;  // 0 = ports that the system gives
+  // A box knows the baskets that it met last; what it knows takes this share of its work.
+  int remembers = 0;
+  double known_work = 1;
 };
 
 struct NodesSpec {
@@ -100,6 +103,7 @@
   std::string tenant_header = "X-Tenant-Id";
   std::string basket_header = "X-Basket";
   int baskets = 0;  // each wish is about one of so many; 0 = none
+  double skew = 0;  // the nth of them is asked for in proportion to n to the power of -skew (Zipf)
 };
 
 struct TenantSpec {
--- a/src/lab/experiment_load.cpp
+++ b/src/lab/experiment_load.cpp
@@ -100,6 +100,8 @@
   in.text("tenant_header", clients.tenant_header);
   in.text("basket_header", clients.basket_header);
   in.whole("baskets", clients.baskets, 0, 1000000);
+  in.number("skew", clients.skew, 0, 3);
+  if (in.has("skew") && clients.baskets == 0) in.bad("skew", "\"skew\" says nothing without \"baskets\"");
   in.number("bad_per_second", clients.bad_per_second, 0, 10000);
   if (in.has("bad_kinds")) clients.bad_kinds = in.texts("bad_kinds");
   for (const std::string& kind : clients.bad_kinds) {
--- a/src/lab/experiment_world.cpp
+++ b/src/lab/experiment_world.cpp
@@ -29,6 +29,10 @@
   if (fleet.jitter > fleet.latency)
     in.bad("jitter", "\"jitter\" is over \"latency\": a link would answer early");
   in.whole("port_base", fleet.port_base, 0, 65000);
+  in.whole("remembers", fleet.remembers, 0, 1000000);
+  in.share("known_work", fleet.known_work);
+  if (in.has("known_work") && fleet.remembers == 0)
+    in.bad("known_work", "\"known_work\" says nothing without \"remembers\"");
   in.finish();
 }
 
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -22,6 +22,7 @@
       habits_(experiment.seed, "habits"),
       ids_(experiment.seed, "ids"),
       whose_(experiment.seed, "whose"),
+      baskets_(experiment.clients.baskets, experiment.clients.skew),
       unused_(static_cast<std::size_t>(experiment.nodes.count)) {
   std::vector<std::string> names;
   for (const ClassSpec& spec : experiment.classes) names.push_back(spec.rules.name);
@@ -67,7 +68,9 @@
 
 void Load::choose_owner(Wish& wish) {
   if (const int baskets = experiment_.clients.baskets; baskets > 0) {
-    wish.basket = "k" + std::to_string(whose_.whole(static_cast<std::uint64_t>(baskets)));
+    wish.basket = "k" + std::to_string(experiment_.clients.skew > 0
+                                           ? static_cast<std::uint64_t>(baskets_.draw(whose_))
+                                           : whose_.whole(static_cast<std::uint64_t>(baskets)));
   }
   double all = 0;
   for (const TenantSpec& tenant : experiment_.tenants) all += tenant.share;
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -63,6 +63,7 @@
   Draw habits_;
   Draw ids_;
   Draw whose_;
+  const Zipf baskets_;
   std::vector<Asked> records_;
   std::vector<std::vector<std::shared_ptr<Client>>> unused_;  // by node, the one used last at the back
   std::size_t open_ = 0;                                      // wishes under way
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -83,6 +83,7 @@
   Millis closed = 0;      // the sender had ended the connection by then, before the answer; 0 = it had not
   Millis hidden = 0;      // its link passed nothing from then on: what the sender did is not to be seen
   Millis work = 0;        // on a standard core
+  bool warm = false;      // the box had met its basket lately
   bool repeat = false;    // a key seen before in this group and window: answered, not run
   BoxEnd end = BoxEnd::kOpen;
 };
--- a/src/lab/records_io.cpp
+++ b/src/lab/records_io.cpp
@@ -11,7 +11,7 @@
 namespace shorelead::lab {
 namespace {
 
-constexpr const char* kRecords = "shorelead-lab-records/2";
+constexpr const char* kRecords = "shorelead-lab-records/3";
 
 // Each shape names its fields once, for writing and reading alike; `io` is the writer or the reader.
 void fields(auto& io, auto& v, ClassRules*) {
@@ -50,7 +50,7 @@
   io("serial", v.serial), io("id", v.id), io("key", v.key), io("class", v.request_class), io("box", v.box);
   io("node", v.node), io("first_byte", v.first_byte), io("last_byte", v.last_byte), io("began", v.began);
   io("answered", v.answered), io("closed", v.closed), io("hidden", v.hidden), io("work", v.work),
-      io("repeat", v.repeat), io("end", v.end);
+      io("warm", v.warm), io("repeat", v.repeat), io("end", v.end);
 }
 void fields(auto& io, auto& v, Told*) {
   io("node", v.node), io("box", v.box), io("state", v.state), io("at", v.at);
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -103,7 +103,10 @@
     put(out, "keys", keys.keys);
     put(out, "sends", keys.sends);
     put(out, "moves", keys.moves);
+    put(out, "warm", keys.warm);
+    put(out, "met", keys.met);
     put(out, "longest_gap_ms", keys.longest_gap);
+    put(out, "fullest", keys.fullest);
     out.EndObject();
   }
   out.EndArray();
--- a/src/lab/report_table.cpp
+++ b/src/lab/report_table.cpp
@@ -56,8 +56,11 @@
          per_cent(rank.taken, rank.offered), per_cent(rank.in_aim, rank.offered));
   }
   for (const KeyMoves& keys : run.together.keys) {
-    line(out, "  affinity %s: %zu keys, %zu sends, %zu moves, longest without a box %.0f ms",
-         keys.name.c_str(), keys.keys, keys.sends, keys.moves, keys.longest_gap);
+    line(out,
+         "  affinity %s: %zu keys, %zu sends, %zu moves, longest without a box %.0f ms, warm %.1f%%, fullest "
+         "%.2f",
+         keys.name.c_str(), keys.keys, keys.sends, keys.moves, keys.longest_gap,
+         per_cent(keys.warm, keys.met), keys.fullest);
   }
   line(out,
        "  lost with a killed node (allowed): %d, with a paused one: %d; longest from drain to send: %.1f ms",
--- a/src/lab/together.cpp
+++ b/src/lab/together.cpp
@@ -95,16 +95,22 @@
     struct Seen {
       Millis at = 0;
       int unit = -1;  // -1: refused
+      bool warm = false;
     };
     std::map<std::string, std::vector<Seen>> by_key;
     for (const Asked& asked : run_.asked) {
       const std::string& key = rule.tenant ? asked.tenant : asked.basket;
       if (key.empty() || !view_.in_scope(asked, rule.scope)) continue;
       const Attempts& attempts = view_.attempts(asked.id);
-      if (refused(asked, attempts)) by_key[key].push_back({asked.ended, -1});
-      for (const Arrived* a : attempts) by_key[key].push_back({a->first_byte, view_.unit_of(*a, rule.to)});
+      if (refused(asked, attempts)) by_key[key].push_back({asked.ended, -1, false});
+      for (const Arrived* a : attempts) {
+        by_key[key].push_back({a->first_byte, view_.unit_of(*a, rule.to), a->warm});
+      }
     }
-    KeyMoves out{rule.name, by_key.size(), 0, 0, 0};
+    KeyMoves out;
+    out.name = rule.name;
+    out.keys = by_key.size();
+    std::map<int, std::size_t> by_unit;
     for (auto& [key, list] : by_key) {
       std::sort(list.begin(), list.end(), [](const Seen& a, const Seen& b) { return a.at < b.at; });
       int unit = -1;
@@ -117,10 +123,17 @@
         if (without > 0) out.longest_gap = std::max(out.longest_gap, seen.at - without);
         without = 0;
         ++out.sends;
+        ++by_unit[seen.unit];
+        out.met += unit >= 0;
+        out.warm += unit >= 0 && seen.warm;
         out.moves += unit >= 0 && seen.unit != unit;
         unit = seen.unit;
       }
     }
+    for (const auto& [unit, sends] : by_unit) {
+      out.fullest = std::max(out.fullest, static_cast<double>(sends * by_unit.size()));
+    }
+    if (out.sends > 0) out.fullest /= static_cast<double>(out.sends);
     return out;
   }
 
--- a/tests/lab/forwarder.cpp
+++ b/tests/lab/forwarder.cpp
@@ -103,11 +103,15 @@
   if (shared == "plans" && shed(std::string(request["X-Tenant-Id"]), id, flaw)) return plain(429);
   if (shared != "baskets") return forward(request, due);
   const std::vector<Box> all = boxes->all();
-  const std::optional<std::size_t> at = box_of(key, all.size(), me, flaw);
+  const auto now_at = [&] {
+    const double now = flaw == "slot_after_a_pause" ? heart.steps_ms() : machine_ms();
+    return box_of(key, all.size(), now, me, flaw);
+  };
+  const std::optional<std::size_t> at = now_at();
   if (!at) return plain(503);
   Response answer;
   // The map may have moved while the connection came up.
-  const auto still = [&] { return box_of(key, all.size(), me, flaw) == at; };
+  const auto still = [&] { return now_at() == at; };
   const End end = attempt(all[*at], request, due, answer, still);
   return end == End::kAnswered ? answer : plain(end == End::kNeverRan ? 503 : 502);
 }
--- a/tests/lab/forwarder_sharing.cpp
+++ b/tests/lab/forwarder_sharing.cpp
@@ -84,9 +84,9 @@
   return rank == low ? coin < lowest : rank == 2 && coin < middle;
 }
 
-std::optional<std::size_t> box_of(std::string_view key, std::size_t boxes, int me, std::string_view flaw) {
+std::optional<std::size_t> box_of(std::string_view key, std::size_t boxes, double now, int me,
+                                  std::string_view flaw) {
   if (boxes == 0) return std::nullopt;
-  const double now = machine_ms();
   auto map = static_cast<std::uint64_t>(std::floor(now / kMapEvery));
   const bool moves = std::fmod(now, kMapEvery) < kMapPause;
   if (flaw == "stale_slot" && me == 0) {
@@ -107,6 +107,7 @@
     if (now - last_ > kStood) {
       stood_from_ = last_;
       stood_to_ = now;
+      stood_ += now - last_;
     }
     last_ = now;
   }
@@ -119,4 +120,10 @@
   return now - stood_to_ < kReadAll ? stood_from_ : now;
 }
 
+double Heart::steps_ms() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const double now = machine_ms();
+  return now - stood_ - (now - last_ > kStood ? now - last_ : 0);
+}
+
 }  // namespace forwarder
--- a/tests/lab/forwarder_sharing.h
+++ b/tests/lab/forwarder_sharing.h
@@ -39,18 +39,21 @@
 // lasted for more than 2 s silver as well; and back.
 bool shed(std::string_view tenant, std::string_view id, std::string_view flaw);
 
-// Which of `boxes` has a key now; nothing while it moves.
-std::optional<std::size_t> box_of(std::string_view key, std::size_t boxes, int me, std::string_view flaw);
+// Which of `boxes` has a key at that time; nothing while it moves.
+std::optional<std::size_t> box_of(std::string_view key, std::size_t boxes, double now, int me,
+                                  std::string_view flaw);
 
 // Since when this process surely had nothing unread: a request read now may have come at any time after that.
 class Heart {
  public:
   void beat();  // for good
   double unread_since() const;
+  double steps_ms() const;  // as counted by its own steps: what it stood still is left out
 
  private:
   mutable std::mutex mutex_;
   double last_ = machine_ms();
+  double stood_ = 0;
   double stood_from_ = 0;
   double stood_to_ = 0;
 };
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -107,7 +107,8 @@
                                          Flaw{"spends_after_a_pause", {Breach::kOverBudget}, "shared_rate"},
                                          Flaw{"sheds_upside_down", {Breach::kShedOrder}, "shared_plans"},
                                          Flaw{"stale_slot", {Breach::kTwoBoxes}, "shared_baskets"},
-                                         Flaw{"both_open", {Breach::kTwoBoxes}, "shared_baskets"}),
+                                         Flaw{"both_open", {Breach::kTwoBoxes}, "shared_baskets"},
+                                         Flaw{"slot_after_a_pause", {Breach::kTwoBoxes}, "shared_baskets"}),
                          [](const auto& info) {
                            return std::string(info.param.experiment) + "_" + info.param.name;
                          });
--- a/tests/lab/together_test.cpp
+++ b/tests/lab/together_test.cpp
@@ -1,9 +1,13 @@
-// What processes made of what they share, worked out by hand.
+// What processes made of what they share, worked out by hand; the keys that boxes remember and clients draw.
 #include "lab/together.h"
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
+#include "lab/draw.h"
 #include "lab/fleet_records.h"
+#include "lab/key_memory.h"
 
 namespace shorelead::lab {
 namespace {
@@ -55,13 +59,44 @@
   const auto put = [&run](Millis at, int box, const char* key) {
     ask(run, at, 0, box).basket = std::string(key);
   };
-  put(100, 0, "a"), put(200, 0, "a"), put(300, -1, "a"), put(400, -1, "a"), put(500, 1, "a");
+  put(100, 0, "a"), put(200, 0, "a"), run.arrived.back().warm = true;
+  put(300, -1, "a"), put(400, -1, "a"), put(500, 1, "a");
   put(100, 2, "b"), put(150, 2, "b");
   const KeyMoves keys = together(run).keys.at(0);
   EXPECT_EQ(keys.keys, 2U);
   EXPECT_EQ(keys.sends, 5U);
   EXPECT_EQ(keys.moves, 1U);
   EXPECT_NEAR(keys.longest_gap, 501 - 302, 1e-9);
+  EXPECT_EQ(keys.met, 3U);
+  EXPECT_EQ(keys.warm, 1U);
+  EXPECT_NEAR(keys.fullest, 2.0 / (5.0 / 3), 1e-9);
+}
+
+TEST(KeyMemory, ForgetsWhatItMetLongestAgo) {
+  KeyMemory memory(2);
+  memory.meet("a"), memory.meet("b"), memory.meet("a"), memory.meet("c");
+  EXPECT_TRUE(memory.knows("a"));
+  EXPECT_FALSE(memory.knows("b"));
+  EXPECT_TRUE(memory.knows("c"));
+  KeyMemory none(0);
+  none.meet("a");
+  EXPECT_FALSE(none.knows("a"));
+}
+
+// The nth key's share is in proportion to n to the power of -skew: within five standard deviations.
+TEST(Zipf, DrawsByItsLaw) {
+  Draw draw(1, "test");
+  const Zipf zipf(20, 0.7);
+  std::vector<int> counts(20);
+  constexpr int kDraws = 100000;
+  for (int n = 0; n < kDraws; ++n) ++counts.at(static_cast<std::size_t>(zipf.draw(draw)));
+  double sum = 0;
+  for (int n = 1; n <= 20; ++n) sum += std::pow(n, -0.7);
+  for (int n = 1; n <= 20; ++n) {
+    const double share = std::pow(n, -0.7) / sum;
+    const double wobble = 5 * std::sqrt(share * (1 - share) * kDraws);
+    EXPECT_NEAR(counts[static_cast<std::size_t>(n - 1)], share * kDraws, wobble) << n;
+  }
 }
 
 }  // namespace
