--- a/src/affinity/bindings.cpp
+++ b/src/affinity/bindings.cpp
@@ -5,6 +5,18 @@
 #include <utility>
 
 namespace shorelead::affinity {
+namespace {
+
+constexpr Millis kToAnswer =
+    100;  // a refusal at the client's last moment comes too late where anything is slow
+constexpr double kToAnswerPart = 0.25;
+
+// Till when a request waits, at most: its answer has to reach its client.
+Millis waits_until(Millis until, Millis now) {
+  return until - std::min(kToAnswer, kToAnswerPart * std::max(0.0, until - now));
+}
+
+}  // namespace
 
 Bindings::Bindings(std::vector<Rule> rules, int most_waiting)
     : rules_(std::move(rules)), room_(most_waiting), seats_(rules_.size()), counters_(rules_.size()) {
@@ -70,6 +82,7 @@
                                 Millis now, const Look& look) {
   Answer answer = ask(found, valid, 0, look);
   Decision& decision = answer.decision;
+  until = waits_until(until, now);
   if (decision.go == Go::kWait && now >= until) decision.go = Go::kRefuse;
   if (decision.go == Go::kWait && !room_.enter()) decision = {Go::kRefuse, -1, Why::kQueueFull};
   if (decision.go != Go::kWait && decision.go != Go::kOnly) return said(found, answer, -1);
--- a/tests/affinity/bindings_test.cpp
+++ b/tests/affinity/bindings_test.cpp
@@ -198,5 +198,24 @@
   RC_ASSERT(sum == world.came);
 }
 
+// A request that waits is refused while there is time to say so: a tenth of a second, a quarter of what is
+// left.
+TEST(Bindings, WhoWaitsIsRefusedInTime) {
+  Rule rule = a_rule();
+  rule.wait = 10000;
+  Bindings bindings({rule}, kMost);
+  fleet::Snapshot snapshot;
+  snapshot.incarnation = 1;
+  snapshot.affinity[map_name(rule)].slots.assign(kSlots, {"a", false, "b", 1});
+  bindings.take_up(snapshot, 0);
+  const Bindings::Look look = [](To, const std::string&) { return Standing::kReady; };
+  for (const auto& [left, refused_at] : std::map<Millis, Millis>{{1000, 900}, {100, 75}}) {
+    const auto said = bindings.arrive(1, {0, true, 0}, true, left, 0, look);
+    ASSERT_EQ(said.go, Go::kWait);
+    EXPECT_EQ(bindings.again(said.place, true, refused_at - 1, look).go, Go::kWait);
+    EXPECT_EQ(bindings.again(said.place, true, refused_at, look).go, Go::kRefuse);
+  }
+}
+
 }  // namespace
 }  // namespace shorelead::affinity
