--- a/src/lab/together.cpp
+++ b/src/lab/together.cpp
@@ -117,7 +117,7 @@
       Millis without = 0;
       for (const Seen& seen : list) {
         if (seen.unit < 0) {
-          if (without == 0) without = seen.at;
+          if (without == 0 && unit >= 0) without = seen.at;
           continue;
         }
         if (without > 0) out.longest_gap = std::max(out.longest_gap, seen.at - without);
--- a/src/lab/together.h
+++ b/src/lab/together.h
@@ -33,7 +33,7 @@
   std::size_t moves = 0;   // sends to another unit than the key's before
   std::size_t warm = 0;    // sends to a box that had met the key lately ...
   std::size_t met = 0;     // ... of those of keys that some box had met
-  Millis longest_gap = 0;  // from the first of refusals in a row to the key's next send
+  Millis longest_gap = 0;  // once it had a box: from the first of refusals in a row to its next send
   double fullest = 0;      // sends to the unit that had most, over the mean of units that had any
 };
 
--- a/tests/lab/together_test.cpp
+++ b/tests/lab/together_test.cpp
@@ -61,7 +61,7 @@
   };
   put(100, 0, "a"), put(200, 0, "a"), run.arrived.back().warm = true;
   put(300, -1, "a"), put(400, -1, "a"), put(500, 1, "a");
-  put(100, 2, "b"), put(150, 2, "b");
+  put(50, -1, "b"), put(350, 2, "b"), put(400, 2, "b");  // it had none yet
   const KeyMoves keys = together(run).keys.at(0);
   EXPECT_EQ(keys.keys, 2U);
   EXPECT_EQ(keys.sends, 5U);
