--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -64,6 +64,7 @@
   Draw habits_;
   Draw ids_;
   Draw whose_;
+  const Zipf baskets_;
   Draw where_;
   std::vector<Asked> records_;
   std::vector<std::vector<std::shared_ptr<Client>>> unused_;  // by node, the one used last at the back
