Whole nodes that keep keys run under ThreadSanitizer too

First run: four reports, all in the test (what the next file says, read by nodes' threads), none in the node; with a lock there both tests pass without a report. Boxes and their book in a header.

--- a/tests/keys_node_test.cpp
+++ b/tests/keys_node_test.cpp
@@ -10,67 +10,25 @@
 #include <thread>
 
 #include "fleet/fleet_bench.h"
+#include "keys_boxes.h"
 #include "node/server.h"
 #include "node/shore.h"
-#include "peer.h"
 
 namespace shorelead::node {
 namespace {
 
-// What each key met, in the order in which boxes had it; a box that it meets again stands twice.
-class Book {
- public:
-  void met(const std::string& key, const std::string& box) {
-    const std::lock_guard lock(mutex_);
-    std::vector<std::string>& all = met_[key];
-    if (all.empty() || all.back() != box) all.push_back(box);
-  }
-  std::map<std::string, std::vector<std::string>> all() {
-    const std::lock_guard lock(mutex_);
-    return met_;
-  }
-
- private:
-  std::mutex mutex_;
-  std::map<std::string, std::vector<std::string>> met_;
-};
-
-class Box {
- public:
-  Box(std::string name, Book& book) : name(std::move(name)), book_(book), thread_([this] { serve(); }) {}
-  ~Box() {
-    peer.stop();
-    thread_.join();
-    for (std::thread& one : connections_) one.join();
-  }
-
-  const std::string name;
-  Peer peer;
-
- private:
-  void serve() {
-    while (auto line = peer.accept_until_stopped()) {
-      connections_.emplace_back([this, line = std::make_shared<Line>(std::move(*line))] {
-        for (std::string asked = line->request(); !asked.empty(); asked = line->request()) {
-          const std::size_t at = asked.find("X-Basket: ");
-          if (at != std::string::npos) book_.met(asked.substr(at + 10, 2), name);
-          line->write("HTTP/1.1 200 OK\r\nX-Box: " + name + "\r\nContent-Length: 0\r\n\r\n");
-        }
-      });
-    }
-  }
-
-  Book& book_;
-  std::vector<std::thread> connections_;
-  std::thread thread_;
-};
-
 struct Fleet {
   Fleet() {
     for (const char* const name : {"a", "b", "c", "d"}) boxes.push_back(std::make_unique<Box>(name, book));
   }
 
+  // What the next file says; read by nodes' threads.
+  void set(std::string Fleet::*word, const std::string& value) {
+    const std::lock_guard lock(mutex);
+    this->*word = value;
+  }
   Config config_of(const std::string& name) {
+    const std::lock_guard lock(mutex);
     std::string text =
         "node " + name +
         " { listen 127.0.0.1:1; seed 1f; sockets 256 }\n"
@@ -107,6 +65,7 @@
   Book book;
   std::vector<std::unique_ptr<Box>> boxes;
   fleet::StandIn store;
+  std::mutex mutex;
   std::string draining, wait = "1 s";
 };
 
@@ -203,7 +162,7 @@
   EXPECT_EQ(whole_map(*one), map);
 
   // One box drains: its keys move, no other does, and none ever comes back.
-  fleet.draining = "b";
+  fleet.set(&Fleet::draining, "b");
   one->reload();
   two.reload();
   std::map<std::string, std::string> moved;
@@ -237,7 +196,7 @@
   const auto map = whole_map(one);
   for (const char* const wait : {"900 ms", "800 ms"}) {
     const int before = one.generation();
-    fleet.wait = wait;
+    fleet.set(&Fleet::wait, wait);
     one.reload();
     while (one.generation() == before) {
       for (const auto& [key, box] : map) EXPECT_EQ(one.ask("/look/1", key), box);
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -37,5 +37,5 @@
 # What several threads touch, under ThreadSanitizer: only that is built so, and only its tests run.
 cmake -S . -B build-threads -DCMAKE_BUILD_TYPE=RelWithDebInfo -DSHORELEAD_TESTS=ON -DSHORELEAD_TLS=ON \
   -DSHORELEAD_TSAN=ON >/dev/null
-cmake --build build-threads -j"$jobs" --target control_test
-ctest --test-dir build-threads -j"$jobs" --output-on-failure --no-tests=error -R '^Control\.'
+cmake --build build-threads -j"$jobs" --target control_test keys_node_test
+ctest --test-dir build-threads -j"$jobs" --output-on-failure --no-tests=error -R '^(Control|KeysNode)\.'
