--- a/tests/fleet_gates_test.cpp
+++ b/tests/fleet_gates_test.cpp
@@ -30,7 +30,7 @@
 }
 
 struct Process {
-  Process(Loop& loop, bool beside) : gates(loop, beside) { follow(40); }
+  Process(Loop& loop, bool beside) : gates(loop, beside, [](RequestId) {}) { follow(40); }
   // A reload, or the start.
   std::shared_ptr<FleetGate> follow(int burst) {
     auto next = std::make_shared<Traffic>();
