--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <stdlib.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <set>
 
@@ -64,8 +65,13 @@
 INSTANTIATE_TEST_SUITE_P(Node, Experiments,
                          testing::Values("calm", "deploy", "killed", "stalls", "black_hole", "discovery_down",
                                          "nodes_restarted", "overload", "bad_clients", "bad_answers",
-                                         "subsets", "reloads", "pools_apart", "registry"),
-                         [](const auto& info) { return std::string(info.param); });
+                                         "subsets", "reloads", "pools_apart", "registry", "fleet/keys_calm",
+                                         "fleet/keys_cut_both"),
+                         [](const auto& info) {
+                           std::string name = info.param;
+                           std::replace(name.begin(), name.end(), '/', '_');
+                           return name;
+                         });
 
 struct Flaw {
   const char* name;
