--- a/src/fleet/port.cpp
+++ b/src/fleet/port.cpp
@@ -1,6 +1,7 @@
 #include "fleet/port.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "fleet/division.h"
@@ -49,6 +50,32 @@
   }
 }
 
+void Port::reserve_from(std::size_t budget, Millis from, Millis now) {
+  Share& share = shares_[budget];
+  if (auto* const rate = std::get_if<RateShare>(&share)) {
+    rate->reserve_from(from, now, valid_until());
+  } else if (auto* const at_once = std::get_if<AtOnceShare>(&share)) {
+    at_once->reserve_from(from);
+    count_in_use(budget, now);
+  } else {
+    std::get<AttemptShare>(share).reserve_from(from);
+  }
+}
+
+void Port::cease_reserve(Millis now) {
+  for (std::size_t n = 0; n < shares_.size(); ++n) {
+    reserve_from(n, std::numeric_limits<Millis>::infinity(), now);
+  }
+}
+
+void Port::begin_reserve(Millis now, Millis before) {
+  for (std::size_t n = 0; n < shares_.size(); ++n) {
+    // Only of a count at once does what was begun go on.
+    const bool lasts = budgets_[n].kind == BudgetKind::kAtOnce;
+    reserve_from(n, now + (lasts ? std::max(0.0, before - budgets_[n].hold) : 0), now);
+  }
+}
+
 bool Port::take_up() {
   const Millis until_now = valid_until();
   if (!channel_->issues.take()) return false;
@@ -126,6 +153,8 @@
 
 RankCells* Port::rank(int rank) {
   TrafficCells& cells = channel_->traffic;
+  const auto same = static_cast<std::size_t>(rank);  // as a rule they are numbered in their order
+  if (same < cells.ranks.size() && cells.ranks[same] == rank) return &cells.loads[same];
   for (std::size_t n = 0; n < cells.ranks.size(); ++n) {
     if (cells.ranks[n] == rank) return &cells.loads[n];
   }
--- a/src/node/desk.h
+++ b/src/node/desk.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "node/answer_words.h"
 #include "node/facade.h"
 #include "node/fleet_gate.h"
 #include "node/pool.h"
@@ -17,7 +18,7 @@
 
 class Desk {
  public:
-  using Refuse = std::function<void(RequestId, Millis come_back, int status, const char* cause)>;
+  using Refuse = std::function<void(RequestId, const Refusal&)>;
 
   explicit Desk(Refuse refuse) : refuse_(std::move(refuse)) {}
 
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -42,7 +42,7 @@
                             .home = ask.home,
                             .hold = ask.hold});
   feed(RequestArrived{request, ask.request_class, ask.tenant, ask.due, ask.expected_work, ask.client_retry, 0,
-                      ask.home},
+                      ask.home, ask.worth},
        now);
   return take(request, Choice::Kind::kHold);
 }
--- a/src/node/fleet_gate.cpp
+++ b/src/node/fleet_gate.cpp
@@ -8,6 +8,7 @@
 #include <numeric>
 #include <utility>
 
+#include "node/answer_words.h"
 #include "plans/coin.h"
 
 namespace shorelead::node {
@@ -35,22 +36,12 @@
   std::function<void()> rung;
 };
 
-fleet::RankLoad now_of(const fleet::RankCells& cells) {
-  const auto figure = [](const auto& cell) { return static_cast<double>(cell.get()); };
-  return {figure(cells.offered), figure(cells.taken), figure(cells.in_time), figure(cells.refused),
-          figure(cells.failed)};
-}
-
-fleet::RankLoad less(const fleet::RankLoad& a, const fleet::RankLoad& b) {
-  return {a.offered - b.offered, a.taken - b.taken, a.in_time - b.in_time, a.refused - b.refused,
-          a.failed - b.failed};
-}
-
 }  // namespace
 
 FleetGate::FleetGate(Loop& loop, const FleetConfig& fleet, const Config& config, const std::string& name,
                      std::uint64_t seed, const std::function<void(RequestId)>& again)
     : loop_(loop),
+      wall_(loop.now() - fleet::boot_now()),
       fleet_(fleet),
       names_(names_of(config)),
       rules_(fleet, config),
@@ -60,7 +51,7 @@
       order_(fleet.plans, worths_of(config)),
       admission_(order_, plans::AdmissionSettings()),
       shedder_(order_.ranks(), plans::CutOffSettings(), seed),
-      counted_(static_cast<std::size_t>(order_.ranks())) {
+      counted_(order_.ranks()) {
   fleet::ControlSpec spec;
   spec.store.endpoints = fleet.store;
   spec.sharing = fleet.sharing;
@@ -77,6 +68,7 @@
     keys_ = std::make_unique<KeyGate>(loop, fleet, port_, again);
     spec.shapers.push_back(keys_->planner());
   }
+  cease_reserve();
   control_ = std::make_unique<fleet::Control>(spec, channel_);
   bell_ = std::make_unique<net::Descriptor>(::dup(port_.wake_fd()));
   on_bell_ = std::make_unique<OnBell>([this] {
@@ -115,15 +107,7 @@
   if (fleet_.plans.empty()) return;
   const Millis now = fleet::boot_now();
   if (const fleet::Snapshot* const valid = port_.valid(now)) shedder_.told(valid->cut_off, now + kCutHolds);
-  std::map<int, fleet::RankLoad> loads;
-  for (int rank = 0; rank < order_.ranks(); ++rank) {
-    const fleet::RankCells* const cells = cells_of(rank);
-    if (cells == nullptr) continue;
-    fleet::RankLoad& before = counted_[static_cast<std::size_t>(rank)];
-    const fleet::RankLoad count = now_of(*cells);
-    loads[rank] = less(count, before);
-    before = count;
-  }
+  const auto loads = counted_.since_last([this](int rank) { return cells_of(rank); });
   const fleet::CutOff next = shedder_.in_force(loads, channel_->traffic.room.get(), now);
   if (next == cut_off_) return;
   spdlog::info("fleet: in a shortage rank {} and {:.0f} % of it are turned away, by {}", next.rank + 1,
@@ -135,8 +119,8 @@
   Verdict verdict;
   const Millis now = fleet::boot_now();
   if (!keys_) follow();  // maps are made ready by the bell, not on a request's path
-  // The same for a client's repeats, and spread over clients.
-  const double coin = plans::coin_of(words.tenant, words.client, loop_.now());
+  // The same for a client's repeats, and spread over clients. By the same reading of the clock.
+  const plans::Coin coin(words.tenant, words.client, now + wall_);
   if (!fleet_.plans.empty()) {
     const int plan = order_.plan_of(words.tenant);
     const int rank = order_.rank_of(plan, words.request_class);
@@ -147,10 +131,12 @@
       cells.refused.add(1);
       verdict.refused = 503;
       verdict.cause = "a shortage of the fleet, trying again later is harmless";
+      verdict.why = kWhyShortage;
       verdict.come_back = std::min(said.come_back, words.most_wait);
       return verdict;
     }
     verdict.ticket.rank = rank;
+    verdict.worth = 1 - rank / std::max(1.0, order_.ranks() - 1.0);
     verdict.ticket.aim_at = now + aim;
   }
   const std::uint64_t all = rules_.budgets_of(words.pool, words.route, words.request_class, words.tenant);
@@ -162,6 +148,7 @@
       ended(std::exchange(verdict.ticket, Ticket()), End::kGone);
       verdict.refused = 429;
       verdict.cause = "the fleet's budget is spent, trying again is harmless";
+      verdict.why = kWhyBudget;
       verdict.come_back = words.most_wait * (kSoonest + (1 - kSoonest) * coin);
       return verdict;
     }
@@ -206,6 +193,12 @@
   }
 }
 
+Millis FleetGate::longest_hold() const {
+  Millis longest = 0;
+  for (const fleet::Budget& budget : fleet_.budgets) longest = std::max(longest, budget.hold);
+  return longest;
+}
+
 void FleetGate::leave() { control_->leave(); }
 
 void FleetGate::log_counters() const {
--- a/src/node/fleet_gates.cpp
+++ b/src/node/fleet_gates.cpp
@@ -2,7 +2,9 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <random>
+#include <utility>
 
 #include "node/pool.h"
 
@@ -30,13 +32,14 @@
 
 // One that shares the same as before goes on with what it has; another joins under another name, as the one
 // before it lives until it has given all back.
-std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) const {
+std::shared_ptr<FleetGate> FleetGates::make(const Config& config, const Traffic* now) {
   if (!config.shared) return nullptr;
   FleetGate::Names names = FleetGate::names_of(config);
   if (now != nullptr && now->gate && now->gate->serves(*config.shared, names)) return now->gate;
   std::string name = config.name;
   if (beside_) name.append("~").append(std::to_string(::getpid()));
-  if (now != nullptr) name.append(".").append(std::to_string(now->number + 1));
+  // By how many were made: of two reloads close together both may join.
+  if (++made_ > 1) name.append(".").append(std::to_string(made_));
   std::random_device entropy;
   return std::make_shared<FleetGate>(loop_, *config.shared, config, name,
                                      (std::uint64_t{entropy()} << 32) ^ entropy(), again_);
@@ -46,9 +49,14 @@
 // for a while for clients' repeats, which still go by it.
 void FleetGates::go_by(const Traffic& before, const Traffic& next) {
   if (before.gate && before.gate != next.gate) {
+    before.gate->cease_reserve();
     left_.push_back({before.gate, loop_.now() + kMostPast});
     sweep();
   }
+  if (in_force_ != next.gate) {
+    in_force_ = next.gate;
+    if (in_force_ && has_reserve_) in_force_->begin_reserve(longest_hold());
+  }
   bound_attempts(next);
   if (next.gate && next.gate->keys() != nullptr) next.gate->keys()->watch(next.pools);
 }
@@ -77,4 +85,21 @@
   return all;
 }
 
+Millis FleetGates::longest_hold() const {
+  Millis longest = 0;
+  for (const Left& left : left_) longest = std::max(longest, left.gate->longest_hold());
+  return longest;
+}
+
+Millis FleetGates::give_reserve() {
+  if (!std::exchange(has_reserve_, false) || !in_force_) return longest_hold();
+  in_force_->cease_reserve();
+  return std::max(longest_hold(), in_force_->longest_hold());
+}
+
+void FleetGates::take_reserve(Millis before) {
+  if (std::exchange(has_reserve_, true) || !in_force_) return;
+  in_force_->begin_reserve(std::max(before, longest_hold()));
+}
+
 }  // namespace shorelead::node
--- a/src/node/succession.cpp
+++ b/src/node/succession.cpp
@@ -18,10 +18,13 @@
 
 void Succession::begin() {
   if (!place_.legacy) return wait_for_successor();
-  predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, [this] {
+  const auto ceded = [this](bool ended, Millis still) {
+    host_.take_reserve(still);
+    if (!ended) return;
     spdlog::info("the process before this one has ended");
     host_.two_or_one();
-  });
+  };
+  predecessor_ = std::make_unique<handover::Successor>(loop_, place_.legacy->channel, ceded);
   host_.hold(true);
   look_if_it_could_serve();
 }
@@ -66,6 +69,7 @@
 void Succession::successor_serves() {
   if (std::exchange(replaced_, true)) return;
   spdlog::info("the successor takes clients from now on");
+  successors_->cede(host_.give_reserve());
   host_.hold(true);
   host_.replaced();
 }
@@ -74,6 +78,7 @@
   spdlog::warn("the successor has ended{}",
                replaced_ ? ", this process takes clients again" : " before it served");
   host_.two_or_one();
+  host_.take_reserve(0);
   if (std::exchange(replaced_, false) && host_.resume()) host_.hold(false);
 }
 
--- a/src/plans/controller.cpp
+++ b/src/plans/controller.cpp
@@ -12,6 +12,7 @@
 constexpr Millis kDrains = 1500;      // queues drain, and a report of the time after it is in
 constexpr Millis kPassesRank = 2000;  // admission.cpp: kOrderHolds
 constexpr double kNearBest = 0.95;    // of what could be done: aimed at
+constexpr double kOfMissed = 0.75;    // of what is taken and missed: cut, where nothing else tells
 constexpr double kSomeRoom = 0.08;
 constexpr double kAmple = 0.25;
 constexpr double kJitter = 0.2;  // of a hold: processes alone do not try at the same moment
@@ -118,7 +119,7 @@
   // fleet can do less than it could, and only the misses tell by how much.
   double fall = settings_.least_step;
   if (best_ > 0 && best_ < view.taken) fall = 1 - kNearBest * best_ / view.taken;
-  if (fall < 2 * settings_.least_step) fall = view.missed / 2;
+  if (fall < 2 * settings_.least_step) fall = kOfMissed * view.missed;
   fall = std::clamp(fall, settings_.least_step, settings_.most_fall);
   best_ = std::min(best_, view.taken * (1 - fall));  // it is short all the same: that was too much
   const double aim = std::max(taken * (1 - fall), settings_.least_taken * offered);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -113,6 +113,7 @@
   int cell = 0;
   bool only = false;  // it may go nowhere else; without it, rather there
 
+  bool any() const { return kind != Kind::kAny; }
   bool has(const BackendEntry& entry) const {
     if (kind == Kind::kBackend) return entry.backend == backend;
     return kind != Kind::kAny && entry.zone == zone && (kind == Kind::kZone || entry.cell == cell);
@@ -134,6 +135,7 @@
   bool client_retry = false;
   std::uint64_t key = 0;  // of what it concerns, the same on every node; 0 = none
   Unit home{};            // for every attempt
+  double worth = -1;      // beside the dearest, where a fleet has an order; negative = its class's
 };
 struct StreamStarted {
   RequestId request = 0;
