--- a/src/fleet/share.cpp
+++ b/src/fleet/share.cpp
@@ -4,19 +4,27 @@
 
 void RateShare::fill(Millis now, Millis valid_until) {
   if (at_ < 0) at_ = now;
-  const double seconds = std::max(0.0, now - at_) / 1000;
-  at_ = std::max(at_, now);
   // Past its validity somebody else may have the part: neither what was saved beyond the reserve nor the
   // time since counts.
   const bool valid = now < valid_until;
-  const double amount = reserve_.amount + (valid ? part_.amount : 0);
-  tokens_ = std::min(reserve_.burst + (valid ? part_.burst : 0), tokens_ + amount * seconds);
+  double filled = reserve_.amount * std::max(0.0, now - std::max(at_, from_));
+  if (valid) filled += part_.amount * std::max(0.0, now - at_);
+  at_ = std::max(at_, now);
+  tokens_ = std::min((now < from_ ? 0 : reserve_.burst) + (valid ? part_.burst : 0), tokens_ + filled * 1e-3);
+}
+
+// What was saved is the share's, as the reserve begins empty: before and after, the bucket is as large as
+// what it is for.
+void RateShare::reserve_from(Millis from, Millis now, Millis valid_until) {
+  fill(now, valid_until);
+  from_ = from;
+  fill(now, valid_until);
 }
 
 void RateShare::set(const Part& part, Millis now, Millis valid_until) {
   fill(now, valid_until);
   part_ = part;
-  tokens_ = std::min(tokens_, reserve_.burst + part_.burst);
+  fill(now, valid_until);
 }
 
 Spent RateShare::spend(Millis now, Millis valid_until) {
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -49,6 +49,9 @@
   Millis latency = 0;         // one way, on every link
   Millis jitter = 0;
   int port_base = 0;  // 0 = ports that the system gives
+  // A box knows the baskets that it met last; what it knows takes this share of its work.
+  int remembers = 0;
+  double known_work = 1;
 };
 
 struct NodesSpec {
@@ -99,9 +102,11 @@
   std::vector<std::string> bad_kinds;  // empty = all
   std::string tenant_header = "X-Tenant-Id";
   std::string basket_header = "X-Basket";
-  int baskets = 0;       // each wish is about one of so many; 0 = none
-  int hot = 0;           // the first so many processes are asked ...
-  double hot_share = 0;  // ... by so much of all requests, the others by the rest
+  int baskets = 0;         // each wish is about one of so many; 0 = none
+  double skew = 0;         // the nth of them is asked for in proportion to n to the power of -skew (Zipf)
+  int hot = 0;             // the first so many processes are asked ...
+  double hot_share = 0;    // ... by so much of all requests, the others by the rest
+  bool at_random = false;  // which process is asked, of those that may be: else in turns
 };
 
 struct TenantSpec {
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -22,6 +22,7 @@
       habits_(experiment.seed, "habits"),
       ids_(experiment.seed, "ids"),
       whose_(experiment.seed, "whose"),
+      baskets_(experiment.clients.baskets, experiment.clients.skew),
       where_(experiment.seed, "where"),
       unused_(static_cast<std::size_t>(experiment.nodes.count)) {
   std::vector<std::string> names;
@@ -68,7 +69,9 @@
 
 void Load::choose_owner(Wish& wish) {
   if (const int baskets = experiment_.clients.baskets; baskets > 0) {
-    wish.basket = "k" + std::to_string(whose_.whole(static_cast<std::uint64_t>(baskets)));
+    wish.basket = "k" + std::to_string(experiment_.clients.skew > 0
+                                           ? static_cast<std::uint64_t>(baskets_.draw(whose_))
+                                           : whose_.whole(static_cast<std::uint64_t>(baskets)));
   }
   double all = 0;
   for (const TenantSpec& tenant : experiment_.tenants) all += tenant.share;
@@ -79,7 +82,9 @@
   }
 }
 
-int Load::next_in(int from, int to, int& turn) const {
+int Load::next_in(int from, int to, int& turn) {
+  if (experiment_.clients.at_random)
+    turn = from + static_cast<int>(where_.whole(static_cast<std::uint64_t>(to - from)));
   for (int n = from; n < to; ++n) {
     turn = turn + 1 < to ? std::max(from, turn + 1) : from;
     if (front_.taken_in[static_cast<std::size_t>(turn)]) return turn;
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -48,8 +48,8 @@
   void begin(const std::shared_ptr<Wish>& wish);
   void ended(const std::shared_ptr<Wish>& wish, std::size_t record, double retry_after);
   int next_node();
-  int next_in(int from, int to, int& turn) const;  // in turns among those taken in; -1 = none is
-  void choose_owner(Wish& wish);                   // tenant and basket
+  int next_in(int from, int to, int& turn);  // in turns among those taken in; -1 = none is
+  void choose_owner(Wish& wish);             // tenant and basket
   void finish_when_quiet();
 
   boost::asio::io_context& context_;
@@ -64,6 +64,7 @@
   Draw habits_;
   Draw ids_;
   Draw whose_;
+  const Zipf baskets_;
   Draw where_;
   std::vector<Asked> records_;
   std::vector<std::vector<std::shared_ptr<Client>>> unused_;  // by node, the one used last at the back
--- a/src/node/fleet_gate.h
+++ b/src/node/fleet_gate.h
@@ -18,6 +18,7 @@
 #include "node/fleet_rules.h"
 #include "node/key_gate.h"
 #include "node/net.h"
+#include "node/rank_counts.h"
 #include "plans/admission.h"
 #include "plans/cutoff.h"
 #include "plans/order.h"
@@ -86,9 +87,15 @@
   }
 
   void room(double share) { port_.room(share); }  // of the boxes' capacity, that is unused
-  void leave();                                   // gives back all; what is in use goes on
   bool told() const { return !keys_ || keys_->told(); }
   bool bound() const { return keys_ && keys_->busy(); }  // requests have places, which end with it
+  // A node has one reserve, whichever of its gates, generations and processes alike, serves. A gate begins
+  // without it. `before`: what another began with it is over after so long.
+  void begin_reserve(Millis before) { port_.begin_reserve(fleet::boot_now(), before); }
+  void cease_reserve() { port_.cease_reserve(fleet::boot_now()); }
+  Millis longest_hold() const;  // of what is at once
+
+  void leave();  // gives back all; what is in use goes on
   bool left() const { return !control_ || control_->left(); }
   void log_counters() const;
 
@@ -98,6 +105,7 @@
   fleet::RankCells* cells_of(int rank) { return rank < 0 ? nullptr : port_.rank(rank); }
 
   Loop& loop_;
+  const Millis wall_;  // the wall's clock above the one of validity, as at the start
   const FleetConfig fleet_;
   const Names names_;
   const FleetRules rules_;
@@ -107,7 +115,7 @@
   plans::Admission admission_;
   plans::LocalShedder shedder_;
   fleet::CutOff cut_off_;
-  std::vector<fleet::RankLoad> counted_;  // by rank: at the last second
+  RankCounts counted_;  // at the last second
   std::unique_ptr<KeyGate> keys_;
   std::unique_ptr<fleet::Control> control_;
   std::unique_ptr<net::Descriptor> bell_;
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -45,7 +45,8 @@
            [this] { return front_->listening(); },
            [this] { return generations_.pools().front()->list_text(); },
            [this] { return departure_.leaving(); }, [this] { flows_->state(flow_bytes()); },
-           [this] { trim(); }, [this] { departure_.replaced(); }, [this] { return departure_.resume(); }}),
+           [this] { trim(); }, [this] { departure_.replaced(); }, [this] { return departure_.resume(); },
+           [this] { return gates_.give_reserve(); }, [this](Millis before) { gates_.take_reserve(before); }}),
       started_(loop.now()) {
   flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
   const auto listed = [this](const std::string& id) {
@@ -186,11 +187,7 @@
   return manage::figures_text(front_->ledger(), gauges);
 }
 
-void Server::shut_down() {
-  Millis longest = 0;
-  for (const RequestClass& one : traffic().classes) longest = std::max(longest, one.deadline);
-  departure_.shut_down(longest, succession_.replaced());
-}
+void Server::shut_down() { departure_.shut_down(traffic().longest_deadline(), succession_.replaced()); }
 
 void Server::reload(const std::function<Config()>& read) {
   std::optional<Config> fresh;
--- a/tests/affinity/bindings_test.cpp
+++ b/tests/affinity/bindings_test.cpp
@@ -71,6 +71,7 @@
     const std::size_t slot = random.below(kSlots);
     ++came;
     const auto said = bindings.arrive(came, {0, true, key(slot)}, valid, now + 50, now, look());
+    RC_ASSERT(said.why != Why::kQueueFull || waiting.size() == std::size_t{kMost});
     if (said.go != Go::kWait) return told(slot, said);
     RC_ASSERT(waiting.size() < std::size_t{kMost});
     waiting[said.place] = {slot, now};
@@ -133,7 +134,8 @@
     fleet::Slot& slot = slots()[random.below(kSlots)];
     if (slot.open) {
       slot.open = false;
-    } else if (bindings.quiet()) {  // as the plan has it: not before every process has said so
+    } else if (bindings.quiet() ||
+               random.below(4) == 0) {  // a plan that jumps, too: what is there stays closed
       slot = {random.below(2) == 0 ? "a" : "b", true, "", 1};
     }
     if (random.below(8) == 0) ++snapshot.incarnation;
@@ -198,5 +200,24 @@
   RC_ASSERT(sum == world.came);
 }
 
+// A request that waits is refused while there is time to say so: a tenth of a second, a quarter of what is
+// left.
+TEST(Bindings, WhoWaitsIsRefusedInTime) {
+  Rule rule = a_rule();
+  rule.wait = 10000;
+  Bindings bindings({rule}, kMost);
+  fleet::Snapshot snapshot;
+  snapshot.incarnation = 1;
+  snapshot.affinity[map_name(rule)].slots.assign(kSlots, {"a", false, "b", 1});
+  bindings.take_up(snapshot, 0);
+  const Bindings::Look look = [](To, const std::string&) { return Standing::kReady; };
+  for (const auto& [left, refused_at] : std::map<Millis, Millis>{{1000, 900}, {100, 75}}) {
+    const auto said = bindings.arrive(1, {0, true, 0}, true, left, 0, look);
+    ASSERT_EQ(said.go, Go::kWait);
+    EXPECT_EQ(bindings.again(said.place, true, refused_at - 1, look).go, Go::kWait);
+    EXPECT_EQ(bindings.again(said.place, true, refused_at, look).go, Go::kRefuse);
+  }
+}
+
 }  // namespace
 }  // namespace shorelead::affinity
