A plan that lowers one who then goes still counts what its record had at once

A process that was cut off had 6 at once in its record; a plan lowered it to 1, of which it never heard; its record ran out, and from then on only the plan's 1 was counted while 6 were still at the boxes. Not new: nothing here had looked at the record once it was gone. The planner keeps the most that each had when it was last seen (its record, or the plan that stood then) for the longest hold, and who has just become the planner raises nothing at once until whoever left before its first look is out.

--- a/src/fleet/division.h
+++ b/src/fleet/division.h
@@ -55,7 +55,8 @@
   bool at_once_waits = false;
   // Members of the standing plan whose record is gone for less than the longest `hold`, by MemberId::text():
   // what they had at once may still be in use at the boxes, so that their parts of that kind stand.
-  std::set<std::string> lately_gone;
+  // With the most that each had since it was last seen: its record's, or the plan's that stood then.
+  std::map<std::string, Parts> lately_gone;
 };
 
 // The next plan with the aim of `divide`, cut to what max(record, old, new) leaves; nothing where it would
--- a/src/fleet/leavers.cpp
+++ b/src/fleet/leavers.cpp
@@ -15,17 +15,33 @@
   seen_.clear();
 }
 
+namespace {
+
+// A plan may have lowered what its record still said when that went.
+Parts had_by(const Record& record, const std::optional<Plan>& plan, const std::string& id) {
+  Parts had = record.in_force;
+  const auto given = plan ? plan->shares.find(id) : std::map<std::string, Parts>::const_iterator();
+  if (!plan || given == plan->shares.end()) return had;
+  for (const auto& [budget, part] : given->second) {
+    Part& most = had[budget];
+    most = {std::max(most.amount, part.amount), std::max(most.burst, part.burst)};
+  }
+  return had;
+}
+
+}  // namespace
+
 void Leavers::read(const std::vector<Record>& records, const std::optional<Plan>& plan, Millis now) {
   if (first_read_ < 0) first_read_ = now;
   std::set<std::string> there;
   for (const Record& record : records) {
     const std::string id = record.id.text();
     there.insert(id);
-    seen_[id] = {-1, record.epoch, false};
+    seen_[id] = {-1, record.epoch, had_by(record, plan, id), false};
   }
   if (plan) {
     // Not seen by us: it may have had any plan in force.
-    for (const auto& [id, parts] : plan->shares) seen_.try_emplace(id, Seen{-1, 1, false});
+    for (const auto& [id, parts] : plan->shares) seen_.try_emplace(id, Seen{-1, 1, parts, false});
   }
   for (auto it = seen_.begin(); it != seen_.end();) {
     if (!there.contains(it->first) && it->second.gone < 0) it->second.gone = now;
@@ -35,10 +51,10 @@
   }
 }
 
-std::set<std::string> Leavers::gone() const {
-  std::set<std::string> gone;
+std::map<std::string, Parts> Leavers::gone() const {
+  std::map<std::string, Parts> gone;
   for (const auto& [id, seen] : seen_) {
-    if (seen.gone >= 0 && !seen.out) gone.insert(id);
+    if (seen.gone >= 0 && !seen.out) gone[id] = seen.had;
   }
   return gone;
 }
--- a/src/fleet/leavers.h
+++ b/src/fleet/leavers.h
@@ -23,7 +23,7 @@
   void begin_anew();  // what happened meanwhile is not known
 
   // Still counted, by MemberId::text(): for what they had at once, or for a slot.
-  std::set<std::string> gone() const;
+  std::map<std::string, Parts> gone() const;  // with what each had at most when it was last seen
   // Records as they would say: with the last epoch that each was seen to have, and never 0: it may have put
   // a plan in force after that.
   std::vector<Record> ghosts() const;
@@ -37,6 +37,7 @@
   struct Seen {
     Millis gone = -1;  // since when; -1 = it is there
     std::uint64_t epoch = 0;
+    Parts had{};       // the most of its record and the plan
     bool out = false;  // for so long that it no longer counts, though a plan names it still
   };
   Millis wait_ = 0;
--- a/src/fleet/next_plan.cpp
+++ b/src/fleet/next_plan.cpp
@@ -16,7 +16,8 @@
 
 struct Member {
   std::string id;
-  const Record* record;  // null: gone lately
+  const Record* record;        // null: gone lately
+  const Parts* had = nullptr;  // by who is gone
 };
 
 // One figure (amount, or burst) of one budget for all members.
@@ -76,6 +77,10 @@
     const Part old = bound_of(standing, nullptr, m.id, budget.name);
     Part bound = bound_of(standing, m.record, m.id, budget.name);
     if (m.record == nullptr && budget.kind != BudgetKind::kAtOnce) bound = {};
+    if (m.record == nullptr && budget.kind == BudgetKind::kAtOnce) {
+      const auto had = m.had->find(budget.name);
+      if (had != m.had->end()) bound.amount = std::max(bound.amount, had->second.amount);
+    }
     const Part aim = m.record != nullptr ? aims[n] : bound;
     amount.old.push_back(old.amount);
     amount.bound.push_back(bound.amount);
@@ -112,13 +117,15 @@
   std::vector<Member> members;
   std::set<std::string> here;
   for (const Record& r : input.records) {
-    members.push_back({r.id.text(), &r});
+    members.push_back({r.id.text(), &r, nullptr});
     here.insert(members.back().id);
     if (r.epoch < kGreatestEpoch) next.epoch = std::max(next.epoch, r.epoch);
   }
   if (input.plan) {
     for (const auto& [id, parts] : input.plan->shares) {
-      if (here.count(id) == 0 && input.lately_gone.count(id) != 0) members.push_back({id, nullptr});
+      const auto gone = input.lately_gone.find(id);
+      if (here.count(id) == 0 && gone != input.lately_gone.end())
+        members.push_back({id, nullptr, &gone->second});
     }
     next.cut_off = input.plan->cut_off;
     next.affinity = input.plan->affinity;
--- a/src/fleet/planner.cpp
+++ b/src/fleet/planner.cpp
@@ -139,7 +139,8 @@
   // A copy's maps tell nothing of who has what open; its shares are taken over and only fall.
   const bool ours = read.plan && read.plan->history == history_.cluster();
   const Plan* standing = ours ? &*read.plan : nullptr;
-  const bool nothing_under_way = may_raise && now_ - history_.since() >= sharing_.lease + leavers_.wait();
+  const bool nothing_under_way =
+      may_raise && leavers_.knows_all(now_) && now_ - history_.since() >= sharing_.lease + leavers_.wait();
   const PlannerInput input{budgets_, sharing_,  read.plan,          read.records,
                            fence_,   may_raise, !nothing_under_way, leavers_.gone()};
   const auto turn = static_cast<std::uint64_t>(now_ / sharing_.plan_every);
--- a/tests/fleet/division_test.cpp
+++ b/tests/fleet/division_test.cpp
@@ -132,7 +132,8 @@
     PlannerInput in = fleet(budget(kind, 1000, 200), 10, 500);
     round(in);
     in.records.pop_back();
-    in.lately_gone = {"9#1"};
+    in.plan->shares["9#1"]["b"].amount = 10;  // lowered, of which it never heard
+    in.lately_gone = {{"9#1", {{"b", {96, 0}}}}};
     round(in);
     round(in);
     EXPECT_EQ(share(*in.plan, 9), kind == BudgetKind::kAtOnce ? 96 : 0);
