--- a/src/lab/fleet_rules.h
+++ b/src/lab/fleet_rules.h
@@ -69,7 +69,8 @@
   double shed_share =
       0.02;  // of a lower rank's offered load that may be taken beside a higher one's refusals
 
-  Millis shed_within = 20000;  // a shortage that has lasted so long is shed by plan, not by boxes without room
+  Millis shed_within =
+      20000;  // a shortage that has lasted so long is shed by plan, not by boxes without room
 
   bool empty() const { return budgets.empty() && ranks.empty() && keys.empty(); }
 };
