On sockets a connection that could not be had closes no idle ones

At fault: requests.h, full_table(): a connection that fails in under half of the time to connect counts as turned down by a full table, and all idle connections to all backends are closed, and after each attempt for the time that idle ones live. On sockets a full table answers 503; what fails at once there is a process that died or, given up after 20 ms, a way that is cut: handshakes by the hundred in the worst moment.

Change: Settings.full_tables_answer, which the node's host sets and the simulator's does not; the exception acts only without it.

The test was seen failing without it, for new settings and for reloaded ones.

--- a/src/node/class_numbers.h
+++ b/src/node/class_numbers.h
@@ -1,5 +1,8 @@
 // The module's settings over reloads: classes keep the numbers that they ever had, new ones stand behind
 // them. Owns the settings in force with all of these; it must never take one class for another.
+//
+// On sockets a full table of connections is told by an answer (503, never processed): a connection that is
+// turned down, or given up early, is a process that died or a way that is cut.
 #pragma once
 
 #include <string>
@@ -12,7 +15,9 @@
 class ClassNumbers {
  public:
   ClassNumbers(const Settings& settings, const HostSettings& host)
-      : settings_(settings), names_(host.classes) {}
+      : settings_(settings), names_(host.classes) {
+    settings_.full_tables_answer = true;
+  }
 
   const Settings& settings() const { return settings_; }
   // New settings; says the number that each of their classes has here.
@@ -32,6 +37,7 @@
       numbers.push_back(static_cast<int>(at));
     }
     settings_ = next;
+    settings_.full_tables_answer = true;
     return numbers;
   }
 
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -23,7 +23,10 @@
 
 Facade::Facade(const Settings& settings, const HostSettings& host, std::uint64_t seed,
                const FleetOptions& fleet)
-    : classes_(settings, host), policy_(settings, seed), roster_(host, fleet), requests_(roster_) {}
+    : classes_(settings, host),
+      policy_(classes_.settings(), seed),
+      roster_(host, fleet),
+      requests_(roster_) {}
 
 void Facade::start(const List& known, Millis now) {
   feed(Started{}, now);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -61,7 +61,9 @@
   Millis connect_timeout = 0;
   Millis idle_timeout = 0;           // an idle connection closes by itself after this
   int streams_per_connection = 100;  // requests that one carries at once
-  Millis warm_up = 0;                // a started backend is warm no later than this
+  bool full_tables_answer =
+      false;           // a backend whose table of connections is full says so; else it turns down
+  Millis warm_up = 0;  // a started backend is warm no later than this
   double cold_share = 1;
   double fall_multiple = 1;          // a cold backend sent more than this multiple of its present capacity
   Millis fall_span = 0;              // for this long falls over
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -59,7 +59,7 @@
                   a != nullptr && served ? PeerMessage::Ending::kAnswered : PeerMessage::Ending::kSent,
                   ratio);
     const bool at_once = e.outcome == Outcome::kNoConnection && e.elapsed < c_.settings.connect_timeout / 2;
-    if (at_once && c_.settings.streams_per_connection == 1) full_table();
+    if (at_once && c_.settings.streams_per_connection == 1 && !c_.settings.full_tables_answer) full_table();
     if (c_.now < tables_full_until_ && known_.own(e.backend).none()) c_.act(CloseIdle{e.backend});
     if (e.has_report) known_.reported(e.backend, e.report);
     if (a == nullptr) return;
--- /dev/null
+++ b/tests/full_tables_test.cpp
@@ -0,0 +1,55 @@
+// Which connections are closed when one could not be had: on sockets none, as a full table answers.
+#include <gtest/gtest.h>
+
+#include "node/facade.h"
+
+namespace shorelead::node {
+namespace {
+
+Settings one_class() {
+  Settings settings;
+  settings.classes.resize(1);
+  settings.classes[0] = {.effect = Effect::kSafe, .aim = 400, .deadline = 1000};
+  settings.max_attempts = 3;
+  settings.connect_timeout = 250;
+  settings.idle_timeout = 5000;
+  settings.streams_per_connection = 1;
+  return settings;
+}
+
+// Guards against handshakes by the hundred after a process died or a way was cut: all idle connections were
+// closed, to all backends, though only those there were of no use.
+TEST(FullTables, AConnectionThatCouldNotBeHadClosesNoOthers) {
+  for (const bool reloaded : {false, true}) {
+    HostSettings host;
+    host.classes = {"look"};
+    Facade facade(one_class(), host, 7);
+    List list;
+    list.version = 1;
+    list.whole = true;
+    for (const char* name : {"s-1", "s-2", "s-3"}) {
+      ListedBackend backend;
+      backend.host = name;
+      backend.health = "ready";
+      backend.dial = std::string("127.0.0.1:900") + name[2];
+      list.backends.push_back(backend);
+    }
+    Millis now = 1000;
+    facade.start(list, now);
+    facade.report_list(list, ListSource::kWatch, now);
+    if (reloaded) facade.adopt(one_class(), host, now);
+    std::size_t sent = 0;
+    for (RequestId request = 1; request <= 30; ++request, now += 5) {
+      Choice choice = facade.pick(request, {.due = now + 1000}, now);
+      for (; choice.kind == Choice::Kind::kSend; ++sent) {
+        const Ending ending = sent % 2 == 0 ? Ending::kRefused : Ending::kConnectTimeout;
+        choice = facade.report(request, choice.attempt, ending, 1, nullptr, now);
+        EXPECT_TRUE(facade.tick(now).crowded.empty()) << name_of(ending);
+      }
+    }
+    EXPECT_GT(sent, 3U);
+  }
+}
+
+}  // namespace
+}  // namespace shorelead::node
