Upstream split: a connection with its job, all connections, and answers passed on

Change: link.* (one connection, its request and its answer), connections.* (all of them by backend and by age), long_answers.* (passed on, with their memory), upstream.* (attempts, limits, endings). Code is moved as it was.

--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -1,17 +1,14 @@
-// The backends' side: connections kept for reuse, attempts and probes under way on them. It owns those
+// The backends' side: attempts and probes under way on connections, and when each is over. It owns the
 // connections and the time limits of what is under way. It must never send anything twice, never hand out a
 // connection on which something came unasked, and never choose a backend.
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "node/link_lessons.h"
@@ -63,8 +60,8 @@
   bool evict_idle();            // closes the connection that was unused for longest
   Millis unused_since() const;  // of that connection; 0 = there is none
 
-  std::size_t connections() const { return links_; }
-  std::size_t idle() const { return unused_.size(); }
+  std::size_t connections() const;
+  std::size_t idle() const;
   std::size_t probing() const {
     return probing_;
   }  // connections that now carry a probe and were opened for it
@@ -75,10 +72,10 @@
  private:
   struct Job;
   class Link;
+  class Connections;
+  class LongAnswers;
 
   void begin(BackendId backend, const std::string& dial, std::unique_ptr<Job> job);
-  std::shared_ptr<Link> take_idle(BackendId backend, const std::string& dial, bool probe);
-  std::shared_ptr<Link> best_idle(const std::vector<std::shared_ptr<Link>>& pool, bool probe) const;
   bool over_by_now(Link& link);
   void connect_limit(const std::shared_ptr<Link>& link);
   void time_limit(const std::shared_ptr<Link>& link);
@@ -86,25 +83,15 @@
   void begun(const std::shared_ptr<Link>& link);
   void pass_on(Link& link);
   void finish(Link& link, Ending ending, const Message* answer, bool keep);
-  void rest(Link& link);  // it stands unused from now on
-  void use(Link& link);   // and no longer
-  void forget(Link& link);
   void sweep();
 
   Loop& loop_;
   ConnectWait connect_wait_;
-  Millis most_idle_;
-  Millis settle_ = 0;
   Listener listener_;
-  const std::shared_ptr<net::FlowBudget> flows_;
-  // No event walks all connections: they are found by backend, by request and by age.
-  std::unordered_map<BackendId, std::vector<std::shared_ptr<Link>>> pools_;
-  std::unordered_multimap<RequestId, Link*> working_;  // those that carry an attempt
-  std::list<Link*> unused_;                            // the longest unused first
-  std::size_t links_ = 0;
+  const std::unique_ptr<Connections> connections_;
+  const std::unique_ptr<LongAnswers> long_answers_;
+  std::unordered_multimap<RequestId, Link*> working_;  // connections that carry an attempt, by request
   std::size_t probing_ = 0;
-  std::unordered_set<Link*> passing_;  // those on which an answer goes on coming
-  KeptRecord kept_;
   Loop::TimerId sweep_ = 0;
   std::uint64_t last_serial_ = 0;
   std::uint64_t written_ = 0;
