An attempt has one limit at a time: none left behind fires after its end

Cause: Upstream::begin wrote the request first and set its limit after; a body that came by parts and was whole by then sets a limit of its own within the write (Link::send_body, body_limit), which begin() overwrote without cancelling it: it fired after the job's end, or ended the next job of that connection as timed out. connect_limit did the same where the connection came up in the very turn in which its wait ended. Ruled out: begun(), which cancels before it sets; a timer kept over finish(), which cancels the one it knows. Change: Link::limit puts a limit in the place of the one before; begin() sets it before it writes; connect_limit leaves one that was set by what it read.

--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -13,6 +13,14 @@
                      const std::optional<Poco::Net::SocketAddress>& address)
     : owner(owner), backend(backend), dial(std::move(dial)), stream(owner.loop_, *this, address) {}
 
+void Upstream::Link::limit(Millis when, const Loop::Task& reached) {
+  owner.loop_.cancel(job->limit);
+  job->limit = owner.loop_.at(when, [hold = shared_from_this(), reached] {
+    hold->job->limit = 0;
+    reached();
+  });
+}
+
 void Upstream::Link::write_request() {
   if (!job->probe && !owner.listener_.may_write(job->request)) {
     // Not from within the caller, who is still busy with what it had decided.
--- a/src/node/link.h
+++ b/src/node/link.h
@@ -37,6 +37,9 @@
   bool written() const { return asked && stream.flushed() && (!body || body_sent); }
 
   void write_request();
+  // What is done at that time, unless the job ends first: in the place of its limit before. One left behind
+  // would fire after its end, or end the link's next job.
+  void limit(Millis when, const Loop::Task& reached);
   void leave_body();
   // No more of the answer that is being passed on will come, or is wanted.
   void end_flow(bool whole);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -88,18 +88,13 @@
     return;
   }
   link->age = reused ? loop_.now() - link->unused_since : 0;
-  if (reused) {
-    link->write_request();
-  } else {
-    // A connection that does not come up leaves time for another backend, as nothing can have run.
-    const Millis wait = connect_wait_.limit(backend, under_way.probe);
-    const Millis limit = std::min(under_way.until, under_way.started + wait);
-    if (limit < under_way.until) {
-      under_way.limit = loop_.at(limit, [this, link] { connect_limit(link); });
-      return;
-    }
-  }
-  under_way.limit = loop_.at(under_way.until, [this, link] { time_limit(link); });
+  // A connection that does not come up leaves time for another backend, as nothing can have run.
+  const Millis up =
+      reused ? under_way.until : under_way.started + connect_wait_.limit(backend, under_way.probe);
+  if (up < under_way.until) return link->limit(up, [this, link] { connect_limit(link); });
+  link->limit(under_way.until, [this, link] { time_limit(link); });
+  // After its limit was set: a body that goes out whole now brings one of its own.
+  if (reused) link->write_request();
 }
 
 // Guards against calling an answer late that lies there to be read: after a time in which this node got no
@@ -116,7 +111,8 @@
     connect_wait_.gave_up();
     return finish(*link, Ending::kConnectTimeout, nullptr, false);
   }
-  link->job->limit = loop_.at(link->job->until, [this, link] { time_limit(link); });
+  // What was read just now may have brought a limit of its own: the connection came up, and a body went out.
+  if (link->job->limit == 0) link->limit(link->job->until, [this, link] { time_limit(link); });
 }
 
 void Upstream::time_limit(const std::shared_ptr<Link>& link) {
@@ -130,26 +126,23 @@
 // the last byte on the attempt has as long as it was given.
 void Upstream::body_limit(const std::shared_ptr<Link>& link) {
   Job& job = *link->job;
-  loop_.cancel(job.limit);
   const Millis now = loop_.now();
   if (link->body_sent) {
     // What is told of its length is the backend's time: were the client's with its body in it, every backend
     // would look slow, and requests be refused for it.
     job.until = now + std::max(job.until - std::exchange(job.started, now), 1.0);
-    job.limit = loop_.at(job.until, [this, link] { time_limit(link); });
-    return;
+    return link->limit(job.until, [this, link] { time_limit(link); });
   }
   const bool stuck = !link->stream.flushed() && now - link->body_moved >= kBodyStandstill;
   if (stuck) return finish(*link, Ending::kStoppedUnsent, nullptr, false);
-  job.limit = loop_.at(now + kLookAtBody, [this, link] { time_limit(link); });
+  link->limit(now + kLookAtBody, [this, link] { time_limit(link); });
 }
 
 // Kept for most of the attempt's time, as a short one is better whole: until then it can still be another's.
 void Upstream::begun(const std::shared_ptr<Link>& link) {
   Job& job = *link->job;
   if (std::exchange(job.begun, true)) return;
-  loop_.cancel(job.limit);
-  job.limit = loop_.at(job.started + kHoldBegun * (job.until - job.started), [this, link] {
+  link->limit(job.started + kHoldBegun * (job.until - job.started), [this, link] {
     if (over_by_now(*link)) return;
     link->answer.raw = std::exchange(link->stream.input(), {});
     pass_on(*link);
--- /dev/null
+++ b/tests/crossings/limits_test.cpp
@@ -0,0 +1,113 @@
+// An attempt's limits: one at a time, whatever comes in the very turn in which one is reached.
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+#include "node/upstream.h"
+#include "peer.h"
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kSoon = 20;
+constexpr Millis kLong = 15000;
+
+// Upstream alone on a loop; each end of an attempt ends a run.
+struct Attempts {
+  explicit Attempts(Millis connect_timeout)
+      : upstream(loop, connect_timeout, 60000, 0, flows,
+                 {[this](RequestId, int, const Result& result) {
+                    last = result.ending;
+                    if (next) return loop.later(next);
+                    loop.stop();
+                  },
+                  [](BackendId, const Result&) {}, [](bool) { return true; }, [](bool) { return true; }}) {}
+
+  // A request whose body came by parts and is whole.
+  std::shared_ptr<Message> large() const {
+    auto message = std::make_shared<Message>(Parser::Kind::kRequest);
+    message->raw = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+    message->parser.advance(message->raw);
+    message->flow = std::make_shared<net::Flow>(flows, 4);
+    message->flow->put("body");
+    message->flow->end();
+    return message;
+  }
+
+  void send(const Peer& peer, Millis wait, const std::shared_ptr<Message>& message) {
+    upstream.send(1, 0, 0, peer.dial(), loop.now() + wait, message);
+  }
+
+  Loop loop;
+  std::shared_ptr<net::FlowBudget> flows = std::make_shared<net::FlowBudget>(1U << 20);
+  Ending last = Ending::kNotSent;
+  Loop::Task next;
+  Upstream upstream;
+};
+
+// A backend that answers on one connection: so many requests at once, the next one when it is told.
+class Backend {
+ public:
+  explicit Backend(int at_once)
+      : thread_([this, at_once] {
+          Line there = peer.accept();
+          for (int n = 0; n <= at_once; ++n) {
+            EXPECT_FALSE(there.request().empty());
+            if (n == at_once) held_.get_future().wait();
+            there.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+          }
+        }) {}
+  ~Backend() { thread_.join(); }
+  void answer() { held_.set_value(); }
+
+  Peer peer;
+
+ private:
+  std::promise<void> held_;
+  std::thread thread_;
+};
+
+// A body that is whole when its attempt takes a kept connection brings a limit of its own. The one set before
+// must go: it would fire where the connection carries nothing, or end the attempt that it carries next.
+TEST(Limits, AWholeBodyOnAKeptConnectionLeavesNoLimitBehind) {
+  Backend backend(2);
+  Attempts a(kLong);
+  a.next = [&] {
+    EXPECT_EQ(a.last, Ending::kServed);
+    a.next = [&] {
+      EXPECT_EQ(a.last, Ending::kServed);
+      a.next = nullptr;
+      // Whatever is left of that attempt fires with this one under way.
+      a.send(backend.peer, kLong, a.large());
+      a.loop.after(5 * kSoon, [&] { backend.answer(); });
+    };
+    a.send(backend.peer, kSoon, a.large());
+  };
+  a.send(backend.peer, kLong, a.large());
+  a.loop.run();
+  EXPECT_EQ(a.last, Ending::kServed) << name_of(a.last);
+  EXPECT_EQ(a.upstream.opened(), 1U);
+}
+
+// The connection has come up, and nobody was told yet, when its wait is over: it is used, and what its body
+// brings is the only limit of the attempt.
+TEST(Limits, AConnectionThatCameUpAsItsWaitEndsHasOneLimit) {
+  Backend backend(1);
+  Attempts a(kSoon);
+  a.send(backend.peer, 5 * kSoon, a.large());
+  const Millis over = a.loop.now() + kSoon;
+  while (a.loop.now() <= over) continue;  // both lie there when the loop first looks
+  a.next = [&] {
+    EXPECT_EQ(a.last, Ending::kServed) << name_of(a.last);
+    a.next = nullptr;
+    a.send(backend.peer, kLong, a.large());
+    a.loop.after(10 * kSoon, [&] { backend.answer(); });
+  };
+  a.loop.run();
+  EXPECT_EQ(a.last, Ending::kServed) << name_of(a.last);
+  EXPECT_EQ(a.upstream.opened(), 1U);
+}
+
+}  // namespace
+}  // namespace shorelead::node
