--- a/tests/subset/subset_test.cpp
+++ b/tests/subset/subset_test.cpp
@@ -28,7 +28,7 @@
 // Whatever the numbers of nodes and boxes: no box is held by none, nor by twice as many nodes as another,
 // once there is a whole round; a lot is over the mean by no more than the slack and one box.
 TEST(Lots, HoldEveryBoxAlike) {
-  rc::check([] {
+  ASSERT_TRUE(rc::check([] {
     const int count = *rc::gen::inRange(1, 1500);
     const int nodes = *rc::gen::inRange(1, 80);
     Options options;
@@ -57,7 +57,7 @@
     RC_ASSERT(whole >= 1 || nodes < options.least_holders);
     for (const auto& [key, holders] : held)
       RC_ASSERT(holders == whole || holders == whole + (nodes % lots > 0));
-  });
+  }));
 }
 
 TEST(Lots, GiveEachItsPartOfEveryZone) {
@@ -76,7 +76,7 @@
 }
 
 TEST(Lots, CountBoxesBySize) {
-  rc::check([] {
+  ASSERT_TRUE(rc::check([] {
     std::vector<Box> boxes = make_boxes(*rc::gen::inRange(100, 800), 2);
     double total = 0;
     for (Box& box : boxes) total += box.size = *rc::gen::element(1.0, 2.0, 4.0);
@@ -85,7 +85,7 @@
     std::vector<double> held(static_cast<std::size_t>(lots), 0);
     for (std::size_t n = 0; n < boxes.size(); ++n) held[static_cast<std::size_t>(lot_of[n])] += boxes[n].size;
     for (const double size : held) RC_ASSERT(size <= 1.25 * total / lots + 4);
-  });
+  }));
 }
 
 // One box more or less moves few others: over all lots, on average under six for the slack of 0.25 (the
@@ -127,7 +127,7 @@
 // Events at random: the subset says just what changed, holds ready boxes only, and is empty only when nobody
 // is ready.
 TEST(Subset, FollowsTheFleetAndIsNeverEmptyWhileAnybodyIsReady) {
-  rc::check([] {
+  ASSERT_TRUE(rc::check([] {
     Options options;
     options.target = *rc::gen::inRange(1, 12);
     Place place{hash_of("n"), std::nullopt, 0};
@@ -165,11 +165,11 @@
       for (const std::string& id : members) RC_ASSERT(fleet.at(id).ready);
       RC_ASSERT(subset.settle().empty());
     }
-  });
+  }));
 }
 
 TEST(Subset, IsTheSameForEveryOrderOfTheList) {
-  rc::check([] {
+  ASSERT_TRUE(rc::check([] {
     std::vector<int> order(60);
     for (int n = 0; n < 60; ++n) order[static_cast<std::size_t>(n)] = n;
     const auto build = [](const std::vector<int>& numbers) {
@@ -188,7 +188,7 @@
                 order[static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(n)))]);
     }
     RC_ASSERT(build(order) == plain);
-  });
+  }));
 }
 
 // All of its boxes drain in one deploy, or stop answering: it borrows, and gives back when its own are there
