Module: all processes together keep to a cold backend's budget, with new ones and bursts

A burst found them all open: half a request a second each, then 20 times that, 2.9 N at 300 (N 9; 1.6 of what it bears), 2.0 N at 20. Without any burst still 1.8 N once in eight games (300, N 9). - A new process took its first moment for a whole second with one request (RequestRate::per_period), so its turns were open ten times too long: all replaced within a second beside their predecessors 1.12 N of 400 (300), 1.9 N of 9 (30); as many again joining with the count not changed 1.5 N of 45. - A backend that left the list and returned with the same start got a budget anew from each process (ColdBudgets::welcome): each 0.2 s, 2.5 N of 400 at 300, 2.4 N of 45 at 30. Ruled out: returns told over half a second, several cold at once, N under one, a long fall, counts stated too high.

Change: a turn is open for a fall span at most; the rate that its length goes by counts the part of the running period that is over; a budget begins anew only with a new start.

Its price: nodes with under two requests a fall span use fewer of their turns (300 at half a request a second, N 9: 11 sends in 4 s, were 30; at two a second 22, were 24). Left: half the true count stated while all are replaced within a second (to 1.9 N), and unhinted work of very unlike sizes (lognormal, deviation twice the mean: to 2.8 N at N 9), which the module cannot see.

--- a/src/base/span_budget.h
+++ b/src/base/span_budget.h
@@ -12,9 +12,13 @@
 
 class SpanBudget {
  public:
-  SpanBudget() = default;
-  // New at `now`, `phase` (0 to 1) of a turn in.
-  SpanBudget(double phase, Millis now) : turns_(phase), at_(now) {}
+  // From `now` on, `phase` (0 to 1) of a turn in, for what began at `since`. Told of the same again it goes
+  // on: what was spent on it still counts.
+  void begin(double phase, Millis now, Millis since) {
+    if (at_ > 0 && since == since_) return;
+    *this = SpanBudget();
+    turns_ = phase, at_ = now, since_ = since;
+  }
   // Whether one more may happen at `now` (never earlier than the last call's), so many being free in a span;
   // a turn is open for `open` of the time from one to the next.
   bool room(double budget, Millis span, double open, Millis now) {
@@ -31,6 +35,7 @@
   double turns_ = 0;           // came by now,
   double used_ = -1;           // the last that was used
   Millis at_ = 0;              // and when this was worked out
+  Millis since_ = 0;           // when what it is spent on began
 };
 
 }  // namespace shorelead
--- a/src/estimate/backends.cpp
+++ b/src/estimate/backends.cpp
@@ -16,6 +16,7 @@
 }  // namespace
 
 void Backends::welcome(std::size_t i) {
+  if (closed_at_ <= 0) closed_at_ = v_.now;
   Figures& f = of_[i];
   f = {f.started, f.size, std::move(f.own), {}, {}, 0};
   f.load.lanes = lanes_like_warm(f);
@@ -76,6 +77,7 @@
   if (size > 0) lanes_per_size_ = lanes / size, pace_per_size_ = pace / size;
   times_.fade(rate() * share * kRecordSpan, speeds, v_.by_keepers);
   arrivals_.close_period();
+  closed_at_ = v_.now;
 }
 
 }  // namespace shorelead::estimate
--- a/src/estimate/backends.h
+++ b/src/estimate/backends.h
@@ -75,8 +75,13 @@
   Millis mean_time() const { return times_.mean(); }
   double rate() const {
     return arrivals_.per_period() * 1000 / v_.period;
-  }                                          // requests a second, to this node
-  double losing() const { return losing_; }  // share of attempts lost, of late
+  }  // requests a second, to this node
+  // Requests to this node in that time, by those that came until now: a new process has no whole period yet.
+  double arrivals(Millis span) const {
+    return arrivals_.per_period((v_.now - closed_at_) / v_.period) * span / v_.period;
+  }
+  double losing() const { return losing_; }                       // share of attempts lost, of late
+  Millis started(std::size_t i) const { return of_[i].started; }  // 0 = long past
   bool cold(std::size_t i) const { return cold(of_[i]); }
   // The least share of its capacity that a backend has by now: it warms no slower than evenly.
   double warmth(std::size_t i) const { return warmth(of_[i]); }
@@ -130,6 +135,7 @@
   FleetLoad load_;
   RequestRate arrivals_;
   Millis told_at_ = 0;         // a keeper answered last
+  Millis closed_at_ = 0;       // the last period, or when the first backend was named
   double lanes_per_size_ = 0;  // of warm backends; 0 until one has told
   double pace_per_size_ = 0;   // requests that they finish in a mean service time, likewise
   double losing_ = 0;
--- a/src/policy/health.h
+++ b/src/policy/health.h
@@ -19,7 +19,7 @@
 constexpr Millis kRestMin = 1000;          // first rest; doubles while it goes on failing
 constexpr Millis kRestMax = 8000;          // longest rest
 constexpr double kColdSafety = 0.5;        // of a cold backend's budget, for what a node cannot see
-constexpr double kColdTurn = 2;            // requests of this node for which a turn to a cold backend is open
+constexpr double kColdTurn = 2;  // requests for which a turn to a cold backend is open, a fall span at most
 
 class Health {
  public:
@@ -99,13 +99,13 @@
 class ColdBudgets {
  public:
   ColdBudgets(Context& context, const estimate::Backends& known) : c_(context), known_(known) {}
-  void welcome(BackendId i) { of_[i] = SpanBudget(c_.random.unit(), c_.now); }
+  void welcome(BackendId i) { of_[i].begin(c_.random.unit(), c_.now, known_.started(i)); }
   // Of a cold one.
   bool room(BackendId i) {
     const Settings& s = c_.settings;
     const double capacity = known_.finishes(i, s.fall_span);
     const double budget = kColdSafety * s.fall_multiple * known_.warmth(i) * capacity / c_.sharers;
-    const double open = kColdTurn * budget / (known_.rate() * s.fall_span / 1000);
+    const double open = budget * std::min(1.0, kColdTurn / known_.arrivals(s.fall_span));
     return of_[i].room(budget, s.fall_span, open, c_.now);
   }
   void sent(BackendId i) {
