Descriptors: the system's limit counts, and clients leave an eighth to requests

Seen in a process of its own before clients that connect, say nothing and come on and on, while discovery turns calls down and then answers none (tests/crossings/descriptors_test.cpp, new): - the room was counted from the stated number alone. Where the system allows the process less (64, with 1,024 stated), clients took all of it, and discovery's call and each new connection to a backend got none: "nobody connects". - within the room, clients could take every descriptor: silent ones give way only after 0.25 s, so a request that needed a new connection to a backend was refused (503). Ruled out: the 32 of the node's own. A full node had 35 open at 64 allowed: 6 its own (no door, no hand-over), the rest clients and discovery; discovery's call needs no room of the others.

Change: allowed_descriptors() takes the lower of the stated number and RLIMIT_NOFILE, at the start and at each reload, and never raises it. Descriptors::step lets clients have all but an eighth (kReservePart) beside the backends' connections; where those take as much already, nothing changes. The property that a client always opens where anything is free was wrong for this: it now says just when it may, and that it never closes a backend's connection for it.

After: discovery's watch opens, its list counts, the backend that it names is called, a new client is served. Red without each: limit at start "node_process.h: nobody connects", limit at reload the same, reserve `served_by(fresh, waiting) Which is: "HTTP/1.1 503"`.

--- a/src/limits/descriptors.cpp
+++ b/src/limits/descriptors.cpp
@@ -14,6 +14,8 @@
 
 int Descriptors::backends_budget() const { return std::max(1, most_ / kBackendsPart); }
 
+int Descriptors::requests_reserve() const { return std::max(1, most_ / kReservePart); }
+
 int Descriptors::probing_budget() const { return std::max(1, most_ / kProbingPart); }
 
 bool Descriptors::hoarding(const DescriptorCounts& counts) const {
@@ -36,6 +38,10 @@
     if (hoarding(counts)) return Step::kRefuse;
     return now == DescriptorState::kOut ? Step::kEvictClientOnly : Step::kOpen;
   }
+  // Guards against clients that say nothing and come on and on: none is old enough to give way, and a request
+  // that needed a new connection was refused.
+  const bool clients_at_most = counts.open - counts.backends >= most_ - requests_reserve();
+  if (purpose == Purpose::kClient && clients_at_most) return Step::kEvictClientOnly;
   if (now != DescriptorState::kOut) return Step::kOpen;
   // A client opens another connection at no loss, so clients' unused ones give way first; but not to a hoard.
   return counts.backends > backends_budget() ? Step::kEvictBackend : Step::kEvictClient;
--- a/src/limits/descriptors.h
+++ b/src/limits/descriptors.h
@@ -5,8 +5,8 @@
 // The descriptors that are left after the node's own are shared by clients and backends. Backends'
 // connections have a budget, half of them. Within it they are kept for reuse; beyond it one that was opened
 // for a request pushes out the backends' connection that stood unused for longest, and one that was opened
-// for a probe is closed after it. So a node whose list is longer than its descriptors keeps the connections
-// that requests use.
+// for a probe is closed after it. Clients never take the last eighth, which is the requests'. So a node whose
+// list is longer than its descriptors keeps the connections that requests use.
 #pragma once
 
 namespace shorelead::limits {
@@ -49,6 +49,7 @@
   int most() const { return most_; }
   int backends_budget() const;
   int probing_budget() const;
+  int requests_reserve() const;
 
  private:
   bool hoarding(const DescriptorCounts& counts) const;
--- a/src/node/descriptor_room.cpp
+++ b/src/node/descriptor_room.cpp
@@ -1,9 +1,22 @@
 #include "node/descriptor_room.h"
 
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
 #include <algorithm>
 
 namespace shorelead::node {
 
+// Guards against a system's limit under the stated one: idle clients took all up to it, and then neither
+// discovery nor a backend could be called.
+int allowed_descriptors(int stated) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= static_cast<rlim_t>(stated)) return stated;
+  spdlog::warn("{} sockets are stated, and the system allows this process {} descriptors: these count",
+               stated, limit.rlim_cur);
+  return static_cast<int>(limit.rlim_cur);
+}
+
 limits::DescriptorCounts DescriptorRoom::counts() const {
   std::size_t connections = 0;
   std::size_t probing = 0;
--- a/src/node/descriptor_room.h
+++ b/src/node/descriptor_room.h
@@ -12,6 +12,10 @@
 
 namespace shorelead::node {
 
+// What this process may open: as stated, or what the system allows it now where that is less. It reads that
+// limit and never raises it.
+int allowed_descriptors(int stated);
+
 class DescriptorRoom {
  public:
   // `most`: descriptors for clients and backends now. `pools` are the node's, as they come and go.
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -48,6 +48,7 @@
            [this] { trim(); }, [this] { departure_.replaced(); }, [this] { return departure_.resume(); },
            [this] { return gates_.give_reserve(); }, [this](Millis before) { gates_.take_reserve(before); }}),
       started_(loop.now()) {
+  limits_.sockets = allowed_descriptors(limits_.sockets);
   flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
   const auto listed = [this](const std::string& id) {
     return std::any_of(generations_.pools().begin(), generations_.pools().end(),
@@ -202,6 +203,7 @@
   }
   ++reloads_;
   limits_ = fresh->limits;
+  limits_.sockets = allowed_descriptors(limits_.sockets);
   flows_->state(flow_bytes());
   if (fresh->pools.empty() && config_.pools.empty()) return generations_.adopt(*fresh);
   spdlog::info("configuration reloaded, {} sockets", limits_.sockets);
