Attempts: nothing is written once the window for repeats, or the attempt's time, is over

Cause: a keyed request's further attempt was decided within the window of the one before it (Retries::in_group), and then waited for a connection that may come up 1.5 s late; Link::write_request asked the owner's hook alone, so it was written after the window (an effect twice), or after its own time (X-Timeout-Ms: 1 for a request that was over). Likewise a body that comes by parts whose end came after it, and bytes that the socket did not take at once. Found on the way: two attempts could take up one body by parts (the second took the sink); on a connection used again body_limit() set a timer that begin() overwrote without cancelling, so it ended the next attempt there, or met none (null job); read_now() at a limit took one read of 16 KB, so a longer answer that lay there was called late; what a new connection had said or ended before the request was written counted as its answer, or as "may have run".

Change: the module states with each attempt by when its last byte may go out (SendAttempt::begin_by: decision of each earlier attempt that may have run, and the window); facade and pool carry it; Link::may_write looks at it, at the attempt's time and at the body's owner right before the write, beside the owner's hook, and Link::limit ends by it what still waits for a connection or for the socket. One timer an attempt, set by Upstream::watch alone. At a limit up to 8 reads are taken. A new connection that is not quiet ends as broken before the request.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -177,10 +177,10 @@
   handler_.on_end(*this, ending);
 }
 
-void Stream::on_readable() {
-  if (!open()) return;
+bool Stream::read_now() {
+  if (!open()) return false;
   // A connection that is still being made has nothing to read; whether it came up is told as writable.
-  if (!connected_) return on_writable();
+  if (!connected_) return on_writable(), false;
   // Read aside, so that what is kept of a connection is no larger than what came in.
   std::array<char, kReadSize> part;
   ssize_t got = 0;
@@ -190,10 +190,12 @@
   const int error = errno;
   if (got > 0) {
     input_.append(part.data(), static_cast<std::size_t>(got));
-    return handler_.on_input(*this);
+    handler_.on_input(*this);
+    return true;
   }
-  if (got == 0) return fail(Ending::kPeerClosed);
+  if (got == 0) return fail(Ending::kPeerClosed), false;
   if (error != EAGAIN && error != EWOULDBLOCK) fail(Ending::kBroken);
+  return false;
 }
 
 void Stream::on_writable() {
@@ -228,7 +230,7 @@
   if (!open()) return;
   if (!connected_) return on_writable();
   // What has come in before the error is still there to be read; the read after it tells the error.
-  on_readable();
+  read_now();
 }
 
 std::optional<Poco::Net::SocketAddress> parse_address(const std::string& text) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -82,8 +82,9 @@
   // this node got no processor. 0 where the system cannot tell it from no time at all.
   Millis waited() const;
 
-  // Takes in what has already come, without waiting for the reactor to say so.
-  void read_now() { on_readable(); }
+  // Takes in what has already come, up to one read of it, without waiting for the reactor to say so. Whether
+  // there was any, so that there may be more.
+  bool read_now();
   // Whether nothing, not even an end, has come in on a connection that ought to be quiet.
   bool quiet() const;
   // Whether the other side has closed by now, behind all that was taken in.
@@ -98,7 +99,7 @@
   static int open_count() { return open_count_.load(std::memory_order_relaxed); }
 
  private:
-  void on_readable() override;
+  void on_readable() override { read_now(); }
   void on_writable() override;
   void on_error() override;
   void fail(Ending ending);
--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -213,6 +213,7 @@
   choice.backend = send.backend;
   choice.attempt = static_cast<int>(open.attempts.size());
   choice.until = send.stop_at > 0 ? std::min(send.stop_at, open.due) : open.due;
+  choice.begin_by = send.begin_by;
   open.attempts.push_back(send.backend);
   roster_.use(send.backend);
   if (open.over || choice.until <= now || choice.attempt >= open.most_attempts || !open.hold.may_send()) {
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -37,7 +37,7 @@
 struct Choice {
   enum class Kind {
     kHold,    // nothing yet; a later tick() tells
-    kSend,    // send it to `backend`, until `until`
+    kSend,    // send it to `backend`, until `until`, by `begin_by`
     kRefuse,  // answer that trying again is harmless, after `wait` if that is not 0
     kFail,    // answer that it failed
     kPass,    // pass on the answer that has just been reported
@@ -48,6 +48,7 @@
   BackendId backend = 0;
   int attempt = 0;
   Millis until = 0;
+  Millis begin_by = 0;  // its last byte may not go out from then on
   Millis wait = 0;
 };
 
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -1,5 +1,6 @@
 #include "node/link.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -8,20 +9,45 @@
 #include "node/request_head.h"
 
 namespace shorelead::node {
+namespace {
+
+constexpr double kHoldBegun = 0.7;   // of an attempt's time, for which an answer of unknown length is kept
+constexpr Millis kLookAtBody = 250;  // how often a request's body that goes out is looked after
+
+}  // namespace
 
 Upstream::Link::Link(Upstream& owner, BackendId backend, std::string dial,
                      const std::optional<Poco::Net::SocketAddress>& address)
     : owner(owner), backend(backend), dial(std::move(dial)), stream(owner.loop_, *this, address) {}
 
+// What was decided in time may have waited for its connection since.
+bool Upstream::Link::may_write() const {
+  if (job->probe) return true;
+  if (owner.loop_.now() >= std::min(job->until, job->begin_by)) return false;
+  // Of two attempts only one can have a body that comes by parts.
+  const auto& flow = job->message->flow;
+  if (flow && (flow->touched() || flow->has_sink())) return false;
+  return owner.listener_.may_write(job->request);
+}
+
+// Not from within the caller, who is still busy with what it had decided.
+void Upstream::Link::end_unsent(Ending ending) {
+  owner.loop_.later([hold = shared_from_this(), serial = job->serial, ending] {
+    if (hold->job && hold->job->serial == serial) hold->owner.finish(*hold, ending, nullptr, false);
+  });
+}
+
+Millis Upstream::Link::limit() const {
+  if (!stream.connected()) return std::min({job->until, job->begin_by, job->connect_by});
+  if (sending_body()) return std::min(std::max(job->until, owner.loop_.now() + kLookAtBody), job->begin_by);
+  if (!written()) return std::min(job->until, job->begin_by);
+  // Kept for most of the attempt's time, as a short answer is better whole: until then it can still be
+  // another's.
+  return job->begun ? job->started + kHoldBegun * (job->until - job->started) : job->until;
+}
+
 void Upstream::Link::write_request() {
-  if (!job->probe && !owner.listener_.may_write(job->request)) {
-    // Not from within the caller, who is still busy with what it had decided.
-    return owner.loop_.later([hold = shared_from_this(), serial = job->serial] {
-      if (hold->job && hold->job->serial == serial) {
-        hold->owner.finish(*hold, Ending::kStoppedUnsent, nullptr, false);
-      }
-    });
-  }
+  if (!may_write()) return end_unsent(Ending::kStoppedUnsent);
   answer = Message(Parser::Kind::kResponse, net::kAnyLength);
   std::vector<std::string_view> pieces;
   std::string own;
@@ -48,11 +74,7 @@
   body->set_sink({[this] { send_body(); },
                   [this] {
                     // Its client left, or spoilt it: what the backend has is not whole, so it cannot run.
-                    owner.loop_.later([hold = shared_from_this(), serial = job ? job->serial : 0] {
-                      Link& link = *hold;
-                      if (link.job && link.job->serial == serial)
-                        link.owner.finish(link, Ending::kStoppedUnsent, nullptr, false);
-                    });
+                    if (job) end_unsent(Ending::kStoppedUnsent);
                   }});
   body_moved = owner.loop_.now();
   send_body();
@@ -64,10 +86,15 @@
   const bool last = body->ended() && body->empty();
   if (part.empty() && !last) return;
   body_moved = owner.loop_.now();
+  if (last && body_moved >= job->begin_by) return end_unsent(Ending::kStoppedUnsent);
   body_sent = last;
   stream.send(net::FramedPart(part, !body->length(), last).pieces());
-  if (last) owner.body_limit(shared_from_this());
+  // While a request's body comes, its time stands: from the last byte on the attempt has as long as it was
+  // given. What is told of its length is the backend's time: were the client's with its body in it, every
+  // backend would look slow, and requests be refused for it.
+  if (last) job->until = body_moved + std::max(job->until - std::exchange(job->started, body_moved), 1.0);
   note_written();
+  if (last) owner.watch(*this);
 }
 
 void Upstream::Link::leave_body() {
@@ -84,14 +111,19 @@
 }
 
 void Upstream::Link::on_flushed(Stream&) {
-  if (body && !body_sent) return send_body();
+  if (sending_body()) return send_body();
+  if (!job) return;
   note_written();
+  owner.watch(*this);
 }
 
 void Upstream::Link::on_connected(Stream&) {
   if (!job) return;
   owner.connect_wait_.came_up(backend, owner.loop_.now() - job->started);
+  // An end, or bytes, that lie there already came before the request: so it cannot have run.
+  if (!stream.quiet()) return end_unsent(Ending::kBrokenUnsent);
   write_request();
+  owner.watch(*this);
 }
 
 // ---- an answer that goes on coming while it is passed on ----
@@ -147,8 +179,9 @@
   if (state != Parser::State::kDone) {
     stream.input() = std::move(answer.raw);
     // Of unknown length, and it may be a long one: its first bytes must not wait until much of it is here.
-    if (state == Parser::State::kBody && status == 200 && !job->probe && !answer.parser.length() && written())
-      owner.begun(shared_from_this());
+    if (state == Parser::State::kBody && status == 200 && !job->probe && !answer.parser.length() &&
+        written() && !std::exchange(job->begun, true))
+      owner.watch(*this);
     return;
   }
   if (status == 101) return owner.finish(*this, Ending::kMalformed, nullptr, false);
--- a/src/node/link.h
+++ b/src/node/link.h
@@ -1,8 +1,10 @@
 // One connection to a backend, with what is under way on it: the request as it goes out, and the answer as it
-// comes. It owns the connection and both. It must never choose what it carries, nor keep its own time.
+// comes. It owns the connection and both. It must never choose what it carries, nor write it once it may not
+// be.
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -12,6 +14,8 @@
 
 namespace shorelead::node {
 
+constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
+
 // One attempt or probe under way.
 struct Upstream::Job {
   bool probe = false;
@@ -19,6 +23,8 @@
   int attempt = 0;
   Millis started = 0;
   Millis until = 0;
+  Millis begin_by = kNever;    // its last byte is not to go out from then on
+  Millis connect_by = kNever;  // nor is its connection waited for
   std::shared_ptr<const Message> message;
   Loop::TimerId limit = 0;
   std::uint64_t serial = 0;
@@ -34,10 +40,14 @@
 
   bool idle() const { return stream.open() && job == nullptr && answer_flow == nullptr; }
   // Whether the backend can have begun what this link carries.
-  bool written() const { return asked && stream.flushed() && (!body || body_sent); }
+  bool written() const { return asked && stream.flushed() && !sending_body(); }
 
   void write_request();
+  // A request's body that comes by parts is still going out.
+  bool sending_body() const { return body && !body_sent; }
   void leave_body();
+  // When the job at hand is to be looked at, unless it has come further by then.
+  Millis limit() const;
   // No more of the answer that is being passed on will come, or is wanted.
   void end_flow(bool whole);
 
@@ -67,6 +77,8 @@
   Millis age = 0;                                    // for how long it had stood unused before this job
 
  private:
+  bool may_write() const;
+  void end_unsent(Ending ending);
   void begin_body();
   void send_body();
   void note_written();
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -110,7 +110,7 @@
       ++sent_;
       spdlog::debug("attempt {}.{} to {}", choice.request, choice.attempt, facade_.host(choice.backend));
       upstream_->send(choice.request, choice.attempt, choice.backend, facade_.dial(choice.backend),
-                      choice.until, it->second.message);
+                      choice.until, it->second.message, choice.begin_by);
       break;
     case Choice::Kind::kRefuse:
       spdlog::debug("refused {}", choice.request);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -12,9 +12,8 @@
 constexpr Millis kConnectUntold = 1000;  // where the settings do not tell how long to wait for a connection
 constexpr Millis kProbeWait = 250;       // a probe unanswered by then tells nothing any more
 constexpr Millis kSweepEvery = 1000;
-constexpr double kHoldBegun = 0.7;   // of an attempt's time, for which an answer of unknown length is kept
-constexpr Millis kLookAtBody = 250;  // how often a request's body that goes out is looked after
-constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of it
+constexpr int kReadsAtLimit = 8;  // of what lies there when a time is up: a whole answer, and its head
+constexpr Millis kBodyStandstill = 5000;  // for which a backend may take none of a request's body
 
 }  // namespace
 
@@ -44,12 +43,13 @@
 }
 
 void Upstream::send(RequestId request, int attempt, BackendId backend, const std::string& dial, Millis until,
-                    std::shared_ptr<const Message> message) {
+                    std::shared_ptr<const Message> message, Millis begin_by) {
   auto job = std::make_unique<Job>();
   job->request = request;
   job->attempt = attempt;
   job->started = loop_.now();
   job->until = until;
+  job->begin_by = begin_by;
   job->message = std::move(message);
   begin(backend, dial, std::move(job));
 }
@@ -92,68 +92,46 @@
     link->write_request();
   } else {
     // A connection that does not come up leaves time for another backend, as nothing can have run.
-    const Millis wait = connect_wait_.limit(backend, under_way.probe);
-    const Millis limit = std::min(under_way.until, under_way.started + wait);
-    if (limit < under_way.until) {
-      under_way.limit = loop_.at(limit, [this, link] { connect_limit(link); });
-      return;
-    }
+    under_way.connect_by = under_way.started + connect_wait_.limit(backend, under_way.probe);
   }
-  under_way.limit = loop_.at(under_way.until, [this, link] { time_limit(link); });
+  watch(*link);
+}
+
+// Sets the one timer of what is under way there.
+void Upstream::watch(Link& link) {
+  loop_.cancel(link.job->limit);
+  link.job->limit = loop_.at(link.limit(), [this, hold = link.shared_from_this(), serial = link.job->serial] {
+    if (hold->job && hold->job->serial == serial) limit(*hold);
+  });
 }
 
 // Guards against calling an answer late that lies there to be read: after a time in which this node got no
 // processor, what came in and what fell due are found together, in any order.
 bool Upstream::over_by_now(Link& link) {
   const std::uint64_t serial = link.job->serial;
-  link.stream.read_now();
-  return !link.job || link.job->serial != serial;
-}
-
-void Upstream::connect_limit(const std::shared_ptr<Link>& link) {
-  if (over_by_now(*link)) return;
-  if (!link->stream.connected()) {
-    connect_wait_.gave_up();
-    return finish(*link, Ending::kConnectTimeout, nullptr, false);
-  }
-  link->job->limit = loop_.at(link->job->until, [this, link] { time_limit(link); });
+  const auto over = [&] { return !link.job || link.job->serial != serial; };
+  for (int read = 0; read < kReadsAtLimit && !over() && link.stream.read_now(); ++read) continue;
+  return over();
 }
 
-void Upstream::time_limit(const std::shared_ptr<Link>& link) {
-  if (over_by_now(*link)) return;
-  if (link->job->message && link->job->message->flow && link->body && !link->body_sent)
-    return body_limit(link);
-  finish(*link, link->written() ? Ending::kTimeout : Ending::kStoppedUnsent, nullptr, false);
-}
-
-// While a request's body comes, its time stands: what counts is that the backend takes what there is. From
-// the last byte on the attempt has as long as it was given.
-void Upstream::body_limit(const std::shared_ptr<Link>& link) {
-  Job& job = *link->job;
-  loop_.cancel(job.limit);
+void Upstream::limit(Link& link) {
+  if (over_by_now(link)) return;
+  const Job& job = *link.job;
   const Millis now = loop_.now();
-  if (link->body_sent) {
-    // What is told of its length is the backend's time: were the client's with its body in it, every backend
-    // would look slow, and requests be refused for it.
-    job.until = now + std::max(job.until - std::exchange(job.started, now), 1.0);
-    job.limit = loop_.at(job.until, [this, link] { time_limit(link); });
-    return;
+  const bool too_late = now >= job.begin_by;
+  if (link.stream.connected() && link.sending_body()) {
+    const bool stuck = !link.stream.flushed() && now - link.body_moved >= kBodyStandstill;
+    if (!stuck && !too_late) return watch(link);
+  } else if (now < link.limit()) {
+    return watch(link);  // it has come further
+  } else if (!link.stream.connected() && job.connect_by < std::min(job.until, job.begin_by)) {
+    connect_wait_.gave_up();
+    return finish(link, Ending::kConnectTimeout, nullptr, false);
+  } else if (link.written() && job.begun) {
+    link.answer.raw = std::exchange(link.stream.input(), {});
+    return pass_on(link);
   }
-  const bool stuck = !link->stream.flushed() && now - link->body_moved >= kBodyStandstill;
-  if (stuck) return finish(*link, Ending::kStoppedUnsent, nullptr, false);
-  job.limit = loop_.at(now + kLookAtBody, [this, link] { time_limit(link); });
-}
-
-// Kept for most of the attempt's time, as a short one is better whole: until then it can still be another's.
-void Upstream::begun(const std::shared_ptr<Link>& link) {
-  Job& job = *link->job;
-  if (std::exchange(job.begun, true)) return;
-  loop_.cancel(job.limit);
-  job.limit = loop_.at(job.started + kHoldBegun * (job.until - job.started), [this, link] {
-    if (over_by_now(*link)) return;
-    link->answer.raw = std::exchange(link->stream.input(), {});
-    pass_on(*link);
-  });
+  finish(link, link.written() ? Ending::kTimeout : Ending::kStoppedUnsent, nullptr, false);
 }
 
 // The answer at hand is long: from its first bytes on it goes to whoever asked, and the attempt is over.
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,8 +49,10 @@
   // Times of new settings. A connection carries no attempt within `settle` of the answer to another.
   void adopt(Millis connect_timeout, Millis idle_timeout, Millis settle);
 
+  // Its last byte goes out before `begin_by`, or it ends as not sent.
   void send(RequestId request, int attempt, BackendId backend, const std::string& dial, Millis until,
-            std::shared_ptr<const Message> message);
+            std::shared_ptr<const Message> message,
+            Millis begin_by = std::numeric_limits<Millis>::infinity());
   void call_off(RequestId request, int attempt);
   // The request is over: an attempt at it that waits for a connection is not to be written any more.
   void stop_unsent(RequestId request);
@@ -77,10 +80,8 @@
 
   void begin(BackendId backend, const std::string& dial, std::unique_ptr<Job> job);
   bool over_by_now(Link& link);
-  void connect_limit(const std::shared_ptr<Link>& link);
-  void time_limit(const std::shared_ptr<Link>& link);
-  void body_limit(const std::shared_ptr<Link>& link);
-  void begun(const std::shared_ptr<Link>& link);
+  void watch(Link& link);
+  void limit(Link& link);
   void pass_on(Link& link);
   void finish(Link& link, Ending ending, const Message* answer, bool keep);
   void sweep();
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <variant>
@@ -187,6 +188,8 @@
   RequestId request = 0;
   BackendId backend = 0;
   Millis stop_at = 0;  // 0 = when the client gives up
+  // Its last byte may not go out from then on: a backend that begins it so late would run it again.
+  Millis begin_by = std::numeric_limits<Millis>::infinity();
 };
 struct CancelAttempt {
   RequestId request = 0;
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -38,12 +38,10 @@
     }
     Request r;
     r.id = e.request, r.request_class = e.request_class, r.due = e.due;
-    r.most_attempts = retries_.most_attempts();
-    r.aim_at = c_.now + c_.request_class(e.request_class).aim;
-    r.key = e.key, r.home = e.home, r.worth = e.worth;
+    r.most_attempts = retries_.most_attempts(), r.aim_at = c_.now + c_.request_class(e.request_class).aim;
+    r.key = e.key, r.home = e.home, r.worth = e.worth, r.client_retry = e.client_retry;
     r.work = known_.arrived(e.expected_work);
     retries_.earn();
-    r.client_retry = e.client_retry;
     r.over_share = c_.by_keepers && !e.client_retry && !fellows_.within_share(e.tenant);
     proceed(open_.insert_or_assign(e.request, std::move(r)).first->second);
   }
@@ -141,9 +139,8 @@
   }
 
   void send(Request& r, BackendId i) {
-    const Millis expected = choosing_.expected(r, i);
-    cold_.sent(i);
-    r.asked.clear(), r.looks = 0;
+    const Millis expected = choosing_.expected(r, i), begin_by = retries_.begin_by(r);
+    cold_.sent(i), r.asked.clear(), r.looks = 0;
     r.attempts.push_back({i, known_.sent(i, r.request_class, r.work)});
     if (r.attempts.size() > 1) retries_.spend();
     // Exception "early end": answers get lost, this one is expected before, and somebody else may have it.
@@ -151,7 +148,7 @@
     const Millis early = kEarlyEnd * (stop - c_.now);
     const bool ends =
         known_.losing() > kLosing && expected < early && retries_.may_send(r) && choosing_.anybody(r);
-    c_.act(SendAttempt{r.id, i, ends ? c_.now + early : stop});
+    c_.act(SendAttempt{r.id, i, ends ? c_.now + early : stop, begin_by});
     const bool repeatable = c_.request_class(r.request_class).effect != Effect::kUnsafe;
     if (c_.looks_first() && c_.settings.parallel_attempts && repeatable) {
       copy_timer(r, kOverdue * std::max(expected, known_.mean_time()));
--- a/src/policy/retries.h
+++ b/src/policy/retries.h
@@ -68,8 +68,15 @@
     return c.late_value > 0 || c.streamed ? r.due : std::min(r.due, r.aim_at);
   }
 
-  // Rule "no effect twice": after a keyed attempt that may have run only its group will do, within the
-  // window.
+  // Until when one may begin: a keyed one is dropped as a repeat within the window of each that may have run.
+  Millis begin_by(const Request& r) const {
+    const RequestClass& c = c_.request_class(r.request_class);
+    Millis by = std::numeric_limits<Millis>::infinity();
+    for (const Attempt& a : r.attempts) by = a.may_have_run ? std::min(by, a.sent.at + c.dedup_window) : by;
+    return c.effect == Effect::kKeyed ? by : std::numeric_limits<Millis>::infinity();
+  }
+
+  // Rule "no effect twice": after a keyed attempt that may have run only its group will do, in its window.
   bool in_group(const Request& r, BackendId i) const {
     const RequestClass& c = c_.request_class(r.request_class);
     if (c.effect != Effect::kKeyed) return true;
--- /dev/null
+++ b/tests/crossings/answers_test.cpp
@@ -0,0 +1,152 @@
+// Answers that are spoilt: half, early, without end, or none; what the attempt then is, and that it ends.
+#include <gtest/gtest.h>
+
+#include "upstream_case.h"
+
+namespace shorelead::node {
+namespace {
+
+// Writes `part` for as long as the other side takes it.
+struct Trickle {
+  Trickle(Loop& loop, Line& there, std::string part) : loop(loop), there(there), part(std::move(part)) {
+    next();
+  }
+  void next() {
+    there.write(part);
+    loop.after(1, [this] { next(); });
+  }
+  Loop& loop;
+  Line& there;
+  const std::string part;
+};
+
+// Answers that begin and never end: the attempt ends by its time, or when they exceed what an answer may be.
+TEST(Answers, OneThatNeverEndsIsOverByItsTime) {
+  struct Case {
+    std::string first;
+    std::string part;
+    Ending ending;
+  };
+  const Case cases[] = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", "x", Ending::kTimeout},
+      {"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", Ending::kTimeout},
+      {"HTTP/1.1 500 No\r\n\r\n", "x", Ending::kTimeout},
+      {"HTTP/1.1 200 OK\r\nX: ", "y", Ending::kTimeout},
+      {"HTTP/1.1 200 OK\r\n", "X: " + std::string(1000, 'y') + "\r\n", Ending::kMalformed},
+      {"", "HTTP/1.1 102 Processing\r\n\r\n", Ending::kTimeout},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", Ending::kTimeout},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + std::string(300, 'x'), "x",
+       Ending::kMalformed},
+  };
+  for (const Case& one : cases) {
+    Peer peer;
+    Backends b;
+    // Nobody takes what is passed on, where it is.
+    b.on_flow = [&b](net::Flow&) { b.loop.later([&b] { b.loop.stop(); }); };
+    b.send(peer, one.ending == Ending::kTimeout ? 5 * kSoon : kLong);
+    Line there = peer.accept();
+    std::unique_ptr<Trickle> trickle;
+    b.loop.after(1, [&] {
+      there.request();
+      there.write(one.first);
+      trickle = std::make_unique<Trickle>(b.loop, there, one.part);
+    });
+    const Ending ending = b.run();
+    // Of unknown length a 200 goes on after most of its time: that one is the client's to wait for.
+    if (b.flow) continue;
+    EXPECT_EQ(ending, one.ending) << one.first << one.part;
+  }
+}
+
+TEST(Answers, HalfAStatusLineIsNone) {
+  struct Case {
+    std::string text;
+    bool closes;
+    Ending ending;
+  };
+  const Case cases[] = {
+      {"HTTP/1.1 20", false, Ending::kTimeout},
+      {"HTTP/1.1 20", true, Ending::kBroken},
+      {"HTTP/1.1 200 OK\r\nContent-Le", true, Ending::kBroken},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbod", true, Ending::kBroken},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", true, Ending::kBroken},
+      {"", true, Ending::kBroken},
+      {"garbage\r\n", false, Ending::kMalformed},
+      {std::string(3, '\0'), false, Ending::kMalformed}};
+  for (const Case& one : cases) {
+    Peer peer;
+    Backends b;
+    b.send(peer, one.ending == Ending::kTimeout ? kSoon : kLong);
+    Line there = peer.accept();
+    b.loop.after(1, [&] {
+      there.request();
+      there.write(one.text);
+      if (one.closes) there.close_sending();
+    });
+    EXPECT_EQ(b.run(), one.ending) << one.text;
+    EXPECT_EQ(b.upstream.connections(), 0U);
+    EXPECT_EQ(there.rest(), "");
+  }
+}
+
+// It counts for what it says, and its connection is not used again: the rest of the request was not written.
+TEST(Answers, OneBeforeTheRequestsEndCountsAndEndsItsConnection) {
+  const std::pair<std::string, Ending> cases[] = {
+      {"200 OK\r\n", Ending::kServed},
+      {"500 No\r\n", Ending::kErred},
+      {"503 Full\r\n", Ending::kErred},
+      {"503 Full\r\nX-Not-Processed: 1\r\n", Ending::kTurnedAway},
+  };
+  for (const auto& [start, ending] : cases) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong, post_of(kMuch));
+    Line there = peer.accept();
+    b.loop.after(1, [&, start = start] {
+      EXPECT_FALSE(there.some().empty());
+      there.write("HTTP/1.1 " + start + "Content-Length: 2\r\n\r\nok");
+    });
+    EXPECT_EQ(b.run(), ending) << start;
+    EXPECT_EQ(b.upstream.connections(), 0U) << start;
+  }
+}
+
+// A second answer, or its beginning, right behind the first.
+TEST(Answers, OneWithBytesBehindItEndsItsConnection) {
+  for (const std::string& behind : {std::string("H"), kEmptyOk}) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong);
+    Line there = peer.accept();
+    b.loop.after(1, [&] {
+      there.request();
+      there.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody" + behind);
+    });
+    EXPECT_EQ(b.run(), Ending::kServed);
+    EXPECT_EQ(b.answer, "body");
+    EXPECT_EQ(b.upstream.connections(), 0U);
+  }
+}
+
+// Of an answer of unknown length no more is held than a flow may, however much comes and nobody takes it.
+TEST(Answers, OneWithoutEndThatNobodyTakesIsHeldBack) {
+  Peer peer;
+  Backends b;
+  std::size_t most = 0;
+  b.on_flow = [&](net::Flow& flow) {
+    flow.set_sink({[&] { most = std::max<std::size_t>(most, flow.passed()); }, [] {}});
+    b.loop.after(5 * kSoon, [&] { b.loop.stop(); });
+  };
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    there.request();
+    there.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(1U << 20, 'x'));
+  });
+  b.run();
+  EXPECT_EQ(b.last, Ending::kServed);
+  EXPECT_LE(most, net::FlowBudget::kMostPart + 2 * 16384);
+}
+
+}  // namespace
+}  // namespace shorelead::node
--- /dev/null
+++ b/tests/crossings/attempts_test.cpp
@@ -0,0 +1,220 @@
+// Attempts and the moments that bound them: the window for repeats, the time given, the end of a body, a
+// call-off; each as it meets the connection coming up, a write or an answer.
+#include <gtest/gtest.h>
+
+#include "upstream_case.h"
+
+namespace shorelead::node {
+namespace {
+
+// Rule "no effect twice": decided within the window of the attempt before it, but its connection came up
+// after.
+TEST(Attempts, ARepeatIsNotWrittenAfterItsWindow) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kLong, post_of(1), b.loop.now() + kSoon);
+  Line there = peer.accept();
+  b.hold_up(kSoon);
+  EXPECT_EQ(b.run(), Ending::kStoppedUnsent);
+  EXPECT_EQ(there.rest(), "");
+}
+
+TEST(Attempts, ARepeatWaitsForAConnectionNoLongerThanItsWindow) {
+  FullPeer peer;
+  Backends b;
+  const Millis began = b.loop.now();
+  b.send(peer, kLong, post_of(1), began + kSoon);
+  EXPECT_EQ(b.run(), Ending::kStoppedUnsent) << "it is no connection that did not come up in its time";
+  EXPECT_LT(b.loop.now() - began, kLong / 2);
+}
+
+// A backend begins a request with its last byte.
+TEST(Attempts, ARepeatThatTheSocketTookInPartEndsWithItsWindow) {
+  Peer peer;
+  Backends b;
+  const auto message = post_of(kMuch);
+  const Millis began = b.loop.now();
+  b.send(peer, kLong, message, began + kSoon);
+  Line there = peer.accept();
+  EXPECT_EQ(b.run(), Ending::kStoppedUnsent);
+  EXPECT_LT(b.loop.now() - began, kLong / 2);
+  EXPECT_LT(there.rest().size(), kMuch);
+}
+
+TEST(Attempts, ARepeatsBodyThatEndsAfterItsWindowIsNotEndedThere) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts();
+  b.send(peer, kLong, message, b.loop.now() + kSoon);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    message->flow->put("begun");
+    b.hold_up(kSoon);
+    message->flow->put("rest");
+    message->flow->end();
+  });
+  EXPECT_EQ(b.run(), Ending::kStoppedUnsent);
+  EXPECT_FALSE(there.rest().ends_with("0\r\n\r\n"));
+}
+
+// Rule "one final answer": nothing is sent for a request after its time.
+TEST(Attempts, NothingIsWrittenOnceItsTimeIsUp) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kSoon);
+  Line there = peer.accept();
+  b.hold_up(kSoon);
+  EXPECT_EQ(b.run(), Ending::kStoppedUnsent);
+  EXPECT_EQ(there.rest(), "");
+}
+
+// The time that a backend is told is what is left when its connection is there.
+TEST(Attempts, TheTimeToldIsWhatIsLeftAtTheWrite) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  b.hold_up(200);
+  b.loop.after(1, [&] {
+    const std::string text = there.request();
+    const std::size_t at = text.find("X-Timeout-Ms: ");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_LE(std::stod(text.substr(at + 14)), kLong - 200 + 1);
+    there.write(kEmptyOk);
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+}
+
+// Each would get a part of it, and the one with the end would run on that part.
+TEST(Attempts, TwoDoNotShareABodyThatComesByParts) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts();
+  b.send(peer, kLong, message);
+  Line one = peer.accept();
+  Line two(-1);
+  std::function<void()> once_begun = [&] {
+    if (!message->flow->has_sink()) return void(b.loop.after(1, once_begun));
+    b.send(peer, kLong, message, std::numeric_limits<Millis>::infinity(), 1);
+    two = peer.accept();
+  };
+  b.loop.after(1, once_begun);
+  b.steps.push_back([&] {
+    EXPECT_EQ(b.last, Ending::kStoppedUnsent);
+    EXPECT_EQ(b.ended, 1);
+    message->flow->put("all of it");
+    message->flow->end();
+    EXPECT_TRUE(one.request().ends_with("9\r\nall of it\r\n0\r\n\r\n"));
+    one.write(kEmptyOk);
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.ended, 0);
+  EXPECT_EQ(two.rest(), "");
+}
+
+// The limit of a body that was whole at once, on a connection used again, outlived its attempt: it ended the
+// next one there, or found none.
+TEST(Attempts, ALimitEndsWithItsAttempt) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts(4);
+  Line there = [&] {
+    b.send(peer, kLong);
+    return peer.accept();
+  }();
+  const auto answer = [&] {
+    EXPECT_FALSE(there.request().empty());
+    there.write(kEmptyOk);
+  };
+  b.loop.after(1, answer);
+  b.steps.push_back([&] {
+    message->flow->put("body");
+    message->flow->end();
+    b.send(peer, kSoon, message);
+    answer();
+  });
+  b.steps.push_back([&] {
+    b.send(peer, kLong);
+    b.loop.after(3 * kSoon, answer);
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.told, 3);
+  EXPECT_EQ(b.upstream.opened(), 1U);
+}
+
+// Answer and time-out in the same turn: more of it than one read takes.
+TEST(Attempts, ALongAnswerThatHasComeIsNotLate) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    there.request();
+    there.write(kEmptyOk);
+  });
+  b.steps.push_back([&] {
+    b.send(peer, kSoon);
+    there.request();
+    there.write("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + std::string(60000, 'x'));
+    b.hold_up(2 * kSoon);
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.answer.size(), 60000U);
+  EXPECT_EQ(b.told, 2);
+}
+
+// Answer and call-off in the same turn: one end, and the connection goes with the answer unread.
+TEST(Attempts, AnAnswerAndItsCallOffInOneTurnAreOneEnd) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    there.request();
+    there.write(kEmptyOk);
+    b.upstream.call_off(1, 0);
+    b.upstream.call_off(1, 0);
+  });
+  EXPECT_EQ(b.run(), Ending::kCalledOff);
+  EXPECT_EQ(b.told, 1);
+  EXPECT_EQ(b.upstream.connections(), 0U);
+}
+
+// The connection is up, but the loop has not seen it yet: given up, over, or its backend withdrawn.
+TEST(Attempts, AConnectionThatComesUpAfterItWasGivenUpCarriesNothing) {
+  for (int n = 0; n < 3; ++n) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong);
+    Line there = peer.accept();
+    b.loop.later([&] {
+      if (n == 0) b.upstream.call_off(1, 0);
+      if (n == 1) b.upstream.stop_unsent(1);
+      if (n == 2) b.upstream.withdraw({0});
+    });
+    EXPECT_EQ(b.run(), Ending::kStoppedUnsent) << n;
+    EXPECT_EQ(there.rest(), "") << n;
+  }
+}
+
+// For drains a send counts from its first byte.
+TEST(Attempts, ABodyThatGoesOutWhenItsBackendIsWithdrawnGoesOn) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts();
+  b.send(peer, kLong, message);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    message->flow->put("begun");
+    b.upstream.withdraw({0});
+    message->flow->put("rest");
+    message->flow->end();
+    EXPECT_TRUE(there.request().ends_with("5\r\nbegun\r\n4\r\nrest\r\n0\r\n\r\n"));
+    there.write(kEmptyOk);
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.upstream.connections(), 0U);
+}
+
+}  // namespace
+}  // namespace shorelead::node
