Streams: a reset that a write has met is no end of an answer

Cause: the system tells of a reset once, to the read or the write that comes first. Where Stream::send met it (ECONNRESET, noted in broken_), the read before the next write found 0, and read_now() told kPeerClosed: half an answer without length, begun while its request's body still went out, passed for a whole one and was served.

Change: after a write that failed, an end that is read counts as a reset.

Result: without it Connections.AResetThatAWriteHasMetIsNoEnd fails, "b.run() Which is <00-00 00-00>" (served), with it the attempt is broken before its request's end, and cannot have run.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -193,7 +193,8 @@
     handler_.on_input(*this);
     return true;
   }
-  if (got == 0) return fail(Ending::kPeerClosed), false;
+  // The system tells of a reset once: after a write that met it, a read sees but an end.
+  if (got == 0) return fail(broken_ ? Ending::kBroken : Ending::kPeerClosed), false;
   if (error != EAGAIN && error != EWOULDBLOCK) fail(Ending::kBroken);
   return false;
 }
--- /dev/null
+++ b/tests/crossings/connections_test.cpp
@@ -0,0 +1,219 @@
+// Connections to backends and how they end: resets and ends before, in and behind the last byte written, and
+// within an answer; what was written to and what stood unused.
+#include <gtest/gtest.h>
+
+#include "upstream_case.h"
+
+namespace shorelead::node {
+namespace {
+
+const std::string kNoLength = "HTTP/1.1 200 OK\r\n\r\n";
+
+// What reached a body's sink.
+struct Taken {
+  void take_from(net::Flow& flow) {
+    const auto more = [this, &flow] {
+      text += flow.take();
+      ended = flow.ended() && flow.empty();
+      if (ended) done();
+    };
+    flow.set_sink({more, [this] {
+                     was_cut = true;
+                     done();
+                   }});
+    more();
+  }
+  std::function<void()> done;
+  std::string text;
+  bool ended = false;
+  bool was_cut = false;
+};
+
+// A reset is no end: also where it lies behind the bytes unread, over several reads.
+TEST(Connections, AResetIsNoEndOfAnAnswerWithoutLength) {
+  for (const std::size_t size : {4U, 40000U}) {
+    for (const bool reset : {false, true}) {
+      Peer peer;
+      Backends b;
+      b.send(peer, kLong);
+      Line there = peer.accept();
+      b.loop.after(1, [&] {
+        there.request();
+        there.write(kNoLength + std::string(size, 'x'));
+        reset ? there.reset() : there.close();
+      });
+      EXPECT_EQ(b.run(), reset ? Ending::kBroken : Ending::kServed);
+      EXPECT_EQ(b.answer.size(), reset ? 0 : size);
+    }
+  }
+}
+
+// Nor of one that is already passed on.
+TEST(Connections, AResetCutsAnAnswerThatIsPassedOn) {
+  for (const bool reset : {false, true}) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong);
+    Line there = peer.accept();
+    Taken taken;
+    taken.done = [&b] { b.loop.stop(); };
+    b.loop.after(1, [&] {
+      there.request();
+      there.write(kNoLength + std::string(70000, 'x'));
+      reset ? there.reset() : there.close();
+    });
+    b.on_flow = [&](net::Flow& flow) { taken.take_from(flow); };
+    b.run();
+    EXPECT_EQ(b.last, Ending::kServed);
+    EXPECT_EQ(taken.was_cut, reset);
+    EXPECT_EQ(taken.ended, !reset);
+    if (!reset) {
+      EXPECT_EQ(taken.text.size(), 70000U);
+    }
+  }
+}
+
+// The system tells of a reset once: where a write has met it, the read behind it sees but an end, and part of
+// an answer would have passed for all of it.
+TEST(Connections, AResetThatAWriteHasMetIsNoEnd) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts();
+  b.send(peer, kLong, message);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    there.some();
+    there.write(kNoLength + "half");
+  });
+  b.loop.after(kSoon, [&] {
+    there.reset();
+    message->flow->put("more of the request");
+  });
+  EXPECT_EQ(b.run(), Ending::kBrokenUnsent);
+}
+
+// "It breaks before the request's last byte is written: never run"; behind it, it may have.
+TEST(Connections, AResetTellsByTheLastByteWhetherItMayHaveRun) {
+  for (const auto& [size, ending] :
+       {std::pair{kMuch, Ending::kBrokenUnsent}, std::pair{std::size_t{1}, Ending::kBroken}}) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong, post_of(size));
+    Line there = peer.accept();
+    b.loop.after(1, [&] {
+      EXPECT_FALSE(there.some().empty());
+      there.reset();
+    });
+    EXPECT_EQ(b.run(), ending) << size;
+  }
+}
+
+// The last part is written to a connection that was reset in the same turn: nothing of it has gone.
+TEST(Connections, ALastPartThatCouldNotBeWrittenHasNotRun) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts(9);
+  b.send(peer, kLong, message);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    message->flow->put("begun");
+    EXPECT_FALSE(there.some().empty());
+    there.reset();
+    message->flow->put("rest");
+    message->flow->end();
+  });
+  EXPECT_EQ(b.run(), Ending::kBrokenUnsent);
+}
+
+// What came on a new connection before its request was written is no answer to it, and an end proves that it
+// cannot have run.
+TEST(Connections, WhatComesBeforeTheRequestMeansThatItCannotHaveRun) {
+  for (const std::string& first : {std::string(), std::string("HTTP/1.1 408 Timeout\r\n"), kEmptyOk}) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong);
+    Line there = peer.accept();  // the loop does not run yet
+    first.empty() ? there.close() : there.write(first);
+    EXPECT_EQ(b.run(), Ending::kBrokenUnsent) << first;
+    if (!first.empty()) {
+      EXPECT_EQ(there.rest(), "");
+    }
+  }
+}
+
+// Closed or spoken on while it stood unused, and not read yet: another one is made.
+TEST(Connections, WhatWasEndedUnreadIsNotUsedAgain) {
+  const std::vector<std::function<void(Line&)>> surprises = {[](Line& there) { there.close(); },
+                                                             [](Line& there) { there.reset(); },
+                                                             [](Line& there) { there.write("HTTP/1"); }};
+  for (const auto& surprise : surprises) {
+    Peer peer;
+    Backends b;
+    b.send(peer, kLong);
+    Line there = peer.accept();
+    Line again(-1);
+    b.loop.after(1, [&] {
+      there.request();
+      there.write(kEmptyOk);
+    });
+    b.steps.push_back([&] {
+      EXPECT_EQ(b.upstream.idle(), 1U);
+      surprise(there);
+      b.send(peer, kLong);
+      again = peer.accept();
+      b.loop.after(1, [&] {
+        EXPECT_FALSE(again.request().empty());
+        again.write(kEmptyOk);
+      });
+    });
+    EXPECT_EQ(b.run(), Ending::kServed);
+    EXPECT_EQ(b.upstream.opened(), 2U);
+    EXPECT_EQ(there.rest(), "");
+  }
+}
+
+// Right after the write: it may have run, and is told so.
+TEST(Connections, OneUsedAgainThatIsResetUnderItsRequestMayHaveRun) {
+  Peer peer;
+  Backends b;
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  b.loop.after(1, [&] {
+    there.request();
+    there.write(kEmptyOk);
+  });
+  b.steps.push_back([&] {
+    b.send(peer, kLong);
+    there.reset();
+  });
+  EXPECT_EQ(b.run(), Ending::kBroken);
+  EXPECT_EQ(b.upstream.reused(), 1U);
+}
+
+// The backend may close it after the stated time; half of that is left to what is on its way.
+TEST(Connections, OneIsUsedAgainForHalfOfTheTimeThatItsBackendKeepsIt) {
+  constexpr Millis kKeeps = 100;
+  Peer peer;
+  Backends b(kKeeps);
+  std::vector<Line> lines;
+  const auto answered = [&] {
+    b.send(peer, kLong);
+    if (lines.size() < b.upstream.opened()) lines.push_back(peer.accept());
+    b.loop.after(1, [&] {
+      lines.back().request();
+      lines.back().write(kEmptyOk);
+    });
+  };
+  b.loop.later(answered);
+  b.steps.push_back(answered);
+  b.steps.push_back([&] {
+    EXPECT_EQ(b.upstream.opened(), 1U);
+    b.hold_up(kKeeps / 2);
+    answered();
+  });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.upstream.opened(), 2U);
+}
+
+}  // namespace
+}  // namespace shorelead::node
