Attempts at once and decisions under way keep to the settings and the list they came by

The settings allow "two attempts out at once"; Requests::proceed asked only whether the last one was overdue. - a request that came where hedging is forbidden was hedged after a reload that allows it, though open requests keep the old rules: Requests read parallel_attempts from the settings of now. - a probe decided for a backend was handed out after a list that drains it, when both fell into one turn of the loop (Facade::tick). Upstream::withdraw runs at the list, so what is handed out behind it would wait for a connection as long as that takes; attempts queue in the same list, seen by reading only. Ruled out: that others of the recorded streams move.

Change: Request keeps `parallel` as it keeps `most_attempts`; proceed() lets one more go only beside a single one. Errands (src/node/errands.h, taken out of the facade) gives back what was decided for unwanted backends, and tick() tells the module that it was not sent.

--- a/src/node/facade.cpp
+++ b/src/node/facade.cpp
@@ -47,7 +47,7 @@
   feed(RequestArrived{request, ask.request_class, ask.tenant, ask.due, ask.expected_work, ask.client_retry, 0,
                       ask.home, ask.worth},
        now);
-  return take(request, Choice::Kind::kHold);
+  return errands_.take(request, Choice::Kind::kHold);
 }
 
 Choice Facade::report(RequestId request, int attempt, Ending ending, Millis elapsed, const LoadReport* load,
@@ -70,7 +70,7 @@
   if (load != nullptr) room_.reported(load->busy);
   requests_.ended(request, open);
   feed(event, now);
-  return pass ? Choice{Choice::Kind::kPass, request} : take(request, Choice::Kind::kHold);
+  return pass ? Choice{Choice::Kind::kPass, request} : errands_.take(request, Choice::Kind::kHold);
 }
 
 void Facade::report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load,
@@ -146,6 +146,7 @@
       errands_.unwanted.insert(errands_.unwanted.end(), told->unwanted.begin(), told->unwanted.end());
     }
   }
+  drop_unwanted(now);
   Errands due = std::exchange(errands_, {});
   Millis timer = timers_.empty() ? 0 : timers_.begin()->first;
   for (const Millis other : {roster_.draw_at(), requests_.next()}) {
@@ -155,6 +156,18 @@
   return due;
 }
 
+// Guards against what was decided before a list said otherwise: a connection that comes up late would carry
+// it long after. The module hears that it was not sent, and decides anew.
+void Facade::drop_unwanted(Millis now) {
+  const auto [sends, probes] = errands_.take_unwanted([this](BackendId i) { return roster_.wanted(i); });
+  for (const Choice& send : sends) {
+    const Choice next = report(send.request, send.attempt, Ending::kNotSent, 0, nullptr, now);
+    if (next.kind != Choice::Kind::kHold && next.kind != Choice::Kind::kOver)
+      errands_.choices.push_back(next);
+  }
+  for (const BackendId probe : probes) report_probe(probe, Ending::kNotSent, 0, nullptr, now);
+}
+
 void Facade::feed(const Event& event, Millis now) {
   handle(event, now);
   // What could not be sent is told once the actions before it are done, as it would be by a network.
@@ -233,15 +246,4 @@
   requests_.answered(request, *open);
 }
 
-// What has just been decided of this request, if anything; what came up of others waits for tick().
-Choice Facade::take(RequestId request, Choice::Kind otherwise) {
-  auto& choices = errands_.choices;
-  const auto it = std::find_if(choices.begin(), choices.end(),
-                               [request](const Choice& choice) { return choice.request == request; });
-  if (it == choices.end()) return {otherwise, request};
-  const Choice found = *it;
-  choices.erase(it);
-  return found;
-}
-
 }  // namespace shorelead::node
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -11,6 +11,7 @@
 
 #include "estimate/room.h"
 #include "node/class_numbers.h"
+#include "node/errands.h"
 #include "node/further.h"
 #include "node/net.h"
 #include "node/open_requests.h"
@@ -33,35 +34,6 @@
   Hold hold{};
 };
 
-// What is to be done about a request now.
-struct Choice {
-  enum class Kind {
-    kHold,    // nothing yet; a later tick() tells
-    kSend,    // send it to `backend`, until `until`
-    kRefuse,  // answer that trying again is harmless, after `wait` if that is not 0
-    kFail,    // answer that it failed
-    kPass,    // pass on the answer that has just been reported
-    kOver,    // nothing: it had its answer before
-  };
-  Kind kind = Kind::kHold;
-  RequestId request = 0;
-  BackendId backend = 0;
-  int attempt = 0;
-  Millis until = 0;
-  Millis wait = 0;
-};
-
-// What has fallen due, in the order in which it is to be done.
-struct Errands {
-  std::vector<Choice> choices;
-  std::vector<std::pair<RequestId, int>> call_off;  // attempts that nobody waits for any more
-  std::vector<BackendId> probes;
-  std::vector<BackendId> unwanted;  // nothing new may go there, and no connection is to be kept
-  std::vector<BackendId> crowded;   // connections there that stand unused are to be closed
-  bool watch = false;               // (re)open the watch on the list
-  Millis next = 0;                  // call tick() again by then; 0 = no need
-};
-
 enum class ListSource { kStored, kWatch };
 
 class Facade {
@@ -121,7 +93,7 @@
   void perform(const Action& action, Millis now);
   void start_attempt(const SendAttempt& send, Millis now);
   void answer(RequestId request, Choice choice);
-  Choice take(RequestId request, Choice::Kind otherwise);
+  void drop_unwanted(Millis now);
 
   ClassNumbers classes_;
   Policy policy_;
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -38,7 +38,7 @@
     }
     Request r;
     r.id = e.request, r.request_class = e.request_class, r.due = e.due;
-    r.most_attempts = retries_.most_attempts();
+    r.most_attempts = retries_.most_attempts(), r.parallel = c_.settings.parallel_attempts;
     r.aim_at = c_.now + c_.request_class(e.request_class).aim;
     r.key = e.key, r.home = e.home, r.worth = e.worth;
     r.work = known_.arrived(e.expected_work);
@@ -65,7 +65,7 @@
     if (a == nullptr) return;
     learn(*r, *a, e);
     if (e.request_over) return drop(*r);
-    if (!r->any_out()) proceed(*r);
+    if (r->out() == 0) proceed(*r);
   }
 
   void streams(RequestId id) {
@@ -113,13 +113,13 @@
  private:
   // Sends the request's next attempt, or gives its final answer at once.
   void proceed(Request& r) {
-    if (r.any_out() && !(c_.settings.parallel_attempts && r.attempts.back().overdue)) return;
+    if (r.out() > 0 && !(r.out() == 1 && r.parallel && r.attempts.back().overdue)) return;
     if (retries_.may_send(r)) {
       const auto [pick, good] = choosing_.pick(r);
       if (!good && hold(r)) return;
       if (const auto i = choosing_.settle(r, pick)) return send(r, *i);
     }
-    if (!r.any_out()) finish(r);
+    if (r.out() == 0) finish(r);
   }
 
   // Asks for news and holds the request for it; false: no use, or no time.
@@ -153,7 +153,7 @@
         known_.losing() > kLosing && expected < early && retries_.may_send(r) && choosing_.anybody(r);
     c_.act(SendAttempt{r.id, i, ends ? c_.now + early : stop});
     const bool repeatable = c_.request_class(r.request_class).effect != Effect::kUnsafe;
-    if (c_.looks_first() && c_.settings.parallel_attempts && repeatable) {
+    if (c_.looks_first() && r.parallel && repeatable) {
       copy_timer(r, kOverdue * std::max(expected, known_.mean_time()));
     }
     fellows_.tell(i, PeerMessage::Ending::kSent);
--- a/src/policy/retries.h
+++ b/src/policy/retries.h
@@ -26,7 +26,8 @@
   Millis due = 0;
   Millis aim_at = 0;  // an answer after this is worth less or nothing
   int most_attempts = 1;
-  double work = 1;  // of a mean request, by its hint
+  bool parallel = false;  // two may be out at once
+  double work = 1;        // of a mean request, by its hint
   std::uint64_t key = 0;
   Unit home;
   double worth = -1;  // beside the dearest; negative: its class's
@@ -41,8 +42,8 @@
   bool may_have_run() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
   }
-  bool any_out() const {
-    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+  auto out() const {
+    return std::count_if(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
   }
   bool was_asked(BackendId i) const { return std::find(asked.begin(), asked.end(), i) != asked.end(); }
 };
--- /dev/null
+++ b/tests/crossings/settings_order_test.cpp
@@ -0,0 +1,115 @@
+// What settings, a reload and a list make of a decision that is on its way: each order that broke a rule,
+// forced.
+#include <gtest/gtest.h>
+
+#include "crossings/settings_world.h"
+
+namespace shorelead::node {
+namespace {
+
+// Four backends that answer probes at once and hold on to requests.
+struct Held {
+  explicit Held(const Settings& settings) : facade(settings, host(), 1) { facade.start(list("ready"), now); }
+
+  static Settings settings(bool parallel) {
+    Settings s;
+    RequestClass c;
+    c.effect = Effect::kSafe;
+    c.aim = c.deadline = 1000;
+    s.classes.push_back(c);
+    s.max_attempts = 9;
+    s.reports_with_answers = false;  // so it looks before it sends, and may hedge
+    s.parallel_attempts = parallel;
+    return s;
+  }
+  static HostSettings host() {
+    HostSettings h;
+    h.classes = {"look"};
+    return h;
+  }
+  List list(const std::string& health) {
+    List all;
+    all.whole = health == "ready";
+    for (int n = 0; n < 4; ++n) {
+      ListedBackend one;
+      one.host = std::string("s-").append(std::to_string(n));
+      one.dial = "127.0.0.1:9000";
+      one.health = health;
+      all.backends.push_back(one);
+    }
+    return all;
+  }
+  // Lets time pass up to `until`.
+  void pass(Millis until) {
+    while (true) {
+      const Errands due = facade.tick(now);
+      for (const Choice& choice : due.choices) {
+        if (choice.kind == Choice::Kind::kSend) sent.push_back(choice);
+      }
+      probes += static_cast<int>(due.probes.size());
+      LoadReport idle;
+      idle.in_hand = idle.waiting = idle.busy = 0;
+      for (const BackendId backend : due.probes) facade.report_probe(backend, Ending::kServed, 1, &idle, now);
+      if (!due.probes.empty()) continue;
+      if (due.next <= 0 || due.next > until) break;
+      now = std::max(now + 0.01, due.next);
+    }
+    now = until;
+  }
+
+  // Answers of 10 ms, so that a second is far longer than is expected.
+  void teach() {
+    for (RequestId id = 1000; id < 1300; ++id) {
+      facade.pick(id, {0, 0, now + 1000}, now);
+      pass(now + 10);
+      for (const Choice& one : std::exchange(sent, {}))
+        facade.report(one.request, one.attempt, Ending::kServed, 10, nullptr, now);
+    }
+  }
+
+  Millis now = 1.7e12;
+  std::vector<Choice> sent;
+  int probes = 0;
+  Facade facade;
+};
+
+TEST(Settings, TwoAttemptsAtOnceAreNotThree) {
+  Held f(Held::settings(true));
+  f.teach();
+  f.facade.pick(1, {0, 0, f.now + 1000}, f.now);
+  f.pass(f.now + 990);
+  EXPECT_EQ(f.sent.size(), 2U) << "the first, and one beside it";
+}
+
+TEST(Settings, AnOpenRequestIsNotHedgedForANewPermission) {
+  Held f(Held::settings(false));
+  f.teach();
+  f.facade.pick(1, {0, 0, f.now + 1000}, f.now);
+  f.pass(f.now + 5);
+  ASSERT_EQ(f.sent.size(), 1U);
+  f.facade.adopt(Held::settings(true), Held::host(), f.now);
+  const Choice next = f.facade.report(1, 0, Ending::kTurnedAway, 5, nullptr, f.now);
+  if (next.kind == Choice::Kind::kSend) f.sent.push_back(next);
+  f.pass(f.now + 980);
+  EXPECT_EQ(f.sent.size(), 2U) << "the second is out, and came under settings that allow one at once";
+}
+
+TEST(Settings, ProbesThatCostNothingStillKeepTheirPeriod) {
+  Held f(Held::settings(false));
+  f.pass(f.now + 10000);  // and no request comes
+  EXPECT_GE(f.probes, 4 * 9);
+  EXPECT_LE(f.probes, 4 * 11);
+}
+
+TEST(Settings, WhatWasDecidedBeforeAListSaidOtherwiseIsNotDone) {
+  Held f(Held::settings(false));
+  f.pass(f.now + 2000);
+  EXPECT_EQ(f.facade.pick(1, {0, 0, f.now + 1000}, f.now).kind, Choice::Kind::kHold);
+  f.facade.report_list(f.list("draining"), ListSource::kWatch, f.now);
+  const Errands due = f.facade.tick(f.now);
+  EXPECT_TRUE(due.probes.empty()) << "of backends that drain by now";
+  for (const Choice& choice : due.choices) EXPECT_NE(choice.kind, Choice::Kind::kSend);
+}
+
+}  // namespace
+}  // namespace shorelead::node
