A settings file that lacks or spoils a key ends at the start with the key named

Without Fall its budget for cold backends was 0/0. - a keyed class without Group was taken to be repeatable anywhere. - any unknown word for RegistryMode meant pushed lists, for Weights sizes. - negative worths, prices, times and shares were taken, as was a zone beyond Azs; .shore files refuse these already. - at a reload a whole file whose tenants had all gone was refused as short of Tenants.Name (Shape::covers, keys_of: an empty list has no items to ask). Ruled out: AskEvery where lists are pushed, and keys whose absence says "none" or "not allowed", may stay away.

Change: check_keys and check_values (src/node/config_checks.cpp, out of config.cpp); words are read strictly; covers() passes over what items of an empty list would have. The file of tests/migrate_test.sh gains the keys that any start needs now.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -9,6 +9,8 @@
 #include <sstream>
 #include <utility>
 
+#include "node/config_checks.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -64,34 +66,17 @@
       std::erase_if(keys, absent);
     }
     std::erase_if(keys, [](const std::string& key) { return by_effect(key.substr(key.rfind('.') + 1)); });
+    if (value.Empty()) keys.insert(path + ".");  // what items would have is open
   }
   return keys;
 }
 
-// What a deployment cannot be run by, though each field is of its kind.
-void check(const Settings& settings, const HostSettings& host) {
-  if (settings.classes.empty()) fields::bad("Services", "names no class");
-  if (settings.max_attempts <= 0) fields::bad("MostTries", "is not over 0");
-  if (settings.peer_price < 0) fields::bad("Peer", "is below 0");
-  if (settings.kept_promises < 0) fields::bad("KeptPromises", "is below 0");
-  if (settings.borne_misses < 0 || settings.borne_misses > 1)
-    fields::bad("BorneMisses", "is not from 0 to 1");
-  for (std::size_t n = 0; n < settings.classes.size(); ++n) {
-    const RequestClass& c = settings.classes[n];
-    if (!(c.deadline > 0)) fields::bad("GiveUp", ("of \"" + host.classes[n] + "\" is not over 0").c_str());
-    if (!(c.aim > 0)) fields::bad("Aim", ("of \"" + host.classes[n] + "\" is not over 0").c_str());
-    if (c.effect == Effect::kKeyed && !(c.dedup_window > 0))
-      fields::bad("DedupWindow", ("of \"" + host.classes[n] + "\" is missing or not over 0").c_str());
-    if (host.classes[n].empty()) fields::bad("Name", "of a class is empty");
-    if (std::count(host.classes.begin(), host.classes.end(), host.classes[n]) > 1)
-      fields::bad("Name", ("\"" + host.classes[n] + "\" stands twice").c_str());
-  }
-}
-
 }  // namespace
 
 void Shape::covers(const Shape& before) const {
   for (const std::string& key : before.keys) {
+    const std::string inside = key.substr(0, key.rfind('.') + 1);
+    if (key == inside || keys.count(inside) > 0) continue;  // of a list without items
     if (keys.count(key) == 0) fields::bad(key.c_str(), "is missing, and the settings in force have it");
   }
 }
@@ -153,7 +138,9 @@
   const Json& settings = fields::object(document, "settings");
   config.settings = parse_settings(settings);
   config.host = parse_host_settings(settings);
-  check(config.settings, config.host);
+  config.shape.keys = keys_of(document, "");
+  check_keys(config.shape.keys, config.settings.list_on_request);
+  check_values(config.settings, config.host);
   // What the module would use and no page says how to carry on sockets.
   if (config.settings.peer_messages) {
     config.settings.peer_messages = false;
@@ -165,7 +152,6 @@
     config.warnings.push_back(
         "Specifics.WarmKeys: requests carry no key here that is given, so none is preferred");
   }
-  config.shape.keys = keys_of(document, "");
   return config;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -34,11 +34,26 @@
   throw FieldError("unknown Source \"" + std::string(source) + "\"");
 }
 
+bool parse_mode(std::string_view mode) {
+  if (mode == "subscribe") return true;
+  if (mode == "automatic") return false;
+  throw FieldError("unknown RegistryMode \"" + std::string(mode) + "\"");
+}
+
+// Whether sizes in the list can be compared.
+bool parse_weights(std::string_view weights) {
+  if (weights == "none") return false;
+  if (weights == "nominal" || weights == "rough" || weights == "live") return true;
+  throw FieldError("unknown Weights \"" + std::string(weights) + "\"");
+}
+
 RequestClass parse_class(const Json& item) {
   if (!item.IsObject()) bad("Services", "holds something that is not an object");
   RequestClass request_class;
   request_class.effect = parse_effect(text(item, "Effect"));
-  if (const Json* group = find(item, "Group")) request_class.group = parse_group(as_text(*group, "Group"));
+  // Guards against a keyed request that is repeated wherever it likes, for want of a word.
+  if (find(item, "Group") != nullptr || request_class.effect == Effect::kKeyed)
+    request_class.group = parse_group(text(item, "Group"));
   request_class.dedup_window = number_or(item, "DedupWindow", 0);
   request_class.aim = number(item, "Aim");
   request_class.deadline = number(item, "GiveUp");
@@ -77,10 +92,10 @@
   }
   settings.over_share_worth = number_or(object, "OverShareWorth", 1);
   if (const Json* mode = find(object, "RegistryMode")) {
-    settings.list_on_request = as_text(*mode, "RegistryMode") == "subscribe";
+    settings.list_on_request = parse_mode(as_text(*mode, "RegistryMode"));
   }
   if (const Json* weights = find(object, "Weights")) {
-    settings.sizes_listed = as_text(*weights, "Weights") != "none";
+    settings.sizes_listed = parse_weights(as_text(*weights, "Weights"));
   }
   const Json& allowed = fields::object(object, "Allowed");
   settings.probing = bool_or(allowed, "Probing", false);
--- a/tests/migrate_test.sh
+++ b/tests/migrate_test.sh
@@ -14,9 +14,10 @@
 }
 cat >old.json <<'JSON'
 {"name":"n3","listen":"127.0.0.4:8081","discovery":"127.0.0.5:8500","seed":"8c1f30d27a5be964",
- "settings":{"Instances":3,"RegistryMode":"subscribe",
+ "settings":{"Instances":3,"Me":0,"RegistryMode":"subscribe",
   "Services":[{"Name":"check","Aim":400,"GiveUp":1000,"Effect":"pure"}],
-  "Allowed":{"Probing":true,"Cancel":true,"MostTries":3},"Invariants":{"AskEvery":10000}}}
+  "Allowed":{"Probing":true,"Cancel":true,"MostTries":3,"ConnIdle":60000,"ConnectTimeout":200},
+  "Invariants":{"ColdShare":0.3,"WarmUp":9000,"FallMultiple":3,"Fall":1000,"AskEvery":10000}}}
 JSON
 cp old.json kept.json
 expect 3 "$shorelead" config migrate old.json --nodes 97 --index 3 --dry-run --output new.json
