A class that a reload dropped no longer measures the worth and aims of the others

Seen: after a reload that drops the dearest class, a node turned the others away at half of the load that it had borne had that class never been (8 requests taken at once instead of 16, by the test). ClassNumbers keeps dropped classes for open requests, and Context::change took most_worth and shortest_aim over all of them; most_worth was never lowered either. Ruled out: the class in force is weighed alike in both, as 16 in a node that never had the other shows.

Change: RequestClass::in_force, set by ClassNumbers::adopt; Context::change starts anew and passes over classes that are not in force. Effect, group and window of open requests stay theirs.

Result: crossings/settings_order_test.cpp, ADroppedClassIsNoMeasureForTheOthers, 8 -> 16; red without the line in Context::change.

--- a/src/node/class_numbers.h
+++ b/src/node/class_numbers.h
@@ -24,16 +24,18 @@
   std::vector<int> adopt(const Settings& settings, const HostSettings& host) {
     Settings next = settings;
     next.classes = settings_.classes;
+    for (RequestClass& one : next.classes) one.in_force = false;
     std::vector<int> numbers;
     for (std::size_t n = 0; n < settings.classes.size(); ++n) {
       std::size_t at = 0;
       while (at < next.classes.size() &&
-             (names_[at] != host.classes[n] || !(next.classes[at] == settings.classes[n])))
+             (names_[at] != host.classes[n] || !same(next.classes[at], settings.classes[n])))
         ++at;
       if (at == next.classes.size()) {
         next.classes.push_back(settings.classes[n]);
         names_.push_back(host.classes[n]);
       }
+      next.classes[at].in_force = true;
       numbers.push_back(static_cast<int>(at));
     }
     settings_ = next;
@@ -42,6 +44,11 @@
   }
 
  private:
+  static bool same(RequestClass before, const RequestClass& now) {
+    before.in_force = now.in_force;
+    return before == now;
+  }
+
   Settings settings_;
   std::vector<std::string> names_;
 };
--- a/src/policy/context.h
+++ b/src/policy/context.h
@@ -29,9 +29,10 @@
   Context(const Settings& s, std::uint64_t seed) : random(seed) { change(s); }
   void change(const Settings& changed) {
     settings = changed;
-    shortest_aim = settings.classes.empty() ? 0 : settings.classes[0].aim;
+    shortest_aim = 0, most_worth = 1e-9;
     for (const RequestClass& c : settings.classes) {
-      shortest_aim = std::min(shortest_aim, c.aim);
+      if (!c.in_force) continue;
+      shortest_aim = shortest_aim > 0 ? std::min(shortest_aim, c.aim) : c.aim;
       most_worth = std::max(most_worth, c.worth);
     }
     period = kPeriod;
@@ -64,7 +65,7 @@
   Random random;
   std::vector<Action>* out = nullptr;
   Millis shortest_aim = 0;
-  double most_worth = 1e-9;  // of any class
+  double most_worth = 0;  // of any class
   double sharing = 0;
 
   // Mean service time before any was seen.
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -33,6 +33,7 @@
   double worth = 1;
   double late_value = 0;  // share of the worth an answer between aim and deadline still earns
   bool streamed = false;
+  bool in_force = true;  // else only requests that are open are of it
 
   bool operator==(const RequestClass&) const = default;
 };
--- a/tests/crossings/settings_order_test.cpp
+++ b/tests/crossings/settings_order_test.cpp
@@ -9,7 +9,9 @@
 
 // Four backends that answer probes at once and hold on to requests.
 struct Held {
-  explicit Held(const Settings& settings) : facade(settings, host(), 1) { facade.start(list("ready"), now); }
+  explicit Held(const Settings& settings, const HostSettings& names = host()) : facade(settings, names, 1) {
+    facade.start(list("ready"), now);
+  }
 
   static Settings settings(bool parallel) {
     Settings s;
@@ -111,5 +113,31 @@
   for (const Choice& choice : due.choices) EXPECT_NE(choice.kind, Choice::Kind::kSend);
 }
 
+// A class that a reload drops makes no other one look cheap, nor does its aim bind any more.
+TEST(Settings, ADroppedClassIsNoMeasureForTheOthers) {
+  Settings cheap = Held::settings(false);
+  cheap.reports_with_answers = true;
+  cheap.probing = false;
+  Settings both = cheap;
+  both.classes.push_back(both.classes[0]);
+  both.classes[1].worth = 1000;
+  HostSettings names = Held::host();
+  names.classes.emplace_back("dear");
+  const auto taken = [](Facade& facade, Millis now) {
+    int count = 0;
+    while (count < 1000 && facade.pick(static_cast<RequestId>(count + 1), {0, 0, now + 1000}, now).kind ==
+                               Choice::Kind::kSend)
+      ++count;
+    return count;
+  };
+  Held never(cheap);
+  Held dropped(both, names);
+  Held still(both, names);
+  dropped.facade.adopt(cheap, Held::host(), dropped.now);
+  const int all = taken(never.facade, never.now);
+  EXPECT_EQ(taken(dropped.facade, dropped.now), all);
+  EXPECT_LT(taken(still.facade, still.now), all) << "beside a dear one it does give way";
+}
+
 }  // namespace
 }  // namespace shorelead::node
