A reload that fails when a pool is made leaves limits, shape and counts as they were

Seen: Server::reload put the new file's limits and shape in force and counted a load before Generations::follow made the pools; where that threw (keys of a registry that are of no use) the log said "the old one stays", while the node held to the new number of sockets (4,064 descriptors instead of 480) and figures showed both a load and an error. Ruled out: pools and routes, which follow() itself puts back.

Change: limits go back where the configuration is not taken up; shape and the count of loads follow only once it is.

Result: crossings/settings_reload_test.cpp, red on the former server.cpp (three figures differ), passes now; pools_test as before.

--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -194,23 +194,26 @@
   try {
     fresh = read();
     fresh->shape.covers(shape_);
-    shape_ = fresh->shape;
   } catch (const std::exception& error) {
     ++bad_reloads_;
     spdlog::error("configuration not reloaded, the old one stays: {}", error.what());
     return;
   }
-  ++reloads_;
-  limits_ = fresh->limits;
+  const Limits before = std::exchange(limits_, fresh->limits);
   flows_->state(flow_bytes());
-  if (fresh->pools.empty() && config_.pools.empty()) return generations_.adopt(*fresh);
-  spdlog::info("configuration reloaded, {} sockets", limits_.sockets);
   try {
-    generations_.follow(*fresh);
+    const bool adopts = fresh->pools.empty() && config_.pools.empty();
+    adopts ? generations_.adopt(*fresh) : generations_.follow(*fresh);
+    if (!adopts) spdlog::info("configuration reloaded, {} sockets", limits_.sockets);
   } catch (const std::exception& error) {
     ++bad_reloads_;
+    limits_ = before;
+    flows_->state(flow_bytes());
     spdlog::error("configuration not taken up, the old one stays: {}", error.what());
+    return;
   }
+  shape_ = std::move(fresh->shape);
+  ++reloads_;
 }
 
 void Server::log_counters() const {
