--- a/tests/crossings/attempts_test.cpp
+++ b/tests/crossings/attempts_test.cpp
@@ -142,6 +142,29 @@
   EXPECT_EQ(b.upstream.opened(), 1U);
 }
 
+// The same where nothing is under way there by then: it was a crash.
+TEST(Attempts, ALimitDoesNotReachAConnectionThatStandsUnused) {
+  Peer peer;
+  Backends b;
+  const auto message = b.by_parts(4);
+  b.send(peer, kLong);
+  Line there = peer.accept();
+  const auto answer = [&] {
+    EXPECT_FALSE(there.request().empty());
+    there.write(kEmptyOk);
+  };
+  b.loop.after(1, answer);
+  b.steps.push_back([&] {
+    message->flow->put("body");
+    message->flow->end();
+    b.send(peer, kSoon, message);
+    answer();
+  });
+  b.steps.push_back([&] { b.loop.after(3 * kSoon, [&] { b.loop.stop(); }); });
+  EXPECT_EQ(b.run(), Ending::kServed);
+  EXPECT_EQ(b.upstream.idle(), 1U);
+}
+
 // Answer and time-out in the same turn: more of it than one read takes.
 TEST(Attempts, ALongAnswerThatHasComeIsNotLate) {
   Peer peer;
