Lists: a call that failed at once is repeated within 4 s, a silent watch within 1 s

Need: a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call; silence is to be asked again, however often. Lists::retry doubled to 10 s give or take half after every failure, so that an outage of 8 s left waits of up to 15 s; at 300 nodes the first was 2.5 to 7.5 s. WatchWaits handed the second silence in a row to the module.

Tried in simulated time and ruled out: the bound of 4 s for every failure (one after 2 s in turn as well) and growth only after two or three such. Lists.AHundredNodesStartedAtOnceAllGetTheirWatch then ends with 33 to 52 of 100 nodes listed: discovery works on calls given up long ago.

Change: the module tells by the time a call took whether it was waiting in turn (0.2 to 4 s). One that was not cost discovery nothing: the wait ends at min(4 s, 5 x spread) and nodes keep their phase. One that was keeps the old rule: give or take half, growing to 10 s, now from the second in a row. A watch that fell silent, a call without a word (1 s at most) and one without a connection (3 s) are opened anew by the host each time. Pushed lists: up to 2 s more only where calls are turned away. kFirstCall and the cap of AskEvery/2 went into told_anew().

--- a/src/node/watch_waits.h
+++ b/src/node/watch_waits.h
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <utility>
 
 #include "base/millis.h"
 #include "net/stream.h"
@@ -14,38 +13,35 @@
 
 class WatchWaits {
  public:
-  // Pushed lists: the host alone asks, ever later while nothing comes.
+  // Pushed lists: the host alone asks. What is there counts from the first moment, so it asks soon where
+  // nobody is there to be kept busy, and ever later where calls are turned away.
   static constexpr Millis kLeast = 200;
   static constexpr Millis kMost = 2000;
-  // A watch that fell silent is not a call that failed: discovery may be well. What it misses counts as told
-  // 6 s after its last word, of which 3 s are needed to notice and 2 s are what discovery lets a call wait:
-  // the rest is what calls can be spread over.
+  // One that fell silent, or came to no word at all, is broken, however often: what it misses counts as told
+  // 6 s after its last word, of which 3 s are needed to notice and 2 s are what discovery lets a call wait.
+  // The rest is what calls can be spread over. One that waits too long there is told so, in words.
   static constexpr Millis kEachNode = 50;
   static constexpr Millis kMostAfterSilence = 1000;
+  static constexpr double kUnconnected = 3;  // times as long where no connection came up, known after 1 s
 
-  void told() {  // a list came
-    wait_ = 0;
-    again_ = false;
-  }
+  void told() { wait_ = 0; }              // a list came
   void reset() { *this = WatchWaits(); }  // discovery is another
 
   // In how long the host is to open it anew; none: the module says when. `asked`: lists are to be asked for;
   // `nodes`: that do so; `random` is of [0, 1).
   std::optional<Millis> ended(net::Ending ending, bool asked, int nodes, double random) {
-    if (asked) {
-      // Once: where the next one says nothing either, discovery is not well. A call without any word
-      // (kTimeout) is as broken as a watch: one that waits too long is told so, within those 2 s.
-      const bool silent = ending == net::Ending::kSilent || ending == net::Ending::kTimeout;
-      if (!silent || std::exchange(again_, true)) return std::nullopt;
-      return random * std::min(kEachNode * nodes, kMostAfterSilence);
-    }
-    wait_ = std::clamp(wait_ * 2, kLeast, kMost);
+    using net::Ending;
+    const Millis spread = std::min(kEachNode * nodes, kMostAfterSilence);
+    if (ending == Ending::kSilent || ending == Ending::kTimeout) return spread * random;
+    if (ending == Ending::kConnectTimeout) return (asked ? kUnconnected : 1) * spread * random;
+    if (asked) return std::nullopt;
+    const Millis most = ending == Ending::kTurnedAway ? kMost : std::max(kLeast, spread);
+    wait_ = std::clamp(wait_ * 2, kLeast, most);
     return wait_ * (0.5 + random);
   }
 
  private:
   Millis wait_ = 0;
-  bool again_ = false;  // one that fell silent was opened anew, and nothing came since
 };
 
 }  // namespace shorelead::node
--- a/src/policy/lists.h
+++ b/src/policy/lists.h
@@ -9,21 +9,20 @@
 
 namespace shorelead::policy {
 
-constexpr Millis kListRetryMin = 200;    // first wait before asking for the list again; doubles, with jitter
-constexpr Millis kListRetryMax = 10000;  // longest such wait
-constexpr double kListCalls = 20;        // calls a second that the list service is taken to bear
-constexpr double kFirstCall = 0.75;  // within this part of the time after which an old list counts as told
+constexpr Millis kListRetryMin = 200;    // least wait before asking for the list again; doubles
+constexpr Millis kListRetryMost = 4000;  // longest: with a call's 2 s, as long as news is not held to be told
+constexpr Millis kListBehindMost = 10000;  // the same while the list service is behind with its calls
+constexpr double kListCalls = 20;          // calls a second that it is taken to bear
 
 class Lists {
  public:
   explicit Lists(Context& context) : c_(context) {}
   void start() {
     if (!c_.settings.list_on_request) return;
-    const Millis most = c_.settings.ask_every > 0 ? kFirstCall * c_.settings.ask_every : spread();
-    c_.timer(kListTimer, c_.now + c_.random.unit() * std::min(spread(), most));
+    c_.timer(kListTimer, c_.now + c_.random.unit() * std::min(spread(), 0.75 * told_anew()));
   }
   void ask() {
-    if (c_.settings.list_on_request && !std::exchange(asked_, true)) c_.act(SubscribeList{});
+    if (c_.settings.list_on_request && asked_at_ < 0) c_.act(SubscribeList{}), asked_at_ = c_.now;
   }
   // Takes a list in. Of each entry in turn `named` is told the backend, and whether it is new or returned.
   template <typename Named>
@@ -37,8 +36,7 @@
     for (const BackendEntry& entry : update.entries) {
       const BackendId i = entry.backend;
       if (i >= entries_.size()) entries_.resize(i + std::size_t{1}, {.state = BackendState::kGone});
-      if (whole && i >= still.size()) still.resize(i + std::size_t{1});
-      if (whole) still[i] = 1;
+      if (whole) still.resize(std::max(still.size(), i + std::size_t{1})), still[i] = 1;
       BackendEntry& e = entries_[i];
       const bool returned = entry.state == BackendState::kReady && (!ready(i) || e.started != entry.started);
       e = entry;
@@ -46,9 +44,8 @@
       by_tag_[entry.tag] = i;
       named(i, returned);
     }
-    for (std::size_t i = 0; i < still.size(); ++i) {
+    for (std::size_t i = 0; i < still.size(); ++i)
       if (!still[i]) entries_[i].state = BackendState::kGone;
-    }
   }
 
   std::size_t size() const { return entries_.size(); }
@@ -63,22 +60,28 @@
   }
 
  private:
-  // Again, ever later, not in step with other nodes, and before an old list counts as told anew.
+  // Again, soon, and not in step with other nodes; later and later if calls that waited show it to be behind.
   void retry() {
-    const Millis told_anew = c_.settings.ask_every;
-    const Millis most = std::min(kListRetryMax, told_anew > 0 ? told_anew : kListRetryMax);
-    wait_ = std::clamp(wait_ * 2, std::min(std::max(kListRetryMin, spread()), most / 2), most);
-    asked_ = false;
-    c_.timer(kListTimer, c_.now + wait_ * (0.5 + c_.random.unit()));
+    waited_ = c_.now > asked_at_ + kListRetryMin && c_.now < asked_at_ + kListRetryMost ? waited_ + 1 : 0;
+    const Millis soon = std::min({kListRetryMost, 5 * spread(), 2 * told_anew()});
+    const Millis least = std::min({spread(), told_anew() / 2, waited_ > 0 ? kListBehindMost / 2 : soon});
+    const Millis most = waited_ > 1 ? std::min(kListBehindMost, told_anew()) : std::max(soon, least);
+    const double any = c_.random.unit();
+    const double part = waited_ > 0 ? 0.5 + any : wait_ >= soon ? 0.9 + 0.1 * any : any;
+    wait_ = std::clamp(wait_ * 2, least, most);
+    asked_at_ = -1e9;
+    c_.timer(kListTimer, c_.now + wait_ * part);
   }
+  Millis told_anew() const { return c_.settings.ask_every > 0 ? c_.settings.ask_every : 1e9; }
   // Calls are spread over what the list service bears: one that is behind works on calls given up long ago.
-  Millis spread() const { return c_.stated_nodes() / kListCalls * 1000; }
+  Millis spread() const { return std::max(kListRetryMin, c_.stated_nodes() / kListCalls * 1000); }
 
   Context& c_;
   std::vector<BackendEntry> entries_;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
   Millis wait_ = 0;
-  bool asked_ = false;  // a subscription stands, or is under way
+  int waited_ = 0;          // calls in a row that failed after a wait
+  Millis asked_at_ = -1e9;  // for the subscription that stands, or is under way
 };
 
 }  // namespace shorelead::policy
