Lists: what came whole counts however its answer ends, and a lower number asks for all

Seen by playing each ending of an answer against Discovery step by step: four lists were dropped, each call after call. Discovery::on_input read chunks alone, so an answer with a stated length brought nothing; the last list of an answer that ended without a line end stayed in ListStream; a list of over 64 KiB, which is read in slices, went with its connection when the answer had ended (Discovery::leave); and changes numbered below the list in force, as another discovery tells them after a move, were put on top of it (Discovery::take). Ruled out by the same table: silence before the first byte, in half a head, after a head, in half a chunk and half a list; resets there and between changes; ends instead of news; a head that trickles in (ended by the wait for the call, which no byte of a head prolongs); half a line followed by signs of life; a 503 cut off; a refusal; a move in the middle of an answer. Each ends the watch once, with what came whole taken in.

Change: the four in on_input, on_end and take.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -80,15 +80,15 @@
   }
   if (state == Parser::State::kBody) expect(waits_.silence, Ending::kSilent);
   last_told_ = loop_.now();
-  const std::string part = parser_.take_decoded();
+  // In chunks, or with a stated length as an answer that is no watch.
+  const std::string part = parser_.take_decoded() + parser_.take_body(stream.input());
   come_.put(part);
-  const Place done = parser_.take_consumed();
-  stream.input().erase(done.at, done.size);
+  if (state == Parser::State::kDone) come_.put("\n");  // with the answer its last list ends, too
   take_lists();
   if (!stream_) return;  // one that could not be read ended the watch
   if (!part.empty() && come_.held() == 0 && !reader_) listed_ = true;
   if (come_.held() > kMostBytes) return end(Ending::kMalformed);
-  if (state == Parser::State::kDone) end(Ending::kPeerClosed);
+  if (state == Parser::State::kDone) on_end(stream, Ending::kPeerClosed);
 }
 
 void Discovery::take_lists() {
@@ -131,6 +131,12 @@
 }
 
 void Discovery::take(const List& list) {
+  if (!list.whole && list.version < version_) {
+    spdlog::warn("discovery: changes numbered {} after {}: not the one that told the list", list.version,
+                 version_);
+    version_ = 0;  // the next watch brings the whole list
+    return end(Ending::kMalformed);
+  }
   version_ = list.version;
   listed_ = true;
   listener_.changed(list);
@@ -142,7 +148,14 @@
   end(Ending::kMalformed);
 }
 
-void Discovery::on_end(Stream&, Ending ending) { end(ending); }
+// A list that came whole counts, read or not.
+void Discovery::on_end(Stream&, Ending ending) {
+  while (stream_ && reader_) {
+    loop_.cancel(slice_);
+    read_slice();
+  }
+  end(ending);
+}
 
 void Discovery::leave() {
   loop_.cancel(deadline_);
