--- a/src/policy/retries.h
+++ b/src/policy/retries.h
@@ -84,8 +84,7 @@
     for (const Attempt& a : r.attempts) {
       if (!a.may_have_run) continue;
       if (c_.now - a.sent.at >= c.dedup_window) return false;
-      const BackendEntry& there = lists_[a.backend];
-      const BackendEntry& here = lists_[i];
+      const BackendEntry &there = lists_[a.backend], &here = lists_[i];
       if (c.group == DedupGroup::kZone && here.zone != there.zone) return false;
       if (c.group == DedupGroup::kCell && (here.cell != there.cell || here.zone != there.zone)) return false;
     }
