A client's end is looked for right before each attempt is written

Seen: a client's end and its backend's failure that are found in one turn of the loop, the failure first: the further attempt went out for nobody. An end behind input that is held back (over 128 KiB ahead) was not noticed until the answer, and Stream::ended saw none behind any unread byte. Ruled out: ends that are read before the attempt's cause; those were handled (on_end). At fault: Upstream's may_write asked the module alone; Stream::peek.

Change: Pool asks its host right before the write whether the client still waits (Client::still_waits); unread bytes in front of the end: the connection's state (TCP_INFO) tells. No further system call where the client was looked at within 1 ms, as for a first attempt right after its parse. The end is handled as on_end does, in a turn of its own. On the way: Upload counted the whole clock as held back where its first part filled the flow before any hold. Split by what they own: net/ending, node/lingering, node/upload, node/client_waits.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -102,6 +102,7 @@
 
   void want_read(bool wanted);
   void want_write(bool wanted);
+  bool reads() const { return reading_; }
 
  private:
   void enroll(bool reading, bool writing);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -23,48 +23,6 @@
 
 std::atomic<int> Stream::open_count_{0};
 
-const char* name_of(Ending ending) {
-  switch (ending) {
-    case Ending::kServed:
-      return "served";
-    case Ending::kErred:
-      return "erred";
-    case Ending::kTurnedAway:
-      return "turned_away";
-    case Ending::kRefused:
-      return "refused";
-    case Ending::kConnectTimeout:
-      return "connect_timeout";
-    case Ending::kNoDescriptor:
-      return "no_descriptor";
-    case Ending::kBrokenUnsent:
-      return "broken_unsent";
-    case Ending::kStoppedUnsent:
-      return "stopped_unsent";
-    case Ending::kBroken:
-      return "broken";
-    case Ending::kMalformed:
-      return "malformed";
-    case Ending::kTimeout:
-      return "timeout";
-    case Ending::kCalledOff:
-      return "called_off";
-    case Ending::kPeerClosed:
-      return "peer_closed";
-    case Ending::kIdle:
-      return "idle";
-    case Ending::kEvicted:
-      return "evicted";
-    case Ending::kSilent:
-      return "silent";
-    case Ending::kDone:
-      return "done";
-    case Ending::kNotSent:
-      return "not_sent";
-  }
-  return "unknown";
-}
-
 Stream::Stream(Loop& loop, Handler& handler, int fd)
     : loop_(loop), handler_(handler), socket_(std::make_unique<Descriptor>(fd)), connected_(true) {
   const int on = 1;
@@ -135,7 +93,28 @@
 
 bool Stream::quiet() const { return open() && input_.empty() && peek() == Peek::kNothing; }
 
-bool Stream::ended() const { return !open() || peek() == Peek::kEnd; }
+bool Stream::ended() const {
+  if (!open()) return true;
+  const Peek found = peek();
+  return found == Peek::kEnd || (found == Peek::kData && end_has_come());
+}
+
+// Behind bytes that nobody has read, the connection's state alone shows it.
+bool Stream::end_has_come() const {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(fd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return false;
+  switch (info.tcpi_state) {
+    case TCP_CLOSE_WAIT:
+    case TCP_LAST_ACK:
+    case TCP_CLOSING:
+    case TCP_TIME_WAIT:
+    case TCP_CLOSE:
+      return true;
+    default:
+      return false;
+  }
+}
 
 Stream::Peek Stream::peek() const {
   char byte = 0;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -13,39 +13,11 @@
 #include <string>
 #include <string_view>
 
+#include "net/ending.h"
 #include "net/loop.h"
 
 namespace shorelead::net {
 
-// Every way in which a connection, or what was under way on one, can end. What it means to the module is said
-// in one place, the facade.
-enum class Ending {
-  // An answer came whole.
-  kServed,      // 200
-  kErred,       // 500, or any other answer that does not exclude that the request ran
-  kTurnedAway,  // 503 or 504 that says the request was not processed
-  // No answer, and the request's last byte was never written.
-  kRefused,         // the other side's machine turned the connection down, or no way leads there
-  kConnectTimeout,  // the connection did not come up in time
-  kNoDescriptor,    // this node had no descriptor left for it
-  kBrokenUnsent,    // the connection broke
-  kStoppedUnsent,   // this node gave up
-  // No answer, and the request was written whole.
-  kBroken,     // the connection broke or ended, within the answer too
-  kMalformed,  // what came is no answer
-  kTimeout,    // nothing came in time
-  kCalledOff,  // this node gave up
-  // Nothing was under way, or this side ended it.
-  kPeerClosed,  // the other side closed between messages, or a client went away
-  kIdle,        // stood idle for long enough
-  kEvicted,     // made room for another
-  kSilent,      // a watch went without its sign of life
-  kDone,        // closed as agreed, after the last answer
-  kNotSent,     // an attempt that never got a connection: its request was over or its time was up
-};
-
-const char* name_of(Ending ending);
-
 class Stream : public Watch::Handler {
  public:
   class Handler {
@@ -86,8 +58,10 @@
   void read_now() { on_readable(); }
   // Whether nothing, not even an end, has come in on a connection that ought to be quiet.
   bool quiet() const;
-  // Whether the other side has closed by now, behind all that was taken in.
+  // Whether the other side has closed by now; behind what was not taken in yet only where the system tells
+  // it.
   bool ended() const;
+  bool paused() const { return open() && !watch_->reads(); }  // input is held back: its end goes unnoticed
   // Closes if quiet, with next to no time in between: what came in then would be lost. False if it is not.
   bool close_quiet();
   void reset_on_close();     // the other side is to see that it was no orderly end
@@ -104,6 +78,7 @@
   void fail(Ending ending);
   enum class Peek { kNothing, kData, kEnd };
   Peek peek() const;
+  bool end_has_come() const;
   int fd() const { return socket_->impl()->sockfd(); }
 
   Loop& loop_;
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -10,23 +10,14 @@
 namespace {
 
 constexpr std::size_t kMostAhead = 131072;  // bytes taken of what follows the request at hand
-constexpr std::size_t kMostLeft = 1048576;  // and of what follows the last answer
-constexpr double kLeastRate = 32;           // bytes a ms: of a body, what a client has to bring on the whole
+constexpr Millis kSeen = 1;                 // for so long a look at whether it is there stands
 
 }  // namespace
 
-bool Client::dispensable(Millis now, Millis speak) const {
-  if (state == State::kClosing) return stream.flushed();
-  return idle() && (used || now - last_used >= speak);
-}
-
 void Client::on_input(Stream&) {
   if (state == State::kClosing) {
-    left_ += stream.input().size();
-    stream.input().clear();
-    input_at = loop_.now();
-    // Guards against work for a client that sends on without end.
-    if (left_ > (cut_short ? net::kMostLength : kMostLeft)) host_.forget(*this);
+    const std::size_t size = std::exchange(stream.input(), {}).size();
+    if (!lingering.drop(size, loop_.now())) host_.forget(*this);
     return;
   }
   input_at = loop_.now() - stream.waited();
@@ -52,12 +43,7 @@
     if (parsed == Parser::State::kBody && message->parser.large()) begin_upload();
     return;
   }
-  // Guards against sending on for a client that left while its request lay unread: that end came right
-  // behind.
-  if (stream.ended()) {
-    host_.left_early();
-    return host_.forget(*this);
-  }
+  if (left_while_unread()) return;
   // The message keeps its bytes, whatever comes in after them.
   const std::size_t size = message->parser.size();
   std::string rest = input.size() > size ? input.substr(size) : std::string();
@@ -71,13 +57,34 @@
   host_.begin(*this);
 }
 
+// Guards against sending on for a client that left while its request lay unread: that end came right behind.
+bool Client::left_while_unread() {
+  looked_at_ = loop_.now();
+  if (!stream.ended()) return false;
+  host_.left_early();
+  host_.forget(*this);
+  return true;
+}
+
+bool Client::still_waits() {
+  if (!stream.open()) return false;
+  const Millis now = loop_.now();
+  if (now - looked_at_ < kSeen) return true;
+  if (!stream.ended()) {
+    looked_at_ = now;
+    return true;
+  }
+  // Not from within the caller, who is busy with this very request.
+  loop_.later([this, hold = shared_from_this()] {
+    if (stream.open()) on_end(stream, Ending::kPeerClosed);
+  });
+  return false;
+}
+
 // ---- a request's body that comes by parts ----
 
 void Client::begin_upload() {
-  if (stream.ended()) {
-    host_.left_early();
-    return host_.forget(*this);
-  }
+  if (left_while_unread()) return;
   used = true;
   stand_unused(false);
   state = State::kWaiting;
@@ -89,19 +96,15 @@
   message->raw = std::exchange(stream.input(), {});
   std::string first = message->parser.take_body(message->raw);
   keep_alive_ = message->head().keep_alive;
-  upload = message->flow = std::make_shared<net::Flow>(flows, message->parser.length());
-  upload->put(std::move(first));
-  upload->set_source({[this] {
-                        held_ += loop_.now() - std::exchange(held_at_, 0);
-                        stream.want_input(true);
-                      },
-                      {}});
+  message->flow = std::make_shared<net::Flow>(flows, message->parser.length());
+  message->flow->put(std::move(first));
+  upload = std::make_shared<Upload>(loop_, stream, message->flow);
   host_.begin(*this);
 }
 
 void Client::take_upload() {
   const std::shared_ptr<Client> hold = shared_from_this();
-  const std::shared_ptr<net::Flow> flow = upload;
+  const std::shared_ptr<Upload> taking = upload;
   message->raw += std::exchange(stream.input(), {});
   const Parser::State parsed = message->parser.advance(message->raw);
   if (parsed == Parser::State::kBad) {
@@ -112,19 +115,9 @@
     stream.input() = message->raw.substr(message->parser.size());
     message->raw.resize(message->parser.size());
     host_.whole(*this);
-    flow->put(std::move(part));
-    return flow->end();
+    return taking->end(std::move(part));
   }
-  flow->put(std::move(part));
-  if (!flow->full() || !uploading()) return;
-  held_at_ = loop_.now();
-  stream.want_input(false);
-}
-
-bool Client::slow(Millis now, Millis head) const {
-  if (held_at_ > 0) return false;
-  const auto come = static_cast<double>(upload ? upload->passed() : stream.held());
-  return now - begun_at - held_ >= head + come / kLeastRate;
+  taking->put(std::move(part));
 }
 
 // ---- answers ----
@@ -157,8 +150,7 @@
 
 void Client::leave_bodies() {
   if (upload) {
-    upload->set_source({});
-    upload->cut();
+    upload->leave();
     upload.reset();
   }
   if (passing) {
@@ -204,17 +196,13 @@
 void Client::answered(bool bye) {
   leave_bodies();
   request = 0;
-  begun_at = held_ = held_at_ = 0;
+  begun_at = 0;
   told_to_go_on_ = false;
   last_used = loop_.now();
   answered_before = true;
   stand_unused(!bye);
   if (bye) {
-    // Closed by halves: with bytes unread, a close would reset the connection and take the answer along.
-    state = State::kClosing;
-    stream.want_input(true);
-    if (stream.flushed()) stream.close_sending();
-    return;
+    return end_sending();
   }
   state = State::kReading;
   host_.free_again();
@@ -227,6 +215,14 @@
   });
 }
 
+// By halves: with bytes unread, a close would reset the connection and take the answer along.
+void Client::end_sending() {
+  state = State::kClosing;
+  lingering.begin(loop_.now(), cut_short);
+  stream.want_input(true);
+  if (stream.flushed()) stream.close_sending();
+}
+
 void Client::on_flushed(Stream&) {
   if (state == State::kPassing) return pump();
   if (state == State::kClosing) stream.close_sending();
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -9,8 +9,10 @@
 #include "manage/figures.h"
 #include "net/flow.h"
 #include "node/answer_words.h"
+#include "node/lingering.h"
 #include "node/net.h"
 #include "node/passing.h"
+#include "node/upload.h"
 #include "policy/policy.h"
 
 namespace shorelead::node {
@@ -43,13 +45,7 @@
 
   // Between requests, as far as has been read.
   bool idle() const { return state == State::kReading && begun_at == 0; }
-  // Little is lost if it is closed now: it had its answer and asks for nothing yet, or it has connected and
-  // said nothing for longer than `speak`, as one does who has something to ask.
-  bool dispensable(Millis now, Millis speak) const;
   bool uploading() const { return upload != nullptr && !upload->ended(); }
-  // Whether the client brings less than the least rate, `head` ms after it began, for what it has brought so
-  // far; while this node holds it back, time stands.
-  bool slow(Millis now, Millis head) const;
 
   void answer(const Refusal& words, bool end);
   void answer(int status, const char* words, Millis wait, bool end) {
@@ -57,6 +53,9 @@
   }
   void pass(const Message& message);
   void pass_on(const Message& answer, std::shared_ptr<net::Flow> flow);  // while it comes
+  // Whether it still waits for its answer: looked at just before an attempt is written, so that none begins
+  // for one whose end has come in but was not taken in yet. If not, its end is handled next.
+  bool still_waits();
   void leave_bodies();             // both end with the request or the connection
   void stand_unused(bool unused);  // counts it among those that have asked and stand unused, or no longer
 
@@ -70,11 +69,12 @@
   Millis begun_at = 0;  // when the request at hand began to come in; 0 = none has
   Millis input_at = 0;  // when the system took in what was read last
   Millis last_used = 0;
-  bool taken = false;                 // the request is in the ledger
-  Millis wait = 0;                    // that its client named
-  std::shared_ptr<net::Flow> upload;  // its body
-  std::shared_ptr<Passing> passing;   // the answer's
-  bool cut_short = false;             // it was answered in the middle of its body, and may send for a while
+  bool taken = false;                // the request is in the ledger
+  Millis wait = 0;                   // that its client named
+  std::shared_ptr<Upload> upload;    // its body, where that comes by parts
+  std::shared_ptr<Passing> passing;  // the answer's
+  bool cut_short = false;            // its body comes, or came, by parts: it may be answered in the middle
+  Lingering lingering;               // once it is closing
 
  private:
   void on_input(Stream&) override;
@@ -85,6 +85,8 @@
   void take_upload();
   void pump();
   bool last() const;
+  bool left_while_unread();
+  void end_sending();
   void answered(bool bye);
 
   Loop& loop_;
@@ -92,9 +94,7 @@
   bool keep_alive_ = true;
   bool counted_ = false;  // among the unused
   bool told_to_go_on_ = false;
-  std::size_t left_ = 0;  // bytes that came after the last answer
-  Millis held_ = 0;       // for so long this node held the body back
-  Millis held_at_ = 0;    // and does since then
+  Millis looked_at_ = 0;  // when it was last seen that its end has not come
 };
 
 }  // namespace shorelead::node
--- /dev/null
+++ b/src/node/client_waits.cpp
@@ -0,0 +1,41 @@
+#include "node/client_waits.h"
+
+namespace shorelead::node {
+namespace {
+
+constexpr double kLeastRate = 32;      // bytes a ms: of a body, what a client has to bring on the whole
+constexpr Millis kStandstill = 10000;  // for which a client may take nothing of an answer
+
+}  // namespace
+
+bool ClientWaits::dispensable(const Client& client, Millis now) const {
+  if (!client.stream.flushed()) return false;
+  if (client.state == Client::State::kClosing) return true;
+  return client.idle() && (client.used || now - client.last_used >= speak);
+}
+
+bool ClientWaits::slow(const Client& client, Millis now) const {
+  const auto& upload = client.upload;
+  if (upload && upload->holds_back()) return false;
+  const auto come = static_cast<double>(upload ? upload->passed() : client.stream.held());
+  return now - client.begun_at - (upload ? upload->held() : 0) >= request + come / kLeastRate;
+}
+
+bool ClientWaits::overdue(const Client& client, Millis now, manage::DrainState drain, bool roomy) const {
+  switch (client.state) {
+    case Client::State::kWaiting:
+      return client.uploading() && slow(client, now);
+    case Client::State::kPassing:
+      return !client.stream.flushed() && now - client.passing->moved_at() >= kStandstill;
+    case Client::State::kClosing:
+      return client.lingering.over(now);
+    case Client::State::kReading:
+      break;
+  }
+  if (client.begun_at > 0) return slow(client, now);
+  if (drain == manage::DrainState::kDrained) return client.used || now - client.last_used >= speak;
+  const Millis most = !client.used ? request : roomy ? idle : idle_crowded;
+  return now - client.last_used >= most;
+}
+
+}  // namespace shorelead::node
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -10,8 +10,6 @@
 // to get there.
 constexpr Millis kTransit = 5;
 constexpr double kTransitShare = 0.1;  // but no more than this part of the wait
-constexpr Millis kLinger = 1000;       // for a client to close after its last answer
-constexpr Millis kStandstill = 10000;  // for which a client may take nothing of an answer
 
 }  // namespace
 
@@ -102,6 +100,11 @@
   return it == waiting_.end() ? nullptr : it->second;
 }
 
+bool Front::still_waits(RequestId request) {
+  Client* const client = waiting(request);
+  return client != nullptr && client->still_waits();
+}
+
 void Front::serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow) {
   Client* const client = waiting(request);
   if (client == nullptr) return;
@@ -128,7 +131,7 @@
   const Millis now = loop_.now();
   std::vector<Client*> spare;
   for (const auto& [client, hold] : clients_) {
-    if (client->dispensable(now, waits_.speak)) spare.push_back(client);
+    if (waits_.dispensable(*client, now)) spare.push_back(client);
   }
   // Who never asked for anything first, then who has not for longest.
   const auto after = [](const Client* a, const Client* b) {
@@ -206,28 +209,18 @@
   if (intake_.paused()) loop_.later([this] { intake_.look_for_room(); });
 }
 
-bool Front::overdue(const Client& client, Millis now) const {
-  if (client.state == Client::State::kWaiting) return client.uploading() && client.slow(now, waits_.request);
-  if (client.state == Client::State::kPassing)
-    return !client.stream.flushed() && now - client.passing->moved_at() >= kStandstill;
-  if (client.state == Client::State::kClosing) {
-    // One that was answered in the middle of its body may have to send for a while before it reads.
-    return now - (client.cut_short ? std::max(client.last_used, client.input_at) : client.last_used) >=
-           kLinger;
-  }
-  if (client.begun_at > 0) return client.slow(now, waits_.request);
-  if (drain_ == manage::DrainState::kDrained) return client.used || now - client.last_used >= waits_.speak;
-  const Millis most = !client.used ? waits_.request : listener_.roomy() ? waits_.idle : waits_.idle_crowded;
-  return now - client.last_used >= most;
-}
-
 // Guards against clients that hold a connection and ask for nothing, or never for all of it.
 void Front::sweep() {
   readings_.forget_past(loop_.now());
   const Millis now = loop_.now();
+  const bool roomy = clients_.empty() || listener_.roomy();
   std::vector<std::shared_ptr<Client>> found;
   for (const auto& [client, hold] : clients_) {
-    if (overdue(*client, now)) found.push_back(hold);
+    if (waits_.overdue(*client, now, drain_, roomy)) {
+      found.push_back(hold);
+    } else if (client->stream.paused()) {
+      client->still_waits();
+    }
   }
   for (const auto& client : found) {
     if (client->state == Client::State::kClosing || client->state == Client::State::kPassing) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -14,6 +14,7 @@
 #include "manage/drain.h"
 #include "manage/figures.h"
 #include "node/client.h"
+#include "node/client_waits.h"
 #include "node/config.h"
 #include "node/facade.h"
 #include "node/intake.h"
@@ -46,17 +47,7 @@
     std::shared_ptr<net::FlowBudget> flows = nullptr;  // for bodies not kept whole; none: those are refused
   };
 
-  struct Waits {
-    // For the first request on a connection, and for the head of one that has begun; its body has as much
-    // longer as it takes at the least rate. Slower clients than those of two seconds for a head are taken for
-    // dead.
-    Millis request = 2500;
-    Millis idle = 300000;        // for the next one
-    Millis idle_crowded = 2000;  // the same where many connections are open
-    Millis speak = 250;  // a new client that has said nothing for so long gives way where room is short
-    Millis sweep = 250;  // how often all these are looked after
-  };
-
+  using Waits = ClientWaits;
   using Entry = node::Entry;
 
   // Throws Poco::Exception where the address cannot be listened on.
@@ -66,6 +57,8 @@
         const Waits& waits);
   ~Front() override;
 
+  // Whether its client is still there: looked at just before anything of it is sent on.
+  bool still_waits(RequestId request);
   // Final answers. To a client that is gone they are nothing.
   void serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow);  // flow: of its body
   void refuse(RequestId request, const Refusal& words);
@@ -113,7 +106,6 @@
   void take(Client& client);  // into the ledger, once its last byte has come
   Client* waiting(RequestId request);
   void close_idle(bool only_used);
-  bool overdue(const Client& client, Millis now) const;
   void sweep();
 
   Loop& loop_;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -33,19 +33,20 @@
   const auto purpose = [](bool probe) { return probe ? limits::Purpose::kProbe : limits::Purpose::kRequest; };
   upstream_ = std::make_unique<Upstream>(
       loop_, config.settings.connect_timeout, config.host.idle_timeout, config.host.settle, std::move(flows),
-      Upstream::Listener{[this](RequestId request, int attempt, const Result& result) {
-                           attempt_done(request, attempt, result);
-                         },
-                         [this](BackendId backend, const Result& result) {
-                           ++probe_endings_[result.ending];
-                           spdlog::debug("probe {} {} {:.1f} ms", facade_.host(backend),
-                                         name_of(result.ending), result.elapsed);
-                           facade_.report_probe(backend, result.ending, result.elapsed,
-                                                result.load ? &*result.load : nullptr, loop_.now());
-                         },
-                         [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
-                         [this, purpose](bool probe) { return host_.keep(purpose(probe)); },
-                         [this](RequestId request) { return facade_.may_write(request); }});
+      Upstream::Listener{
+          [this](RequestId request, int attempt, const Result& result) {
+            attempt_done(request, attempt, result);
+          },
+          [this](BackendId backend, const Result& result) {
+            ++probe_endings_[result.ending];
+            spdlog::debug("probe {} {} {:.1f} ms", facade_.host(backend), name_of(result.ending),
+                          result.elapsed);
+            facade_.report_probe(backend, result.ending, result.elapsed,
+                                 result.load ? &*result.load : nullptr, loop_.now());
+          },
+          [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
+          [this, purpose](bool probe) { return host_.keep(purpose(probe)); },
+          [this](RequestId request) { return facade_.may_write(request) && host_.still_waits(request); }});
   source_ = std::make_unique<BoxSource>(
       loop_, config, seed,
       BoxSource::Listener{[this](const List& list, ListSource from) {
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -29,6 +29,7 @@
     std::function<void(RequestId, int status)> fail;
     std::function<bool(limits::Purpose)> make_room;
     std::function<bool(limits::Purpose)> keep;
+    std::function<bool(RequestId)> still_waits;  // its client; asked just before an attempt is written
   };
 
   Pool(Loop& loop, const PoolConfig& config, std::uint64_t seed, std::shared_ptr<net::FlowBudget> flows,
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -100,6 +100,7 @@
   };
   host.make_room = [this](limits::Purpose purpose) { return room_.make(purpose, *front_); };
   host.keep = [this](limits::Purpose purpose) { return room_.keep(purpose); };
+  host.still_waits = [this](RequestId request) { return front_->still_waits(request); };
   // Pools of one node must not draw the same numbers; a node of one pool draws as it always has.
   const std::uint64_t seed = whole.pools.size() <= 1 ? whole.seed : whole.seed ^ subset::hash_of(config.name);
   return std::make_shared<Pool>(loop_, config, seed, flows_, std::move(host));
--- /dev/null
+++ b/src/node/upload.cpp
@@ -0,0 +1,35 @@
+#include "node/upload.h"
+
+#include <utility>
+
+namespace shorelead::node {
+
+Upload::Upload(Loop& loop, Stream& stream, std::shared_ptr<net::Flow> flow)
+    : loop_(loop), stream_(stream), flow_(std::move(flow)) {
+  flow_->set_source({[this] {
+                       if (held_at_ > 0) held_ += loop_.now() - std::exchange(held_at_, 0);
+                       stream_.want_input(true);
+                     },
+                     {}});
+}
+
+// What takes the part may end the request, and this with it; whoever calls holds it.
+void Upload::put(std::string part) {
+  flow_->put(std::move(part));
+  if (!flow_->full() || flow_->ended() || left_) return;
+  held_at_ = loop_.now();
+  stream_.want_input(false);
+}
+
+void Upload::end(std::string last) {
+  flow_->put(std::move(last));
+  flow_->end();
+}
+
+void Upload::leave() {
+  left_ = true;
+  flow_->set_source({});
+  flow_->cut();
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/tests/crossings/backends.h
@@ -0,0 +1,169 @@
+// Backends that a test scripts by path, behind one listening socket, with a record of every request that came
+// whole and when; and a hold on the node's thread, so that what happens meanwhile is found in one turn.
+#pragma once
+
+#include <poll.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <semaphore>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "node_case.h"
+
+namespace shorelead::node {
+
+inline double steady_ms() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration<double, std::milli>(now).count();
+}
+
+class Backends {
+ public:
+  struct Seen {
+    std::string path;
+    double at = 0;
+  };
+
+  // Requests for paths that hold `hangs` wait until break_held(); all others are served at once.
+  explicit Backends(std::string hangs) : hangs_(std::move(hangs)), thread_([this] { run(); }) {}
+  ~Backends() {
+    {
+      const std::lock_guard lock(mutex_);
+      stopped_ = true;
+    }
+    door_.stop();
+    thread_.join();
+    for (const auto& [fd, text] : texts_) ::close(fd);
+  }
+
+  // All behind one socket: to the node they are different ones.
+  void join(Node& node, int hosts) const {
+    for (int n = 0; n < hosts; ++n) node.know("s-" + std::to_string(n), door_);
+  }
+  std::size_t count(const std::string& part) {
+    const std::lock_guard lock(mutex_);
+    return count_now(part);
+  }
+  std::vector<Seen> seen() {
+    const std::lock_guard lock(mutex_);
+    return seen_;
+  }
+  // Until so many requests whose path holds `part` have come.
+  void await(const std::string& part, std::size_t requests) {
+    std::unique_lock lock(mutex_);
+    const auto all = [&] { return count_now(part) >= requests; };
+    EXPECT_TRUE(come_.wait_for(lock, std::chrono::seconds(kHangSeconds), all)) << part << " hangs";
+  }
+  // Ends the connections of those who wait, with no answer. Their ends are on the way when this returns.
+  void break_held() {
+    const std::lock_guard lock(mutex_);
+    for (const int fd : held_) ::shutdown(fd, SHUT_RDWR);
+    held_.clear();
+  }
+  void serve_held() {
+    const std::lock_guard lock(mutex_);
+    for (const int fd : held_) say(fd);
+    held_.clear();
+  }
+
+ private:
+  std::size_t count_now(const std::string& part) const {
+    std::size_t found = 0;
+    for (const Seen& one : seen_) found += holds(one.path, part) ? 1 : 0;
+    return found;
+  }
+  static void say(int fd) { ::send(fd, kOk.data(), kOk.size(), MSG_NOSIGNAL); }
+
+  void run() {
+    sigset_t all_signals;
+    sigfillset(&all_signals);
+    ::pthread_sigmask(SIG_BLOCK, &all_signals, nullptr);  // they are the node's
+    while (true) {
+      std::vector<pollfd> all = {{door_.fd(), POLLIN, 0}};
+      {
+        const std::lock_guard lock(mutex_);
+        if (stopped_) return;
+        for (const auto& [fd, text] : texts_) all.push_back({fd, POLLIN, 0});
+      }
+      ::poll(all.data(), all.size(), -1);
+      const std::lock_guard lock(mutex_);
+      if (stopped_) return;
+      for (std::size_t n = 1; n < all.size(); ++n) {
+        if (all[n].revents != 0) take(all[n].fd);
+      }
+      if (all[0].revents == 0) continue;
+      const int fd = ::accept(door_.fd(), nullptr, nullptr);
+      if (fd >= 0) texts_[fd];
+    }
+  }
+
+  void take(int fd) {
+    std::string& text = texts_[fd];
+    std::array<char, 16384> part{};
+    const ssize_t got = ::recv(fd, part.data(), part.size(), MSG_DONTWAIT);
+    if (got <= 0) {
+      ::close(fd);
+      std::erase(held_, fd);
+      texts_.erase(fd);
+      return;
+    }
+    text.append(part.data(), static_cast<std::size_t>(got));
+    Parser parser(Parser::Kind::kRequest);
+    if (parser.advance(text) != Parser::State::kDone) return;
+    seen_.push_back({std::string(parser.head().target.in(text)), steady_ms()});
+    text.erase(0, parser.size());
+    holds(seen_.back().path, hangs_) ? held_.push_back(fd) : say(fd);
+    come_.notify_all();
+  }
+
+  const std::string hangs_;
+  Peer door_{1024};
+  std::mutex mutex_;
+  std::condition_variable come_;
+  bool stopped_ = false;
+  std::map<int, std::string> texts_;  // what has come on each connection
+  std::vector<int> held_;
+  std::vector<Seen> seen_;
+  std::thread thread_;
+};
+
+// The node's thread stands still from here on, as one that gets no processor, until go(). By SIGHUP: the
+// configuration is read in that thread, and here never comes.
+class Standstill {
+ public:
+  explicit Standstill(Node& node) {
+    node.read_again = [this]() -> Config {
+      stands_.release();
+      go_.acquire();
+      if (then_) std::exchange(then_, nullptr)();
+      throw std::runtime_error("none to read");
+    };
+  }
+  void begin() {
+    ::kill(::getpid(), SIGHUP);
+    stands_.acquire();
+    since_ = steady_ms();
+  }
+  void go() {
+    // For longer than the node's last look at anybody stands.
+    while (steady_ms() - since_ < kLongerThanALook) std::this_thread::yield();
+    go_.release();
+  }
+  void then(std::function<void()> task) { then_ = std::move(task); }  // done in that thread, first thing
+
+ private:
+  static constexpr double kLongerThanALook = 2;
+  double since_ = 0;
+  std::function<void()> then_;
+  std::binary_semaphore stands_{0};
+  std::binary_semaphore go_{0};
+};
+
+}  // namespace shorelead::node
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -3,7 +3,9 @@
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -71,6 +73,20 @@
     return std::exchange(text_, "");
   }
 
+  // What befell the connection besides an orderly end; 0 = nothing.
+  int error() const {
+    int found = 0;
+    socklen_t size = sizeof found;
+    ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &found, &size);
+    return found;
+  }
+
+  // Until the other side's machine has all that was sent, the end too.
+  void await_taken() const {
+    int left = 1;
+    while (left > 0 && error() == 0 && ::ioctl(fd_, SIOCOUTQ, &left) == 0) continue;
+  }
+
   void close_sending() { ::shutdown(fd_, SHUT_WR); }
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
