Unused connections end by halves, and what was taken is answered at an end

Seen, each with a test that is red without its mend (Crossings.Ends.*): - a request that crosses the close of an unused connection met a reset (SO_ERROR 32): close_quiet shut both ways. Now Client::part half-closes and drops what comes, within 1 s and 1 MiB; to make room at once it looks again first. - requests pipelined behind an answer that was told to be the last were dropped unanswered, at an end and where room was short ("client.answer() Which is: """): Client::last asks whether something has come already. - with no room, Intake::close took one of those who wait and reset the others (15 of 30 unanswered). It closes once all are taken in; Front::empty waits for it. - a class's deadline over 3 s put the last answers behind the kill: 16.2 s -> 0.7 s in the test (Server::Waits::deadline). What lies unread at the very end is read and answered too; its test was not seen red alone. The others of Ends held before. Left: who connects between the last accept and the close of the listener, two system calls apart.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -123,13 +123,6 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peek::kNothing : Peek::kEnd;
 }
 
-bool Stream::close_quiet() {
-  if (!quiet()) return false;
-  ::shutdown(fd(), SHUT_RDWR);  // at once; leaving the reactor takes many times as long
-  close();
-  return true;
-}
-
 void Stream::reset_on_close() {
   const linger hard{1, 0};
   if (open()) ::setsockopt(fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -62,8 +62,6 @@
   // it.
   bool ended() const;
   bool paused() const { return open() && !watch_->reads(); }  // input is held back: its end goes unnoticed
-  // Closes if quiet, with next to no time in between: what came in then would be lost. False if it is not.
-  bool close_quiet();
   void reset_on_close();     // the other side is to see that it was no orderly end
   void bound_send_buffer();  // the system's: else megabytes would count as gone
   void close_sending();      // the other side sees the end; what it sends is still taken
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <utility>
-#include <vector>
 
 namespace shorelead::node {
 namespace {
@@ -172,22 +171,16 @@
 
 void Client::pass(const Message& answer) {
   host_.answered(200);
-  std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
-  pass_fields(answer.head(), answer.raw, pieces);
-  std::optional<std::size_t> length = answer.body().size();
-  if (message->head().method.in(message->raw) == "HEAD") {
-    const auto stated = parse_whole(answer.value("content-length"));
-    length = stated ? std::optional<std::size_t>(*stated) : std::nullopt;
-  }
   const bool bye = last();
-  const std::string own = passed_lines(length, false, bye);
-  pieces.push_back(own);
-  pieces.push_back(answer.body());
-  stream.send(pieces);
+  pass_whole(stream, answer, message->head().method.in(message->raw) == "HEAD", bye);
   answered(bye);
 }
 
-bool Client::last() const { return !keep_alive_ || uploading() || host_.ends_with(*this); }
+// Guards against letting go of a request that has come already behind this one: it was taken, and whoever
+// sent it waits for its answer.
+bool Client::last() const {
+  return !keep_alive_ || uploading() || (host_.ends_with(*this) && stream.quiet());
+}
 
 void Client::stand_unused(bool unused) {
   if (unused != std::exchange(counted_, unused)) host_.unused(unused);
@@ -223,22 +216,32 @@
   if (stream.flushed()) stream.close_sending();
 }
 
+bool Client::part() {
+  if (!idle() || !stream.quiet()) return false;
+  stand_unused(false);
+  end_sending();
+  return true;
+}
+
+bool Client::yield() {
+  if (state == State::kClosing) {
+    stream.read_now();
+    return !stream.open() || stream.quiet();
+  }
+  return part() && stream.flushed() && stream.quiet();
+}
+
 void Client::on_flushed(Stream&) {
   if (state == State::kPassing) return pump();
   if (state == State::kClosing) stream.close_sending();
 }
 
 void Client::on_end(Stream&, Ending ending) {
-  if (state == State::kWaiting) {
-    spdlog::debug("client gone ({}) with request {} under way", name_of(ending), request);
-    const RequestId gone = request;
-    host_.release(*this, manage::End::kLeft);
-    host_.forget(*this);
-    if (gone != 0) host_.gone(gone);
-    return;
-  }
-  if (state == State::kPassing) host_.release(*this, manage::End::kLeft);
+  const RequestId gone = state == State::kWaiting ? request : 0;
+  if (gone != 0) spdlog::debug("client gone ({}) with request {} under way", name_of(ending), gone);
+  if (state == State::kWaiting || state == State::kPassing) host_.release(*this, manage::End::kLeft);
   host_.forget(*this);
+  if (gone != 0) host_.gone(gone);
 }
 
 }  // namespace shorelead::node
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -56,6 +56,11 @@
   // Whether it still waits for its answer: looked at just before an attempt is written, so that none begins
   // for one whose end has come in but was not taken in yet. If not, its end is handled next.
   bool still_waits();
+  // Ends an unused connection by halves: what crosses that is dropped, and never resets it. False where
+  // something has come in, which is to be read first.
+  bool part();
+  // The same where its descriptor is needed at once: whether the connection may be closed now.
+  bool yield();
   void leave_bodies();             // both end with the request or the connection
   void stand_unused(bool unused);  // counts it among those that have asked and stand unused, or no longer
 
--- a/src/node/departure.cpp
+++ b/src/node/departure.cpp
@@ -65,7 +65,10 @@
   // Guards against ending without an answer to what came at the very end, or has longer than any class of
   // now.
   host_.front().give_up();
-  loop_.after(kLeaveEvery, [this] { end(loop_.now() + kGiveBack); });
+  loop_.after(kLeaveEvery, [this] {
+    host_.front().give_up();  // what came meanwhile
+    end(loop_.now() + kGiveBack);
+  });
 }
 
 void Departure::end(Millis until) {
@@ -73,6 +76,7 @@
     loop_.after(kLeaveEvery, [this, until] { end(until); });
     return;
   }
+  host_.front().give_up();
   spdlog::info("shut down, {} connections left", host_.front().clients());
   loop_.stop();
 }
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -140,12 +140,12 @@
   std::make_heap(spare.begin(), spare.end(), after);
   while (!spare.empty()) {
     Client* const client = spare.front();
-    if (client->stream.close_quiet()) {
+    if (client->yield()) {
       ++counters_.evicted;
       forget(*client);
       return true;
     }
-    std::pop_heap(spare.begin(), spare.end(), after);  // something has come in, to be read next
+    std::pop_heap(spare.begin(), spare.end(), after);  // something has come in
     spare.pop_back();
   }
   return false;
@@ -153,22 +153,24 @@
 
 void Front::follow(manage::DrainState state) {
   drain_ = state;
-  if (state == manage::DrainState::kDrained) close_idle(true);
+  if (state == manage::DrainState::kDrained) part_idle(true);
 }
 
-void Front::close_idle(bool only_used) {
-  const auto clients = clients_;
-  for (const auto& [client, hold] : clients) {
-    if (client->idle() && (client->used || !only_used) && client->stream.close_quiet()) forget(*client);
+void Front::part_idle(bool only_used) {
+  for (const auto& [client, hold] : clients_) {
+    if (client->used || !only_used) client->part();
   }
 }
 
 bool Front::empty() {
-  close_idle(false);
-  return clients_.empty();
+  part_idle(false);
+  return clients_.empty() && intake_.listening() < 0;
 }
 
 void Front::give_up() {
+  // What lies there to be read was taken as well; and left unread it would reset the connection.
+  const auto clients = clients_;
+  for (const auto& [client, hold] : clients) client->stream.read_now();
   std::vector<RequestId> open;
   for (const auto& [request, client] : waiting_) open.push_back(request);
   for (const RequestId request : open) {
@@ -230,9 +232,8 @@
       spoil(*client, 408, "the body does not come");
     } else if (client->begun_at > 0) {
       client->answer(408, "request did not come whole", 0, true);
-    } else if (client->stream.close_quiet()) {
+    } else if (client->part()) {
       ++(client->used ? counters_.idle : counters_.silent);
-      forget(*client);
     }
   }
   sweep_ = loop_.after(waits_.sweep, [this] { sweep(); });
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -78,7 +78,8 @@
   // every answer is the last on its connection; once drained, unused connections are closed.
   void follow(manage::DrainState state);
   void close_listener() { intake_.close(); }
-  // Closes connections that have no request under way; true when none is left.
+  // Ends connections that have no request under way; true when none is left, or
+  // waits to be taken in.
   bool empty();
   // This process ends now: answers as failed whatever is under way, and has it given up.
   void give_up();
@@ -105,7 +106,7 @@
 
   void take(Client& client);  // into the ledger, once its last byte has come
   Client* waiting(RequestId request);
-  void close_idle(bool only_used);
+  void part_idle(bool only_used);
   void sweep();
 
   Loop& loop_;
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -35,33 +35,35 @@
     if (fd < 0) {
       if (errno == EINTR || errno == ECONNABORTED) continue;
       if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-        if (!host_.evict_unused()) pause();
+        if (!host_.evict_unused()) return pause();
+        if (closing_) continue;  // nobody tells of those who wait any more
       }
-      return;
+      break;
     }
     ++accepted_;
     host_.take(fd);
     if (!host_.make_room()) return pause();  // for the next one
   }
+  if (closing_) socket_.reset();  // right behind the last look: who connects in between is turned down
 }
 
 void Intake::pause() {
-  if (paused_ || !watch_) return;
+  if (paused_ || !socket_) return;
   paused_ = true;
   ++pauses_;
-  watch_->want_read(false);
+  if (watch_) watch_->want_read(false);
   resume_ = loop_.after(kPause, [this] { look_for_room(); });
 }
 
 void Intake::look_for_room() {
   loop_.cancel(resume_);
-  if (!paused_ || !watch_) return;
+  if (!paused_ || !socket_) return;
   if (!host_.make_room()) {
     resume_ = loop_.after(kPause, [this] { look_for_room(); });
     return;
   }
   paused_ = false;
-  watch_->want_read(!held_);
+  if (watch_) watch_->want_read(!held_);
   accept_all();
 }
 
@@ -73,9 +75,9 @@
 }
 
 void Intake::close() {
-  accept_all();
+  closing_ = true;
   watch_.reset();
-  socket_.reset();
+  if (!paused_ || held_) accept_all();
 }
 
 }  // namespace shorelead::node
--- a/src/node/intake.h
+++ b/src/node/intake.h
@@ -40,7 +40,9 @@
   // Whoever wants in waits in the backlog until a client is idle or gone, or a descriptor is free.
   bool paused() const { return paused_; }
   void look_for_room();
-  void close();  // after it has taken in all who had connected, unless they are left to the other
+  // Closes once all who had connected are taken in, unless they are left to the other: at once, or as room
+  // is found for them.
+  void close();
 
   int listening() const { return socket_ ? socket_->impl()->sockfd() : -1; }
   unsigned short port() const { return socket_ ? socket_->address().port() : 0; }
@@ -58,6 +60,7 @@
   std::unique_ptr<Watch> watch_;
   bool paused_ = false;
   bool held_ = false;
+  bool closing_ = false;
   Loop::TimerId resume_ = 0;
   std::uint64_t accepted_ = 0;
   std::uint64_t pauses_ = 0;
--- a/src/node/passing.cpp
+++ b/src/node/passing.cpp
@@ -1,5 +1,6 @@
 #include "node/passing.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,6 +9,20 @@
 
 namespace shorelead::node {
 
+void pass_whole(Stream& stream, const Message& answer, bool headed, bool last) {
+  std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
+  pass_fields(answer.head(), answer.raw, pieces);
+  std::optional<std::size_t> length = answer.body().size();
+  if (headed) {
+    const auto stated = parse_whole(answer.value("content-length"));
+    length = stated ? std::optional<std::size_t>(*stated) : std::nullopt;
+  }
+  const std::string own = passed_lines(length, false, last);
+  pieces.push_back(own);
+  pieces.push_back(answer.body());
+  stream.send(pieces);
+}
+
 void Passing::begin(Stream& stream, const Message& answer, const std::function<void()>& pump, Millis now) {
   std::vector<std::string_view> pieces = {"HTTP/1.1 200 OK\r\n"};
   pass_fields(answer.head(), answer.raw, pieces);
--- a/src/node/passing.h
+++ b/src/node/passing.h
@@ -11,6 +11,9 @@
 
 namespace shorelead::node {
 
+// One that is there whole, in one write; `headed`: only its head was asked for.
+void pass_whole(Stream& stream, const Message& answer, bool headed, bool last);
+
 class Passing {
  public:
   enum class Step { kGoesOn, kWhole, kCut };
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -188,7 +188,9 @@
   return manage::figures_text(front_->ledger(), gauges);
 }
 
-void Server::shut_down() { departure_.shut_down(traffic().longest_deadline(), succession_.replaced()); }
+void Server::shut_down() {
+  departure_.shut_down(std::min(traffic().longest_deadline(), waits_.deadline), succession_.replaced());
+}
 
 void Server::reload(const std::function<Config()>& read) {
   std::optional<Config> fresh;
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -27,6 +27,8 @@
  public:
   struct Waits {
     Millis accept_on = 600;  // after SIGTERM: clients go on coming for up to 0.4 s
+    Millis deadline =
+        3000;  // and the kill comes so long after it at most, and 0.7 s, whatever the classes say
     // At the start, for the list of now, where one of earlier is known.
     Millis list = 500;
     // The same where lists are pushed: what is there counts as told from the first moment. A start has 30 s.
--- /dev/null
+++ b/tests/crossings/ends_test.cpp
@@ -0,0 +1,235 @@
+// The end of a process, and of connections that stand unused, against requests that come at that moment: what
+// was taken is answered before the process ends, no answer goes with a reset, and nothing that is read behind
+// this side's end is sent on.
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+#include "backends.h"
+
+namespace shorelead::node {
+namespace {
+
+const std::string kReady = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+
+struct Scene {
+  explicit Scene(const std::function<void(Node&)>& set = [](Node&) {}) {
+    backends.join(node, 2);
+    set(node);
+    node.start();
+  }
+
+  // A client that has asked, and stands unused.
+  Line unused() {
+    Line client = node.client();
+    client.write(get("/safe"));
+    EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+    return client;
+  }
+  // The word to end, and two turns of the node's loop.
+  void end() {
+    Line probe = node.client();
+    Line second = node.client();
+    ::kill(::getpid(), SIGTERM);
+    still.begin();
+    still.go();
+    probe.write(kReady);
+    EXPECT_FALSE(probe.answer().empty());
+    second.write(kReady);
+    EXPECT_EQ(status_of(second.answer()), "HTTP/1.1 503");
+  }
+
+  Backends backends{"hang"};
+  Node node;
+  Standstill still{node};
+};
+
+// What comes behind the end that the node has sent is dropped: no reset, and no attempt.
+void crossing_is_dropped(Scene& s, Line& client) {
+  EXPECT_EQ(client.rest(), "");
+  client.write(get("/safe/crossing"));
+  Line behind = s.node.client();
+  behind.write(kReady);
+  EXPECT_FALSE(behind.answer().empty());
+  EXPECT_EQ(client.error(), 0) << "reset";
+  EXPECT_EQ(s.backends.count("crossing"), 0U);
+}
+
+TEST(Ends, ARequestCrossesTheEndOfAnUnusedConnectionAtShutdown) {
+  Scene s([](Node& node) { node.waits.accept_on = 1500; });
+  Line client = s.unused();
+  ::kill(::getpid(), SIGTERM);
+  crossing_is_dropped(s, client);
+  client.close();
+  s.node.thread.join();
+}
+
+TEST(Ends, ARequestCrossesTheEndOfAConnectionThatNeverAsked) {
+  Scene s;
+  Line client = s.node.client();
+  crossing_is_dropped(s, client);
+}
+
+// Clients that rest, and do not close for their part, do not hold up the end of the process.
+TEST(Ends, WhoNeverClosesDoesNotHoldUpTheEnd) {
+  Scene s([](Node& node) { node.waits.accept_on = 0; });
+  const Line client = s.unused();
+  const double from = steady_ms();
+  ::kill(::getpid(), SIGTERM);
+  s.node.thread.join();
+  EXPECT_LT(steady_ms() - from, 3000);
+}
+
+// More than one request has come when the word to end does: each has its answer, and only the last is told to
+// be that.
+TEST(Ends, PipelinedRequestsAreAllAnswered) {
+  Scene s([](Node& node) { node.waits.accept_on = 5000; });
+  Line client = s.node.client();
+  client.write(get("/safe/hang/1") + get("/safe/2") + get("/safe/3"));
+  s.backends.await("hang", 1);
+  s.end();
+  s.backends.serve_held();
+  for (int n = 1; n <= 3; ++n) {
+    const std::string answer = client.answer();
+    EXPECT_EQ(status_of(answer), "HTTP/1.1 200") << n;
+    EXPECT_EQ(holds(answer, "Connection: close\r\n"), n == 3) << n;
+  }
+  EXPECT_EQ(client.rest(), "");
+}
+
+TEST(Ends, PipelinedRequestsAreAllAnsweredWhereRoomIsShort) {
+  Scene s([](Node& node) { node.config.limits.sockets = 48; });  // 16 connections beside the node's own
+  std::vector<Line> busy;
+  for (int n = 0; n < 5; ++n) {
+    busy.push_back(s.node.client());
+    busy.back().write(get("/safe/hang/busy"));
+  }
+  s.backends.await("busy", 5);
+  Line client = s.node.client();
+  client.write(get("/safe/hang/1") + get("/safe/2") + get("/safe/3"));
+  s.backends.await("hang/1", 1);
+  std::vector<Line> silent;
+  for (int n = 0; n < 4; ++n) silent.push_back(s.node.client());
+  s.backends.serve_held();
+  for (int n = 1; n <= 3; ++n) EXPECT_FALSE(client.answer().empty()) << n;
+}
+
+// Whoever has connected is answered, also where the node had no room for more when it closed its door.
+TEST(Ends, WhoWaitsToBeTakenInIsAnswered) {
+  Scene s([](Node& node) {
+    node.config.limits.sockets = 48;
+    node.waits.accept_on = 0;
+  });
+  std::vector<Line> clients;
+  for (int n = 0; n < 30; ++n) {
+    clients.push_back(s.node.client());
+    clients.back().write(get("/safe/hang/" + std::to_string(n)));
+  }
+  s.backends.await("hang", 1);
+  s.still.then([&s] { s.node.server->shut_down(); });
+  s.still.begin();
+  s.still.go();
+  std::atomic<bool> all = false;
+  std::thread serving([&] {
+    while (!all) s.backends.serve_held(), std::this_thread::yield();
+  });
+  for (Line& client : clients) EXPECT_FALSE(client.answer().empty());
+  all = true;
+  serving.join();
+}
+
+// A deadline beyond the three seconds that the kill waits for at most: answered before it comes.
+TEST(Ends, TheKillDoesNotWaitForTheLongestDeadline) {
+  EXPECT_EQ(Server::Waits().deadline, 3000);
+  Scene s([](Node& node) {
+    node.waits.accept_on = 0;
+    node.waits.deadline = 50;
+  });
+  Line client = s.node.client();
+  client.write(post("/unsafe/hang", "x", "X-Timeout-Ms: 20000\r\n"));
+  s.backends.await("hang", 1);
+  const double from = steady_ms();
+  ::kill(::getpid(), SIGTERM);
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 504");
+  EXPECT_LT(steady_ms() - from, 3700);
+  s.node.thread.join();
+}
+
+// A request that lies unread when the process gives up what is under way, as its thread got no processor.
+TEST(Ends, WhatLiesUnreadAtTheVeryEndIsAnswered) {
+  Scene s([](Node& node) {
+    node.waits.accept_on = 0;
+    node.waits.deadline = 50;
+  });
+  Line busy = s.node.client();
+  busy.write(post("/unsafe/hang/busy", "x", "X-Timeout-Ms: 20000\r\n"));
+  Line half = s.node.client();
+  const std::string ask = post("/unsafe/hang/late", "x", "X-Timeout-Ms: 20000\r\n");
+  half.write(ask.substr(0, 20));
+  s.backends.await("busy", 1);
+  s.end();
+  const double from = steady_ms();
+  s.still.begin();
+  while (steady_ms() - from < 800) std::this_thread::yield();  // its last moment passes meanwhile
+  half.write(ask.substr(20));
+  s.still.go();
+  EXPECT_EQ(status_of(busy.answer()), "HTTP/1.1 504");
+  EXPECT_EQ(status_of(half.answer()), "HTTP/1.1 504");
+  s.node.thread.join();
+}
+
+// The word to end in the middle of a head, a body, or before the first byte; what is left of the request
+// comes after, and is served.
+TEST(Ends, TheWordToEndFindsARequestInParts) {
+  const std::string ask = post("/unsafe", "0123456789");
+  for (const std::size_t before : {std::size_t{0}, std::size_t{5}, ask.size() - 5}) {
+    Scene s;
+    Line client = s.node.client();
+    client.write(ask.substr(0, before));
+    s.end();
+    client.write(ask.substr(before));
+    const std::string answer = client.answer();
+    EXPECT_EQ(status_of(answer), "HTTP/1.1 200") << before;
+    EXPECT_TRUE(holds(answer, "Connection: close\r\n"));
+    client.write(get("/safe/crossing"));  // between the answer's last byte and the close
+    EXPECT_EQ(client.rest(), "");
+    EXPECT_EQ(client.error(), 0);
+    client.close();
+    s.node.thread.join();
+    EXPECT_EQ(s.backends.count("crossing"), 0U);
+  }
+}
+
+// Told twice, and to read its configuration before, between and after.
+TEST(Ends, SignalsInAnyOrder) {
+  for (const std::vector<int>& signals : {std::vector<int>{SIGTERM, SIGTERM}, {SIGHUP, SIGTERM, SIGHUP}}) {
+    Scene s;
+    Line client = s.node.client();
+    client.write(get("/safe/hang"));
+    s.backends.await("hang", 1);
+    s.node.read_again = [&s] { return s.node.config; };
+    for (const int signal : signals) ::kill(::getpid(), signal);
+    Line other = s.node.client();
+    other.write(get("/safe/more"));
+    EXPECT_EQ(status_of(other.answer()), "HTTP/1.1 200");
+    s.backends.serve_held();
+    EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 200");
+    client.close();
+    other.close();
+    s.node.thread.join();
+  }
+}
+
+TEST(Ends, TheWordToEndComesBeforeTheFirstList) {
+  Node node;
+  node.start();
+  Line client = node.client();
+  ::kill(::getpid(), SIGTERM);
+  client.write(get("/safe"));
+  EXPECT_EQ(status_of(client.answer()), "HTTP/1.1 503");
+  client.close();
+  node.thread.join();
+}
+
+}  // namespace
+}  // namespace shorelead::node
