--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -10,8 +10,6 @@
 // to get there.
 constexpr Millis kTransit = 5;
 constexpr double kTransitShare = 0.1;  // but no more than this part of the wait
-constexpr Millis kLinger = 1000;       // for a client to close after its last answer
-constexpr Millis kStandstill = 10000;  // for which a client may take nothing of an answer
 
 }  // namespace
 
@@ -102,6 +100,11 @@
   return it == waiting_.end() ? nullptr : it->second;
 }
 
+bool Front::still_waits(RequestId request) {
+  Client* const client = waiting(request);
+  return client != nullptr && client->still_waits();
+}
+
 void Front::serve(RequestId request, const Message& answer, std::shared_ptr<net::Flow> flow) {
   Client* const client = waiting(request);
   if (client == nullptr) return;
@@ -128,7 +131,7 @@
   const Millis now = loop_.now();
   std::vector<Client*> spare;
   for (const auto& [client, hold] : clients_) {
-    if (client->dispensable(now, waits_.speak)) spare.push_back(client);
+    if (waits_.dispensable(*client, now)) spare.push_back(client);
   }
   // Who never asked for anything first, then who has not for longest.
   const auto after = [](const Client* a, const Client* b) {
@@ -137,12 +140,12 @@
   std::make_heap(spare.begin(), spare.end(), after);
   while (!spare.empty()) {
     Client* const client = spare.front();
-    if (client->stream.close_quiet()) {
+    if (client->yield()) {
       ++counters_.evicted;
       forget(*client);
       return true;
     }
-    std::pop_heap(spare.begin(), spare.end(), after);  // something has come in, to be read next
+    std::pop_heap(spare.begin(), spare.end(), after);  // something has come in
     spare.pop_back();
   }
   return false;
@@ -150,22 +153,24 @@
 
 void Front::follow(manage::DrainState state) {
   drain_ = state;
-  if (state == manage::DrainState::kDrained) close_idle(true);
+  if (state == manage::DrainState::kDrained) part_idle(true);
 }
 
-void Front::close_idle(bool only_used) {
-  const auto clients = clients_;
-  for (const auto& [client, hold] : clients) {
-    if (client->idle() && (client->used || !only_used) && client->stream.close_quiet()) forget(*client);
+void Front::part_idle(bool only_used) {
+  for (const auto& [client, hold] : clients_) {
+    if (client->used || !only_used) client->part();
   }
 }
 
 bool Front::empty() {
-  close_idle(false);
-  return clients_.empty();
+  part_idle(false);
+  return clients_.empty() && intake_.listening() < 0;
 }
 
 void Front::give_up() {
+  // What lies there to be read was taken as well; and left unread it would reset the connection.
+  const auto clients = clients_;
+  for (const auto& [client, hold] : clients) client->stream.read_now();
   std::vector<RequestId> open;
   for (const auto& [request, client] : waiting_) open.push_back(request);
   for (const RequestId request : open) {
@@ -206,28 +211,18 @@
   if (intake_.paused()) loop_.later([this] { intake_.look_for_room(); });
 }
 
-bool Front::overdue(const Client& client, Millis now) const {
-  if (client.state == Client::State::kWaiting) return client.uploading() && client.slow(now, waits_.request);
-  if (client.state == Client::State::kPassing)
-    return !client.stream.flushed() && now - client.passing->moved_at() >= kStandstill;
-  if (client.state == Client::State::kClosing) {
-    // One that was answered in the middle of its body may have to send for a while before it reads.
-    return now - (client.cut_short ? std::max(client.last_used, client.input_at) : client.last_used) >=
-           kLinger;
-  }
-  if (client.begun_at > 0) return client.slow(now, waits_.request);
-  if (drain_ == manage::DrainState::kDrained) return client.used || now - client.last_used >= waits_.speak;
-  const Millis most = !client.used ? waits_.request : listener_.roomy() ? waits_.idle : waits_.idle_crowded;
-  return now - client.last_used >= most;
-}
-
 // Guards against clients that hold a connection and ask for nothing, or never for all of it.
 void Front::sweep() {
   readings_.forget_past(loop_.now());
   const Millis now = loop_.now();
+  const bool roomy = clients_.empty() || listener_.roomy();
   std::vector<std::shared_ptr<Client>> found;
   for (const auto& [client, hold] : clients_) {
-    if (overdue(*client, now)) found.push_back(hold);
+    if (waits_.overdue(*client, now, drain_, roomy)) {
+      found.push_back(hold);
+    } else if (client->stream.paused()) {
+      client->still_waits();
+    }
   }
   for (const auto& client : found) {
     if (client->state == Client::State::kClosing || client->state == Client::State::kPassing) {
@@ -237,9 +232,8 @@
       spoil(*client, 408, "the body does not come");
     } else if (client->begun_at > 0) {
       client->answer(408, "request did not come whole", 0, true);
-    } else if (client->stream.close_quiet()) {
+    } else if (client->part()) {
       ++(client->used ? counters_.idle : counters_.silent);
-      forget(*client);
     }
   }
   sweep_ = loop_.after(waits_.sweep, [this] { sweep(); });
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -8,14 +8,12 @@
 namespace shorelead::node {
 namespace {
 
-constexpr int kOwnDescriptors =
-    32;  // standard streams, reactor, timers, signals, listener, watch, some spare
+constexpr int kOwnDescriptors = 32;    // standard streams, reactor, timers, signals, listener, watch, spare
 constexpr double kFlowShare = 0.25;    // of the node's memory, for bodies that are not kept whole
 constexpr double kMemoryUntold = 256;  // MB, where the configuration does not tell
 constexpr int kCrowded = 8;            // room is short when less than one in so many descriptors is free
 constexpr int kRoomy = 2;              // and plentiful when less than one in so many is in use
-constexpr int kManyUnused =
-    6;  // unused clients' connections are many where they take more than one in so many
+constexpr int kManyUnused = 6;         // clients' unused connections are many beyond one in so many
 constexpr Millis kReadyWaitBeside = 3000;  // for the list of now, where another process serves meanwhile
 
 }  // namespace
@@ -101,6 +99,7 @@
   };
   host.make_room = [this](limits::Purpose purpose) { return room_.make(purpose, *front_); };
   host.keep = [this](limits::Purpose purpose) { return room_.keep(purpose); };
+  host.still_waits = [this](RequestId request) { return front_->still_waits(request); };
   // Pools of one node must not draw the same numbers; a node of one pool draws as it always has.
   const std::uint64_t seed = whole.pools.size() <= 1 ? whole.seed : whole.seed ^ subset::hash_of(config.name);
   return std::make_shared<Pool>(loop_, config, seed, flows_, std::move(host));
@@ -189,7 +188,9 @@
   return manage::figures_text(front_->ledger(), gauges);
 }
 
-void Server::shut_down() { departure_.shut_down(traffic().longest_deadline(), succession_.replaced()); }
+void Server::shut_down() {
+  departure_.shut_down(std::min(traffic().longest_deadline(), waits_.deadline), succession_.replaced());
+}
 
 void Server::reload(const std::function<Config()>& read) {
   std::optional<Config> fresh;
--- a/src/policy/lists.h
+++ b/src/policy/lists.h
@@ -62,9 +62,9 @@
   // Again, soon, out of step; less so if it kept the call waiting, or has failed for long: it may be behind.
   void retry() {
     if (wait_ == 0) failing_since_ = c_.now;
-    const Millis soon = c_.now - failing_since_ > told_anew() ? told_anew() : kListRetryMost;
+    const Millis soon = c_.now - failing_since_ > told_anew() ? 1.5 * told_anew() : kListRetryMost;
     const int times = c_.now - std::exchange(asked_at_, -1e9) < kListRetryMin ? 1 : 5;
-    const Millis most = std::min({soon, times * spread(), told_anew()});
+    const Millis most = std::min(soon, times * spread());
     const double part = wait_ < most ? c_.random.unit() : 1 - 0.1 * c_.random.unit();
     c_.timer(kListTimer, c_.now + part * (wait_ = std::clamp(wait_ * 2, std::min(spread(), most), most)));
   }
