Calls for the list: later only after 1.5 times AskEvery of waits

Seen: ListsSim, 300 nodes refused for 8 s: one listed after 20.6 s, as a call turned away right after such an outage already counted as failing for long. Cause: failing_since_ counted refused calls, which cost discovery nothing, and AskEvery is barely more than an outage. Tried: twice AskEvery without the first (simulated: 30 nodes at a discovery of 3.7 calls a second that works on dead calls then have no list after 120 s).

--- a/src/policy/lists.h
+++ b/src/policy/lists.h
@@ -61,10 +61,10 @@
  private:
   // Again, soon, out of step; less so if it kept the call waiting, or has failed for long: it may be behind.
   void retry() {
-    if (wait_ == 0) failing_since_ = c_.now;
-    const Millis soon = c_.now - failing_since_ > told_anew() ? 1.5 * told_anew() : kListRetryMost;
-    const int times = c_.now - std::exchange(asked_at_, -1e9) < kListRetryMin ? 1 : 5;
-    const Millis most = std::max(kListRetryMin, std::min(soon, times * spread()));
+    const bool at_once = c_.now - std::exchange(asked_at_, -1e9) < kListRetryMin;
+    if (at_once || wait_ == 0) failing_since_ = c_.now;
+    const Millis soon = c_.now - failing_since_ > 1.5 * told_anew() ? 1.5 * told_anew() : kListRetryMost;
+    const Millis most = std::max(kListRetryMin, std::min(soon, (at_once ? 1 : 5) * spread()));
     const double part = wait_ < most ? c_.random.unit() : 1 - 0.1 * c_.random.unit();
     c_.timer(kListTimer, c_.now + part * (wait_ = std::clamp(wait_ * 2, std::min(spread(), most), most)));
   }
