Tests: a step on the tested loop waits until there is something to read for it

Seen: Discovery.ALineThatCannotBeReadEndsTheWatch red once under sanitizers on a busy machine (hangs, 20 s). Cause: the test's step, a timer of the loop under test, read the request blockingly; where the timer is found in the same turn as the connection that came up, and first, the request is not written yet and the step holds up its writer. 30 steps had that form. Ruled out: the change of Discovery, whose handlers were never reached. Change: once_readable (peer.h) looks first and comes back 1 ms later. No check is altered.

--- a/tests/crossings/answers_test.cpp
+++ b/tests/crossings/answers_test.cpp
@@ -46,7 +46,7 @@
     b.send(peer, one.ending == Ending::kTimeout ? 5 * kSoon : kLong);
     Line there = peer.accept();
     std::unique_ptr<Trickle> trickle;
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       there.request();
       there.write(one.first);
       trickle = std::make_unique<Trickle>(b.loop, there, one.part);
@@ -78,7 +78,7 @@
     Backends b;
     b.send(peer, one.ending == Ending::kTimeout ? kSoon : kLong);
     Line there = peer.accept();
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       there.request();
       there.write(one.text);
       if (one.closes) there.close_sending();
@@ -102,7 +102,7 @@
     Backends b;
     b.send(peer, kLong, post_of(kMuch));
     Line there = peer.accept();
-    b.loop.after(1, [&, start = start] {
+    once_readable(b.loop, there, [&, start = start] {
       EXPECT_FALSE(there.some().empty());
       there.write("HTTP/1.1 " + start + "Content-Length: 2\r\n\r\nok");
     });
@@ -118,7 +118,7 @@
     Backends b;
     b.send(peer, kLong);
     Line there = peer.accept();
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       there.request();
       there.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody" + behind);
     });
@@ -139,7 +139,7 @@
   };
   b.send(peer, kLong);
   Line there = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.request();
     there.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(1U << 20, 'x'));
   });
--- a/tests/crossings/attempts_test.cpp
+++ b/tests/crossings/attempts_test.cpp
@@ -75,7 +75,7 @@
   b.send(peer, kLong);
   Line there = peer.accept();
   b.hold_up(200);
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     const std::string text = there.request();
     const std::size_t at = text.find("X-Timeout-Ms: ");
     ASSERT_NE(at, std::string::npos);
@@ -171,7 +171,7 @@
   Backends b;
   b.send(peer, kLong);
   Line there = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.request();
     there.write(kEmptyOk);
   });
@@ -192,7 +192,7 @@
   Backends b;
   b.send(peer, kLong);
   Line there = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.request();
     there.write(kEmptyOk);
     b.upstream.call_off(1, 0);
--- a/tests/crossings/connections_test.cpp
+++ b/tests/crossings/connections_test.cpp
@@ -37,7 +37,7 @@
       Backends b;
       b.send(peer, kLong);
       Line there = peer.accept();
-      b.loop.after(1, [&] {
+      once_readable(b.loop, there, [&] {
         there.request();
         there.write(kNoLength + std::string(size, 'x'));
         reset ? there.reset() : there.close();
@@ -57,7 +57,7 @@
     Line there = peer.accept();
     Taken taken;
     taken.done = [&b] { b.loop.stop(); };
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       there.request();
       there.write(kNoLength + std::string(70000, 'x'));
       reset ? there.reset() : there.close();
@@ -81,7 +81,7 @@
   const auto message = b.by_parts();
   b.send(peer, kLong, message);
   Line there = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.some();
     there.write(kNoLength + "half");
   });
@@ -100,7 +100,7 @@
     Backends b;
     b.send(peer, kLong, post_of(size));
     Line there = peer.accept();
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       EXPECT_FALSE(there.some().empty());
       there.reset();
     });
@@ -152,7 +152,7 @@
     b.send(peer, kLong);
     Line there = peer.accept();
     Line again(-1);
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       there.request();
       there.write(kEmptyOk);
     });
@@ -161,7 +161,7 @@
       surprise(there);
       b.send(peer, kLong);
       again = peer.accept();
-      b.loop.after(1, [&] {
+      once_readable(b.loop, again, [&] {
         EXPECT_FALSE(again.request().empty());
         again.write(kEmptyOk);
       });
@@ -178,7 +178,7 @@
   Backends b;
   b.send(peer, kLong);
   Line there = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.request();
     there.write(kEmptyOk);
   });
@@ -199,7 +199,7 @@
   const auto answered = [&] {
     b.send(peer, kLong);
     if (lines.size() < b.upstream.opened()) lines.push_back(peer.accept());
-    b.loop.after(1, [&] {
+    once_readable(b.loop, lines.back(), [&] {
       lines.back().request();
       lines.back().write(kEmptyOk);
     });
--- a/tests/crossings/list_answers_test.cpp
+++ b/tests/crossings/list_answers_test.cpp
@@ -45,7 +45,7 @@
   void play(const std::vector<std::string>& pieces, Then then) {
     discovery.watch();
     line = peer.accept();
-    loop.after(1, [this, pieces, then] {
+    once_readable(loop, *line, [this, pieces, then] {
       line->request();
       step(pieces, 0, then);
     });
@@ -227,14 +227,14 @@
   std::optional<Line> next;
   a.discovery.watch();
   a.line = a.peer.accept();
-  a.loop.after(1, [&] {
+  once_readable(a.loop, *a.line, [&] {
     a.line->request();
     a.line->write(kHead + chunk(kWhole + "\n").substr(0, 30));
     a.loop.after(1, [&] {
       a.line->write(chunk(kWhole + "\n").substr(30));
       a.discovery.move(Poco::Net::SocketAddress("127.0.0.1", other.port()));  // before that was read
       next = other.accept();
-      a.loop.after(1, [&] {
+      once_readable(a.loop, *next, [&] {
         EXPECT_TRUE(holds(next->request(), "from=5 "));
         next->write(kHead + chunk(kChange) + "0\r\n\r\n");
       });
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -93,7 +93,7 @@
   Backends b;
   b.send(peer, kLong);
   Line line = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, line, [&] {
     line.request();
     line.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   });
@@ -147,7 +147,7 @@
   Backends b;
   b.send(peer, kLong);
   Line there = peer.accept();
-  b.loop.after(1, [&b, &there] {
+  once_readable(b.loop, there, [&b, &there] {
     EXPECT_FALSE(there.request().empty());
     b.upstream.call_off(1, 0);
   });
@@ -163,7 +163,7 @@
   b.send(peer, kLong);
   Line there = peer.accept();
   const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.request();
     there.write(ok);
   });
@@ -190,7 +190,7 @@
   b.send(peer, kLong);
   Line one = peer.accept();
   Line two = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, two, [&] {
     one.request();
     one.write(ok);
     two.request();
@@ -214,7 +214,7 @@
   b.send(peer, 200);
   Line silent = peer.accept();
   std::vector<Line> kept;
-  b.loop.after(1, [&] {
+  once_readable(b.loop, silent, [&] {
     silent.request();
     b.send(peer, kLong);
   });
@@ -301,7 +301,7 @@
     });
     b.send(peer, kLong);
     lines.push_back(peer.accept());
-    b.loop.after(1, [&] {
+    once_readable(b.loop, lines.back(), [&] {
       lines.back().request();
       lines.back().write(ok);
     });
@@ -320,7 +320,7 @@
     Backends b;
     b.upstream.probe(0, peer.dial());
     Line there = peer.accept();
-    b.loop.after(1, [&] {
+    once_readable(b.loop, there, [&] {
       EXPECT_EQ(there.request().rfind("GET /-/load HTTP/1.1\r\n", 0), 0U);
       there.write(answer);
     });
@@ -344,7 +344,7 @@
     Line there = peer.accept();
     std::string text;
     for (int i = 0; i < 5000; ++i) text += "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n";
-    b.loop.after(1, [&, last = last] {
+    once_readable(b.loop, there, [&, last = last] {
       there.request();
       there.write(text + last);
     });
@@ -359,7 +359,7 @@
   Backends b;
   b.send(peer, kLong);
   Line there = peer.accept();
-  b.loop.after(1, [&] {
+  once_readable(b.loop, there, [&] {
     there.request();
     b.upstream.withdraw({0});
     there.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
@@ -557,7 +557,7 @@
   // Answers the watch with `text` and runs the loop until something was told.
   void answer(const std::string& text) {
     Line there = peer.accept();
-    loop.after(1, [&] {
+    once_readable(loop, there, [&] {
       EXPECT_EQ(there.request().rfind("GET /api/targets?watch=1&from=5 HTTP/1.1\r\n", 0), 0U);
       there.write(text);
     });
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -73,6 +74,12 @@
     return std::exchange(text_, "");
   }
 
+  // Whether anything, an end too, can be read.
+  bool readable() const {
+    pollfd look{fd_, POLLIN, 0};
+    return !text_.empty() || ::poll(&look, 1, 0) > 0;
+  }
+
   // What befell the connection besides an orderly end; 0 = nothing.
   int error() const {
     int found = 0;
@@ -113,6 +120,12 @@
   std::string text_;
 };
 
+// The test's next step, on the loop of the part that it tests: not before there is something to read for it.
+// A step that waited for that would hold up who is to write it.
+inline void once_readable(Loop& loop, const Line& line, const Loop::Task& step) {
+  loop.after(1, [&loop, &line, step] { line.readable() ? step() : once_readable(loop, line, step); });
+}
+
 inline unsigned short port_of(int fd) {
   sockaddr_in at{};
   socklen_t size = sizeof at;
--- a/tests/terms_test.cpp
+++ b/tests/terms_test.cpp
@@ -59,7 +59,7 @@
   Line answered(const std::string& lines) {
     discovery.watch();
     Line there = peer.accept();
-    loop.after(1, [&there, lines] {
+    once_readable(loop, there, [&there, lines] {
       there.request();
       there.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(lines));
     });
