A test for an attempt that a list overtakes in the same turn of the loop

Need: an attempt decided by the answer to a look was handed out behind a list that drains its backend, which so far had been found by reading; only the probe had a test. Change: the order, forced. Result: red without Facade::drop_unwanted (the attempt is sent), green with it.

--- a/tests/crossings/settings_order_test.cpp
+++ b/tests/crossings/settings_order_test.cpp
@@ -113,6 +113,23 @@
   for (const Choice& choice : due.choices) EXPECT_NE(choice.kind, Choice::Kind::kSend);
 }
 
+// The answer to a look has it sent, and in the same turn a list says that all drain.
+TEST(Settings, AnAttemptDecidedBeforeAListSaidOtherwiseIsNotSent) {
+  Held f(Held::settings(false));
+  f.pass(f.now + 2000);
+  EXPECT_EQ(f.facade.pick(1, {0, 0, f.now + 1000}, f.now).kind, Choice::Kind::kHold);
+  const std::vector<BackendId> asked = f.facade.tick(f.now).probes;
+  ASSERT_FALSE(asked.empty());
+  LoadReport idle;
+  idle.in_hand = idle.waiting = idle.busy = 0;
+  for (const BackendId one : asked) f.facade.report_probe(one, Ending::kServed, 1, &idle, f.now);
+  f.facade.report_list(f.list("draining"), ListSource::kWatch, f.now);
+  const Errands due = f.facade.tick(f.now);
+  for (const Choice& choice : due.choices) EXPECT_NE(choice.kind, Choice::Kind::kSend);
+  ASSERT_FALSE(due.choices.empty());
+  EXPECT_EQ(due.choices.back().kind, Choice::Kind::kRefuse) << "nobody is left";
+}
+
 // A class that a reload drops makes no other one look cheap, nor does its aim bind any more.
 TEST(Settings, ADroppedClassIsNoMeasureForTheOthers) {
   Settings cheap = Held::settings(false);
