The log tells by which list a process is ready, whom a list withdraws and how a watch ends

Change: a line each; an attempt's line names its list; an attempt that is not written as its connection is not quiet has a reason in the event log.

--- a/src/node/box_source.cpp
+++ b/src/node/box_source.cpp
@@ -199,7 +199,10 @@
 
 void BoxSource::watch_ended(Ending ending) {
   ++watch_endings_[ending];
-  spdlog::warn("pool {}: watch on the list ended: {}", config_.name, name_of(ending));
+  const Discovery::CallEnd& end = discovery_->last_end();
+  spdlog::warn(
+      "pool {}: watch on the list ended: {}, begun {:.2f} s and silent {:.2f} s before, {} bytes unfinished",
+      config_.name, name_of(ending), end.after / 1000, end.silent / 1000, end.unfinished);
   // A connection that ends before a byte of an answer is what an agent shows that is down, and so is silence.
   const bool in_words =
       ending == Ending::kTurnedAway || ending == Ending::kErred || ending == Ending::kMalformed;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -28,6 +28,7 @@
 void Discovery::watch() {
   if (stream_) return;
   ++opened_;
+  called_at_ = heard_at_ = loop_.now();
   parser_.reset();
   come_.clear();
   begun_at_ = 0;
@@ -72,6 +73,7 @@
 }
 
 void Discovery::on_input(Stream& stream) {
+  heard_at_ = loop_.now();
   const Parser::State state = parser_.advance(stream.input());
   if (state == Parser::State::kBad) {
     spdlog::warn("discovery: malformed answer: {}", parser_.cause());
@@ -194,6 +196,8 @@
 
 void Discovery::end(Ending ending) {
   if (!stream_) return;
+  const Millis now = loop_.now();
+  last_end_ = {.after = now - called_at_, .silent = now - heard_at_, .unfinished = come_.held()};
   leave();
   listener_.ended(ending);
 }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -52,6 +52,14 @@
   bool listed() const { return listed_; }          // a list, or a sign that there is no news, came whole
   std::uint64_t opened() const { return opened_; }
 
+  // How the last call stood when it ended, for the log.
+  struct CallEnd {
+    Millis after = 0;            // it was begun
+    Millis silent = 0;           // since its last byte, or its begin
+    std::size_t unfinished = 0;  // bytes of a list that has not come whole
+  };
+  const CallEnd& last_end() const { return last_end_; }
+
  private:
   void on_connected(Stream&) override;
   void on_input(Stream& stream) override;
@@ -82,6 +90,9 @@
   Millis begun_at_ = 0;    // when the list that has come in part began; 0 = none has
   bool listed_ = false;
   std::uint64_t opened_ = 0;
+  Millis called_at_ = 0;
+  Millis heard_at_ = 0;  // a byte, or the call's begin
+  CallEnd last_end_;
   static constexpr std::size_t kMostBytes = 8U << 20;
 };
 
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -83,7 +83,11 @@
   }
   // An end, or bytes, that lie there already came before the request: so it cannot have run, and has no
   // answer.
-  if (!stream.quiet()) return end_unsent(if_not_quiet);
+  if (!stream.quiet()) {
+    if (recorder != nullptr && !job->probe)
+      recorder->attempt_denied(job->request, job->attempt, guard::Reason::kInputUnread);
+    return end_unsent(if_not_quiet);
+  }
   stream.send(pieces);
   asked = true;
   if (recorder != nullptr && !job->probe)
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -10,8 +10,6 @@
 namespace shorelead::node {
 namespace {
 
-std::string named(Ending e) { return name_of(e); }
-
 // Whatever of a pool's configuration its module and its connections were made from.
 bool same_making(const PoolConfig& a, const PoolConfig& b) {
   return a.settings == b.settings && a.host.zones == b.host.zones &&
@@ -40,9 +38,7 @@
                            attempt_done(request, attempt, result);
                          },
                          [this](BackendId backend, const Result& result) {
-                           ++probe_endings_[result.ending];
-                           spdlog::debug("probe {} {} {:.1f} ms", facade_.host(backend),
-                                         name_of(result.ending), result.elapsed);
+                           counters_.probe_ended(facade_.host(backend), result.ending, result.elapsed);
                            facade_.report_probe(backend, result.ending, result.elapsed,
                                                 result.load ? &*result.load : nullptr, loop_.now());
                          },
@@ -59,7 +55,10 @@
       loop_, config, seed,
       BoxSource::Listener{[this](const List& list, ListSource from) {
                             record_.list(list);
-                            upstream_->withdraw(facade_.report_list(list, from, loop_.now()));
+                            const auto unwanted = facade_.report_list(list, from, loop_.now());
+                            for (const BackendId one : unwanted)
+                              record_.withdrawn_by(list.version, facade_.host(one));
+                            upstream_->withdraw(unwanted);
                             for (const auto& one : facade_.take_restarted())
                               upstream_->restarted(one.backend, one.started);
                           },
@@ -153,7 +152,7 @@
         Result result;
         return attempt_done(choice.request, choice.attempt, result);
       }
-      ++sent_;
+      counters_.attempt_sent();
       record_.decided(choice, facade_.host(choice.backend));
       upstream_->send(choice.request, choice.attempt, choice.backend, facade_.dial(choice.backend),
                       choice.until, it->second.message, choice.begin_by);
@@ -209,7 +208,7 @@
         [this, backend] { facade_.report_probe(backend, Ending::kNotSent, 0, nullptr, loop_.now()); });
     return;
   }
-  ++probes_;
+  counters_.probe_sent();
   upstream_->probe(backend, facade_.dial(backend));
 }
 
@@ -219,8 +218,7 @@
 }
 
 void Pool::attempt_ended(RequestId request, int attempt, const Result& result) {
-  ++attempt_endings_[result.ending];
-  spdlog::debug("attempt {}.{} {} {:.1f} ms", request, attempt, name_of(result.ending), result.elapsed);
+  counters_.attempt_ended(request, attempt, result.ending, result.elapsed);
   const auto it = open_.find(request);
   if (it != open_.end()) it->second.last = result.ending;
   const Choice choice = facade_.report(request, attempt, result.ending, result.elapsed,
@@ -234,8 +232,7 @@
 }
 
 void Pool::log_counters(const std::string& before) const {
-  spdlog::info("counters: {}sent={} attempts {}", before, sent_, listed(attempt_endings_, named));
-  spdlog::info("counters: {}probes={} {}", before, probes_, listed(probe_endings_, named));
+  counters_.log(before);
   source_->log_counters(before);
   spdlog::info("counters: {}boxes={} ready={} backends={} idle={} made={} reused={} open_requests={}", before,
                facade_.backends(), facade_.ready(), upstream_->connections(), upstream_->idle(),
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -13,9 +13,9 @@
 #include "limits/descriptors.h"
 #include "node/box_source.h"
 #include "node/config.h"
-#include "node/counts_text.h"
 #include "node/facade.h"
 #include "node/net.h"
+#include "node/pool_counters.h"
 #include "node/pool_record.h"
 #include "node/upstream.h"
 
@@ -117,11 +117,7 @@
   bool left_ = false;
   Loop::TimerId wake_ = 0;
   Millis wake_at_ = 0;
-  // counters
-  std::uint64_t sent_ = 0;
-  std::uint64_t probes_ = 0;
-  std::map<Ending, std::uint64_t> attempt_endings_;
-  std::map<Ending, std::uint64_t> probe_endings_;
+  PoolCounters counters_;
 };
 
 }  // namespace shorelead::node
--- /dev/null
+++ b/src/node/pool_counters.h
@@ -0,0 +1,40 @@
+// What a pool has sent and how it ended, counted for the log. Owns the counts; it must never decide by them.
+#pragma once
+
+#include <spdlog/spdlog.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "node/counts_text.h"
+#include "node/net.h"
+
+namespace shorelead::node {
+
+class PoolCounters {
+ public:
+  void attempt_sent() { ++sent_; }
+  void probe_sent() { ++probes_; }
+  void attempt_ended(RequestId request, int attempt, Ending ending, Millis elapsed) {
+    ++attempt_endings_[ending];
+    spdlog::debug("attempt {}.{} {} {:.1f} ms", request, attempt, name_of(ending), elapsed);
+  }
+  void probe_ended(const std::string& host, Ending ending, Millis elapsed) {
+    ++probe_endings_[ending];
+    spdlog::debug("probe {} {} {:.1f} ms", host, name_of(ending), elapsed);
+  }
+  void log(const std::string& before) const {
+    const auto name = [](Ending ending) { return std::string(name_of(ending)); };
+    spdlog::info("counters: {}sent={} attempts {}", before, sent_, listed(attempt_endings_, name));
+    spdlog::info("counters: {}probes={} {}", before, probes_, listed(probe_endings_, name));
+  }
+
+ private:
+  std::uint64_t sent_ = 0;
+  std::uint64_t probes_ = 0;
+  std::map<Ending, std::uint64_t> attempt_endings_;
+  std::map<Ending, std::uint64_t> probe_endings_;
+};
+
+}  // namespace shorelead::node
--- a/src/node/pool_record.h
+++ b/src/node/pool_record.h
@@ -3,6 +3,8 @@
 // for a decision.
 #pragma once
 
+#include <spdlog/spdlog.h>
+
 #include "guard/listed_record.h"
 #include "manage/bans.h"
 #include "node/facade.h"
@@ -22,6 +24,9 @@
     }
     recorder_->list(list.version, list.whole);
   }
+  void withdrawn_by(std::uint64_t version, const std::string& host) {
+    spdlog::info("by list {} nothing new goes to {}", version, host);
+  }
   void bans(const manage::BanSet& bans) {
     listed_.out_by_hand_begins();
     for (const auto& [host, ban] : bans.all()) {
--- /dev/null
+++ b/src/node/readiness.cpp
@@ -0,0 +1,40 @@
+#include "node/readiness.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "node/fleet_gate.h"
+#include "node/pool.h"
+
+namespace shorelead::node {
+
+bool Readiness::gate_suffices(const Traffic& traffic) const {
+  return traffic.number != 1 || !traffic.gate || traffic.gate->told();
+}
+
+// Lists of earlier will do if discovery takes its time.
+bool Readiness::lists_suffice(const Traffic& traffic, bool beside) const {
+  bool told = true;
+  bool pushed = false;
+  bool known = false;
+  for (const auto& pool : traffic.pools) {
+    told = told && pool->told();
+    // While discovery is down it learns nothing, so what was known when it went down is all there is.
+    pushed = pushed || (pool->pushed() && !pool->told() && !pool->unreached());
+    known = known || pool->backends() > 0;
+  }
+  if (told) return true;
+  const Millis wait = beside ? waits_.beside : pushed ? waits_.pushed_list : waits_.list;
+  return known && running() >= wait;
+}
+
+void Readiness::log_first(const Traffic& traffic) {
+  if (std::exchange(logged_, true)) return;
+  for (const auto& pool : traffic.pools) {
+    spdlog::info("pool {}: ready {:.2f} s after the start, {}", pool->name(), running() / 1000,
+                 pool->told() ? "by a list told since" : "by the list given at the start: none was told");
+  }
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/src/node/readiness.h
@@ -0,0 +1,38 @@
+// Whether this process knows its backends well enough to take clients, and by what. Owns when it began and
+// whether it has said so; it must never ask for a list, nor look at anything but what pools and gates say.
+#pragma once
+
+#include "node/net.h"
+#include "node/traffic.h"
+
+namespace shorelead::node {
+
+class Readiness {
+ public:
+  // How long a process waits at its start for a list of now, in milliseconds.
+  struct Waits {
+    Millis list = 500;  // where one of earlier is known
+    // The same where lists are pushed and somebody answers there: what is there counts as told from the first
+    // moment. Nine in ten starts have 6 s.
+    Millis pushed_list = 5000;
+    Millis beside = 3000;  // where another process serves meanwhile
+  };
+
+  Readiness(Loop& loop, const Waits& waits) : loop_(loop), waits_(waits), started_(loop.now()) {}
+
+  // `beside`: another process of this node serves meanwhile.
+  bool lists_suffice(const Traffic& traffic, bool beside) const;
+  bool gate_suffices(const Traffic& traffic) const;
+  // Says in the log, once, by which lists this process began to take clients.
+  void log_first(const Traffic& traffic);
+
+  Millis running() const { return loop_.now() - started_; }
+
+ private:
+  Loop& loop_;
+  const Waits waits_;
+  const Millis started_;
+  bool logged_ = false;
+};
+
+}  // namespace shorelead::node
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -62,7 +62,7 @@
 
 void Recorder::attempt_decided(RequestId request, int attempt, std::string_view host, BackendId backend) {
   add(What::kAttemptDecided, request, attempt, 0, backend);
-  spdlog::debug("attempt {}.{} to {}", request, attempt, host);
+  spdlog::debug("attempt {}.{} to {} by list {}", request, attempt, host, list_version_);
 }
 
 void Recorder::attempt_denied(RequestId request, int attempt, guard::Reason reason) {
@@ -125,7 +125,10 @@
   spdlog::debug("connection to backend {} closed: {}", backend, name_of(why));
 }
 
-void Recorder::list(std::uint64_t version, bool whole) { add(What::kList, 0, 0, whole ? 1 : 0, version); }
+void Recorder::list(std::uint64_t version, bool whole) {
+  list_version_ = version;
+  add(What::kList, 0, 0, whole ? 1 : 0, version);
+}
 
 void Recorder::generation(std::uint64_t number) { add(What::kGeneration, 0, 0, 0, number); }
 
--- a/src/node/recorder.h
+++ b/src/node/recorder.h
@@ -63,6 +63,7 @@
   guard::EventLog events_;
   guard::Checker checker_;
   guard::ProcessPhase phase_ = guard::ProcessPhase::kStopped;
+  std::uint64_t list_version_ = 0;  // of the last list that any pool took in
   std::uint64_t dumps_ = 0;
   std::uint64_t thrown_ = 0;
 };
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -15,7 +15,6 @@
 constexpr int kRoomy = 2;              // and plentiful when less than one in so many is in use
 constexpr int kManyUnused = 6;         // clients' unused connections are many beyond one in so many
 constexpr Millis kBansWait = 5000;     // for the file of those that are out by hand
-constexpr Millis kReadyWaitBeside = 3000;  // for the list of now, where another process serves meanwhile
 
 }  // namespace
 
@@ -52,7 +51,7 @@
            [this] { return departure_.leaving(); }, [this] { flows_->state(flow_bytes()); },
            [this] { trim(); }, [this] { departure_.replaced(); }, [this] { return departure_.resume(); },
            [this] { return gates_.give_reserve(); }, [this](Millis before) { gates_.take_reserve(before); }}),
-      started_(loop.now()) {
+      readiness_(loop, {.list = waits.list, .pushed_list = waits.pushed_list}) {
   limits_.sockets = allowed_descriptors(limits_.sockets);
   flows_ = std::make_shared<net::FlowBudget>(flow_bytes());
   const auto listed = [this](const std::string& id) {
@@ -73,7 +72,11 @@
             desk_.take(request, ask, way, std::move(message));
           },
           [this](RequestId request) { desk_.gone(request); },
-          [this] { return recorder_.reported_ready(ready()); },
+          [this] {
+            const bool is_ready = ready();
+            if (is_ready) readiness_.log_first(traffic());
+            return recorder_.reported_ready(is_ready);
+          },
           [this] { return Stream::open_count() * kCrowded >= most_streams() * (kCrowded - 1); },
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyUnused > most_streams(); },
           [this] { return Stream::open_count() * kRoomy < most_streams(); },
@@ -120,21 +123,9 @@
 }
 
 bool Server::could_serve() const {
-  if (traffic().number == 1 && traffic().gate && !traffic().gate->told()) return false;
-  if (!bans_->known() && loop_.now() - started_ < kBansWait) return false;
-  // Lists of earlier will do if discovery takes its time.
-  bool told = true;
-  bool pushed = false;
-  bool known = false;
-  for (const auto& pool : traffic().pools) {
-    told = told && pool->told();
-    // While discovery is down it learns nothing, so what was known when it went down is all there is.
-    pushed = pushed || (pool->pushed() && !pool->told() && !pool->unreached());
-    known = known || pool->backends() > 0;
-  }
-  if (told) return true;
-  const Millis wait = succession_.beside() ? kReadyWaitBeside : pushed ? waits_.pushed_list : waits_.list;
-  return known && loop_.now() - started_ >= wait;
+  if (!readiness_.gate_suffices(traffic())) return false;
+  if (!bans_->known() && readiness_.running() < kBansWait) return false;
+  return readiness_.lists_suffice(traffic(), succession_.beside());
 }
 
 int Server::most_streams() const {
@@ -225,7 +216,7 @@
   spdlog::info(
       "counters: up_s={:.1f} taken={} served={} refused={} failed={} client_gone={} left_early={} "
       "malformed={} reloads={} bad_reloads={} generation={} pools={} stood_in={}",
-      (loop_.now() - started_) / 1000, all.taken(), all.passed, all.dropped, all.bad_gateway, all.left,
+      readiness_.running() / 1000, all.taken(), all.passed, all.dropped, all.bad_gateway, all.left,
       front.left_early, front.malformed, reloads_.done(), reloads_.refused(), traffic().number,
       generations_.pools().size(), desk_.stood_in());
   spdlog::info("counters: answers {}",
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -19,6 +19,7 @@
 #include "node/front.h"
 #include "node/generations.h"
 #include "node/net.h"
+#include "node/readiness.h"
 #include "node/recorder.h"
 #include "node/reloads.h"
 #include "node/succession.h"
@@ -31,11 +32,8 @@
     Millis accept_on = 600;  // after SIGTERM: clients go on coming for up to 0.4 s
     Millis deadline =
         3000;  // and the kill comes so long after it at most, and 0.7 s, whatever the classes say
-    // At the start, for the list of now, where one of earlier is known.
-    Millis list = 500;
-    // The same where lists are pushed and somebody answers there: what is there counts as told from the first
-    // moment. Nine in ten starts have 6 s.
-    Millis pushed_list = 5000;
+    Millis list = Readiness::Waits().list;
+    Millis pushed_list = Readiness::Waits().pushed_list;
   };
 
   using Place = Succession::Place;
@@ -90,7 +88,7 @@
   Departure departure_;
   Succession succession_;
   std::unique_ptr<Door> door_;  // only where the configuration names one
-  Millis started_ = 0;
+  Readiness readiness_;
 };
 
 }  // namespace shorelead::node
