--- /dev/null
+++ b/tests/crossings/answering_peer.h
@@ -0,0 +1,103 @@
+// A server that answers each request at once, as a test says by its path, in a thread of its own, and keeps
+// the paths that were asked for.
+#pragma once
+
+#include <poll.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "node_case.h"
+
+namespace shorelead::node {
+
+inline const std::string kTurnedAway =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+
+class AnsweringPeer {
+ public:
+  using Answer = std::function<std::string(const std::string& path)>;
+
+  explicit AnsweringPeer(Answer answer) : answer_(std::move(answer)), thread_([this] { run(); }) {}
+  ~AnsweringPeer() {
+    peer_.stop();
+    thread_.join();
+    for (const auto& [fd, text] : texts_) ::close(fd);
+  }
+  AnsweringPeer(const AnsweringPeer&) = delete;
+  AnsweringPeer& operator=(const AnsweringPeer&) = delete;
+
+  std::string dial() const { return peer_.dial(); }
+  // So many requests for paths that begin so have come.
+  std::size_t count(const std::string& prefix) {
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(
+        paths_.begin(), paths_.end(), [&](const std::string& path) { return path.rfind(prefix, 0) == 0; }));
+  }
+
+ private:
+  void run() {
+    sigset_t all_signals;
+    sigfillset(&all_signals);
+    ::pthread_sigmask(SIG_BLOCK, &all_signals, nullptr);  // they are the node's
+    while (true) {
+      std::vector<pollfd> all = {{peer_.fd(), POLLIN, 0}};
+      for (const auto& [fd, text] : texts_) all.push_back({fd, POLLIN, 0});
+      ::poll(all.data(), all.size(), -1);
+      for (std::size_t n = 1; n < all.size(); ++n) {
+        if (all[n].revents != 0) take(all[n].fd);
+      }
+      if (all[0].revents == 0) continue;
+      const int fd = ::accept(peer_.fd(), nullptr, nullptr);
+      if (fd < 0) return;
+      texts_[fd];
+    }
+  }
+
+  void take(int fd) {
+    std::string& text = texts_[fd];
+    std::array<char, 16384> part{};
+    const ssize_t got = ::recv(fd, part.data(), part.size(), MSG_DONTWAIT);
+    if (got <= 0) {
+      ::close(fd);
+      texts_.erase(fd);
+      return;
+    }
+    text.append(part.data(), static_cast<std::size_t>(got));
+    Parser parser(Parser::Kind::kRequest);
+    if (parser.advance(text) != Parser::State::kDone) return;
+    const std::string path(parser.head().target.in(text));
+    text.erase(0, parser.size());
+    {
+      const std::lock_guard lock(mutex_);
+      paths_.push_back(path);
+    }
+    const std::string answer = answer_(path);
+    ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+  }
+
+  const Answer answer_;
+  Peer peer_;
+  std::map<int, std::string> texts_;  // what has come on each connection
+  std::mutex mutex_;
+  std::vector<std::string> paths_;
+  std::thread thread_;
+};
+
+// A backend that serves all that it is sent. Its health check fails once it drains.
+inline AnsweringPeer::Answer backend_that(const std::atomic<bool>& drains) {
+  return [&drains](const std::string& path) {
+    const bool probed = path.rfind("/-/", 0) == 0;
+    return probed && drains ? "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" : kOk;
+  };
+}
+
+}  // namespace shorelead::node
--- /dev/null
+++ b/tests/crossings/outdated_list_test.cpp
@@ -0,0 +1,113 @@
+// What a node does while its list may no longer hold: a process that was given an old one and is refused a
+// new one. The node is a process of its own; backends and discovery are stand-ins over loopback.
+#include <gtest/gtest.h>
+
+#include "crossings/answering_peer.h"
+#include "crossings/backends.h"
+#include "crossings/node_process.h"
+
+namespace shorelead::node {
+namespace {
+
+// As an installation states it whose lists are asked for.
+std::string settings(bool probing) {
+  return std::string(R"({"Instances":44,"Me":0,"RegistryMode":"subscribe",)") +
+         R"("Services":[{"Name":"safe","Aim":400,"GiveUp":1000,"Effect":"pure"}],)" +
+         R"("Allowed":{"Probing":)" + (probing ? "true" : "false") +
+         R"(,"Cancel":true,"MostTries":3,"ConnIdle":60000,"ConnectTimeout":200},)" +
+         R"("Costs":{"Probe":0.002},)" +
+         R"("Invariants":{"ColdShare":0.3,"WarmUp":9000,"FallMultiple":3,"Fall":1000,"AskEvery":10000,)" +
+         R"("StopSendingWithin":250}})";
+}
+
+std::string entry(const std::string& host, const AnsweringPeer& peer) {
+  return R"({"host":")" + host + R"(","dial":")" + peer.dial() + R"(","health":"ready"})";
+}
+
+std::string configuration(const std::string& known, const AnsweringPeer& discovery, bool probing) {
+  return R"({"name":"n0","listen":"127.0.0.1:1","discovery":")" + discovery.dial() +
+         R"(","seed":"1f","limits":{"sockets":256},"known":{"seq":1,"whole":true,"hosts":[)" + known +
+         R"(]},"settings":)" + settings(probing) + "}";
+}
+
+void wait_ready(const NodeProcess& node) {
+  Line line = node.client();
+  const auto hangs = std::chrono::steady_clock::now() + std::chrono::seconds(kHangSeconds);
+  std::string answer;
+  while (status_of(answer) != "HTTP/1.1 200") {
+    ASSERT_LT(std::chrono::steady_clock::now(), hangs) << "never ready";
+    line.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    answer = line.answer();
+  }
+}
+
+// What discovery has had for longer than this counts as told, whatever was refused or given up since.
+constexpr double kToldAfter = 6000;
+constexpr double kGrace = 250 + 50;  // of the settings above, and what sockets add
+
+// A node that was given `known` and is refused every call for a list, before backends that drain or do not.
+class RefusedNode {
+ public:
+  RefusedNode(const std::string& known, bool probing)
+      : node_(256, [text = configuration(known, discovery_, probing)](Config& config) {
+          config = parse_config(text, {});
+          config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+        }) {
+    wait_ready(node_);
+  }
+  Line client() const { return node_.client(); }
+
+ private:
+  AnsweringPeer discovery_{[](const std::string&) { return kTurnedAway; }};
+  const NodeProcess node_;
+};
+
+std::string ask(Line& client) {
+  client.write(get("/safe", "X-Timeout-Ms: 1000\r\n"));
+  return status_of(client.answer());
+}
+
+// Drains that discovery has had for longer than that count as told from a process's first moment, whatever
+// list it was given.
+TEST(OutdatedList, AProcessGivenAnOldListSendsNothingToWhoDrainsByNow) {
+  const std::atomic<bool> drains{true};
+  const std::atomic<bool> serves{false};
+  AnsweringPeer first(backend_that(drains));
+  AnsweringPeer second(backend_that(drains));
+  AnsweringPeer ready(backend_that(serves));
+  const RefusedNode node(entry("s-1", first) + "," + entry("s-2", second) + "," + entry("s-3", ready), true);
+  Line client = node.client();
+  constexpr int kRequests = 40;
+  for (int n = 0; n < kRequests; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 200") << n;
+  EXPECT_EQ(first.count("/safe") + second.count("/safe"), 0U);
+  EXPECT_EQ(ready.count("/safe"), static_cast<std::size_t>(kRequests));
+}
+
+// The same where all that it was given drain: there is nobody to send to, and clients hear so at once.
+TEST(OutdatedList, AProcessWhoseWholeListDrainsRefusesAtOnce) {
+  const std::atomic<bool> drains{true};
+  AnsweringPeer only(backend_that(drains));
+  const RefusedNode node(entry("s-1", only), true);
+  Line client = node.client();
+  for (int n = 0; n < 10; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
+  EXPECT_EQ(only.count("/safe"), 0U);
+}
+
+// A backend that drains while the process runs and is refused every list: from the bound and the grace on it
+// gets nothing new, though its list still names it.
+TEST(OutdatedList, AProcessThatIsRefusedListsSendsNothingToWhoBeganToDrain) {
+  std::atomic<bool> drains{false};
+  AnsweringPeer leaving(backend_that(drains));
+  const RefusedNode node(entry("s-1", leaving), true);
+  Line client = node.client();
+  EXPECT_EQ(ask(client), "HTTP/1.1 200") << "not before its health check fails";
+  drains = true;
+  const double bound = steady_ms() + kToldAfter + kGrace;
+  while (steady_ms() < bound) ASSERT_FALSE(ask(client).empty());
+  const std::size_t before = leaving.count("/safe");
+  for (int n = 0; n < 20; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
+  EXPECT_EQ(leaving.count("/safe"), before);
+}
+
+}  // namespace
+}  // namespace shorelead::node
