A list is held by a lease; behind it only a backend that a health check confirms gets anything

Cause: a list was believed for as long as no newer one came. Where calls are refused, or a process was given an old list, changes bind (6 s after discovery had them; 1.5 s after a watch that was over, while no call has ended since) although none arrived. Change: membership/list_lease.h (pure) says until when a list holds; the module (policy/confirmations.h), the guard in the moment of the write and the checker go by it. Behind it a backend has to have passed a health check that was sent since a change could not yet bind: draining backends fail theirs, though they serve. Where checks are not allowed requests are refused at once.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -26,6 +26,7 @@
 
 Verdict may_write(const RequestState& request, const BackendState& backend, Millis now) {
   if (!backend.wanted) return no(Reason::kBackendWithdrawn);
+  if (!backend.confirmed) return no(Reason::kListOutdated);
   if (request.body_taken) return no(Reason::kBodyTaken);
   if (request.out > 0 && !request.parallel) return no(Reason::kAnotherOut);
   return may_begin(request, now);
@@ -104,6 +105,8 @@
       return "slot_closed";
     case Reason::kBackendWithdrawn:
       return "backend_withdrawn";
+    case Reason::kListOutdated:
+      return "list_outdated";
     case Reason::kRequestUnderWay:
       return "request_under_way";
     case Reason::kInputUnread:
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -26,6 +26,7 @@
   kBodyTaken,         // its body was given to another attempt and is not here to be sent again
   kSlotClosed,        // its key's slot has moved
   kBackendWithdrawn,  // nothing new may go to the backend
+  kListOutdated,  // nor is it known that something may: the list is too old, and no health check confirms it
   // of a connection
   kRequestUnderWay,  // on it
   kInputUnread,      // something has come in, or an end has
@@ -69,7 +70,8 @@
 };
 
 struct BackendState {
-  bool wanted = true;  // listed as ready, and not out by hand
+  bool wanted = true;     // listed as ready, and not out by hand
+  bool confirmed = true;  // by a list that still holds, or by its health check
 };
 
 // The first byte of an attempt may be written now; it is not among the request's `attempts`.
--- a/src/guard/listed_record.h
+++ b/src/guard/listed_record.h
@@ -6,16 +6,21 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
+#include "base/list_validity.h"
+
 namespace shorelead::guard {
 
 class ListedRecord {
  public:
   // A list came, whole or changes alone: its entries follow.
   void list_begins(bool whole) {
-    if (whole) ready_.clear();
+    if (!whole) return;
+    std::erase_if(checked_, [this](const auto& one) { return ready_.find(one.first) == ready_.end(); });
+    ready_.clear();
   }
   void listed(std::string_view host, bool ready) {
     const auto found = ready_.find(host);
@@ -26,8 +31,16 @@
   void out_by_hand_begins() { out_by_hand_.clear(); }
   void out_by_hand(std::string host) { out_by_hand_.insert(std::move(host)); }
 
-  bool withdrawn(std::string_view host) const {
-    return ready_.find(host) == ready_.end() || out_by_hand_.find(host) != out_by_hand_.end();
+  // For how long the list may be acted on, and the health checks that let one be used beyond that.
+  void validity(const ListValidity& validity) { validity_ = validity; }
+  void confirmed(const std::string& host, Millis sent) { checked_[host].passed(sent); }
+  void denied(const std::string& host) { checked_[host].failed(); }
+
+  bool withdrawn(std::string_view host, Millis now) const {
+    if (ready_.find(host) == ready_.end() || out_by_hand_.find(host) != out_by_hand_.end()) return true;
+    if (now < validity_.until) return false;
+    const auto checked = checked_.find(host);
+    return checked == checked_.end() || !checked->second.within(validity_, now);
   }
 
  private:
@@ -39,6 +52,8 @@
 
   Hosts ready_;
   Hosts out_by_hand_;
+  std::unordered_map<std::string, LastConfirmation, Hash, std::equal_to<>> checked_;
+  ListValidity validity_;
 };
 
 }  // namespace shorelead::guard
--- /dev/null
+++ b/src/membership/list_lease.cpp
@@ -0,0 +1,59 @@
+#include "membership/list_lease.h"
+
+#include <algorithm>
+
+namespace shorelead::membership {
+
+void ListLease::asked(Millis now) {
+  asked_at_ = now;
+  if (unheard_since_ == kNever) unheard_since_ = now;
+}
+
+void ListLease::answered() {
+  watching_ = true;
+  current_at_ = std::max(current_at_, asked_at_);
+  unheard_since_ = lost_at_ = moved_at_ = kNever;
+}
+
+void ListLease::heard(Millis now) { current_at_ = std::max(current_at_, now - kSignInterval); }
+
+void ListLease::ended(CallEnd how, bool unfinished, Millis now) {
+  watching_ = false;
+  if (how == CallEnd::kFailed) unheard_since_ = kNever;
+  if (how == CallEnd::kWatchOver) unheard_since_ = over_at_ = now;
+  if (unfinished) lost_at_ = now;
+}
+
+void ListLease::moved(Millis now) {
+  if (watching_) unheard_since_ = over_at_ = now;
+  watching_ = false;
+  moved_at_ = now;
+}
+
+// For how long the process is held to the list that it has, once that is no longer what discovery has.
+Millis ListLease::held_for() const {
+  if (watching_) return kMostAge;
+  if (terms_.pushed) return 0;
+  const Millis unasked = terms_.ask_every > 0 ? std::min(terms_.ask_every, kUnasked) : kUnasked;
+  return unheard_since_ < kNever ? unasked : 4 * unasked;
+}
+
+Millis ListLease::holds_until() const {
+  Millis until = std::min({current_at_ + kMostAge, lost_at_, moved_at_ + kMoved});
+  if (watching_) return until;
+  if (terms_.pushed) return std::min(until, over_at_);
+  const Millis since = unheard_since_ < kNever ? unheard_since_ : current_at_;
+  return std::min(until, since + held_for());
+}
+
+ListValidity ListLease::validity() const {
+  ListValidity validity;
+  if (!terms_.grace) return validity;
+  const Millis allowance = std::max(*terms_.grace - kHeldUp, 0.0);
+  validity.until = holds_until() + allowance;
+  validity.confirmed_for = held_for() + allowance;
+  if (lost_at_ < kNever) validity.confirmed_after = lost_at_;
+  return validity;
+}
+
+}  // namespace shorelead::membership
--- a/src/node/box_source.cpp
+++ b/src/node/box_source.cpp
@@ -9,7 +9,6 @@
 namespace shorelead::node {
 namespace {
 
-constexpr Millis kKeepEvery = 5000;  // the list goes to the disk at most so often
 constexpr Millis kViewEvery = 250;
 
 }  // namespace
@@ -21,7 +20,8 @@
       births_([this](Millis label) { return loop_.from_wall(label); }),
       jitter_(seed) {
   if (config.view) view_ = std::make_unique<membership::View>(*config.view);
-  if (!config.keep.empty()) keeper_ = std::make_unique<membership::Keeper>(config.keep);
+  if (view_ && !config.keep.empty())
+    kept_copy_ = std::make_unique<KeptCopy>(loop, config.keep, config.name, *view_);
   if (config.registry) {
     registry_ = std::make_unique<membership::registry::Client>(
         loop_, *config.registry, *view_, 0, seed,
@@ -34,20 +34,35 @@
     return;
   }
   if (!config.discovery) return;
-  discovery_ =
-      std::make_unique<Discovery>(loop_, *config.discovery, config.known.version,
-                                  Discovery::Listener{[this](const List& list) { list_changed(list); },
-                                                      [this](Ending ending) { watch_ended(ending); }});
+  lease_ = std::make_unique<DiscoveryLease>(
+      loop_, config.name, [this](const ListValidity& validity) { listener_.validity(validity); });
+  discovery_ = std::make_unique<Discovery>(
+      loop_, *config.discovery, config.known.version,
+      Discovery::Listener{[this](const List& list) { list_changed(list); },
+                          [this](Ending ending) { watch_ended(ending); },
+                          [this](bool first) { lease_->current(first); }, [this] { lease_->asked(); }});
 }
 
 BoxSource::~BoxSource() {
   loop_.cancel(rewatch_);
   loop_.cancel(view_tick_);
-  loop_.cancel(keep_at_);
+}
+
+// Where a view decides what is believed of the list it never expires.
+void BoxSource::take_terms() {
+  if (lease_ && !view_) lease_->adopt(config_.settings);
+}
+
+void BoxSource::adopt(const Settings& settings) {
+  config_.settings = settings;
+  take_terms();
 }
 
 void BoxSource::start() {
-  if (keeper_) start_from_disk();
+  take_terms();
+  // A list of which the module was told nothing may be old by any time; whatever is wrong with it the source
+  // will tell, and until then attempts and probes do.
+  if (const auto kept = kept_copy_ ? kept_copy_->load() : std::nullopt) hand_on(*kept, ListSource::kStored);
   if (view_) tick_view();
   if (registry_) return registry_->start();
   if (!discovery_) return take_boxes();
@@ -62,6 +77,7 @@
 
 void BoxSource::follow(const PoolConfig& config) {
   const bool boxes = config.known.backends != config_.known.backends;
+  const std::optional<Poco::Net::SocketAddress> before = config_.discovery;
   config_ = config;
   if (registry_) return;
   if (!discovery_) {
@@ -71,6 +87,8 @@
   const bool waited = rewatch_ != 0;
   loop_.cancel(rewatch_);
   watch_waits_.reset();
+  take_terms();
+  if (config.discovery != before) lease_->moved();
   discovery_->move(*config.discovery);
   if (waited || !config_.settings.list_on_request) discovery_->watch();
 }
@@ -87,23 +105,6 @@
   return !discovery_ || discovery_->listed();
 }
 
-// A list of which the module was told nothing may be old by any time; whatever is wrong with it the source
-// will tell, and until then attempts and probes do.
-void BoxSource::start_from_disk() {
-  std::string cause;
-  const auto kept = membership::load_kept(config_.keep, cause);
-  if (!kept) {
-    if (!cause.empty()) spdlog::error("pool {}: {} is not used: {}", config_.name, config_.keep, cause);
-    return;
-  }
-  spdlog::info("pool {}: starts from {}: {} boxes, {:.0f} s old", config_.name, config_.keep,
-               kept->members.size(), (loop_.now() - loop_.from_wall(kept->written)) / 1000);
-  List list;
-  list.whole = true;
-  list.backends = kept->members;
-  hand_on(list, ListSource::kStored);
-}
-
 // Discovery's lists as the view has them. A whole list with a number below the last is of a discovery that
 // has lost its memory.
 membership::Update BoxSource::through_view(const List& list) {
@@ -139,27 +140,7 @@
     spdlog::warn("pool {}: {} boxes vanished at once and are held to be there until the source says so again",
                  config_.name, view_->held());
   }
-  if (keeper_ && !update.changes.empty()) {
-    changed_since_kept_ = true;
-    keep_list();
-  }
-}
-
-// Not for each change: the disk is slow, and a list some seconds old will do.
-void BoxSource::keep_list() {
-  if (keep_at_ != 0) return;
-  keep_at_ = loop_.after(kKeepEvery, [this] {
-    keep_at_ = 0;
-    if (const auto trouble = keeper_->trouble())
-      spdlog::error("pool {}: the list is not kept: {}", config_.name, *trouble);
-    if (!std::exchange(changed_since_kept_, false)) return;
-    if (keeper_->busy()) {
-      changed_since_kept_ = true;
-    } else {
-      keeper_->keep(membership::kept_text(view_->members(), loop_.to_wall(loop_.now())));
-    }
-    keep_list();
-  });
+  if (kept_copy_ && !update.changes.empty()) kept_copy_->changed();
 }
 
 // What the view holds or makes wait, and whether its source has gone quiet.
@@ -200,6 +181,7 @@
 void BoxSource::watch_ended(Ending ending) {
   ++watch_endings_[ending];
   const Discovery::CallEnd& end = discovery_->last_end();
+  lease_->ended(ending, end);
   spdlog::warn(
       "pool {}: watch on the list ended: {}, begun {:.2f} s and silent {:.2f} s before, {} bytes unfinished",
       config_.name, name_of(ending), end.after / 1000, end.silent / 1000, end.unfinished);
--- a/src/node/box_source.h
+++ b/src/node/box_source.h
@@ -10,12 +10,13 @@
 #include <random>
 #include <string>
 
-#include "membership/kept_list.h"
 #include "membership/registry/client.h"
 #include "membership/view.h"
 #include "node/birth_times.h"
 #include "node/config.h"
 #include "node/discovery.h"
+#include "node/discovery_lease.h"
+#include "node/kept_copy.h"
 #include "node/net.h"
 #include "node/watch_waits.h"
 
@@ -26,6 +27,8 @@
   struct Listener {
     std::function<void(const List&, ListSource)> list;
     std::function<void()> watch_ended;  // and who asks for lists is to ask again
+    // For how long the list may be acted on, whenever that has changed.
+    std::function<void(const ListValidity&)> validity = [](const ListValidity&) {};
   };
 
   BoxSource(Loop& loop, const PoolConfig& config, std::uint64_t seed, Listener listener);
@@ -36,7 +39,7 @@
   void start();
   void watch();  // the list is asked for
   void follow(const PoolConfig& config);
-  void adopt(const Settings& settings) { config_.settings = settings; }
+  void adopt(const Settings& settings);
 
   // The list that was known before the start, with births by the loop's clock.
   List known() { return births_.resolve(config_.known); }
@@ -44,7 +47,7 @@
   // No call since the start has found anyone there: nothing can have been told.
   bool unreached() const { return unreached_ && discovery_->last_told() == 0; }
   // Whether discovery tells by itself, and no list was kept for a time without it.
-  bool pushed() const { return discovery_ && !config_.settings.list_on_request && !keeper_; }
+  bool pushed() const { return discovery_ && !config_.settings.list_on_request && !kept_copy_; }
   void log_counters(const std::string& before) const;
 
  private:
@@ -55,25 +58,23 @@
   void tell(const membership::Update& update);
   membership::Update through_view(const List& list);
   void tick_view();
-  void keep_list();
-  void start_from_disk();
+  void take_terms();
 
   Loop& loop_;
   PoolConfig config_;
   const Listener listener_;
   BirthTimes births_;
   std::unique_ptr<membership::View> view_;
-  std::unique_ptr<Discovery> discovery_;  // without it and a registry the list stands in the configuration
+  std::unique_ptr<DiscoveryLease> lease_;  // with discovery
+  std::unique_ptr<Discovery> discovery_;   // without it and a registry the list stands in the configuration
   std::unique_ptr<membership::registry::Client> registry_;
-  std::unique_ptr<membership::Keeper> keeper_;
-  bool changed_since_kept_ = false;
+  std::unique_ptr<KeptCopy> kept_copy_;
   bool stale_ = false;
   bool unreached_ = false;
   std::uint64_t unreadable_ = 0;   // told of in the log
   std::uint64_t epoch_ = 1;        // of discovery's numbers
   std::uint64_t list_number_ = 0;  // of what was told to the module, where there is no version
   Loop::TimerId view_tick_ = 0;
-  Loop::TimerId keep_at_ = 0;
   Loop::TimerId rewatch_ = 0;
   WatchWaits watch_waits_;
   std::mt19937_64 jitter_;
--- a/src/node/config_checks.cpp
+++ b/src/node/config_checks.cpp
@@ -63,6 +63,7 @@
   need(settings.idle_timeout >= 0, "ConnIdle", "is below 0");
   need(settings.max_wait_advice >= 0, "MaxRetryAfter", "is below 0");
   need(settings.ask_every >= 0, "AskEvery", "is below 0");
+  need(settings.drain_grace.value_or(0) >= 0, "StopSendingWithin", "is below 0");
   need(settings.cold_share >= 0 && settings.cold_share <= 1, "ColdShare", "is not from 0 to 1");
   need(settings.warm_up >= 0, "WarmUp", "is below 0");
   need(settings.fall_multiple >= 0, "FallMultiple", "is below 0");
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -29,10 +29,11 @@
   if (stream_) return;
   ++opened_;
   called_at_ = heard_at_ = loop_.now();
+  listener_.asked();
   parser_.reset();
   come_.clear();
   begun_at_ = 0;
-  answered_ = false;
+  answered_ = current_ = false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.later([this] {
@@ -93,7 +94,7 @@
   if (state == Parser::State::kDone) come_.put("\n");  // with the answer its last list ends, too
   take_lists();
   if (!stream_) return;  // one that could not be read ended the watch
-  if (!part.empty() && come_.held() == 0 && !reader_) listed_ = true;
+  if (!part.empty()) taken_in();
   if (come_.held() > kMostBytes) return end(Ending::kMalformed);
   if (trickles()) return end(Ending::kSilent);
   if (state == Parser::State::kDone) on_end(stream, Ending::kPeerClosed);
@@ -148,7 +149,16 @@
   } catch (const FieldError& error) {
     return refuse(error);
   }
-  if (stream_) take_lists();
+  if (!stream_) return;
+  take_lists();
+  if (stream_) taken_in();
+}
+
+// What has come was looked through: unless some of it is left, the list is as discovery last told it.
+void Discovery::taken_in() {
+  if (come_.held() > 0 || reader_) return;
+  listed_ = true;
+  listener_.current(!std::exchange(current_, true));
 }
 
 void Discovery::take(const List& list) {
@@ -197,7 +207,10 @@
 void Discovery::end(Ending ending) {
   if (!stream_) return;
   const Millis now = loop_.now();
-  last_end_ = {.after = now - called_at_, .silent = now - heard_at_, .unfinished = come_.held()};
+  last_end_ = {.after = now - called_at_,
+               .silent = now - heard_at_,
+               .unfinished = come_.held() + (reader_ ? 1 : 0),
+               .answered = current_};
   leave();
   listener_.ended(ending);
 }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -20,6 +20,10 @@
   struct Listener {
     std::function<void(const List&)> changed;
     std::function<void(Ending)> ended;
+    // All that has come was taken in, and nothing has begun to come behind it; `first` of this call, which
+    // was begun then.
+    std::function<void(bool first)> current = [](bool) {};
+    std::function<void()> asked = [] {};  // a call begins
   };
 
   struct Waits {
@@ -57,6 +61,7 @@
     Millis after = 0;            // it was begun
     Millis silent = 0;           // since its last byte, or its begin
     std::size_t unfinished = 0;  // bytes of a list that has not come whole
+    bool answered = false;       // it had brought something whole
   };
   const CallEnd& last_end() const { return last_end_; }
 
@@ -70,6 +75,7 @@
   void read_slice();
   void take(const List& list);
   void refuse(const FieldError& error);
+  void taken_in();
   void expect(Millis wait, Ending otherwise);
   void leave();
   void end(Ending ending);
@@ -91,7 +97,8 @@
   bool listed_ = false;
   std::uint64_t opened_ = 0;
   Millis called_at_ = 0;
-  Millis heard_at_ = 0;  // a byte, or the call's begin
+  bool current_ = false;  // told so of this call
+  Millis heard_at_ = 0;   // a byte, or the call's begin
   CallEnd last_end_;
   static constexpr std::size_t kMostBytes = 8U << 20;
 };
--- a/src/node/facade.h
+++ b/src/node/facade.h
@@ -59,12 +59,15 @@
   std::vector<BackendId> report_bans(const manage::BanSet& bans, Millis now);
   std::vector<Roster::Restarted> take_restarted() { return roster_.take_restarted(); }
   void report_watch_ended(Millis now);
+  // For how long the list may be acted on.
+  void report_validity(const ListValidity& validity, Millis now) { feed(validity, now); }
   void body_whole(RequestId request, Millis due);
   // What the guard is to know of an attempt that is about to be written.
-  void describe(RequestId request, BackendId backend, guard::RequestState& state,
+  void describe(RequestId request, BackendId backend, Millis now, guard::RequestState& state,
                 guard::BackendState& there) const {
     requests_.describe(request, state);
     there.wanted = roster_.wanted(backend);
+    there.confirmed = policy_.confirmed(backend, now);
   }
   void report_client_gone(RequestId request, Millis now);
   // All that is out of it, whether the settings allow that or not; its answer, if it has none, is the
--- /dev/null
+++ b/src/node/kept_copy.cpp
@@ -0,0 +1,56 @@
+#include "node/kept_copy.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kKeepEvery = 5000;  // the list goes to the disk at most so often
+
+}  // namespace
+
+KeptCopy::KeptCopy(Loop& loop, std::string path, std::string pool, const membership::View& view)
+    : loop_(loop), path_(std::move(path)), pool_(std::move(pool)), view_(view), keeper_(path_) {}
+
+KeptCopy::~KeptCopy() { loop_.cancel(write_at_); }
+
+std::optional<List> KeptCopy::load() const {
+  std::string cause;
+  const auto kept = membership::load_kept(path_, cause);
+  if (!kept) {
+    if (!cause.empty()) spdlog::error("pool {}: {} is not used: {}", pool_, path_, cause);
+    return std::nullopt;
+  }
+  spdlog::info("pool {}: starts from {}: {} boxes, {:.0f} s old", pool_, path_, kept->members.size(),
+               (loop_.now() - loop_.from_wall(kept->written)) / 1000);
+  List list;
+  list.whole = true;
+  list.backends = kept->members;
+  return list;
+}
+
+void KeptCopy::changed() {
+  changed_ = true;
+  write_later();
+}
+
+// Not for each change: the disk is slow, and a list some seconds old will do.
+void KeptCopy::write_later() {
+  if (write_at_ != 0) return;
+  write_at_ = loop_.after(kKeepEvery, [this] {
+    write_at_ = 0;
+    if (const auto trouble = keeper_.trouble())
+      spdlog::error("pool {}: the list is not kept: {}", pool_, *trouble);
+    if (!std::exchange(changed_, false)) return;
+    if (keeper_.busy()) {
+      changed_ = true;
+    } else {
+      keeper_.keep(membership::kept_text(view_.members(), loop_.to_wall(loop_.now())));
+    }
+    write_later();
+  });
+}
+
+}  // namespace shorelead::node
--- a/src/node/link.cpp
+++ b/src/node/link.cpp
@@ -41,7 +41,7 @@
   // Of two attempts only one can have a body that comes by parts.
   const auto& flow = job->message->flow;
   request.body_taken = flow && (flow->touched() || flow->has_sink());
-  owner.listener_.describe(job->request, backend, request, there);
+  owner.listener_.describe(job->request, backend, now, request, there);
   return guard::may_write(request, there, now);
 }
 
@@ -91,8 +91,8 @@
   stream.send(pieces);
   asked = true;
   if (recorder != nullptr && !job->probe)
-    recorder->attempt_written(job->request, job->attempt, backend, owner.listener_.withdrawn(backend), left,
-                              now);
+    recorder->attempt_written(job->request, job->attempt, backend, owner.listener_.withdrawn(backend, now),
+                              left, now);
   if (!job->probe && job->message->flow) begin_body();
   note_written();
 }
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -34,23 +34,25 @@
   const auto purpose = [](bool probe) { return probe ? limits::Purpose::kProbe : limits::Purpose::kRequest; };
   upstream_ = std::make_unique<Upstream>(
       loop_, config.settings.connect_timeout, config.host.idle_timeout, config.host.settle, std::move(flows),
-      Upstream::Listener{[this](RequestId request, int attempt, const Result& result) {
-                           attempt_done(request, attempt, result);
-                         },
-                         [this](BackendId backend, const Result& result) {
-                           counters_.probe_ended(facade_.host(backend), result.ending, result.elapsed);
-                           facade_.report_probe(backend, result.ending, result.elapsed,
-                                                result.load ? &*result.load : nullptr, loop_.now());
-                         },
-                         [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
-                         [this, purpose](bool probe) { return host_.keep(purpose(probe)); },
-                         [this](RequestId request, BackendId backend, guard::RequestState& state,
-                                guard::BackendState& there) {
-                           facade_.describe(request, backend, state, there);
-                           state.client_waits = host_.still_waits(request);
-                         },
-                         [this](BackendId backend) { return record_.withdrawn(facade_.host(backend)); },
-                         host_.recorder});
+      Upstream::Listener{
+          [this](RequestId request, int attempt, const Result& result) {
+            attempt_done(request, attempt, result);
+          },
+          [this](BackendId backend, const Result& result) {
+            counters_.probe_ended(facade_.host(backend), result.ending, result.elapsed);
+            record_.probed(facade_.host(backend), result, loop_.now());
+            facade_.report_probe(backend, result.ending, result.elapsed,
+                                 result.load ? &*result.load : nullptr, loop_.now());
+          },
+          [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
+          [this, purpose](bool probe) { return host_.keep(purpose(probe)); },
+          [this](RequestId request, BackendId backend, Millis now, guard::RequestState& state,
+                 guard::BackendState& there) {
+            facade_.describe(request, backend, now, state, there);
+            state.client_waits = host_.still_waits(request);
+          },
+          [this](BackendId backend, Millis now) { return record_.withdrawn(facade_.host(backend), now); },
+          host_.recorder});
   source_ = std::make_unique<BoxSource>(
       loop_, config, seed,
       BoxSource::Listener{[this](const List& list, ListSource from) {
@@ -62,7 +64,11 @@
                             for (const auto& one : facade_.take_restarted())
                               upstream_->restarted(one.backend, one.started);
                           },
-                          [this] { facade_.report_watch_ended(loop_.now()); }});
+                          [this] { facade_.report_watch_ended(loop_.now()); },
+                          [this](const ListValidity& validity) {
+                            record_.validity(validity);
+                            facade_.report_validity(validity, loop_.now());
+                          }});
 }
 
 Pool::~Pool() { loop_.cancel(wake_); }
@@ -237,11 +243,7 @@
   spdlog::info("counters: {}boxes={} ready={} backends={} idle={} made={} reused={} open_requests={}", before,
                facade_.backends(), facade_.ready(), upstream_->connections(), upstream_->idle(),
                upstream_->opened(), upstream_->reused(), facade_.open_requests());
-  if (const auto subset = facade_.subset_counters()) {
-    spdlog::info("counters: {}subset fleet={} members={} lots={} borrowed={} drawings={} changes={}", before,
-                 subset->fleet, subset->members, subset->lots, subset->borrowed, subset->drawings,
-                 subset->changes);
-  }
+  if (const auto subset = facade_.subset_counters()) PoolCounters::log_subset(before, *subset);
 }
 
 }  // namespace shorelead::node
--- a/src/node/pool_counters.h
+++ b/src/node/pool_counters.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "node/counts_text.h"
+#include "node/drawn_part.h"
 #include "node/net.h"
 
 namespace shorelead::node {
@@ -29,6 +30,10 @@
     spdlog::info("counters: {}sent={} attempts {}", before, sent_, listed(attempt_endings_, name));
     spdlog::info("counters: {}probes={} {}", before, probes_, listed(probe_endings_, name));
   }
+  static void log_subset(const std::string& before, const SubsetCounters& subset) {
+    spdlog::info("counters: {}subset fleet={} members={} lots={} borrowed={} drawings={} changes={}", before,
+                 subset.fleet, subset.members, subset.lots, subset.borrowed, subset.drawings, subset.changes);
+  }
 
  private:
   std::uint64_t sent_ = 0;
--- a/src/node/pool_record.h
+++ b/src/node/pool_record.h
@@ -10,6 +10,7 @@
 #include "node/facade.h"
 #include "node/recorder.h"
 #include "node/request_rules.h"
+#include "node/upstream.h"
 
 namespace shorelead::node {
 
@@ -33,7 +34,12 @@
       if (ban.out) listed_.out_by_hand(host);
     }
   }
-  bool withdrawn(const std::string& host) const { return listed_.withdrawn(host); }
+  void validity(const ListValidity& validity) { listed_.validity(validity); }
+  void probed(const std::string& host, const Result& result, Millis now) {
+    if (result.ending == Ending::kServed) listed_.confirmed(host, now - result.elapsed);
+    if (result.ending == Ending::kTurnedAway) listed_.denied(host);
+  }
+  bool withdrawn(const std::string& host, Millis now) const { return listed_.withdrawn(host, now); }
 
   void request(RequestId request, const Settings& settings, const Ask& ask) {
     const Millis due = ask.body_comes ? guard::kNever : ask.due;
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -41,10 +41,10 @@
     std::function<bool(bool probe)> keep;
     // Adds what is known of a request and a backend to what the connection knows, for the guard: asked in the
     // moment in which an attempt is to be written.
-    std::function<void(RequestId, BackendId, guard::RequestState&, guard::BackendState&)> describe =
-        [](RequestId, BackendId, guard::RequestState&, guard::BackendState&) {};
-    // Whether nothing new was to go to this backend, as the checker has it.
-    std::function<bool(BackendId)> withdrawn = [](BackendId) { return false; };
+    std::function<void(RequestId, BackendId, Millis now, guard::RequestState&, guard::BackendState&)>
+        describe = [](RequestId, BackendId, Millis, guard::RequestState&, guard::BackendState&) {};
+    // Whether nothing new was to go to this backend by then, as the checker has it.
+    std::function<bool(BackendId, Millis now)> withdrawn = [](BackendId, Millis) { return false; };
     Recorder* recorder = nullptr;
   };
 
--- a/src/policy/choosing.h
+++ b/src/policy/choosing.h
@@ -4,6 +4,7 @@
 
 #include <tuple>
 
+#include "policy/confirmations.h"
 #include "policy/health.h"
 #include "policy/retries.h"
 #include "policy/rotation.h"
@@ -17,6 +18,7 @@
 constexpr double kMostQueue = 3;    // times the root of its cores that may wait at a backend
 constexpr Millis kLookTime = 10;    // slower probes than this are not waited for
 constexpr double kLookAge = 0.2;    // service times: a younger report is news enough
+constexpr int kChecks = 3;          // health checks that a request may set off where the list is outdated
 
 struct Choosing {
   // The next in the rotation, or the best of those looked at; and whether it is good enough without more
@@ -42,8 +44,11 @@
   std::optional<BackendId> propose(const Request& r) const {
     const Millis patience = kSkipShare * (r.aim_at - c_.now);
     std::optional<BackendId> pick;
+    int checks = 0;
     rotation_.walk([&](BackendId i) {
       const bool may = allowed(r, i);
+      // For those behind it: it is passed over until its check has passed.
+      if (!may && unconfirmed(r, i) && checks < kChecks) probes_.look(i), ++checks;
       if (may && expected(r, i) <= patience) return pick = i, Rotation::Turn::kTaken;
       // It keeps its turn for another request, as does one that a look may clear.
       return !may || may_look(i) ? Rotation::Turn::kKept : Rotation::Turn::kLost;
@@ -52,6 +57,17 @@
   }
 
   bool allowed(const Request& r, BackendId i) const {
+    return confirmations_.holds(i, c_.now) && eligible(r, i);
+  }
+
+  // A health check would let it have the request.
+  bool unconfirmed(const Request& r, BackendId i) const {
+    return c_.settings.probing && !confirmations_.holds(i, c_.now) && confirmations_.worth_a_check(i) &&
+           rotation_.usable(i) && eligible(r, i);
+  }
+
+  // Whether it may have it by all but the age of the list.
+  bool eligible(const Request& r, BackendId i) const {
     if (r.home.only && !r.home.has(lists_[i])) return false;
     for (const Attempt& a : r.attempts) {
       if (a.backend == i) return false;
@@ -80,7 +96,8 @@
 
   Context& c_;
   const Lists& lists_;
-  const Probes& probes_;
+  Probes& probes_;
+  const Confirmations& confirmations_;
   Rotation& rotation_;
   ColdBudgets& cold_;
   const Health& health_;
--- a/src/policy/looking.h
+++ b/src/policy/looking.h
@@ -14,7 +14,9 @@
 
 struct Looking {
   Millis longest(const Request& r) const {
-    return c_.looks_first() ? kLookShare * c_.request_class(r.request_class).aim : kLookWait;
+    const Millis share = kLookShare * c_.request_class(r.request_class).aim;
+    if (c_.looks_first()) return share;
+    return confirmations_.list_outdated() ? std::max(share, kLookWait) : kLookWait;
   }
 
   // Adds some to those asked for the request, if there are any of use and it has the time.
@@ -26,6 +28,8 @@
       if (r.looks >= kLookRounds) return;
       const std::size_t most = old + static_cast<std::size_t>(c_.by_keepers ? kAsks : kFirstLooks);
       r.key != 0 && c_.settings.warm_keys ? prefer(r, most) : next_turns(r, most);
+    } else if (confirmations_.list_outdated()) {
+      if (r.looks < kLookRounds) unconfirmed(r, old + kLooks);
     } else {
       const bool late = r.looks > 0 && c_.now > r.look_until - kTimerSlack;
       if (late || c_.too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !c_.settings.probing) return;
@@ -42,9 +46,10 @@
   bool to_come(BackendId i) const { return !c_.by_keepers || fellows_.asked(i); }
   bool awaited(BackendId i) const { return probes_.looked_at(i) || fellows_.awaits(i, kTimerSlack); }
 
-  const Context& c_;
+  Context& c_;
   const Lists& lists_;
   Probes& probes_;
+  const Confirmations& confirmations_;
   Rotation& rotation_;
   Fellows& fellows_;
   const estimate::Backends& known_;
@@ -54,7 +59,7 @@
   // The next in the rotation; they lose their turns.
   void next_turns(Request& r, std::size_t most) const {
     rotation_.walk([&](BackendId i) {
-      if (r.was_asked(i) || !choosing_.allowed(r, i)) return Rotation::Turn::kKept;
+      if (r.was_asked(i) || !choosing_.eligible(r, i)) return Rotation::Turn::kKept;
       r.asked.push_back(i);
       return r.asked.size() < most ? Rotation::Turn::kLost : Rotation::Turn::kTaken;
     });
@@ -74,13 +79,23 @@
       r.asked.push_back(stale[n].second);
   }
 
+  // Some whose health check would let them have it, from a place drawn anew.
+  void unconfirmed(Request& r, std::size_t most) const {
+    const std::size_t count = lists_.size();
+    const std::size_t start = count == 0 ? 0 : c_.random.below(count);
+    for (std::size_t n = 0; n < count && r.asked.size() < most; ++n) {
+      const auto i = static_cast<BackendId>((start + n) % count);
+      if (!r.was_asked(i) && choosing_.unconfirmed(r, i)) r.asked.push_back(i);
+    }
+  }
+
   // Exception "keys": those that most likely have met the key. Each node draws the same order for it, in
   // which a backend stands first as often as its share says (weighted rendezvous hashing).
   void prefer(Request& r, std::size_t most) const {
     std::vector<std::pair<double, BackendId>> order;
     for (BackendId i = 0; i < lists_.size(); ++i) {
       const double share = rotation_.share(i);
-      if (!rotation_.usable(i) || share <= 0 || r.was_asked(i) || !choosing_.allowed(r, i)) continue;
+      if (!rotation_.usable(i) || share <= 0 || r.was_asked(i) || !choosing_.eligible(r, i)) continue;
       Random draw(r.key ^ (lists_[i].tag * 0x9e3779b97f4a7c15ULL));
       order.emplace_back(-std::log(1 - draw.unit()) / share, i);
     }
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -17,6 +17,8 @@
     std::visit([this](const auto& e) { on(e); }, event);
   }
 
+  bool confirmed(BackendId backend, Millis now) const { return confirmations_.holds(backend, now); }
+
   std::size_t avoided(Millis now) const {
     std::size_t count = 0;
     for (BackendId i = 0; i < lists_.size(); ++i) {
@@ -52,6 +54,7 @@
   // A new or returned backend starts over: what was measured before says nothing of it.
   void welcome(BackendId i) {
     probes_.welcome(i);
+    confirmations_.welcome(i);
     rotation_.welcome(i);
     cold_.welcome(i);
     known_.welcome(i);
@@ -80,6 +83,7 @@
   void on(const ProbeEnded& e) {
     lists_.require(e.backend);
     const bool counts = probes_.ended(e.backend);
+    confirmations_.probed(e.backend, e.outcome, e.elapsed);
     if (e.has_report) known_.reported(e.backend, e.report);
     requests_.look_again();
     if (counts) probes_.record(e);
@@ -94,18 +98,21 @@
   void on(const StreamStarted& e) { requests_.streams(e.request); }
   void on(const RequestGone& e) { requests_.gone(e.request); }
   void on(const FurtherAllowed& e) { retries_.allow(e.left); }
+  void on(const ListValidity& e) { confirmations_.change(e); }
 
   policy::Context c_;
   policy::Lists lists_{c_};
   policy::Probes probes_{c_, lists_};
+  policy::Confirmations confirmations_{c_};
   policy::Rotation rotation_{c_, lists_, probes_};
   estimate::Backends known_{c_, c_.first_guess(), c_.settings.classes.size()};
   policy::ColdBudgets cold_{c_, known_};
   policy::Health health_{c_, lists_};
   policy::Fellows fellows_{c_, lists_, known_};
   policy::Retries retries_{c_, lists_};
-  policy::Choosing choosing_{c_, lists_, probes_, rotation_, cold_, health_, retries_, known_};
-  policy::Looking looking_{c_, lists_, probes_, rotation_, fellows_, known_, choosing_};
+  policy::Choosing choosing_{c_,    lists_,  probes_,  confirmations_, rotation_,
+                             cold_, health_, retries_, known_};
+  policy::Looking looking_{c_, lists_, probes_, confirmations_, rotation_, fellows_, known_, choosing_};
   policy::Requests requests_{
       {c_, lists_, probes_, rotation_, cold_, health_, fellows_, retries_, known_, choosing_, looking_}};
   int tick_ = 0;
@@ -123,4 +130,6 @@
 
 std::size_t Policy::avoided(Millis now) const { return impl_->avoided(now); }
 
+bool Policy::confirmed(BackendId backend, Millis now) const { return impl_->confirmed(backend, now); }
+
 }  // namespace shorelead
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -131,7 +131,8 @@
       if (looking_.ask(r.asked[n])) look_again();
       open |= looking_.to_come(r.asked[n]);
     }
-    if (c_.looks_first() || r.looks == 0) r.look_until = c_.now + (open ? wait : 0);
+    if (c_.looks_first() || r.looks == 0 || looking_.confirmations_.list_outdated())
+      r.look_until = c_.now + (open ? wait : 0);
     if (r.look_until == c_.now + wait) c_.timer(kLookTimer, r.look_until);
     r.looks += 1;
     open ? held_.push_back(r.id) : proceed(r);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -109,6 +109,8 @@
   settings.streams_per_connection = index_or(allowed, "StreamsPerConn", settings.streams_per_connection);
   const Json& rules = fields::object(object, "Invariants");
   settings.ask_every = number_or(rules, "AskEvery", 0);
+  if (find(rules, "StopSendingWithin") != nullptr)
+    settings.drain_grace = number_or(rules, "StopSendingWithin", 0);
   settings.cold_share = number_or(rules, "ColdShare", 1);
   settings.warm_up = number_or(rules, "WarmUp", 0);
   settings.fall_multiple = number_or(rules, "FallMultiple", 1);
--- a/tests/guard/checker_test.cpp
+++ b/tests/guard/checker_test.cpp
@@ -110,21 +110,40 @@
   listed.list_begins(true);
   listed.listed("s-1", true);
   listed.listed("s-2", true);
-  EXPECT_FALSE(listed.withdrawn("s-1"));
+  EXPECT_FALSE(listed.withdrawn("s-1", kStart));
   listed.list_begins(false);
   listed.listed("s-1", false);
-  EXPECT_TRUE(listed.withdrawn("s-1"));
-  EXPECT_FALSE(listed.withdrawn("s-2"));
+  EXPECT_TRUE(listed.withdrawn("s-1", kStart));
+  EXPECT_FALSE(listed.withdrawn("s-2", kStart));
   listed.out_by_hand("s-2");
-  EXPECT_TRUE(listed.withdrawn("s-2"));
+  EXPECT_TRUE(listed.withdrawn("s-2", kStart));
   listed.out_by_hand_begins();
   listed.list_begins(true);
   listed.listed("s-1", true);
-  EXPECT_TRUE(listed.withdrawn("s-2")) << "a whole list does not name it";
+  EXPECT_TRUE(listed.withdrawn("s-2", kStart)) << "a whole list does not name it";
   Case c;
   c.write(kStart, true);
   EXPECT_EQ(c.broken, Broken({Rule::kToWithdrawn}));
 }
 
+// Behind the list's time only a health check that passed lately, and late enough, lets one be used.
+TEST(Checker, NothingNewGoesToABackendOfAnOutdatedListThatNoCheckConfirms) {
+  ListedRecord listed;
+  listed.list_begins(true);
+  listed.listed("s-1", true);
+  listed.validity({.until = kStart, .confirmed_for = 100});
+  EXPECT_FALSE(listed.withdrawn("s-1", kStart - 1));
+  EXPECT_TRUE(listed.withdrawn("s-1", kStart));
+  listed.confirmed("s-1", kStart - 10);
+  EXPECT_FALSE(listed.withdrawn("s-1", kStart + 89));
+  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 90));
+  listed.confirmed("s-1", kStart + 50);
+  listed.denied("s-1");
+  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 60)) << "its check failed since";
+  listed.confirmed("s-1", kStart + 70);
+  listed.validity({.until = kStart, .confirmed_for = 100, .confirmed_after = kStart + 71});
+  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 80)) << "a list was lost since that check";
+}
+
 }  // namespace
 }  // namespace shorelead::guard
