While a list is out of date few health checks serve many requests, and fewer where they are dear

Change: a request that is sent has one more backend checked, a held one three; two and none where two checks cost more than the module spends on looks. Of few that are confirmed the soonest is taken where the rotation has no turn.

--- a/src/policy/choosing.h
+++ b/src/policy/choosing.h
@@ -18,7 +18,6 @@
 constexpr double kMostQueue = 3;    // times the root of its cores that may wait at a backend
 constexpr Millis kLookTime = 10;    // slower probes than this are not waited for
 constexpr double kLookAge = 0.2;    // service times: a younger report is news enough
-constexpr int kChecks = 3;          // health checks that a request may set off where the list is outdated
 
 struct Choosing {
   // The next in the rotation, or the best of those looked at; and whether it is good enough without more
@@ -27,7 +26,7 @@
     const Millis patience = kSkipShare * (r.aim_at - c_.now);
     if (const auto i = r.home.any() ? soonest(r, patience, true) : std::nullopt) return {i, true};
     if (!c_.looks_first()) {
-      const std::optional<BackendId> i = propose(r);
+      const std::optional<BackendId> i = next(r);
       return {i, i.has_value()};
     }
     const std::optional<BackendId> i = best_asked(r);
@@ -40,15 +39,19 @@
     return pick || (c_.looks_first() && !r.asked.empty()) ? pick : soonest(r, admitted(r));
   }
 
+  // The next in the rotation; or of few that are confirmed, of whom it soon has no turn left, the soonest.
+  std::optional<BackendId> next(const Request& r) const {
+    const std::optional<BackendId> i = propose(r);
+    if (i || !confirmations_.list_outdated()) return i;
+    return soonest(r, c_.too_dear(kFirstLooks) ? admitted(r) : kSkipShare * (r.aim_at - c_.now));
+  }
+
   // The next in the rotation that may have it and can answer in time (exception "skip": it loses its turn).
   std::optional<BackendId> propose(const Request& r) const {
     const Millis patience = kSkipShare * (r.aim_at - c_.now);
     std::optional<BackendId> pick;
-    int checks = 0;
     rotation_.walk([&](BackendId i) {
       const bool may = allowed(r, i);
-      // For those behind it: it is passed over until its check has passed.
-      if (!may && unconfirmed(r, i) && checks < kChecks) probes_.look(i), ++checks;
       if (may && expected(r, i) <= patience) return pick = i, Rotation::Turn::kTaken;
       // It keeps its turn for another request, as does one that a look may clear.
       return !may || may_look(i) ? Rotation::Turn::kKept : Rotation::Turn::kLost;
@@ -96,7 +99,7 @@
 
   Context& c_;
   const Lists& lists_;
-  Probes& probes_;
+  const Probes& probes_;
   const Confirmations& confirmations_;
   Rotation& rotation_;
   ColdBudgets& cold_;
--- a/src/policy/looking.h
+++ b/src/policy/looking.h
@@ -29,7 +29,13 @@
       const std::size_t most = old + static_cast<std::size_t>(c_.by_keepers ? kAsks : kFirstLooks);
       r.key != 0 && c_.settings.warm_keys ? prefer(r, most) : next_turns(r, most);
     } else if (confirmations_.list_outdated()) {
-      if (r.looks < kLookRounds) unconfirmed(r, old + kLooks);
+      const std::size_t most =
+          old + static_cast<std::size_t>(c_.too_dear(kFirstLooks) ? kFirstLooks : kLooks);
+      while (r.looks < kLookRounds && r.asked.size() < most) {
+        const auto i = unconfirmed(r, true);
+        if (!i) break;
+        r.asked.push_back(*i);
+      }
     } else {
       const bool late = r.looks > 0 && c_.now > r.look_until - kTimerSlack;
       if (late || c_.too_dear((r.looks + 1) * kLooks) || !r.attempts.empty() || !c_.settings.probing) return;
@@ -37,6 +43,14 @@
     }
   }
 
+  // While the list is out of date each request that is sent has one more backend checked, for those behind
+  // it: so there are as many to choose from as the traffic needs. Where checks are dear, the few that a
+  // request had to wait for will do.
+  void check_another(const Request& r) const {
+    if (!confirmations_.list_outdated() || c_.looks_first() || c_.too_dear(kFirstLooks)) return;
+    if (const auto i = unconfirmed(r, false)) probes_.look(*i);
+  }
+
   // Asks for news of a backend, its keeper or itself; true if that keeper is this node, and all is told.
   bool ask(BackendId i) const {
     if (!c_.by_keepers) return probes_.look(i), false;
@@ -56,6 +70,19 @@
   const Choosing& choosing_;
 
  private:
+  // One whose health check would let it have the request, from a place drawn anew; `under_way`: also one that
+  // is being checked.
+  std::optional<BackendId> unconfirmed(const Request& r, bool under_way) const {
+    const std::size_t count = lists_.size();
+    const std::size_t start = count == 0 ? 0 : c_.random.below(count);
+    for (std::size_t n = 0; n < count; ++n) {
+      const auto i = static_cast<BackendId>((start + n) % count);
+      if (r.was_asked(i) || (!under_way && probes_.looked_at(i))) continue;
+      if (choosing_.unconfirmed(r, i)) return i;
+    }
+    return std::nullopt;
+  }
+
   // The next in the rotation; they lose their turns.
   void next_turns(Request& r, std::size_t most) const {
     rotation_.walk([&](BackendId i) {
@@ -79,16 +106,6 @@
       r.asked.push_back(stale[n].second);
   }
 
-  // Some whose health check would let them have it, from a place drawn anew.
-  void unconfirmed(Request& r, std::size_t most) const {
-    const std::size_t count = lists_.size();
-    const std::size_t start = count == 0 ? 0 : c_.random.below(count);
-    for (std::size_t n = 0; n < count && r.asked.size() < most; ++n) {
-      const auto i = static_cast<BackendId>((start + n) % count);
-      if (!r.was_asked(i) && choosing_.unconfirmed(r, i)) r.asked.push_back(i);
-    }
-  }
-
   // Exception "keys": those that most likely have met the key. Each node draws the same order for it, in
   // which a backend stands first as often as its share says (weighted rendezvous hashing).
   void prefer(Request& r, std::size_t most) const {
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -100,7 +100,7 @@
           std::any_of(r->asked.begin(), r->asked.end(), [this](BackendId i) { return looking_.awaited(i); });
       if (!open || c_.now > r->look_until - kTimerSlack || !retries_.may_send(*r)) {
         proceed(*r);
-      } else if (const auto i = c_.looks_first() ? std::nullopt : choosing_.propose(*r)) {
+      } else if (const auto i = c_.looks_first() ? std::nullopt : choosing_.next(*r)) {
         send(*r, *i);
       } else {
         held_.push_back(id);
@@ -141,6 +141,7 @@
 
   void send(Request& r, BackendId i) {
     const Millis expected = choosing_.expected(r, i), begin_by = retries_.begin_by(r);
+    looking_.check_another(r);
     cold_.sent(i), r.asked.clear(), r.looks = 0;
     r.attempts.push_back({i, known_.sent(i, r.request_class, r.work)});
     if (r.attempts.size() > 1) retries_.spend();
