The lab's discovery has the operators' troubles, and its judge knows when a change counts as told

The lab's judge held a node to what was written to it since its process began; its discovery was up or down, never crowded; lists came by themselves. Change: lists asked for or pushed, whole ones that leave out who drains, known lists of now, old or of nobody; discovery that refuses, is unavailable in words, slow, trickles, cuts lists, ends or resets watches, falls silent. It writes down what it had when and each call. lab/list_notice.h (pure) says since when a node counts as told, sentence by sentence, and the auditor goes by it.

--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -80,7 +80,14 @@
   double deaf = 0;           // watches that go deaf, a second each
 };
 
+// The list that a node is given at its start: as it is, as it was before the run, or of nobody.
+enum class KnownList { kNow, kOld, kEmpty };
+
 struct DiscoverySpec {
+  bool asked = false;       // lists come to those who ask; else by themselves
+  bool whole = false;       // a call's first list is always whole
+  bool leaves_out = false;  // whole lists leave out who drains
+  KnownList known = KnownList::kNow;
   Millis late_min = 100;  // word of a change goes out this much after it came true
   Millis late_max = 300;
   // A registry of keys in place of discovery, and its troubles.
@@ -162,8 +169,8 @@
   double factor = 1;
   bool same_address = false;  // the successor takes the address of the one that went
   std::string fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
-                      // discovery: down, restart, empty
-                      // cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
+                      // discovery: down, restart, empty, crowded, unavailable, slow, trickle, cut, ends,
+                      // silent, reset cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
   double share = 1;   // of the answers hurt
   Millis latency = 0;
   int after_bytes = 0;        // reset and truncate: so many bytes of the answer pass
--- a/src/lab/experiment_world.cpp
+++ b/src/lab/experiment_world.cpp
@@ -92,6 +92,11 @@
     in.bad("late_max", "\"late_max\" is less than \"late_min\"");
   }
   static const std::array<std::string, 2> kKinds{"discovery", "registry"};
+  static const std::array<std::string, 3> kKnown{"now", "old", "empty"};
+  if (in.has("known")) discovery.known = static_cast<KnownList>(in.word("known", kKnown));
+  in.flag("asked", discovery.asked);
+  in.flag("whole", discovery.whole);
+  in.flag("leaves_out", discovery.leaves_out);
   if (in.has("kind")) discovery.registry = in.word("kind", kKinds) == 1;
   in.whole("members", discovery.members, 1, 9);
   in.share("cuts", discovery.cuts);
--- a/src/lab/list_source.h
+++ b/src/lab/list_source.h
@@ -21,8 +21,13 @@
   virtual void down(bool on) = 0;
   virtual void restart() = 0;  // it comes back with less than it knew
   virtual void lie_empty(bool on) = 0;
+  // Another trouble of those that a source may know, from now on or no longer.
+  virtual void befall(const std::string& /*fault*/, Millis /*latency*/, bool /*on*/) {}
+  virtual std::string known(int node) const { return list(node); }        // what a node is given at its start
+  virtual std::string second_dial(int node) const { return dial(node); }  // the same under another address
 
   virtual const std::vector<Told>& told() const = 0;
+  virtual void collect(Run& run) const { run.told.insert(run.told.end(), told().begin(), told().end()); }
 };
 
 }  // namespace shorelead::lab
--- a/src/lab/node_config.cpp
+++ b/src/lab/node_config.cpp
@@ -49,7 +49,7 @@
   out.StartArray();
   for (const std::string& zone : experiment.fleet.zones) out.String(zone.c_str());
   out.EndArray();
-  text("RegistryMode", "automatic");
+  text("RegistryMode", experiment.discovery.asked ? "subscribe" : "automatic");
   out.Key("Services");
   out.StartArray();
   static const char* const kEffects[] = {"pure", "token", "side_effect"};
--- a/src/lab/records.cpp
+++ b/src/lab/records.cpp
@@ -68,6 +68,8 @@
       return "exited";
     case NodeDid::kPaused:
       return "paused";
+    case NodeDid::kEnded:
+      return "killed at its end";
     case NodeDid::kWentOn:
       return "went on";
   }
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -106,7 +106,32 @@
   Millis at = 0;
 };
 
-enum class NodeDid { kStarted, kReady, kTerminated, kKilled, kReloaded, kExited, kPaused, kWentOn };
+// A node's call to discovery, and the watch that it became. 0 = it did not come to that.
+struct ListCall {
+  int node = 0;
+  Millis begun = 0;         // asked
+  Millis answered = 0;      // its first list was written whole
+  Millis silent_since = 0;  // nothing more comes on it, though it stands
+  Millis ended = 0;         // by either side
+};
+
+// Discovery could not be reached.
+struct Outage {
+  Millis from = 0;
+  Millis to = 0;  // 0 = to the end
+};
+
+enum class NodeDid {
+  kStarted,
+  kReady,
+  kTerminated,
+  kKilled,
+  kReloaded,
+  kExited,
+  kPaused,
+  kWentOn,
+  kEnded  // killed as it had not ended in the time for it
+};
 
 struct NodeEvent {
   int node = 0;
@@ -162,6 +187,11 @@
   std::vector<Arrived> arrived;
   std::vector<Told> told;
   std::vector<Changed> changed;
+  std::vector<Changed> had;  // the same, when discovery had it
+  std::vector<ListCall> list_calls;
+  std::vector<Outage> outages;
+  bool lists_pushed = true;
+  bool lists_recorded = false;  // the four above are there
   std::vector<NodeEvent> nodes;
   std::vector<Fallen> fallen;
   std::vector<NodeSample> samples;
--- /dev/null
+++ b/src/lab/registry_session.h
@@ -0,0 +1,85 @@
+// One connection of a node to the stand-in discovery: a question for the whole list, or a watch. Owns the
+// socket, what waits to be written and the record of its call; it must never decide what the list says.
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/records.h"
+
+namespace shorelead::lab {
+
+class Registry;
+
+// A text for a node, and what it says of which boxes.
+struct ListLine {
+  std::string text;
+  std::vector<std::pair<int, BoxState>> says;
+};
+
+// What befalls those who call discovery; all but the first two may hold together.
+struct ListTrouble {
+  bool refuses = false;      // each call is answered 503 at once: too many callers
+  bool unavailable = false;  // it is down, and says so: each call is answered 503 after `latency`
+  Millis latency = 0;        // before each answer
+  bool trickles = false;     // answers come a byte at a time
+  bool cuts = false;         // a change is written in half, and the watch ends
+  bool ends = false;         // a watch ends in place of a change
+};
+
+class RegistrySession : public std::enable_shared_from_this<RegistrySession> {
+ public:
+  RegistrySession(Registry& owner, int node, boost::asio::ip::tcp::socket socket);
+
+  void read();
+  void tell(ListLine line);  // a change, on a watch
+  void fall_silent();        // for good, though the connection stays
+  void reset();
+  void close();
+
+  bool watching() const { return watching_; }
+  int node() const { return node_; }
+
+ private:
+  void parse();
+  void answer();
+  void answer_whole();
+  void begin_watch();
+  void refuse();
+  void last(const std::string& text);
+  void write();
+  void written();
+  void trickle(std::shared_ptr<std::string> text, std::size_t at);
+  void note(const ListLine& line);
+  void cut(const ListLine& line);
+  void sign();
+  void after(Millis wait, void (RegistrySession::*step)());
+  ListCall& call();
+
+  Registry& owner_;
+  const int node_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::array<char, 4096> part_;
+  std::string input_;
+  boost::beast::http::request_parser<boost::beast::http::string_body> parser_;
+  std::deque<ListLine> queue_;
+  std::string target_;
+  std::size_t call_ = 0;  // its number in the record
+  bool asked_ = false;
+  bool watching_ = false;
+  bool first_ = false;
+  bool last_ = false;
+  bool silent_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace shorelead::lab
--- a/src/lab/stand_ins.h
+++ b/src/lab/stand_ins.h
@@ -75,6 +75,7 @@
   void come_back(int slot, const Action& action, Millis after);
   void drain(int slot, const Action& action);
   void deploy_batch(std::shared_ptr<std::vector<int>> left, const Action& action);
+  void befall_discovery(const Action& action);
   void stall(const std::vector<int>& slots, const Action& action, Millis until);
   void later(Millis wait, std::function<void()> task);
 
--- /dev/null
+++ b/tests/lab/list_notice_test.cpp
@@ -0,0 +1,148 @@
+// When a node counts as notified: for each sentence of the operators' pages a history in which it binds, and
+// one in which it does not yet.
+#include "lab/list_notice.h"
+
+#include <gtest/gtest.h>
+
+#include "lab/audit.h"
+
+namespace shorelead::lab {
+namespace {
+
+using By = ListNotices::By;
+
+constexpr int kNode = 3;
+constexpr int kBox = 7;
+constexpr Millis kHad = 100000;  // discovery has it that the box drains
+constexpr Millis kLate = kHad + 50000;
+
+lab::Run history(bool pushed) {
+  lab::Run run;
+  run.lists_pushed = pushed;
+  run.lists_recorded = true;
+  run.nodes.push_back({kNode, NodeDid::kStarted, kHad - 30000, 0});
+  run.had.push_back({kBox, BoxState::kReady, kHad - 40000});
+  run.had.push_back({kBox, BoxState::kDraining, kHad});
+  run.had.push_back({kBox, BoxState::kGone, kHad + 900});
+  return run;
+}
+
+// A watch that stands from long before on.
+ListCall watch() { return {.node = kNode, .begun = kHad - 29000, .answered = kHad - 28990}; }
+
+void expect_bound(const lab::Run& run, Millis at, By by, Millis now = kLate) {
+  const auto notice = ListNotices(run).withdrawn(kNode, kBox, now);
+  ASSERT_TRUE(notice);
+  EXPECT_EQ(notice->at, at);
+  EXPECT_EQ(notice->by, by);
+}
+
+TEST(ListNotices, ABoxThatIsWantedBindsNobody) {
+  lab::Run run = history(false);
+  run.had.resize(1);
+  EXPECT_FALSE(ListNotices(run).withdrawn(kNode, kBox, kLate));
+}
+
+TEST(ListNotices, WhatWasWrittenBindsAtOnceTheProcessThatItWasWrittenTo) {
+  lab::Run run = history(false);
+  run.list_calls = {watch()};
+  run.told.push_back({kNode, kBox, BoxState::kDraining, kHad + 120});
+  expect_bound(run, kHad + 120, By::kWritten);
+  run.told.back().node = kNode + 1;
+  expect_bound(run, kHad + 6000, By::kAge);
+  run.told.back().node = kNode;
+  run.nodes.push_back({kNode, NodeDid::kStarted, kHad + 500, 0});
+  run.list_calls.push_back({.node = kNode, .begun = kHad + 510, .answered = kHad + 520});
+  expect_bound(run, kHad + 6000, By::kAge);
+}
+
+TEST(ListNotices, AChangeBindsSixSecondsAfterDiscoveryHadItAndCouldBeReached) {
+  lab::Run run = history(false);
+  run.list_calls = {watch()};
+  expect_bound(run, kHad + 6000, By::kAge);
+  run.outages.push_back({kHad - 100, kHad + 4000});
+  expect_bound(run, kHad + 10000, By::kAge);
+  run.outages[0] = {kHad + 1, kHad + 4000};
+  expect_bound(run, kHad + 6000, By::kAge);
+  run.outages[0] = {kHad - 100, 0};
+  EXPECT_FALSE(ListNotices(run).withdrawn(kNode, kBox, kLate)) << "it never came back";
+}
+
+TEST(ListNotices, WithoutACallThatEndedSinceItsWatchAChangeBindsSoon) {
+  lab::Run run = history(false);
+  ListCall over = watch();
+  over.ended = kHad + 300;
+  run.list_calls = {over};
+  expect_bound(run, kHad + 1800, By::kUnasked);
+  run.list_calls.push_back({.node = kNode, .begun = kHad + 400});
+  expect_bound(run, kHad + 1800, By::kUnasked);  // one that is open proves nothing
+  run.list_calls.back().ended = kHad + 1700;
+  expect_bound(run, kHad + 6000, By::kAge);
+  run.list_calls.back().ended = 0;
+  run.list_calls.back().answered = kHad + 1700;
+  expect_bound(run, kHad + 6000, By::kAge);
+}
+
+TEST(ListNotices, AProcessThatHasNotCalledIsBoundAsSoon) {
+  lab::Run run = history(false);
+  run.list_calls = {watch()};
+  run.nodes.push_back({kNode, NodeDid::kStarted, kHad + 500, 0});
+  expect_bound(run, kHad + 2000, By::kUnasked);
+  run.list_calls.push_back({.node = kNode, .begun = kHad + 600, .ended = kHad + 700});
+  expect_bound(run, kHad + 6000, By::kAge);
+}
+
+TEST(ListNotices, ASilentWatchBindsSixSecondsAfterItFellSilentOrAtTheChange) {
+  lab::Run run = history(false);
+  ListCall silent = watch();
+  silent.silent_since = kHad - 2000;
+  run.list_calls = {silent};
+  expect_bound(run, kHad + 4000, By::kSilence);
+  run.list_calls[0].silent_since = kHad - 9000;
+  expect_bound(run, kHad, By::kSilence);
+  run.list_calls[0].ended = kHad - 5000;  // the node has left it, asked, and was refused
+  run.list_calls.push_back({.node = kNode, .begun = kHad - 4900, .ended = kHad - 4890});
+  expect_bound(run, kHad + 6000, By::kAge);
+}
+
+TEST(ListNotices, WherePushedAChangeBindsOnceDiscoveryHasItWatchOrNot) {
+  lab::Run run = history(true);
+  expect_bound(run, kHad, By::kPushed);
+  run.list_calls = {watch()};
+  expect_bound(run, kHad, By::kPushed);
+  run.outages.push_back({kHad - 100, kHad + 4000});
+  expect_bound(run, kHad + 4000, By::kPushed);
+}
+
+TEST(ListNotices, WherePushedASilentWatchAndANewConfigurationGiveTime) {
+  lab::Run run = history(true);
+  ListCall silent = watch();
+  silent.silent_since = kHad - 2000;
+  run.list_calls = {silent};
+  expect_bound(run, kHad + 4000, By::kSilence);
+  run.list_calls = {watch()};
+  run.nodes.push_back({kNode, NodeDid::kReloaded, kHad - 1000, 0});
+  expect_bound(run, kHad + 3000, By::kPushed);
+}
+
+// The auditor goes by it: broken past the bound, the grace and the slack, kept up to there.
+TEST(ListNotices, TheAuditorHoldsEachNodeToIt) {
+  lab::Run run = history(false);
+  run.list_calls = {watch()};
+  run.node_count = kNode + 1;
+  run.drain_grace = 250;
+  run.boxes.resize(kBox + 1);
+  Arrived arrived;
+  arrived.node = kNode;
+  arrived.box = kBox;
+  arrived.first_byte = kHad + 6000 + 250 + 50;
+  run.arrived = {arrived};
+  EXPECT_TRUE(audit(run, {}).clean());
+  run.arrived[0].first_byte += 1;
+  const Audit broken = audit(run, {});
+  ASSERT_EQ(broken.findings.size(), 1U);
+  EXPECT_EQ(broken.findings[0].breach, Breach::kDrained);
+}
+
+}  // namespace
+}  // namespace shorelead::lab
