--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -238,7 +238,7 @@
 
 void Client::on_end(Stream&, Ending ending) {
   const RequestId gone = state == State::kWaiting ? request : 0;
-  if (gone != 0) spdlog::debug("client gone ({}) with request {} under way", name_of(ending), gone);
+  if (gone != 0) host_.left_unanswered(*this, ending);
   if (state == State::kWaiting || state == State::kPassing) host_.release(*this, manage::End::kLeft);
   host_.forget(*this, ending);
   if (gone != 0) host_.gone(gone);
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -35,7 +35,8 @@
     virtual void gone(RequestId request) = 0;                   // nobody waits for its answer any more
     virtual bool ends_with(const Client& client) const = 0;     // the answer at hand is to be its last
     virtual void answered(int status) = 0;
-    virtual void left_early() = 0;         // it was gone when its request was read
+    virtual void left_early() = 0;  // it was gone when its request was read
+    virtual void left_unanswered(const Client& client, Ending why) = 0;  // and here while it waited
     virtual void unused(bool stands) = 0;  // one more, or one less, has asked and stands unused
     virtual void free_again() = 0;         // it has had its answer and may give way
     virtual const std::shared_ptr<net::FlowBudget>& flows() const = 0;
@@ -47,6 +48,8 @@
 
   // Between requests, as far as has been read.
   bool idle() const { return state == State::kReading && begun_at == 0; }
+  // Since when part of a request has lain here; 0: none does.
+  Millis partial_since() const { return state == State::kReading ? begun_at : 0; }
   bool uploading() const { return upload != nullptr && !upload->ended(); }
 
   void answer(const Refusal& words, bool end);
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -59,7 +59,7 @@
   waiting_[client.request] = &client;
   client.class_name = way.traffic->names[static_cast<std::size_t>(way.request_class)];
   client.taken = false;
-  recorder_->taken(client.request, message.value("x-request-id"));
+  recorder_->taken(client.request, message.value("x-request-id"), client.input_at, ask.due);
   if (!client.uploading()) take(client);
   if (giving_up_) return refuse(client.request, {});  // it was sent nowhere
   listener_.request(client.request, ask, way, client.message);
@@ -191,7 +191,7 @@
 // Closes a connection; it is freed once the handler at hand, which may be its own, is done.
 void Front::forget(Client& client, Ending why) {
   if (waiting_.count(client.request) > 0) recorder_->closed_unanswered(client.request);
-  if (client.stream.open()) recorder_->client_closed(client.stream, why);
+  if (client.stream.open()) recorder_->client_closed(client.stream, why, client.partial_since());
   client.stream.close();
   client.leave_bodies();
   client.stand_unused(false);
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -103,6 +103,9 @@
   bool ends_with(const Client& client) const override;
   void answered(int status) override;
   void left_early() override { ++counters_.left_early; }
+  void left_unanswered(const Client& client, Ending why) override {
+    recorder_->client_left(client.request, why, loop_.now() - (client.input_at + client.wait));
+  }
   void unused(bool stands) override { stands ? ++unused_ : --unused_; }
   void free_again() override;
   const std::shared_ptr<net::FlowBudget>& flows() const override { return listener_.flows; }
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -1,6 +1,7 @@
 #include "node/intake.h"
 
 #include <Poco/Net/ServerSocket.h>
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -28,6 +29,7 @@
     socket_ = std::move(socket);
   }
   socket_->setBlocking(false);
+  listening_since_ = loop_.now();
   watch_ = std::make_unique<Watch>(loop_, *socket_, *this, true, false);
 }
 
@@ -45,13 +47,18 @@
         continue;
       return pause();
     }
-    ++accepted_;
+    if (++accepted_ == 1) log_first();
     host_.take(fd);
     if (!host_.make_room()) return pause();  // for the next one
   }
   if (closing_) socket_.reset();  // right behind the last look: who connects in between is turned down
 }
 
+// Clients may wait in the backlog from the moment of listening on, whatever this process is busy with.
+void Intake::log_first() {
+  spdlog::info("first client accepted {:.0f} ms after listening", loop_.now() - listening_since_);
+}
+
 void Intake::pause() {
   if (paused_ || !socket_) return;
   paused_ = true;
--- a/src/node/intake.h
+++ b/src/node/intake.h
@@ -50,6 +50,7 @@
   std::uint64_t pauses() const { return pauses_; }
 
  private:
+  void log_first();
   void on_readable() override { accept_all(); }
   void accept_all();
   void pause();
@@ -62,6 +63,7 @@
   bool held_ = false;
   bool closing_ = false;
   Loop::TimerId resume_ = 0;
+  Millis listening_since_ = 0;
   std::uint64_t accepted_ = 0;
   std::uint64_t pauses_ = 0;
 };
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -53,9 +53,11 @@
   if (++dumps_ <= kMostDumps) events_.write_to(log_descriptor(), loop_.now());
 }
 
-void Recorder::taken(RequestId request, std::string_view named) {
+void Recorder::taken(RequestId request, std::string_view named, Millis came, Millis due) {
   add(What::kTaken, request, 0, 0, number_of(named));
-  spdlog::debug("request {} taken, X-Request-ID {}", request, named);
+  const Millis now = loop_.now();
+  spdlog::debug("request {} taken, X-Request-ID {}, unread for {:.0f} ms, {:.0f} ms left", request, named,
+                now - came, due - now);
 }
 
 void Recorder::ruled(RequestId request, const guard::RequestRules& rules) { checker_.taken(request, rules); }
@@ -112,10 +114,19 @@
   add(What::kClientOpened, 0, 0, 0, static_cast<std::uint64_t>(stream.descriptor()));
 }
 
-void Recorder::client_closed(const Stream& stream, Ending why) {
+void Recorder::client_closed(const Stream& stream, Ending why, Millis begun) {
   add(What::kClientClosed, 0, 0, static_cast<std::uint8_t>(why),
       static_cast<std::uint64_t>(stream.descriptor()));
   spdlog::debug("client's connection {} closed: {}", stream.descriptor(), name_of(why));
+  if (begun > 0) {
+    spdlog::info("client's connection closed ({}) with {} bytes of a request, begun {:.0f} ms before",
+                 name_of(why), stream.held(), loop_.now() - begun);
+  }
+}
+
+void Recorder::client_left(RequestId request, Ending why, Millis late) const {
+  spdlog::debug("client gone ({}) with request {} under way", name_of(why), request);
+  if (late > 0) spdlog::warn("request {} had no answer {:.0f} ms after its due time", request, late);
 }
 
 void Recorder::backend_opened(BackendId backend) { add(What::kBackendOpened, 0, 0, 0, backend); }
--- a/src/node/recorder.h
+++ b/src/node/recorder.h
@@ -20,8 +20,9 @@
   explicit Recorder(Loop& loop);
 
   // ---- a request ----
-  // `named`: its X-Request-ID. What the settings say of it follows once its pool is known.
-  void taken(RequestId request, std::string_view named);
+  // `named`: its X-Request-ID; `came`: when the system had it. What the settings say of it follows once its
+  // pool is known.
+  void taken(RequestId request, std::string_view named, Millis came, Millis due);
   void ruled(RequestId request, const guard::RequestRules& rules);
   void due(RequestId request, Millis due) { checker_.due(request, due); }
   void attempt_decided(RequestId request, int attempt, std::string_view host, BackendId backend);
@@ -37,7 +38,10 @@
 
   // ---- a connection ----
   void client_opened(const Stream& stream);
-  void client_closed(const Stream& stream, Ending why);
+  // `begun`: since when part of a request has lain there; 0: none does.
+  void client_closed(const Stream& stream, Ending why, Millis begun);
+  // A client left while its request waited for an answer, so long after its due time; negative: before it.
+  void client_left(RequestId request, Ending why, Millis late) const;
   void closed_unanswered(RequestId request) { checker_.closed_unanswered(request); }
   void backend_opened(BackendId backend);
   void backend_closed(BackendId backend, Ending why);
