A test of a request that comes before the start is done: left unanswered; red

Cause: the listening socket stands before the rest of the start. What the rest wants of the system may be missing for up to 2 s (signalfd: EMFILE, ENFILE, ENOMEM); clients who connect in that time are accepted by the machine and wait in the backlog. Change: the preloaded calls can refuse signalfd; a real process starts so, and a client sends a request with 0.1 s as soon as it can connect.

--- a/tests/faults/fault_plan.cpp
+++ b/tests/faults/fault_plan.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr std::array<const char*, kCalls> kNames = {
-    "accept",    "socket",     "connect",    "so_error",  "recv",      "peek", "send",  "sendmsg", "read",
-    "read_file", "write_file", "epoll_wait", "epoll_ctl", "timer_set", "open", "fsync", "rename",  "stall"};
+    "accept",   "socket", "connect",   "so_error",   "recv",       "peek",      "send",
+    "sendmsg",  "read",   "read_file", "write_file", "epoll_wait", "epoll_ctl", "timer_set",
+    "signalfd", "open",   "fsync",     "rename",     "stall"};
 
 constexpr int kPartial = -1;  // stands among errors for fewer bytes than asked for
 
@@ -39,6 +40,7 @@
       {EINTR},
       {ENOMEM, ENOSPC},
       {ENOMEM},
+      {EMFILE, ENFILE, ENOMEM},
       {EINTR, EMFILE, ENFILE, ENOMEM, EIO},
       {EIO, ENOSPC, EINTR},
       {EIO, ENOSPC},
--- a/tests/faults/fault_plan.h
+++ b/tests/faults/fault_plan.h
@@ -26,6 +26,7 @@
   kEpollWait,
   kEpollControl,
   kTimerSet,
+  kSignalDescriptor,
   kOpen,
   kSync,
   kRename,
--- a/tests/faults/interposed_calls.cpp
+++ b/tests/faults/interposed_calls.cpp
@@ -4,6 +4,7 @@
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <sys/epoll.h>
+#include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/timerfd.h>
@@ -156,6 +157,11 @@
   return fails(Call::kTimerSet) ? -1 : call(fd, flags, value, old);
 }
 
+int signalfd(int fd, const sigset_t* mask, int flags) noexcept {
+  static const auto call = REAL(signalfd);
+  return fails(Call::kSignalDescriptor) ? -1 : call(fd, mask, flags);
+}
+
 int open(const char* path, int flags, ...) {
   static const auto call = REAL(open);
   mode_t mode = 0;
--- a/tests/faults/start_test.cpp
+++ b/tests/faults/start_test.cpp
@@ -34,12 +34,16 @@
 // A node whose process waits in the middle of its start, as its configuration does not come.
 class Starting {
  public:
-  // `output`: where its log goes.
-  explicit Starting(int output = STDOUT_FILENO) {
+  // `output`: where its log goes. `faults`: which of its calls fail (fault_plan.h).
+  explicit Starting(int output = STDOUT_FILENO, const char* faults = nullptr) {
     EXPECT_EQ(::mkfifo(path_.c_str(), 0600), 0);
     child_ = ::fork();
     if (child_ == 0) {
       ::dup2(output, STDOUT_FILENO);
+      if (faults != nullptr) {
+        ::setenv("LD_PRELOAD", SHORELEAD_FAULT_LIBRARY, 1);
+        ::setenv("SHORELEAD_FAULTS", faults, 1);
+      }
       ::execl(SHORELEAD_NODE, SHORELEAD_NODE, "serve", "--config", path_.c_str(), nullptr);
       ::_exit(127);
     }
@@ -73,13 +77,14 @@
     }
     return false;
   }
-  // Whether it answers a client.
-  bool answers() {
+  // Whether it answers a client that sends this as soon as it can connect.
+  bool answers(const std::string& request = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n",
+               int within = kAnswerWithin) {
     if (!takes_clients()) return false;
     Line client = Line::connect(port_);
-    client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    client.write(request);
     pollfd come{client.fd(), POLLIN, 0};
-    return ::poll(&come, 1, kAnswerWithin) > 0;
+    return ::poll(&come, 1, within) > 0;
   }
 
  private:
@@ -122,5 +127,15 @@
   EXPECT_TRUE(node.answers());
 }
 
+TEST(Start, NoRequestIsAcceptedThatTheUnfinishedStartLeavesUnanswered) {
+  constexpr int kWait = 100;  // ms, of the client
+  constexpr int kLost = 500;  // beyond that it is lost
+  Starting node(STDOUT_FILENO, "signalfd=1,burst=1500/1000000");
+  node.go_on();
+  EXPECT_TRUE(node.answers("GET /lookup HTTP/1.1\r\nHost: a\r\nX-Request-ID: 1\r\nX-Timeout-Ms: " +
+                               std::to_string(kWait) + "\r\n\r\n",
+                           kWait + kLost));
+}
+
 }  // namespace
 }  // namespace shorelead::node
