Nobody can connect before the loop turns, so a slow start leaves no request unanswered

What callers saw: a client that connected while a process was starting was accepted by the machine and had no answer in its time. Cause: the listening socket stood from the middle of the start on. All that came behind it (bans, pools, discovery, the admin interface, signalfd, which is tried again for up to 2 s) came out of the time of those who waited in the backlog. Whoever comes before is turned down, which takes nothing. Tests that drive a server, a front or an intake by themselves call open(); no check of theirs changed.

--- a/src/node/front.h
+++ b/src/node/front.h
@@ -52,7 +52,7 @@
   using Waits = ClientWaits;
   using Entry = node::Entry;
 
-  // Throws Poco::Exception where the address cannot be listened on.
+  // Throws Poco::Exception where the address cannot be had.
   Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener)
       : Front(loop, entry, std::move(traffic), std::move(listener), Waits()) {}
   Front(Loop& loop, const Entry& entry, std::shared_ptr<const Traffic> traffic, Listener listener,
@@ -70,6 +70,8 @@
   // window, by the one before: there its key is known, and elsewhere it would run again.
   void go_by(std::shared_ptr<const Traffic> traffic);
 
+  // Clients can connect from now on; see Intake::open().
+  void open() { intake_.open(); }
   // Whether to take in who connects: while held, whoever comes is left to the other process.
   void hold(bool held) { intake_.hold(held); }
   bool held() const { return intake_.held(); }
--- a/src/node/intake.cpp
+++ b/src/node/intake.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <system_error>
 #include <utility>
 
 #include "guard/guard.h"
@@ -25,12 +26,17 @@
   } else {
     auto socket = std::make_unique<Poco::Net::ServerSocket>();
     socket->bind(entry.address, true, entry.shared);
-    socket->listen(kBacklog);
     socket_ = std::move(socket);
   }
   socket_->setBlocking(false);
+}
+
+void Intake::open() {
+  if (!socket_ || closing_ || opened_) return;
+  if (::listen(listening(), kBacklog) != 0) throw std::system_error(errno, std::generic_category(), "listen");
+  opened_ = true;
   listening_since_ = loop_.now();
-  watch_ = std::make_unique<Watch>(loop_, *socket_, *this, true, false);
+  watch_ = std::make_unique<Watch>(loop_, *socket_, *this, !held_, false);
 }
 
 Intake::~Intake() { loop_.cancel(resume_); }
@@ -89,6 +95,7 @@
 void Intake::close() {
   closing_ = true;
   watch_.reset();
+  if (!opened_) return socket_.reset();
   if (!paused_ || held_) accept_all();
 }
 
--- a/src/node/intake.h
+++ b/src/node/intake.h
@@ -30,10 +30,15 @@
     std::function<bool()> evict_unused;  // whether a connection could be closed for it
   };
 
-  // Throws Poco::Exception where the address cannot be listened on.
+  // Takes the address, on which clients are turned down until open(). Throws Poco::Exception where it cannot
+  // be had.
   Intake(Loop& loop, const Entry& entry, Host host);
   ~Intake() override;
 
+  // Listens, and takes in who comes. From then on the system accepts connections, and each request on one is
+  // owed an answer: to be called once the loop turns. Throws std::system_error where it cannot listen.
+  void open();
+
   // While held, whoever comes is left to the other process.
   void hold(bool held);
   bool held() const { return held_; }
@@ -62,6 +67,7 @@
   bool paused_ = false;
   bool held_ = false;
   bool closing_ = false;
+  bool opened_ = false;
   Loop::TimerId resume_ = 0;
   Millis listening_since_ = 0;
   std::uint64_t accepted_ = 0;
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -42,6 +42,9 @@
   Server(Loop& loop, const Config& config, const Waits& waits) : Server(loop, config, waits, Place()) {}
   Server(Loop& loop, const Config& config, const Waits& waits, const Place& place);
 
+  // The last step of a start, with the loop turning: clients can connect from now on. Throws
+  // std::system_error where that is not to be had now; it may be tried again.
+  void open() { front_->open(); }
   void shut_down();  // as on SIGTERM
   // As on SIGHUP: what `read` brings counts from now on. Where it throws, or lacks a key that the file in
   // force has, all stays as it was. Of the platform's JSON discovery, the number of descriptors, settings and
--- a/tests/crossings/node_process.h
+++ b/tests/crossings/node_process.h
@@ -63,6 +63,7 @@
         return fresh;
       });
     });
+    server.open();
     const unsigned short port = server.port();
     if (::write(STDERR_FILENO + 1, &port, sizeof port) != sizeof port) ::_exit(1);
     ::close(STDERR_FILENO + 1);
--- a/tests/faults/accept_test.cpp
+++ b/tests/faults/accept_test.cpp
@@ -19,6 +19,7 @@
 using faults::fail_next;
 
 struct Entrance {
+  Entrance() { intake.open(); }
   ~Entrance() {
     for (const int fd : taken) ::close(fd);
     faults::clear();
--- a/tests/faults/exception_test.cpp
+++ b/tests/faults/exception_test.cpp
@@ -23,6 +23,8 @@
 
 // Clients before a node whose requests all meet an exception.
 struct Thrown {
+  Thrown() { front.open(); }
+
   Loop loop;
   std::vector<RequestId> gone;
   Front front{
--- a/tests/faults/start_test.cpp
+++ b/tests/faults/start_test.cpp
@@ -43,6 +43,7 @@
       if (faults != nullptr) {
         ::setenv("LD_PRELOAD", SHORELEAD_FAULT_LIBRARY, 1);
         ::setenv("SHORELEAD_FAULTS", faults, 1);
+        ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 0);
       }
       ::execl(SHORELEAD_NODE, SHORELEAD_NODE, "serve", "--config", path_.c_str(), nullptr);
       ::_exit(127);
--- a/tests/front_case.h
+++ b/tests/front_case.h
@@ -13,7 +13,7 @@
 
 // A front for one class of requests; it keeps what it is asked and stops soon after the first.
 struct Clients {
-  explicit Clients(const Front::Waits& waits = {}) : waits(waits) {}
+  explicit Clients(const Front::Waits& waits = {}) : waits(waits) { front.open(); }
 
   static std::shared_ptr<const Traffic> one_safe_class() {
     auto traffic = std::make_shared<Traffic>();
--- a/tests/keys_node_test.cpp
+++ b/tests/keys_node_test.cpp
@@ -80,6 +80,7 @@
       ++signals_;
     });
     port_ = server_->port();
+    server_->open();
     thread_ = std::thread([this] { loop_->run(); });
   }
   ~Node() {
--- a/tests/node_case.h
+++ b/tests/node_case.h
@@ -61,6 +61,7 @@
     server = std::make_unique<Server>(*loop, config, waits);
     loop->on_signals(
         [this](int signal) { signal == SIGHUP ? server->reload(read_again) : server->shut_down(); });
+    server->open();
     thread = std::thread([this] { run_loop(); });
   }
 
--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -54,6 +54,7 @@
       generation = static_cast<int>(server->generation());
       ++signals;
     });
+    server->open();
     thread = std::thread([this] { loop->run(); });
   }
   ~Node() {
