--- a/src/node/intake.h
+++ b/src/node/intake.h
@@ -36,7 +36,8 @@
   ~Intake() override;
 
   // Listens, and takes in who comes. From then on the system accepts connections, and each request on one is
-  // owed an answer: to be called once the loop turns. Throws std::system_error where it cannot listen.
+  // owed an answer: to be called once nothing else is left of a start. Throws std::system_error where it
+  // cannot listen.
   void open();
 
   // While held, whoever comes is left to the other process.
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -9,8 +9,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <memory>
-#include <optional>
-#include <string>
 #include <system_error>
 #include <thread>
 
@@ -78,47 +76,6 @@
   return place;
 }
 
-// Has the server take clients once the loop turns, and tries again where the system does not let it listen.
-class Opening {
- public:
-  Opening(Loop& loop, Server& server, const Config& config) : loop_(loop), server_(server), config_(config) {
-    loop_.after(0, [this] { open(); });
-  }
-  // Why it could not be, after the last try.
-  const std::optional<std::string>& failure() const { return failure_; }
-
- private:
-  void open() {
-    try {
-      server_.open();
-    } catch (const std::system_error& error) {
-      spdlog::warn("start: {}", error.what());
-      if (++tries_ < kStartTries) {
-        loop_.after(kStartAgain.count(), [this] { open(); });
-        return;
-      }
-      failure_ = error.what();
-      return loop_.stop();
-    }
-    log();
-  }
-  void log() const {
-    if (config_.pools.empty()) {
-      spdlog::info("serving on {}, discovery at {}, list {} with {} backends", config_.listen.toString(),
-                   config_.discovery.toString(), config_.known.version, config_.known.backends.size());
-    } else {
-      spdlog::info("serving on {}, {} pools, {} routes", config_.listen.toString(), config_.pools.size(),
-                   config_.routes ? config_.routes->routes.size() : 0);
-    }
-  }
-
-  Loop& loop_;
-  Server& server_;
-  const Config& config_;
-  int tries_ = 0;
-  std::optional<std::string> failure_;
-};
-
 }  // namespace
 
 Config load(const ServeOptions& options, bool again) {
@@ -159,12 +116,18 @@
     });
   });
   for (const std::string& warning : config.warnings) spdlog::warn("configuration: {}", warning);
-  const Opening opening(*loop, server, config);
+  // From here on each request that comes is owed an answer.
+  tried_again([&server] { server.open(); });
+  if (config.pools.empty()) {
+    spdlog::info("serving on {}, discovery at {}, list {} with {} backends", config.listen.toString(),
+                 config.discovery.toString(), config.known.version, config.known.backends.size());
+  } else {
+    spdlog::info("serving on {}, {} pools, {} routes", config.listen.toString(), config.pools.size(),
+                 config.routes ? config.routes->routes.size() : 0);
+  }
   loop->run();
   server.log_counters();
-  if (!opening.failure()) return 0;
-  spdlog::error("cannot listen on {}: {}", config.listen.toString(), *opening.failure());
-  return 1;
+  return 0;
 }
 
 }  // namespace shorelead::node
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -42,8 +42,8 @@
   Server(Loop& loop, const Config& config, const Waits& waits) : Server(loop, config, waits, Place()) {}
   Server(Loop& loop, const Config& config, const Waits& waits, const Place& place);
 
-  // The last step of a start, with the loop turning: clients can connect from now on. Throws
-  // std::system_error where that is not to be had now; it may be tried again.
+  // The last step of a start: clients can connect from now on. Throws std::system_error where that is not to
+  // be had now; it may be tried again.
   void open() { front_->open(); }
   void shut_down();  // as on SIGTERM
   // As on SIGHUP: what `read` brings counts from now on. Where it throws, or lacks a key that the file in
