A list that has begun to come binds at once, not only when its watch ends within it

Cause: what discovery has written counts as told whether or not it arrives whole; the lease heard of an unfinished list only at the end of its watch, so that one which trickles, or stops within a line, was acted on until then. Change: Discovery says when a list has begun and is not whole, and the lease ends then; a whole one renews it.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -12,16 +12,20 @@
 void ListLease::answered() {
   watching_ = true;
   current_at_ = std::max(current_at_, asked_at_);
-  unheard_since_ = lost_at_ = moved_at_ = kNever;
+  unheard_since_ = unfinished_at_ = moved_at_ = kNever;
 }
 
-void ListLease::heard(Millis now) { current_at_ = std::max(current_at_, now - kSignInterval); }
+void ListLease::heard(Millis now) {
+  current_at_ = std::max(current_at_, now - kSignInterval);
+  unfinished_at_ = kNever;
+}
+
+void ListLease::unfinished(Millis now) { unfinished_at_ = std::min(unfinished_at_, now); }
 
-void ListLease::ended(CallEnd how, bool unfinished, Millis now) {
+void ListLease::ended(CallEnd how, Millis now) {
   watching_ = false;
   if (how == CallEnd::kFailed) unheard_since_ = kNever;
   if (how == CallEnd::kWatchOver) unheard_since_ = over_at_ = now;
-  if (unfinished) lost_at_ = now;
 }
 
 void ListLease::moved(Millis now) {
@@ -39,7 +43,7 @@
 }
 
 Millis ListLease::holds_until() const {
-  Millis until = std::min({current_at_ + kMostAge, lost_at_, moved_at_ + kMoved});
+  Millis until = std::min({current_at_ + kMostAge, unfinished_at_, moved_at_ + kMoved});
   if (watching_) return until;
   if (terms_.pushed) return std::min(until, over_at_);
   const Millis since = unheard_since_ < kNever ? unheard_since_ : current_at_;
@@ -52,7 +56,7 @@
   const Millis allowance = std::max(*terms_.grace - kHeldUp, 0.0);
   validity.until = holds_until() + allowance;
   validity.confirmed_for = held_for() + allowance;
-  if (lost_at_ < kNever) validity.confirmed_after = lost_at_;
+  if (unfinished_at_ < kNever) validity.confirmed_after = unfinished_at_;
   return validity;
 }
 
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -49,8 +49,9 @@
   void answered();
   // Its watch has brought something whole: a change or a sign of life.
   void heard(Millis now);
-  // `unfinished`: a list had begun to come and did not come whole.
-  void ended(CallEnd how, bool unfinished, Millis now);
+  // A list has begun to come, and is not whole yet: what it says may bind already.
+  void unfinished(Millis now);
+  void ended(CallEnd how, Millis now);
   // Discovery is another one from now on, and no call to it is open.
   void moved(Millis now);
 
@@ -68,8 +69,9 @@
   Millis asked_at_ = -kNever;       // the last call
   Millis over_at_ = -kNever;        // the last watch that was over
   Millis unheard_since_ = -kNever;  // since then no call has ended; kNever: one has, or a watch is open
-  Millis lost_at_ = kNever;         // a list that did not come whole, and none came since
-  Millis moved_at_ = kNever;        // and no list came since
+  // A list began to come that is not whole, or never was, and none came since.
+  Millis unfinished_at_ = kNever;
+  Millis moved_at_ = kNever;  // and no list came since
 };
 
 }  // namespace shorelead::membership
--- a/src/node/box_source.cpp
+++ b/src/node/box_source.cpp
@@ -40,7 +40,8 @@
       loop_, *config.discovery, config.known.version,
       Discovery::Listener{[this](const List& list) { list_changed(list); },
                           [this](Ending ending) { watch_ended(ending); },
-                          [this](bool first) { lease_->current(first); }, [this] { lease_->asked(); }});
+                          [this](bool first) { lease_->current(first); }, [this] { lease_->unfinished(); },
+                          [this] { lease_->asked(); }});
 }
 
 BoxSource::~BoxSource() {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -156,7 +156,7 @@
 
 // What has come was looked through: unless some of it is left, the list is as discovery last told it.
 void Discovery::taken_in() {
-  if (come_.held() > 0 || reader_) return;
+  if (come_.held() > 0 || reader_) return listener_.unfinished();
   listed_ = true;
   listener_.current(!std::exchange(current_, true));
 }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -23,7 +23,8 @@
     // All that has come was taken in, and nothing has begun to come behind it; `first` of this call, which
     // was begun then.
     std::function<void(bool first)> current = [](bool) {};
-    std::function<void()> asked = [] {};  // a call begins
+    std::function<void()> unfinished = [] {};  // a list has begun to come, and is not whole
+    std::function<void()> asked = [] {};       // a call begins
   };
 
   struct Waits {
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -36,8 +36,13 @@
   tell_change();
 }
 
+void DiscoveryLease::unfinished() {
+  lease_.unfinished(loop_.now());
+  tell_change();
+}
+
 void DiscoveryLease::ended(Ending ending, const Discovery::CallEnd& end) {
-  lease_.ended(call_end(ending, end.answered), end.unfinished > 0, loop_.now());
+  lease_.ended(call_end(ending, end.answered), loop_.now());
   tell_change();
 }
 
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -22,6 +22,7 @@
   void adopt(const Settings& settings);  // what they say of drains and of how lists come
   void asked();
   void current(bool first);  // as Discovery::Listener::current
+  void unfinished();         // as Discovery::Listener::unfinished
   void ended(Ending ending, const Discovery::CallEnd& end);
   void moved();
   void tell();  // also where nothing has changed
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -36,7 +36,8 @@
   ListLease lease;
   EXPECT_EQ(lease.validity(), ListValidity());
   lease.asked(kStart);
-  lease.ended(CallEnd::kFailed, true, kStart + 1);
+  lease.unfinished(kStart);
+  lease.ended(CallEnd::kFailed, kStart + 1);
   EXPECT_EQ(lease.validity(), ListValidity());
 }
 
@@ -45,7 +46,7 @@
   EXPECT_LT(lease.validity().until, 0);
   lease.asked(kStart);
   EXPECT_LT(lease.validity().until, 0);
-  lease.ended(CallEnd::kFailed, false, kStart + 1);
+  lease.ended(CallEnd::kFailed, kStart + 1);
   EXPECT_LT(lease.validity().until, 0);
 }
 
@@ -72,25 +73,25 @@
 
 TEST(ListLease, AfterItsWatchAProcessHasAQuarterOfTheTimeUntilACallHasEnded) {
   ListLease lease = watching();
-  lease.ended(CallEnd::kWatchOver, false, kStart + 100);
+  lease.ended(CallEnd::kWatchOver, kStart + 100);
   const Millis unasked = kStart + 100 + ListLease::kUnasked + kAllowance;
   EXPECT_EQ(lease.validity().until, unasked);
   EXPECT_EQ(lease.validity().confirmed_for, ListLease::kUnasked + kAllowance);
   lease.asked(kStart + 1000);
   EXPECT_EQ(lease.validity().until, unasked) << "a call that is open proves nothing";
-  lease.ended(CallEnd::kNotMade, false, kStart + 1010);
+  lease.ended(CallEnd::kNotMade, kStart + 1010);
   EXPECT_EQ(lease.validity().until, unasked) << "nobody was asked";
   lease.asked(kStart + 1020);
-  lease.ended(CallEnd::kFailed, false, kStart + 1100);
+  lease.ended(CallEnd::kFailed, kStart + 1100);
   EXPECT_EQ(lease.validity().until, kStart - ListLease::kSignInterval + ListLease::kMostAge + kAllowance);
   EXPECT_EQ(lease.validity().confirmed_for, ListLease::kMostAge + kAllowance);
 }
 
 TEST(ListLease, ACallAfterOneThatFailedHoldsNoLongerThanOneThatIsTheFirst) {
   ListLease lease = watching();
-  lease.ended(CallEnd::kWatchOver, false, kStart);
+  lease.ended(CallEnd::kWatchOver, kStart);
   lease.asked(kStart + 10);
-  lease.ended(CallEnd::kFailed, false, kStart + 20);
+  lease.ended(CallEnd::kFailed, kStart + 20);
   lease.asked(kStart + 30);
   EXPECT_EQ(lease.validity().until, kStart + 30 + ListLease::kUnasked + kAllowance);
 }
@@ -99,31 +100,38 @@
   ListLease lease = asked_lease(800);
   lease.asked(kStart);
   lease.answered();
-  lease.ended(CallEnd::kWatchOver, false, kStart + 500);
+  lease.ended(CallEnd::kWatchOver, kStart + 500);
   EXPECT_EQ(lease.validity().until, kStart + 500 + 800 + kAllowance);
   lease.asked(kStart + 600);
-  lease.ended(CallEnd::kFailed, false, kStart + 700);
+  lease.ended(CallEnd::kFailed, kStart + 700);
   EXPECT_EQ(lease.validity().until, kStart + 3200 + kAllowance);
 }
 
-TEST(ListLease, AListThatDidNotComeWholeBindsAtOnceAndOutdatesEarlierChecks) {
+TEST(ListLease, AListThatHasBegunToComeBindsAndOutdatesEarlierChecksUntilOneIsWhole) {
   ListLease lease = watching();
-  lease.ended(CallEnd::kWatchOver, true, kStart + 100);
+  lease.unfinished(kStart + 100);
+  lease.unfinished(kStart + 140);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
   EXPECT_EQ(lease.validity().confirmed_after, kStart + 100);
-  lease.asked(kStart + 200);
+  lease.heard(kStart + 150);
+  EXPECT_GT(lease.validity().until, kStart + ListLease::kSignInterval) << "it is whole";
+  lease.unfinished(kStart + 200);
+  lease.ended(CallEnd::kWatchOver, kStart + 300);
+  EXPECT_EQ(lease.validity().until, kStart + 200 + kAllowance);
+  lease.asked(kStart + 400);
+  EXPECT_EQ(lease.validity().until, kStart + 200 + kAllowance);
   lease.answered();
-  EXPECT_EQ(lease.validity().until, kStart + 200 + ListLease::kMostAge + kAllowance);
+  EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMostAge + kAllowance);
   EXPECT_LT(lease.validity().confirmed_after, 0);
 }
 
 TEST(ListLease, WherePushedTheEndOfTheWatchEndsTheLease) {
   ListLease lease = watching(true);
-  lease.ended(CallEnd::kWatchOver, false, kStart + 100);
+  lease.ended(CallEnd::kWatchOver, kStart + 100);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
   EXPECT_EQ(lease.validity().confirmed_for, kAllowance);
   lease.asked(kStart + 200);
-  lease.ended(CallEnd::kFailed, false, kStart + 300);
+  lease.ended(CallEnd::kFailed, kStart + 300);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
   lease.asked(kStart + 400);
   lease.answered();
@@ -135,7 +143,7 @@
   lease.moved(kStart + 100);
   EXPECT_LE(lease.validity().until, kStart + 100 + ListLease::kMoved + kAllowance);
   lease.asked(kStart + 100);
-  lease.ended(CallEnd::kFailed, false, kStart + 200);
+  lease.ended(CallEnd::kFailed, kStart + 200);
   EXPECT_LE(lease.validity().until, kStart + 100 + ListLease::kMoved + kAllowance);
 }
 
@@ -174,8 +182,8 @@
         break;
       case 3:
         if (!std::exchange(open, false)) break;
-        lease.ended(std::exchange(whole, false) ? CallEnd::kWatchOver : CallEnd::kFailed,
-                    *rc::gen::inRange(0, 4) == 0, now);
+        if (*rc::gen::inRange(0, 4) == 0) lease.unfinished(now);
+        lease.ended(std::exchange(whole, false) ? CallEnd::kWatchOver : CallEnd::kFailed, now);
         break;
       default:
         lease.moved(now);
