--- a/src/node/box_source.h
+++ b/src/node/box_source.h
@@ -48,6 +48,8 @@
   bool unreached() const { return unreached_ && discovery_->last_told() == 0; }
   // Whether discovery tells by itself, and no list was kept for a time without it.
   bool pushed() const { return discovery_ && !config_.settings.list_on_request && !kept_copy_; }
+  // Whether its list has to be confirmed once it is old.
+  bool expires() const { return lease_ && !view_ && config_.settings.drain_grace.has_value(); }
   void log_counters(const std::string& before) const;
 
  private:
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -73,6 +73,8 @@
   const PoolConfig& config() const { return config_; }
   bool told() const { return source_->told(); }  // has its list of now
   bool pushed() const { return source_->pushed(); }
+  // By the list given at the start, of whatever age: health checks confirm it, or lists never expire.
+  bool may_use_given_list() const { return config_.settings.probing || !source_->expires(); }
   bool unreached() const { return source_->unreached(); }
   // What is out by hand from now on; nothing that is not yet written goes there any more.
   void ban(const manage::BanSet& bans);
--- a/src/node/readiness.cpp
+++ b/src/node/readiness.cpp
@@ -18,14 +18,19 @@
   bool told = true;
   bool pushed = false;
   bool known = false;
+  bool unusable = false;
   for (const auto& pool : traffic.pools) {
     told = told && pool->told();
     // While discovery is down it learns nothing, so what was known when it went down is all there is.
     pushed = pushed || (pool->pushed() && !pool->told() && !pool->unreached());
     known = known || pool->backends() > 0;
+    unusable = unusable || (!pool->told() && !pool->may_use_given_list());
   }
   if (told) return true;
-  const Millis wait = beside ? waits_.beside : pushed ? waits_.pushed_list : waits_.list;
+  const Millis wait = beside     ? waits_.beside
+                      : unusable ? waits_.unusable_list
+                      : pushed   ? waits_.pushed_list
+                                 : waits_.list;
   return known && running() >= wait;
 }
 
--- a/src/node/readiness.h
+++ b/src/node/readiness.h
@@ -16,6 +16,9 @@
     // moment. Nine in ten starts have 6 s.
     Millis pushed_list = 5000;
     Millis beside = 3000;  // where another process serves meanwhile
+    // Where nothing may be sent by the list given at the start, as it may be out of date and no health checks
+    // are allowed: nine in ten starts have 6 s. From then on clients are refused at once.
+    Millis unusable_list = 5000;
   };
 
   Readiness(Loop& loop, const Waits& waits) : loop_(loop), waits_(waits), started_(loop.now()) {}
--- a/tests/crossings/outdated_list_test.cpp
+++ b/tests/crossings/outdated_list_test.cpp
@@ -93,6 +93,30 @@
   EXPECT_EQ(only.count("/safe"), 0U);
 }
 
+// Where checks are not allowed either, a process is not ready by a list of unknown age: it waits for one of
+// now.
+TEST(OutdatedList, AProcessThatMayNotCheckIsReadyOnceItHasAList) {
+  const std::atomic<bool> serves{false};
+  std::atomic<bool> told{false};
+  AnsweringPeer backend(backend_that(serves));
+  const std::string list = first_line(R"({"seq":2,"whole":true,"hosts":[)" + entry("s-1", backend) + "]}\n");
+  AnsweringPeer discovery([&](const std::string&) { return told ? list : kTurnedAway; });
+  const std::string text = configuration(entry("s-1", backend), discovery, false);
+  const NodeProcess node(256, [&](Config& config) {
+    config = parse_config(text, {});
+    config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+  });
+  Line line = node.client();
+  while (discovery.count("/api/targets") < 1) {
+    line.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_EQ(status_of(line.answer()), "HTTP/1.1 503");
+  }
+  told = true;
+  wait_ready(node);
+  Line client = node.client();
+  EXPECT_EQ(ask(client), "HTTP/1.1 200");
+}
+
 // A backend that drains while the process runs and is refused every list: from the bound and the grace on it
 // gets nothing new, though its list still names it.
 TEST(OutdatedList, AProcessThatIsRefusedListsSendsNothingToWhoBeganToDrain) {
