The soak plays first moments, early kills, series of signals, crowds, discovery's faults

Cause: the soak drew restarts and outages, but no client in the first moment of a process, no kill while clients still use their connections, no series of signals, no crowd, none of discovery's troubles but down and restart. A request sent once more is excused by a kill only within the span between the two sendings.

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -4,6 +4,13 @@
 Troubles come in groups. Those of a group begin within 50 ms to 1 s of each other, so that a stop meets a drain, a
 reload meets an outage, a restart meets backends that hang. The same seed always draws the same schedule; a trouble can
 be left out by its number, to shrink a schedule that fails.
+
+By its seed a schedule also has lists that come by themselves or are asked for, whole or as changes, with or without
+those who drain; lists at a start of now, old or of nobody; short or long deadlines; in one of three, idle clients that
+fill the descriptors. Of the requests in which a process is starting a third goes there, from the first moment in which
+its port can be reached, and waits 60 to 400 ms. Clients go on using open connections until SIGKILL, which comes at the operators' earliest: the
+longest deadline, 3 s at most, and 0.7 s more after SIGTERM. Backends that drain fail their health checks, and go on
+serving what they are sent.
 """
 
 import argparse
@@ -27,10 +34,18 @@
 latency = "200 us"
 jitter = "100 us"
 idle_close = "{idle_close} ms"
+serves_draining = true
 
 [nodes]
 count = {nodes}
 sockets = 256
+notice = "300 ms"
+
+[discovery]
+asked = {asked}
+whole = {whole}
+leaves_out = {leaves_out}
+known = "{known}"
 
 [clients]
 retries = 2
@@ -38,6 +53,8 @@
 honour = 0.5
 leave = 0.05
 drop = 0.05
+until_kill = 0.5
+first_moments = 0.3
 bad_per_second = 4
 
 [load]
@@ -51,7 +68,7 @@
 group = "zone"
 window = "800 ms"
 aim = "410 ms"
-give_up = "1 s"
+give_up = "{give_up} ms"
 worth = 5
 work = "10 ms"
 dist = "lognormal"
@@ -62,7 +79,7 @@
 name = "charge"
 effect = "unsafe"
 aim = "410 ms"
-give_up = "1 s"
+give_up = "{give_up} ms"
 worth = 10
 work = "10 ms"
 dist = "lognormal"
@@ -73,7 +90,7 @@
 name = "look"
 effect = "safe"
 aim = "410 ms"
-give_up = "1 s"
+give_up = "{give_up} ms"
 worth = 1
 work = "5 ms"
 dist = "exponential"
@@ -81,13 +98,30 @@
 """
 
 QUIET_MS = 1500  # at the start and at the end nothing is done
+MORE_TO_KILL_MS = 700  # after SIGTERM and the longest deadline
+SIGNALS = [["hup", "term", "hup"], ["term", "term"], ["term", "hup"], ["hup", "hup", "term", "hup", "term"]]
 
 
 class Schedule:
     def __init__(self, seed, nodes, boxes, span):
         self.random = random.Random(seed)
+        nodes = nodes or self.random.choice([20, 40])
         self.nodes, self.boxes, self.span = nodes, boxes, span
-        self.restarted_until = [0] * nodes
+        self.give_up = self.random.choice([1000, 1000, 3000])
+        self.crowds = self.random.random() < 0.34
+
+    def settings(self):
+        """What the head of the experiment says beside the troubles."""
+        flag = lambda share: "true" if self.random.random() < share else "false"
+        return {
+            "nodes": self.nodes,
+            "give_up": self.give_up,
+            "asked": flag(0.5),
+            "whole": flag(0.5),
+            "leaves_out": flag(0.5),
+            "known": self.random.choice(["now", "now", "old", "empty"]),
+            "idle_close": self.random.choice([300, 2000, 60000]),
+        }
 
     def some(self, count, most):
         return sorted(self.random.sample(range(count), self.random.randint(1, max(1, most))))
@@ -97,25 +131,51 @@
 
     # ---- one trouble each, as lines of TOML ----
 
+    def ending(self):
+        return [f"back = {self.length(50, 600)}", f'kill_after = "{min(self.give_up, 3000) + MORE_TO_KILL_MS} ms"']
+
     def node_term(self, at):
-        return ['do = "node_term"', f"nodes = {self.some(self.nodes, self.nodes // 3)}", f"back = {self.length(50, 600)}"]
+        return ['do = "node_term"', f"nodes = {self.some(self.nodes, self.nodes // 3)}"] + self.ending()
 
     def node_kill(self, at):
         return ['do = "node_kill"', f"nodes = {self.some(self.nodes, self.nodes // 4)}", f"back = {self.length(100, 900)}"]
 
+    def file(self):
+        return f'file = "{self.random.choice(["same", "moved", "moved", "broken"])}"'
+
     def node_reload(self, at):
-        return ['do = "node_reload"', f'every = {self.length(20, 200)}', f"for = {self.length(50, 400)}"]
+        return ['do = "node_reload"', f'every = {self.length(20, 200)}', f"for = {self.length(50, 400)}", self.file()]
+
+    def signals(self, at):
+        series = self.random.choice(SIGNALS)
+        lines = ['do = "signals"', f"nodes = {self.some(self.nodes, self.nodes // 3)}", f"signals = {series}", f"every = {self.length(5, 40)}"]
+        return [line.replace("'", '"') for line in lines] + self.ending() + [self.file()]
+
+    def crowd(self, at):
+        return ['do = "crowd"', f"nodes = {self.some(self.nodes, 3)}", "count = 270", f"for = {self.length(500, 2500)}"]
 
     def pause(self, at):
         return ['do = "pause"', f"nodes = {self.some(self.nodes, self.nodes // 3)}", f"for = {self.length(50, 150)}", "unnoticed = true"]
 
     def discovery(self, at):
-        fault = self.random.choice(["down", "down", "restart"])
+        fault = self.random.choice(["down", "down", "unavailable", "slow", "trickle", "cut", "ends", "silent", "reset", "restart"])
         lines = ['do = "discovery"', f'fault = "{fault}"']
-        return lines + ([f"for = {self.length(300, 2500)}"] if fault == "down" else [])
+        if fault in ("silent", "reset", "restart"):
+            return lines
+        if fault == "slow":
+            lines.append(f"latency = {self.length(300, 1500)}")
+        if fault == "unavailable":
+            lines.append(f"latency = {self.length(10, 2000)}")
+        return lines + [f"for = {self.length(300, self.random.choice([1500, 4000, 9000]))}"]
+
+    def refusals(self, at):
+        """Watches end in place of a change, and whoever asks anew is refused: two events as one trouble."""
+        span = self.length(1000, 10000)
+        ends = ['do = "discovery"', 'fault = "ends"', f"for = {span}"]
+        return ends + ["", "[[event]]", f'at = "{at} ms"', 'do = "discovery"', 'fault = "crowded"', f"for = {span}"]
 
     def drain(self, at):
-        return ['do = "drain"', f"boxes = {self.some(self.boxes, self.boxes // 4)}", f"back = {self.length(300, 1500)}", f"drain_time = {self.length(300, 1500)}"]
+        return ['do = "drain"', f"boxes = {self.some(self.boxes, self.boxes // 4)}", f"back = {self.length(300, 1500)}", f"drain_time = {self.length(300, self.random.choice([1500, 9000]))}"]
 
     def kill(self, at):
         lines = ['do = "kill"', f"boxes = {self.some(self.boxes, self.boxes // 5)}", f"back = {self.length(200, 1500)}"]
@@ -138,13 +198,19 @@
     # ---- groups ----
 
     def groups(self):
-        kinds = [self.node_term, self.node_kill, self.node_reload, self.pause, self.discovery, self.drain, self.kill, self.stall, self.link]
+        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.discovery, self.refusals, self.drain, self.kill, self.stall, self.link]
+        if self.crowds:
+            kinds.append(self.crowd)
         at = QUIET_MS
         while at < self.span - QUIET_MS:
             group = self.random.sample(kinds, self.random.choice([2, 2, 3]))
             # What a restart or an outage meets is where the rare things happen.
             if self.random.random() < 0.5 and self.node_term not in group:
                 group[0] = self.node_term
+            # Drains right before, during and after a trouble of lists are what rule 3 is about.
+            lists = self.discovery in group or self.refusals in group
+            if lists and self.drain not in group:
+                group.insert(self.random.randint(0, len(group)), self.drain)
             moment = at
             for trouble in group:
                 yield moment, trouble(moment)
@@ -155,17 +221,17 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("seed", type=int)
-    parser.add_argument("--nodes", type=int, default=20)
+    parser.add_argument("--nodes", type=int, default=0, help="0 = 20 or 40, by the seed")
     parser.add_argument("--boxes", type=int, default=16)
     parser.add_argument("--rate", type=int, default=400, help="requests a second")
-    parser.add_argument("--span", type=int, default=12000, help="ms of load")
+    parser.add_argument("--span", type=int, default=18000, help="ms of load")
     parser.add_argument("--without", default="", help="numbers of troubles to leave out, with commas")
     options = parser.parse_args()
     left_out = {int(number) for number in options.without.split(",") if number}
     schedule = Schedule(options.seed, options.nodes, options.boxes, options.span)
-    idle_close = schedule.random.choice([300, 2000, 60000])
+    settings = schedule.settings()
     events = [event for event in schedule.groups() if event[0] < options.span]
-    print(HEAD.format(seed=options.seed, nodes=options.nodes, boxes=options.boxes, rate=options.rate, span=options.span, idle_close=idle_close))
+    print(HEAD.format(seed=options.seed, boxes=options.boxes, rate=options.rate, span=options.span, **settings))
     for number, (at, lines) in sorted(enumerate(events), key=lambda one: one[1][0]):
         if number in left_out:
             continue
--- a/src/lab/audit.h
+++ b/src/lab/audit.h
@@ -51,6 +51,7 @@
   std::map<Breach, int> counts;
   int lost_with_node = 0;    // with a node that was killed; allowed
   int lost_in_pause = 0;     // with a node that stood still past the due time; allowed
+  int shut_in_crowd = 0;     // on a new connection, where idle clients filled the node; allowed
   int unknown_at_boxes = 0;  // attempts whose id no client ever sent; counted under kInvented as well
   Millis worst_drain = 0;    // longest time from word of a drain to a send begun after it
   bool clean() const { return findings.empty(); }
--- a/src/lab/audit_answers.cpp
+++ b/src/lab/audit_answers.cpp
@@ -13,6 +13,9 @@
 bool excused(const RunView& view, const Asked& asked, Audit& audit) {
   if (view.lost_with_node(asked)) return ++audit.lost_with_node, true;
   if (view.paused_past_due(asked)) return ++audit.lost_in_pause, true;
+  // Where idle clients hold every descriptor a new connection may be shut unread.
+  const bool shut = asked.end == ClientEnd::kReset && asked.fresh && view.attempts(asked.id).empty();
+  if (shut && view.crowded(asked.node, asked.ended)) return ++audit.shut_in_crowd, true;
   return false;
 }
 
--- a/src/lab/audit_attempts.cpp
+++ b/src/lab/audit_attempts.cpp
@@ -71,7 +71,8 @@
   const auto second = std::find_if(attempts.begin(), attempts.end(),
                                    [&asked](const Arrived* a) { return a->first_byte >= asked.resent; });
   if (second != attempts.begin()) {
-    if (view.lost_with_node(asked)) {
+    // Of a request that was sent once more the record has the second sending.
+    if (view.killed_within(asked.node, (*attempts.begin())->first_byte, asked.resent)) {
       ++audit.lost_with_node;
     } else {
       findings.add(Breach::kLost, asked.id, asked.resent,
--- a/src/lab/audit_view.cpp
+++ b/src/lab/audit_view.cpp
@@ -108,6 +108,14 @@
   });
 }
 
+bool RunView::killed_within(int node, Millis from, Millis to) const {
+  const auto it = kills_.find(node);
+  if (it == kills_.end()) return false;
+  return std::any_of(it->second.begin(), it->second.end(), [&](Millis killed) {
+    return from <= killed + limits.slack && killed <= to + limits.slack;
+  });
+}
+
 bool RunView::paused_past_due(const Asked& asked) const {
   const auto it = pauses_.find(asked.node);
   if (it == pauses_.end()) return false;
@@ -139,6 +147,12 @@
   return last_before(starts_, node, time, std::numeric_limits<Millis>::lowest());
 }
 
+bool RunView::crowded(int node, Millis time) const {
+  return std::any_of(run.crowds.begin(), run.crowds.end(), [&](const CrowdSpan& crowd) {
+    return crowd.node == node && crowd.from <= time && time <= crowd.to + limits.slack;
+  });
+}
+
 bool RunView::ending(int node, Millis time) const {
   const Millis none = std::numeric_limits<Millis>::lowest();
   const Millis end = last_before(ends_, node, time, none);
--- a/src/lab/audit_view.h
+++ b/src/lab/audit_view.h
@@ -41,6 +41,8 @@
 
   // The request was with its process when that was killed.
   bool lost_with_node(const Asked& asked) const;
+  // The process was killed in that span, give or take the slack.
+  bool killed_within(int node, Millis from, Millis to) const;
   // Its process stood still at its due time.
   bool paused_past_due(const Asked& asked) const;
   // How much of a span the process stood still.
@@ -49,6 +51,8 @@
   Millis awake(int node, Millis time) const;
   // When the process that ran then was started; far back where the record has no start.
   Millis started(int node, Millis time) const;
+  // Idle clients held its descriptors.
+  bool crowded(int node, Millis time) const;
   // It had been asked to end by then.
   bool ending(int node, Millis time) const;
 
--- a/src/lab/box.cpp
+++ b/src/lab/box.cpp
@@ -63,7 +63,7 @@
                const std::string& basket) {
   Arrived& record = world_.ledger[line];
   if (!up_) return;
-  if (draining_since_ > 0) return connection->turn_away(line);
+  if (draining_since_ > 0 && !world_.experiment.fleet.serves_draining) return connection->turn_away(line);
   record.work =
       world_.experiment.classes[static_cast<std::size_t>(record.request_class)].work.draw(world_.works);
   record.warm = !basket.empty() && met_.knows(basket);
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -48,7 +48,8 @@
   Millis idle_close = 60000;  // boxes close connections that stood unused for so long
   Millis latency = 0;         // one way, on every link
   Millis jitter = 0;
-  int port_base = 0;  // 0 = ports that the system gives
+  bool serves_draining = false;  // a box that drains fails its health check, and serves what it is sent
+  int port_base = 0;             // 0 = ports that the system gives
   // A box knows the baskets that it met last; what it knows takes this share of its work.
   int remembers = 0;
   double known_work = 1;
@@ -105,6 +106,11 @@
   double honour = 1;  // share that waits as Retry-After asks
   double leave = 0;   // share that goes away before the answer
   double drop = 0;    // share that closes its connection after an answer
+  // Share that goes on a kept connection of a process that was asked to end, if any is left.
+  double until_kill = 0;
+  // Share that goes to a process that was started and is not ready yet, if there is one: its client tries to
+  // connect until it can, and waits for a short time only.
+  double first_moments = 0;
   double bad_per_second = 0;
   std::vector<std::string> bad_kinds;  // empty = all
   std::string tenant_header = "X-Tenant-Id";
@@ -143,15 +149,19 @@
     kNodeKill,
     kNodeTerm,
     kNodeReload,
-    kPause,       // processes stand still (SIGSTOP) and go on
-    kNodeStart,   // processes of `later` are started
-    kRolling,     // each process in turn is asked to end and started anew, `every` apart
-    kCut,         // the way to the store is cut, slow, or cuts bytes
-    kStore,       // the store's own troubles
-    kKillPlanner  // whoever holds P/planner is killed, once P/plan holds a text
+    kPause,        // processes stand still (SIGSTOP) and go on
+    kNodeStart,    // processes of `later` are started
+    kRolling,      // each process in turn is asked to end and started anew, `every` apart
+    kCut,          // the way to the store is cut, slow, or cuts bytes
+    kStore,        // the store's own troubles
+    kKillPlanner,  // whoever holds P/planner is killed, once P/plan holds a text
+    kSignals,      // processes get several signals, `every` apart
+    kCrowd         // idle clients come in numbers and stay
   };
   bool on_boxes() const { return kind <= Kind::kLink; }
-  bool on_nodes() const { return kind >= Kind::kNodeKill && kind <= Kind::kRolling; }
+  bool on_nodes() const {
+    return (kind >= Kind::kNodeKill && kind <= Kind::kRolling) || kind == Kind::kSignals;
+  }
   Kind kind = Kind::kKill;
   Millis at = 0;
   int line = 0;
@@ -173,11 +183,15 @@
                       // silent, reset cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
   double share = 1;   // of the answers hurt
   Millis latency = 0;
-  int after_bytes = 0;        // reset and truncate: so many bytes of the answer pass
-  bool stay_away = false;     // node_kill, node_term, kill_planner: it is not started again
-  bool unnoticed = false;     // pause: clients go on sending there
-  int text = -1;              // node_reload: this one of the texts; -1 = the next
-  std::string way;            // cut: both, asks, answers
+  int after_bytes = 0;     // reset and truncate: so many bytes of the answer pass
+  bool stay_away = false;  // node_kill, node_term, kill_planner: it is not started again
+  Millis kill_after = 0;   // node_term, signals: killed so long after SIGTERM if it has not ended; 0 = never
+  std::vector<std::string> signals;  // in order: hup, term
+  int count = 0;                     // crowd: connections to each node
+  std::string file = "same";         // node_reload, signals: the same, another discovery (moved), or broken
+  bool unnoticed = false;            // pause: clients go on sending there
+  int text = -1;                     // node_reload: this one of the texts; -1 = the next
+  std::string way;                   // cut: both, asks, answers
   std::string holds;          // kill_planner: a regular expression to wait for in the plan; empty = at once
   int forgets = 0;            // store, restart: so many changes are lost ...
   bool same_cluster = false;  // ... and its number stays
--- a/src/lab/experiment_events.cpp
+++ b/src/lab/experiment_events.cpp
@@ -8,14 +8,17 @@
 
 using Kind = Action::Kind;
 
-const std::array<std::string, 16> kKinds{
-    "kill",      "stall",       "drain", "deploy",     "slow",    "link", "discovery", "node_kill",
-    "node_term", "node_reload", "pause", "node_start", "rolling", "cut",  "store",     "kill_planner"};
+const std::array<std::string, 18> kKinds{
+    "kill",      "stall",     "drain",     "deploy",       "slow",    "link",
+    "discovery", "node_kill", "node_term", "node_reload",  "pause",   "node_start",
+    "rolling",   "cut",       "store",     "kill_planner", "signals", "crowd"};
 const std::array<std::string, 9> kLinkFaults{"black_hole", "latency", "reset",   "truncate", "drip",
                                              "noise",      "second",  "interim", "endless"};
 const std::array<std::string, 11> kDiscoveryFaults{"down",        "restart", "empty",   "crowded",
                                                    "unavailable", "slow",    "trickle", "cut",
                                                    "ends",        "silent",  "reset"};
+const std::array<std::string, 2> kSignals{"hup", "term"};
+const std::array<std::string, 3> kFiles{"same", "moved", "broken"};
 const std::array<std::string, 3> kCutFaults{"hole", "latency", "bytes"};
 const std::array<std::string, 3> kWays{"both", "asks", "answers"};
 const std::array<std::string, 6> kStoreFaults{"down", "restart", "slow", "deaf", "full", "cuts"};
@@ -62,6 +65,18 @@
     in.whole("text", action.text, 0, std::max(0, static_cast<int>(nodes.shore.size()) - 1));
     if (in.has("text") && nodes.shore.empty()) in.bad("text", "there is no \"shore\" to take it from");
   }
+  const bool reloads = action.kind == Kind::kNodeReload || action.kind == Kind::kSignals;
+  if (reloads && in.has("file")) {
+    action.file = kFiles[in.word("file", kFiles)];
+    if (!nodes.shore.empty()) in.bad("file", "only the platform's JSON is moved or broken");
+  }
+  if (action.kind == Kind::kSignals) {
+    in.need("signals");
+    action.signals = in.texts("signals");
+    for (const std::string& one : action.signals) in.one_of("signals", one, kSignals);
+    action.every = 50;
+    in.time("every", action.every, false);
+  }
   if (action.kind == Kind::kPause) in.flag("unnoticed", action.unnoticed);
   if (action.kind == Kind::kRolling) {
     action.every = 1000;
@@ -109,6 +124,7 @@
     case Kind::kPause:
     case Kind::kCut:
     case Kind::kKillPlanner:
+    case Kind::kCrowd:
       return true;
     case Kind::kStall:
     case Kind::kNodeReload:
@@ -132,11 +148,18 @@
   in.time("at", action.at);
   const Kind kind = action.kind;
   if (action.on_boxes()) read_boxes(in, action, experiment.fleet);
-  if (kind == Kind::kLink || action.on_nodes() || kind == Kind::kCut) {
+  if (kind == Kind::kLink || action.on_nodes() || kind == Kind::kCut || kind == Kind::kCrowd) {
     action.nodes = in.wholes("nodes", experiment.nodes.count, "node");
   }
   const bool box_goes = kind == Kind::kKill || kind == Kind::kDrain || kind == Kind::kDeploy;
-  const bool node_goes = kind == Kind::kNodeKill || kind == Kind::kNodeTerm || kind == Kind::kKillPlanner;
+  const bool ends = kind == Kind::kNodeTerm || kind == Kind::kSignals;
+  const bool node_goes = kind == Kind::kNodeKill || ends || kind == Kind::kKillPlanner;
+  if (ends) in.time("kill_after", action.kill_after);
+  if (kind == Kind::kCrowd) {
+    in.need("nodes");
+    in.need("count");
+    in.whole("count", action.count, 1, 2000);
+  }
   if (box_goes || node_goes || kind == Kind::kRolling) {
     in.time("back", action.back);
     if (kind >= Kind::kDeploy && action.back <= 0) action.back = 500;
@@ -160,7 +183,7 @@
     }
   }
   if (action.on_nodes()) read_on_nodes(in, action, experiment.nodes);
-  if (kind >= Kind::kCut) read_on_store(in, action, experiment);
+  if (kind >= Kind::kCut && kind <= Kind::kKillPlanner) read_on_store(in, action, experiment);
   if (lasts(action)) {
     in.need("for");
     in.time("for", action.length, false);
--- a/src/lab/experiment_load.cpp
+++ b/src/lab/experiment_load.cpp
@@ -97,6 +97,8 @@
   in.share("honour", clients.honour);
   in.share("leave", clients.leave);
   in.share("drop", clients.drop);
+  in.share("until_kill", clients.until_kill);
+  in.share("first_moments", clients.first_moments);
   in.text("tenant_header", clients.tenant_header);
   in.text("basket_header", clients.basket_header);
   in.whole("baskets", clients.baskets, 0, 1000000);
--- a/src/lab/experiment_world.cpp
+++ b/src/lab/experiment_world.cpp
@@ -24,6 +24,7 @@
   in.time("report_age", fleet.report_age);
   in.share("error_rate", fleet.error_rate);
   in.time("idle_close", fleet.idle_close, false);
+  in.flag("serves_draining", fleet.serves_draining);
   in.time("latency", fleet.latency);
   in.time("jitter", fleet.jitter);
   if (fleet.jitter > fleet.latency)
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -11,6 +11,8 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t kSendAtOnce = 256;  // then others get their turn
+constexpr Millis kLeastFirstWait = 60;    // of a client for a process that starts
+constexpr Millis kMostFirstWait = 400;
 
 }  // namespace
 
@@ -92,7 +94,34 @@
   return -1;
 }
 
+// A process that was asked to end, on whose kept connections its clients go on.
+int Load::ending_node() {
+  if (!habits_.chance(experiment_.clients.until_kill)) return -1;
+  const auto count = static_cast<std::size_t>(experiment_.nodes.count);
+  const auto from = static_cast<std::size_t>(where_.whole(count));
+  for (std::size_t n = 0; n < count; ++n) {
+    const std::size_t node = (from + n) % count;
+    if (front_.ending[node] && !unused_[node].empty()) return static_cast<int>(node);
+  }
+  return -1;
+}
+
+// A process that was started and is not ready yet: its port may be reached at any moment.
+int Load::starting_node() {
+  if (!habits_.chance(experiment_.clients.first_moments)) return -1;
+  const auto count = static_cast<std::size_t>(experiment_.nodes.count);
+  const auto from = static_cast<std::size_t>(where_.whole(count));
+  for (std::size_t n = 0; n < count; ++n) {
+    const std::size_t node = (from + n) % count;
+    if (front_.starting[node]) return static_cast<int>(node);
+  }
+  return -1;
+}
+
 int Load::next_node() {
+  if (experiment_.clients.until_kill > 0) {
+    if (const int node = ending_node(); node >= 0) return node;
+  }
   const int count = experiment_.nodes.count;
   const int hot = std::min(experiment_.clients.hot, count - 1);
   if (hot <= 0) return next_in(0, count, turn_);
@@ -112,7 +141,10 @@
   asked.due = wish->give_up;
   asked.tries_before = wish->tries++;
   asked.chain = wish->chain;
-  asked.node = next_node();
+  const int starting = experiment_.clients.first_moments > 0 ? starting_node() : -1;
+  if (starting >= 0)
+    asked.due = std::min(asked.due, clock_now() + habits_.uniform(kLeastFirstWait, kMostFirstWait));
+  asked.node = starting >= 0 ? starting : next_node();
   const std::size_t record = records_.size();
   records_.push_back(std::move(asked));
   ++progress_.sent;
@@ -126,6 +158,7 @@
   }
   auto& unused = unused_[static_cast<std::size_t>(node)];
   std::shared_ptr<Client> client;
+  records_[record].fresh = unused.empty();
   if (unused.empty()) {
     client = std::make_shared<Client>(*this, node);
   } else {
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -48,6 +48,8 @@
   void begin(const std::shared_ptr<Wish>& wish);
   void ended(const std::shared_ptr<Wish>& wish, std::size_t record, double retry_after);
   int next_node();
+  int starting_node();                       // -1 = none, or the next is not for one
+  int ending_node();                         // the same
   int next_in(int from, int to, int& turn);  // in turns among those taken in; -1 = none is
   void choose_owner(Wish& wish);             // tenant and basket
   void finish_when_quiet();
--- a/src/lab/load_client.cpp
+++ b/src/lab/load_client.cpp
@@ -20,6 +20,8 @@
 constexpr Millis kBeyondDue =
     1000;  // a client goes on reading so long, or lateness could not be told from silence
 
+constexpr Millis kConnectAgain = 1;  // to a process that starts
+
 constexpr std::size_t kMostSaid = 120;  // kept of an answer's cause
 
 std::string_view value_of(std::string_view body, std::string_view name) {
@@ -39,7 +41,7 @@
 }  // namespace
 
 Load::Client::Client(Load& owner, int node)
-    : owner_(owner), node_(node), socket_(owner.context_), timer_(owner.context_) {}
+    : owner_(owner), node_(node), socket_(owner.context_), timer_(owner.context_), retry_(owner.context_) {}
 
 void Load::Client::ask(std::shared_ptr<Wish> wish, std::size_t record) {
   wish_ = std::move(wish);
@@ -106,7 +108,11 @@
   const std::string& dial = owner_.front_.addresses[static_cast<std::size_t>(node_)];
   socket_.async_connect(endpoint_of(dial), [self = shared_from_this()](const error_code& error) {
     if (self->dead_) return;
+    if (error && self->owner_.front_.starting[static_cast<std::size_t>(self->node_)] &&
+        clock_now() + kConnectAgain < self->record().due)
+      return self->connect_again();
     if (error) return self->finish(ClientEnd::kNoConnection);
+    self->compose();  // by the time that is left
     error_code ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
     self->connected_ = true;
@@ -115,6 +121,14 @@
   });
 }
 
+void Load::Client::connect_again() {
+  error_code ignored;
+  socket_.close(ignored);
+  retry_.at(clock_now() + kConnectAgain, nullptr, [self = shared_from_this()] {
+    if (!self->dead_) self->connect();
+  });
+}
+
 void Load::Client::write() {
   asio::async_write(socket_, asio::buffer(text_),
                     [self = shared_from_this()](const error_code& error, std::size_t) {
--- a/src/lab/load_client.h
+++ b/src/lab/load_client.h
@@ -37,6 +37,7 @@
   void arm_silence();
   void compose();
   void connect();
+  void connect_again();
   void write();
   void read();
   void take(std::size_t size);
@@ -57,6 +58,7 @@
   std::size_t record_ = static_cast<std::size_t>(-1);
   std::size_t before_ = static_cast<std::size_t>(-1);  // of the request before it on this connection
   double retry_after_ = -1;
+  Alarm retry_;  // of connecting to a process that starts
   bool connected_ = false;
   bool reused_ = false;
   bool again_ = false;  // sent once more already
--- a/src/lab/node_faults.cpp
+++ b/src/lab/node_faults.cpp
@@ -2,6 +2,8 @@
 // started late, restarted in turn.
 #include <signal.h>
 
+#include <fstream>
+
 #include "lab/nodes.h"
 
 namespace shorelead::lab {
@@ -20,15 +22,48 @@
   });
 }
 
-void Nodes::reload(int number, int text, Millis every, Millis until) {
+// What the node's file says from now on. One that is broken is put right before the next start.
+void Nodes::write_file(int number, const std::string& file) {
+  if (file == "moved") at(number).moved = !at(number).moved;
+  configure(number);
+  if (file == "broken") std::ofstream(path(number, ".json")) << "{ \"name\": ";
+}
+
+void Nodes::reload(int number, const Action& action, Millis until) {
   Node& node = at(number);
   if (!node.process.up() || stopping_) return;
-  if (text >= 0) node.texts = static_cast<std::size_t>(text);
-  if (!experiment_.nodes.shore.empty()) configure(number);
+  if (action.text >= 0) node.texts = static_cast<std::size_t>(action.text);
+  if (!experiment_.nodes.shore.empty() || action.file != "same") write_file(number, action.file);
   event(number, NodeDid::kReloaded);
   node.process.signal(SIGHUP);
-  if (every <= 0 || clock_now() + every >= until) return;
-  later(every, [this, number, text, every, until] { reload(number, text, every, until); });
+  if (action.every <= 0 || clock_now() + action.every >= until) return;
+  later(action.every, [this, number, action, until] { reload(number, action, until); });
+}
+
+// One after another, also to a process that is ending.
+void Nodes::signals(int number, const Action& action, std::size_t next) {
+  Node& node = at(number);
+  if (next == action.signals.size() || !node.process.up() || stopping_) return;
+  if (action.signals[next] == "hup") {
+    if (action.file != "same") write_file(number, action.file);
+    event(number, NodeDid::kReloaded);
+    node.process.signal(SIGHUP);
+  } else if (node.asked) {
+    node.process.signal(SIGTERM);
+  } else {
+    term(number, action);
+  }
+  later(action.every, [this, number, action, next] { signals(number, action, next + 1); });
+}
+
+void Nodes::kill_later(int number, Millis wait) {
+  later(wait, [this, number, life = at(number).life] {
+    Node& node = at(number);
+    if (node.life != life || !node.process.up()) return;
+    mark("kill node at its end", number);
+    event(number, NodeDid::kEnded);
+    ended(number, node.process.kill());
+  });
 }
 
 void Nodes::kill(int number, const Action& action) {
@@ -50,8 +85,10 @@
   go_on(number);  // who stands still does not end
   node.asked = true;
   event(number, NodeDid::kTerminated);
+  front_.ending[static_cast<std::size_t>(number)] = true;
   node.process.signal(SIGTERM);
   notice(number, node.life);
+  if (action.kill_after > 0) kill_later(number, action.kill_after);
   if (!action.stay_away) start_when_gone(number, action.back);
 }
 
@@ -116,9 +153,10 @@
     if (action.kind == Action::Kind::kNodeKill) kill(number, action);
     if (action.kind == Action::Kind::kNodeTerm) term(number, action);
     if (action.kind == Action::Kind::kPause) pause(number, action);
+    if (action.kind == Action::Kind::kSignals) signals(number, action, 0);
     if (action.kind != Action::Kind::kNodeReload) continue;
     mark("reload", number);
-    reload(number, action.text, action.every, clock_now() + action.length);
+    reload(number, action, clock_now() + action.length);
   }
 }
 
--- a/src/lab/nodes.cpp
+++ b/src/lab/nodes.cpp
@@ -1,16 +1,12 @@
 #include "lab/nodes.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <signal.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <cstring>
 #include <fstream>
 
 #include "lab/dial.h"
+#include "lab/ready_probe.h"
 
 namespace shorelead::lab {
 namespace {
@@ -69,13 +65,19 @@
   watch();
 }
 
+std::string Nodes::discovery(int number) const {
+  const bool moved = nodes_[static_cast<std::size_t>(number)].moved;
+  return moved ? world_.second_discovery(number) : world_.discovery(number, 0);
+}
+
 // Put beside it and then in its place, so that no node reads half of it.
 void Nodes::configure(int number) {
   Node& node = at(number);
   const std::string& listen = front_.addresses[static_cast<std::size_t>(number)];
   if (experiment_.nodes.shore.empty()) {
-    std::ofstream(path(number, ".json"))
-        << node_configuration(experiment_, number, listen, world_.discovery(number, 0), world_.known(number));
+    std::ofstream(path(number, ".fresh"))
+        << node_configuration(experiment_, number, listen, discovery(number), world_.known(number));
+    std::rename(path(number, ".fresh").c_str(), path(number, ".json").c_str());
     return;
   }
   std::ofstream(path(number, ".fresh")) << node_shore(
@@ -93,7 +95,7 @@
   environment.push_back("NODE_CONFIG=" + path(number, shore ? ".shore" : ".json"));
   environment.push_back("NODE_NAME=n" + std::to_string(number));
   environment.push_back("NODE_LISTEN=" + front_.addresses[static_cast<std::size_t>(number)]);
-  if (!shore) environment.push_back("NODE_DISCOVERY=" + world_.discovery(number, 0));
+  if (!shore) environment.push_back("NODE_DISCOVERY=" + discovery(number));
   if (!experiment_.nodes.own.empty()) {
     std::ofstream(path(number, ".own.toml")) << experiment_.nodes.own;
     environment.push_back("NODE_OWN=" + path(number, ".own.toml"));
@@ -103,46 +105,30 @@
   node.asked = false;
   node.paused = false;
   node.ready = false;
+  front_.ending[static_cast<std::size_t>(number)] = false;
+  front_.starting[static_cast<std::size_t>(number)] = true;
   ++node.life;
   event(number, NodeDid::kStarted);
   look(number, node.life);
 }
 
-// One blocking question on loopback, with short limits: a node that does not answer within them is asked
-// again.
-bool Nodes::answers_ready(int number) const {
-  const std::string& dial = front_.addresses[static_cast<std::size_t>(number)];
-  const std::size_t colon = dial.rfind(':');
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd < 0) return false;
-  const timeval limit{0, 20000};
-  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(static_cast<unsigned short>(std::stoi(dial.substr(colon + 1))));
-  ::inet_pton(AF_INET, dial.substr(0, colon).c_str(), &to.sin_addr);
-  bool ready = false;
-  if (::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0) {
-    const std::string ask = "GET /-/ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n";
-    char answer[16] = {};
-    ready = ::send(fd, ask.data(), ask.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(ask.size()) &&
-            ::recv(fd, answer, sizeof answer - 1, MSG_WAITALL) > 12 &&
-            std::strncmp(answer + 9, "200", 3) == 0;
-  }
-  ::close(fd);
-  return ready;
-}
-
 void Nodes::look(int number, int life) {
   Node& node = at(number);
   if (!node.process.up() || node.asked || node.life != life) return;
-  if (!node.paused && answers_ready(number)) {
-    if (!node.ready) event(number, NodeDid::kReady);
-    node.ready = true;
-    front_.taken_in[static_cast<std::size_t>(number)] = true;
-    return;
-  }
-  later(kLookEvery, [this, number, life] { look(number, life); });
+  const auto again = [this, number, life] {
+    later(kLookEvery, [this, number, life] { look(number, life); });
+  };
+  if (node.paused) return again();
+  ask_ready(context_, front_.addresses[static_cast<std::size_t>(number)],
+            [this, number, life, again](bool ready) {
+              Node& now = at(number);
+              if (!now.process.up() || now.asked || now.life != life) return;
+              if (!ready) return again();
+              if (!now.ready) event(number, NodeDid::kReady);
+              now.ready = true;
+              front_.starting[static_cast<std::size_t>(number)] = false;
+              front_.taken_in[static_cast<std::size_t>(number)] = true;
+            });
 }
 
 bool Nodes::all_ready() const {
@@ -155,6 +141,8 @@
 void Nodes::ended(int number, int code) {
   Node& node = at(number);
   node.ready = false;
+  front_.starting[static_cast<std::size_t>(number)] = false;
+  front_.ending[static_cast<std::size_t>(number)] = false;
   event(number, NodeDid::kExited, code);
   if (!node.asked) {
     if (failure_.empty()) {
--- a/src/lab/nodes.h
+++ b/src/lab/nodes.h
@@ -20,16 +20,22 @@
 
 // What clients know of the nodes. Written by one thread, read by another.
 struct Front {
-  explicit Front(int nodes) : taken_in(static_cast<std::size_t>(nodes)) {}
+  explicit Front(int nodes)
+      : taken_in(static_cast<std::size_t>(nodes)),
+        starting(static_cast<std::size_t>(nodes)),
+        ending(static_cast<std::size_t>(nodes)) {}
   std::vector<std::atomic<bool>> taken_in;
-  std::vector<std::string> addresses;  // "a.b.c.d:port", fixed before anyone reads
+  std::vector<std::atomic<bool>> starting;  // started, and not ready yet
+  std::vector<std::atomic<bool>> ending;    // asked to end, and not gone yet
+  std::vector<std::string> addresses;       // "a.b.c.d:port", fixed before anyone reads
 };
 
 // How nodes find what they need to be told of.
 struct NodesWorld {
   std::function<std::string(int node, int pool)> discovery;
-  std::function<std::string(int node)> known;  // the list as it would have had it
-  std::function<std::string(int node)> store;  // empty = there is none
+  std::function<std::string(int node)> second_discovery;  // the same under another address
+  std::function<std::string(int node)> known;             // the list as it would have had it
+  std::function<std::string(int node)> store;             // empty = there is none
   // Which node holds the planner's key, where the plan holds this (a regular expression); -1 = none. Only
   // when to act is taken from it, and never a verdict.
   std::function<int(const std::string& holds)> planner;
@@ -58,12 +64,17 @@
     bool paused = false;
     bool ready = false;
     int life = 0;
+    bool moved = false;     // its file names the second address of discovery
     std::size_t texts = 0;  // of its configuration, so far
   };
 
   void start(int node);
   void configure(int node);
-  void reload(int node, int text, Millis every, Millis until);
+  std::string discovery(int node) const;  // where its file says that it is
+  void reload(int node, const Action& action, Millis until);
+  void write_file(int node, const std::string& file);
+  void signals(int node, const Action& action, std::size_t next);
+  void kill_later(int node, Millis wait);
   void kill(int node, const Action& action);
   void term(int node, const Action& action);
   void pause(int node, const Action& action);
@@ -81,7 +92,6 @@
   void mark(const std::string& what, int node);
   void event(int node, NodeDid what, int code = 0);
   std::string path(int node, const char* suffix) const;
-  bool answers_ready(int node) const;
 
   boost::asio::io_context& context_;
   const Experiment& experiment_;
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -49,6 +49,7 @@
   Millis ended = 0;     // the answer's last byte, or the end seen
   ClientEnd end = ClientEnd::kNoConnection;
   int status = 0;
+  bool fresh = false;       // the first on its connection
   Millis resent = 0;        // sent once more: its kept connection ended with no byte of an answer; 0 = never
   bool right_body = false;  // the body of a box's answer to this very request
   std::uint64_t run = 0;    // which attempt the body says it is from: Arrived::serial
@@ -115,6 +116,13 @@
   Millis ended = 0;         // by either side
 };
 
+// Idle clients filled a node's descriptors.
+struct CrowdSpan {
+  int node = 0;
+  Millis from = 0;
+  Millis to = 0;
+};
+
 // Discovery could not be reached.
 struct Outage {
   Millis from = 0;
@@ -190,6 +198,7 @@
   std::vector<Changed> had;  // the same, when discovery had it
   std::vector<ListCall> list_calls;
   std::vector<Outage> outages;
+  std::vector<CrowdSpan> crowds;
   bool lists_pushed = true;
   bool lists_recorded = false;  // the four above are there
   std::vector<NodeEvent> nodes;
--- a/src/lab/records_io.cpp
+++ b/src/lab/records_io.cpp
@@ -42,8 +42,8 @@
   io("id", v.id), io("key", v.key), io("tenant", v.tenant), io("basket", v.basket),
       io("class", v.request_class), io("node", v.node), io("intended", v.intended);
   io("sent", v.sent), io("due", v.due), io("ended", v.ended), io("end", v.end), io("status", v.status);
-  io("resent", v.resent), io("right_body", v.right_body), io("run", v.run), io("extra", v.extra),
-      io("tries_before", v.tries_before);
+  io("fresh", v.fresh), io("resent", v.resent), io("right_body", v.right_body), io("run", v.run),
+      io("extra", v.extra), io("tries_before", v.tries_before);
   io("chain", v.chain), io("said", v.said);
 }
 void fields(auto& io, auto& v, Arrived*) {
@@ -60,6 +60,7 @@
   io("node", v.node), io("begun", v.begun), io("answered", v.answered), io("silent_since", v.silent_since);
   io("ended", v.ended);
 }
+void fields(auto& io, auto& v, CrowdSpan*) { io("node", v.node), io("from", v.from), io("to", v.to); }
 void fields(auto& io, auto& v, Outage*) { io("from", v.from), io("to", v.to); }
 void fields(auto& io, auto& v, NodeEvent*) {
   io("node", v.node), io("what", v.what), io("at", v.at), io("code", v.code);
@@ -87,7 +88,7 @@
       io("drain_grace", v.drain_grace);
   io("load_late", v.load_late), io("load_late_p99", v.load_late_p99), io("fleet_late", v.fleet_late);
   io("fleet_late_p99", v.fleet_late_p99), io("bad_requests", v.bad_requests);
-  io("had", v.had), io("list_calls", v.list_calls), io("outages", v.outages);
+  io("had", v.had), io("list_calls", v.list_calls), io("outages", v.outages), io("crowds", v.crowds);
   io("lists_pushed", v.lists_pushed), io("lists_recorded", v.lists_recorded);
 }
 
--- a/src/lab/registry.cpp
+++ b/src/lab/registry.cpp
@@ -9,6 +9,8 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr Millis kListenAgain = 20;
+
 void append(std::string& hosts, const std::string& entry) {
   if (!hosts.empty()) hosts += ',';
   hosts += entry;
@@ -39,7 +41,17 @@
 void Registry::listen(int door) {
   const auto n = static_cast<std::size_t>(door);
   const tcp::endpoint at(asio::ip::make_address(addresses_[n % static_cast<std::size_t>(nodes_)]), ports_[n]);
-  acceptors_[n] = std::make_unique<tcp::acceptor>(context_, at, true);
+  try {
+    acceptors_[n] = std::make_unique<tcp::acceptor>(context_, at, true);
+  } catch (const boost::system::system_error&) {
+    if (ports_[n] == 0) throw;
+    // A connection from that very port, made meanwhile, holds it for a moment.
+    auto again = std::make_shared<Alarm>(context_);
+    again->at(clock_now() + kListenAgain, nullptr, [this, again, door] {
+      if (!down_) listen(door);
+    });
+    return;
+  }
   ports_[n] = acceptors_[n]->local_endpoint().port();
   accept(door);
 }
--- a/src/lab/session.cpp
+++ b/src/lab/session.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 
 #include "lab/bad_clients.h"
+#include "lab/crowd.h"
 #include "lab/load.h"
 #include "lab/nodes.h"
 #include "lab/shared_store.h"
@@ -77,12 +78,14 @@
   if (experiment.store.there) store.emplace(world.context, experiment);
   NodesWorld told;
   told.discovery = [&stand_ins](int node, int pool) { return stand_ins.discovery_dial(node, pool); };
+  told.second_discovery = [&stand_ins](int node) { return stand_ins.second_discovery_dial(node); };
   told.known = [&stand_ins](int node) { return stand_ins.known_list(node); };
   told.store = [&store](int node) { return store ? store->dial(node) : std::string(); };
   told.planner = [&store](const std::string& holds) { return store ? store->planner(holds) : -1; };
   Nodes nodes(world.context, experiment, options.node_command, options.folder, told, front);
   Load load(clients.context, experiment, front);
   BadClients bad(clients.context, experiment, front);
+  IdleCrowd crowd(world.context, front);
   std::vector<std::unique_ptr<Alarm>> alarms;
   const Stop stop{world, clients};
   world.start(options.spin);
@@ -111,10 +114,11 @@
   world.with([&] {
     for (const Action& action : experiment.timeline) {
       alarms.push_back(std::make_unique<Alarm>(world.context));
-      alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &nodes, &store, &action] {
+      alarms.back()->at(begin + action.at, nullptr, [&stand_ins, &nodes, &store, &crowd, &action] {
         stand_ins.act(action);
         if (store) store->act(action);
         nodes.act(action);
+        crowd.act(action);
       });
     }
   });
@@ -138,6 +142,7 @@
     alarms.clear();
     nodes.collect(run);
     stand_ins.collect(run);
+    crowd.collect(run);
     if (store) store->collect(run);
   });
   clients.with([&] {
--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -61,6 +61,7 @@
 std::string StandIns::discovery_dial(int node, int pool) const {
   return registries_[static_cast<std::size_t>(pool)]->dial(node);
 }
+std::string StandIns::second_discovery_dial(int node) const { return registries_.front()->second_dial(node); }
 std::string StandIns::known_list(int node) const { return registries_.front()->known(node); }
 
 void StandIns::publish(int box, BoxState state) {
--- a/src/lab/stand_ins.h
+++ b/src/lab/stand_ins.h
@@ -53,6 +53,7 @@
 
   // Where node `node` finds discovery, and the list as it would have had it, in discovery's form.
   std::string discovery_dial(int node, int pool) const;
+  std::string second_discovery_dial(int node) const;  // of the first pool
   std::string known_list(int node) const;
   std::string box_dial(int box, int node) const;
 
--- a/tests/guard/guard_test.cpp
+++ b/tests/guard/guard_test.cpp
@@ -49,6 +49,7 @@
     EXPECT_EQ(may_write(request, BackendState(), kNow).reason, one.reason) << name_of(one.reason);
   }
   EXPECT_EQ(may_write(allowed(), {.wanted = false}, kNow).reason, Reason::kBackendWithdrawn);
+  EXPECT_EQ(may_write(allowed(), {.confirmed = false}, kNow).reason, Reason::kListOutdated);
   RequestState beside = allowed();
   beside.out = 1;
   beside.parallel = true;
