The checks use a compiler cache where the machine has one

Change: tests/run_all.sh sets ccache as the launcher if it is there; entries hold for any folder. No check changes.

--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -6,6 +6,11 @@
 # The same cases each time: a failing property must fail again. To look for new ones: RC_PARAMS="seed=$RANDOM".
 export RC_PARAMS="${RC_PARAMS:-seed=20261201}"
 
+# A compiler cache, where the machine has one; its entries hold for any folder that the project stands in.
+if command -v ccache >/dev/null; then
+  export CMAKE_CXX_COMPILER_LAUNCHER=ccache CMAKE_C_COMPILER_LAUNCHER=ccache CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
+fi
+
 fail=0
 find src tests -name '*.cpp' -o -name '*.h' | sort | xargs clang-format --dry-run --Werror || fail=1
 tests/sizes_test.sh || fail=1
