experiment_test: one message in the formatter's lines

Cause: a line of the expected message was longer than the formatter allows. Change: it stands on two lines; same text. Result: the formatter is clean.

--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -114,7 +114,8 @@
             "f.toml:11:10: \"jitter\" is over \"latency\": a link would answer early"},
         Bad{"do = \"kill\"", "do = \"kil\"",
             "f.toml:31:6: \"kil\" is none of kill, stall, drain, deploy, slow, link, discovery, node_kill, "
-            "node_term, node_reload, pause, node_start, rolling, cut, store, kill_planner, signals, crowd; did you mean "
+            "node_term, node_reload, pause, node_start, rolling, cut, store, kill_planner, signals, crowd; "
+            "did you mean "
             "\"kill\"?"},
         Bad{"boxes = [0]", "boxes = [4]", "f.toml:33:10: there is no box 4: they go from 0 to 3"},
         Bad{"boxes = [0]", "boxes = 0", "f.toml:33:9: \"boxes\" is not a list of numbers such as [0, 2]"},
