--- a/tests/pools_test.cpp
+++ b/tests/pools_test.cpp
@@ -46,7 +46,6 @@
 class Node {
  public:
   explicit Node(const std::string& text) : config(read(text)) {
-    loop = std::make_unique<Loop>();
     server = std::make_unique<Server>(*loop, config);
     loop->on_signals([this](int signal) {
       if (signal == SIGHUP) server->reload([this] { return read(next); });
@@ -84,7 +83,7 @@
 
   const Config config;
   std::string next;
-  std::unique_ptr<Loop> loop;
+  std::unique_ptr<Loop> loop = std::make_unique<Loop>();
   std::unique_ptr<Server> server;
   std::atomic<int> signals = 0;
   std::atomic<int> pools = 0;
