A call that fails after the list's lease ran out does not renew the lease

Cause: after a watch is over a change binds 1.5 s later while no call has ended. A call that ended after that, and failed, gave the list four times as long, from before: the lease, already out, held again (stale value believed anew). Change: a lease that ran out stays so until a list comes. Also a test of an intake that is closed before it was opened.

--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -60,6 +60,7 @@
  private:
   static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
+  Millis unasked() const;
   Millis held_for() const;
   Millis holds_until() const;
 
@@ -71,7 +72,8 @@
   Millis unheard_since_ = -kNever;  // since then no call has ended; kNever: one has, or a watch is open
   // A list began to come that is not whole, or never was, and none came since.
   Millis unfinished_at_ = kNever;
-  Millis moved_at_ = kNever;  // and no list came since
+  Millis lapsed_at_ = kNever;  // no call had ended in time, and no list came since
+  Millis moved_at_ = kNever;   // and no list came since
 };
 
 }  // namespace shorelead::membership
--- a/tests/faults/accept_test.cpp
+++ b/tests/faults/accept_test.cpp
@@ -59,6 +59,23 @@
   }
 }
 
+TEST(Accept, AnEndBeforeTheStartIsDoneLeavesNobodyInTheBacklog) {
+  Loop loop;
+  Intake intake(loop, Poco::Net::SocketAddress("127.0.0.1", 0),
+                {[](int fd) { ::close(fd); }, [] { return true; }, [] { return false; }});
+  const net::Descriptor client(::socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(intake.port());
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(::connect(client.fd(), reinterpret_cast<sockaddr*>(&to), sizeof to), -1)
+      << "it does not listen yet";
+  EXPECT_EQ(errno, ECONNREFUSED);
+  intake.close();
+  intake.open();
+  EXPECT_LT(intake.listening(), 0);
+}
+
 // A caller at the operators' door waits while there is no descriptor: the loop does not spin meanwhile.
 TEST(Accept, ACallerWhoCannotBeTakenInDoesNotKeepTheLoopBusy) {
   const faults::StrikeThisThread strike;
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -96,6 +96,19 @@
   EXPECT_EQ(lease.validity().until, kStart + 30 + ListLease::kUnasked + kAllowance);
 }
 
+TEST(ListLease, ACallThatFailsAfterTheLeaseRanOutDoesNotRenewIt) {
+  ListLease lease = watching();
+  lease.ended(CallEnd::kWatchOver, kStart + 100);
+  const Millis unasked = kStart + 100 + ListLease::kUnasked;
+  lease.asked(unasked + 50);
+  lease.ended(CallEnd::kFailed, unasked + 60);
+  EXPECT_LE(lease.validity().until, unasked + kAllowance);
+  EXPECT_EQ(lease.validity().confirmed_for, ListLease::kUnasked + kAllowance);
+  lease.asked(unasked + 400);
+  lease.answered();
+  EXPECT_EQ(lease.validity().until, unasked + 400 + ListLease::kMostAge + kAllowance);
+}
+
 TEST(ListLease, SettingsThatWantListsMoreOftenCount) {
   ListLease lease = asked_lease(800);
   lease.asked(kStart);
