A test that forks waits until its peers' threads stand in poll()

Traced with gdb: the child of NodeProcess's fork waits for ASan's allocator lock, which a peer's thread held as the process forked. Change: AnsweringPeer's constructor returns once its thread is about to poll. No check changes.

--- a/tests/crossings/answering_peer.h
+++ b/tests/crossings/answering_peer.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <semaphore>
 #include <string>
 #include <thread>
 #include <utility>
@@ -26,7 +27,11 @@
  public:
   using Answer = std::function<std::string(const std::string& path)>;
 
-  explicit AnsweringPeer(Answer answer) : answer_(std::move(answer)), thread_([this] { run(); }) {}
+  // Its thread stands in poll() behind this and allocates nothing before somebody connects: a test may fork
+  // then, and the child of a sanitized build must not inherit the allocator's lock.
+  explicit AnsweringPeer(Answer answer) : answer_(std::move(answer)), thread_([this] { run(); }) {
+    waits_.acquire();
+  }
   ~AnsweringPeer() {
     peer_.stop();
     thread_.join();
@@ -48,9 +53,10 @@
     sigset_t all_signals;
     sigfillset(&all_signals);
     ::pthread_sigmask(SIG_BLOCK, &all_signals, nullptr);  // they are the node's
-    while (true) {
+    for (bool first = true;; first = false) {
       std::vector<pollfd> all = {{peer_.fd(), POLLIN, 0}};
       for (const auto& [fd, text] : texts_) all.push_back({fd, POLLIN, 0});
+      if (first) waits_.release();
       ::poll(all.data(), all.size(), -1);
       for (std::size_t n = 1; n < all.size(); ++n) {
         if (all[n].revents != 0) take(all[n].fd);
@@ -89,6 +95,7 @@
   std::map<int, std::string> texts_;  // what has come on each connection
   std::mutex mutex_;
   std::vector<std::string> paths_;
+  std::binary_semaphore waits_{0};
   std::thread thread_;
 };
 
