The log says when a list expires, which list an attempt went by and why one was refused

Change: a warning when the list expires and when it is valid again, with counts in the counters line; each attempt's log line has the list's version and its remaining validity; the first attempt after an expiry is a warning; a refused request says why.

--- a/src/guard/listed_record.h
+++ b/src/guard/listed_record.h
@@ -34,6 +34,7 @@
 
   // How long the list is valid, and the health checks that confirm a backend after that.
   void set_validity(const ListValidity& validity) { validity_ = validity; }
+  Millis valid_until() const { return validity_.until; }
   void confirmed(const std::string& host, Millis sent) { checked_[host].passed(sent); }
   void denied(const std::string& host) { checked_[host].failed(); }
 
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -211,6 +211,10 @@
                discovery_ ? discovery_->version() : 0, received_at > 0 ? (now - received_at) / 1000 : -1.0,
                discovery_ ? discovery_->calls() : 0,
                listed(watch_endings_, [](Ending e) { return std::string(name_of(e)); }));
+  if (lease_) {
+    spdlog::info("counters: {}list expirations={} expired_s={:.1f}", prefix, lease_->expirations(),
+                 lease_->time_expired() / 1000);
+  }
   if (view_) {
     const auto& v = view_->counters();
     spdlog::info(
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -20,6 +20,8 @@
 DiscoveryLease::DiscoveryLease(Loop& loop, std::string pool, Listener listener)
     : loop_(loop), pool_(std::move(pool)), listener_(std::move(listener)) {}
 
+DiscoveryLease::~DiscoveryLease() { loop_.cancel(expiry_timer_); }
+
 void DiscoveryLease::adopt(const Settings& settings) {
   lease_.adopt(
       {.grace = settings.drain_grace, .pushed = !settings.list_on_request, .ask_every = settings.ask_every});
@@ -57,9 +59,40 @@
   spdlog::debug(
       "pool {}: the list is valid for {:.2f} s, then backends with a passed health check within {:.2f} s",
       pool_, (last_.until - now) / 1000, last_.confirmed_for / 1000);
+  log_expiry();
   listener_(last_);
 }
 
+// Logs and counts once when the list expires and once when it is valid again.
+void DiscoveryLease::log_expiry() {
+  const Millis now = loop_.now();
+  loop_.cancel(expiry_timer_);
+  expiry_timer_ = 0;
+  if (now < last_.until) {
+    if (expired_at_ < kNever) {
+      expired_before_ += now - expired_at_;
+      spdlog::warn("pool {}: the list is valid again after {:.2f} s", pool_, (now - expired_at_) / 1000);
+    }
+    expired_at_ = kNever;
+    was_valid_ = true;
+    if (last_.until < kNever) {
+      expiry_timer_ = loop_.at(last_.until, [this] {
+        expiry_timer_ = 0;
+        log_expiry();
+      });
+    }
+    return;
+  }
+  if (!was_valid_ || expired_at_ < kNever) return;
+  expired_at_ = now;
+  ++expirations_;
+  spdlog::warn("pool {}: the list has expired: backends may have left it unnoticed", pool_);
+}
+
+Millis DiscoveryLease::time_expired() const {
+  return expired_before_ + (expired_at_ < kNever ? loop_.now() - expired_at_ : 0);
+}
+
 void DiscoveryLease::report_change() {
   if (lease_.validity() != last_) report();
 }
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -2,7 +2,9 @@
 // whenever that changes. It makes no calls and holds no list.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 
 #include "membership/list_lease.h"
@@ -18,6 +20,9 @@
 
   // `pool`: the pool's name, for the log.
   DiscoveryLease(Loop& loop, std::string pool, Listener listener);
+  ~DiscoveryLease();
+  DiscoveryLease(const DiscoveryLease&) = delete;
+  DiscoveryLease& operator=(const DiscoveryLease&) = delete;
 
   void adopt(const Settings& settings);  // for drains and for how lists are obtained
   void call_begun();
@@ -27,14 +32,25 @@
   void address_changed();
   void report();  // reports even if nothing has changed
 
+  std::uint64_t expirations() const { return expirations_; }  // how often a valid list has expired
+  Millis time_expired() const;  // for how long in all, without the time before the first valid list
+
  private:
   void report_change();
+  void log_expiry();
+
+  static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
   Loop& loop_;
   const std::string pool_;
   const Listener listener_;
   membership::ListLease lease_;
   ListValidity last_;
+  Loop::TimerId expiry_timer_ = 0;
+  bool was_valid_ = false;      // since the start
+  Millis expired_at_ = kNever;  // of the list in force; kNever = it has not expired
+  std::uint64_t expirations_ = 0;
+  Millis expired_before_ = 0;  // in earlier expirations
 };
 
 }  // namespace shorelead::node
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -160,11 +160,12 @@
         return attempt_done(choice.request, choice.attempt, result);
       }
       counters_.attempt_sent();
-      record_.decided(choice, policy_host_.host(choice.backend));
+      record_.decided(choice, policy_host_.host(choice.backend), loop_.now());
       upstream_->send(choice.request, choice.attempt, choice.backend, policy_host_.dial(choice.backend),
                       choice.deadline, it->second.message, choice.begin_by);
       break;
     case Choice::Kind::kRefuse:
+      record_.refused(choice.request, loop_.now());
       host_.refuse(choice.request, choice.retry_after);
       close(choice.request);
       break;
--- a/src/node/pool_record.h
+++ b/src/node/pool_record.h
@@ -5,6 +5,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <utility>
+
 #include "guard/listed_record.h"
 #include "manage/bans.h"
 #include "node/policy_host.h"
@@ -47,13 +49,27 @@
   }
   void body_complete(RequestId request, Millis due) { recorder_->due(request, due); }
   void handler_threw(RequestId request) { recorder_->handler_threw(request); }
-  void decided(const Choice& choice, const std::string& host) {
-    recorder_->attempt_decided(choice.request, choice.attempt, host, choice.backend);
+  void decided(const Choice& choice, const std::string& host, Millis now) {
+    recorder_->attempt_decided(choice.request, choice.attempt, host, choice.backend,
+                               listed_.valid_until() - now);
+    log_expired_use(host, now);
   }
+  void refused(RequestId request, Millis now) { recorder_->refused(request, listed_.valid_until() <= now); }
 
  private:
+  // Logs the first attempt after each expiry of the list.
+  void log_expired_use(const std::string& host, Millis now) {
+    const Millis expired_for = now - listed_.valid_until();
+    if (expired_for < 0) {
+      expired_use_logged_ = false;
+    } else if (!std::exchange(expired_use_logged_, true)) {
+      spdlog::warn("request to {} although the list expired {:.2f} s ago", host, expired_for / 1000);
+    }
+  }
+
   const RecorderHandle recorder_;
   guard::ListedRecord listed_;
+  bool expired_use_logged_ = false;
 };
 
 }  // namespace shorelead::node
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -65,9 +65,15 @@
   checker_.request_accepted(request, rules);
 }
 
-void Recorder::attempt_decided(RequestId request, int attempt, std::string_view host, BackendId backend) {
+void Recorder::attempt_decided(RequestId request, int attempt, std::string_view host, BackendId backend,
+                               Millis list_valid_for) {
   add(EventKind::kAttemptDecided, request, attempt, 0, backend);
-  spdlog::debug("attempt {}.{} to {} by list {}", request, attempt, host, list_version_);
+  spdlog::debug("attempt {}.{} to {} by list {}, valid for {:.2f} s", request, attempt, host, list_version_,
+                list_valid_for / 1000);
+}
+
+void Recorder::refused(RequestId request, bool list_expired) {
+  spdlog::debug("request {} refused: {}", request, list_expired ? "the list has expired" : "no backend free");
 }
 
 void Recorder::attempt_denied(RequestId request, int attempt, guard::Reason reason) {
--- a/src/node/recorder.h
+++ b/src/node/recorder.h
@@ -25,7 +25,10 @@
   void taken(RequestId request, std::string_view named, Millis came, Millis due);
   void ruled(RequestId request, const guard::RequestRules& rules);
   void due(RequestId request, Millis due) { checker_.deadline_set(request, due); }
-  void attempt_decided(RequestId request, int attempt, std::string_view host, BackendId backend);
+  // `list_valid_for`: the remaining time for which the list was valid; negative once it has expired.
+  void attempt_decided(RequestId request, int attempt, std::string_view host, BackendId backend,
+                       Millis list_valid_for);
+  void refused(RequestId request, bool list_expired);  // no backend was available to it
   void attempt_denied(RequestId request, int attempt, guard::Reason reason);
   // `withdrawn`: the backend was no longer to get new requests; `told`: the remaining time sent to the
   // backend; `at`: the clock reading before the write from which `told` was computed.
