--- a/tests/crossings/outdated_list_test.cpp
+++ b/tests/crossings/outdated_list_test.cpp
@@ -132,5 +132,50 @@
   EXPECT_EQ(leaving.count("/safe"), before);
 }
 
+// Brings one whole list to the first call and ends the watch; every later call is refused.
+class OneListOnly {
+ public:
+  void bring(const std::string& entries) {
+    list_ = first_line(R"({"seq":2,"whole":true,"hosts":[)" + entries + "]}\n") + "0\r\n\r\n";
+  }
+  std::string operator()(const std::string&) { return calls_++ == 0 ? list_ : kTurnedAway; }
+
+ private:
+  std::string list_;
+  int calls_ = 0;
+};
+
+// A backend that leaves the list unnoticed gets nothing once that binds, though it serves and passes checks.
+TEST(OutdatedList, ABackendThatLeftUnnoticedGetsNothingThoughItPassesItsChecks) {
+  const std::atomic<bool> fails_checks{false};
+  AnsweringPeer left(backend_that(fails_checks));
+  OneListOnly lists;
+  lists.bring(entry("s-1", left));
+  AnsweringPeer discovery([&](const std::string& path) { return lists(path); });
+  const std::string text = configuration(entry("s-1", left), discovery, true);
+  const NodeProcess node(256, [&](Config& config) {
+    config = parse_config(text, {});
+    config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+  });
+  wait_ready(node);
+  Line client = node.client();
+  EXPECT_EQ(ask(client), "HTTP/1.1 200") << "by the list that came";
+  const double bound = steady_ms() + kToldAfter + kGrace;
+  while (steady_ms() < bound) ASSERT_FALSE(ask(client).empty());
+  const std::size_t before = left.count("/safe");
+  for (int n = 0; n < 20; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
+  EXPECT_EQ(left.count("/safe"), before);
+}
+
+// The list given at the start is of unknown age, so that any backend on it may have left long ago.
+TEST(OutdatedList, StartWithAnOldListSendsNothingToBackendsThatPassTheirChecks) {
+  const std::atomic<bool> fails_checks{false};
+  AnsweringPeer left(backend_that(fails_checks));
+  const RefusedNode node(entry("s-1", left), true);
+  Line client = node.client();
+  for (int n = 0; n < 20; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
+  EXPECT_EQ(left.count("/safe"), 0U);
+}
+
 }  // namespace
 }  // namespace shorelead::node
