Nothing is sent once the list has expired: a health check does not stand in for it

A check tells that a process answers, not that it is wanted; what a whole list does not name is gone, also where it still answers. Change: an expired list allows no backend, in the module, in the guard at the write and in the checker; the fallback, its checks and records are gone. A process that has no valid list is ready after 5 s at the latest, as it was where checks are not allowed. Those of the fallback (confirmations_test, parts of the checker's, the lease's and the list's) asserted that a passed check is enough; in their place: nothing is sent, whatever the checks say (stricter). StartWithAnOldListSendsNothingToDrainingBackends expected the third backend to be served by; now it gets nothing either.

--- a/src/guard/guard.cpp
+++ b/src/guard/guard.cpp
@@ -29,7 +29,7 @@
 
 Verdict may_write(const RequestState& request, const BackendState& backend, Millis now) {
   if (!backend.in_service) return deny(Reason::kBackendWithdrawn);
-  if (!backend.confirmed) return deny(Reason::kListOutdated);
+  if (!backend.list_valid) return deny(Reason::kListOutdated);
   if (request.body_taken) return deny(Reason::kBodyTaken);
   if (request.in_flight > 0 && !request.parallel) return deny(Reason::kAnotherOut);
   return may_begin(request, now);
--- a/src/guard/guard.h
+++ b/src/guard/guard.h
@@ -26,7 +26,7 @@
   kBodyTaken,         // its body was passed on to another attempt and cannot be sent again
   kSlotClosed,        // the slot of its key has moved
   kBackendWithdrawn,  // the backend is to get no new requests
-  kListOutdated,      // the list is outdated and no health check confirms the backend
+  kListOutdated,      // changes of the list that have not arrived may bind
   // of a connection
   kRequestUnderWay,  // a request is in progress on it
   kInputUnread,      // input has arrived, or the end of the stream
@@ -71,7 +71,7 @@
 
 struct BackendState {
   bool in_service = true;  // listed as ready, and not taken out of service by the operator
-  bool confirmed = true;   // by a list that is still valid, or by a health check
+  bool list_valid = true;  // changes that have not arrived do not bind yet
 };
 
 // Whether the first byte of an attempt may be written now. That attempt is not among the request's
--- a/src/guard/listed_record.h
+++ b/src/guard/listed_record.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -19,9 +18,7 @@
   // A list has arrived; calls of listed() for its entries follow. `full`: it is complete, not a list of
   // changes.
   void begin_list(bool full) {
-    if (!full) return;
-    std::erase_if(checked_, [this](const auto& one) { return ready_.find(one.first) == ready_.end(); });
-    ready_.clear();
+    if (full) ready_.clear();
   }
   void listed(std::string_view host, bool ready) {
     const auto found = ready_.find(host);
@@ -32,17 +29,12 @@
   void clear_out_of_service() { out_of_service_.clear(); }
   void add_out_of_service(std::string host) { out_of_service_.insert(std::move(host)); }
 
-  // How long the list is valid, and the health checks that confirm a backend after that.
   void set_validity(const ListValidity& validity) { validity_ = validity; }
   Millis valid_until() const { return validity_.until; }
-  void confirmed(const std::string& host, Millis sent) { checked_[host].passed(sent); }
-  void denied(const std::string& host) { checked_[host].failed(); }
 
   bool withdrawn(std::string_view host, Millis now) const {
-    if (ready_.find(host) == ready_.end() || out_of_service_.find(host) != out_of_service_.end()) return true;
-    if (now < validity_.until) return false;
-    const auto checked = checked_.find(host);
-    return checked == checked_.end() || !checked->second.within(validity_, now);
+    const bool listed = ready_.find(host) != ready_.end();
+    return !listed || out_of_service_.find(host) != out_of_service_.end() || now >= validity_.until;
   }
 
  private:
@@ -54,7 +46,6 @@
 
   Hosts ready_;
   Hosts out_of_service_;
-  std::unordered_map<std::string, LastConfirmation, Hash, std::equal_to<>> checked_;
   ListValidity validity_;
 };
 
--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -65,8 +65,6 @@
   if (!terms_.grace) return validity;
   const Millis allowance = std::max(*terms_.grace - kMaxPause, 0.0);
   validity.until = valid_until() + allowance;
-  validity.confirmed_for = hold_time() + allowance;
-  if (unfinished_at_ < kNever) validity.confirmed_after = unfinished_at_;
   return validity;
 }
 
--- a/src/node/backend_source.h
+++ b/src/node/backend_source.h
@@ -48,7 +48,7 @@
   bool unreached() const { return unreached_ && discovery_->last_received() == 0; }
   // Whether discovery pushes lists, and no copy of a list is kept for times without it.
   bool pushed() const { return discovery_ && !config_.settings.list_on_request && !saved_list_copy_; }
-  // Whether an old list has to be confirmed by health checks.
+  // Whether a list may be used for a limited time only, and one of unknown age not at all.
   bool expires() const { return lease_ && !view_ && config_.settings.drain_grace.has_value(); }
   void log_counters(const std::string& prefix) const;
 
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -55,10 +55,7 @@
 
 void DiscoveryLease::report() {
   last_ = lease_.validity();
-  const Millis now = loop_.now();
-  spdlog::debug(
-      "pool {}: the list is valid for {:.2f} s, then backends with a passed health check within {:.2f} s",
-      pool_, (last_.until - now) / 1000, last_.confirmed_for / 1000);
+  spdlog::debug("pool {}: the list is valid for {:.2f} s", pool_, (last_.until - loop_.now()) / 1000);
   log_expiry();
   listener_(last_);
 }
--- a/src/node/policy_host.h
+++ b/src/node/policy_host.h
@@ -69,7 +69,7 @@
                 guard::BackendState& there) const {
     requests_.describe(request, state);
     there.in_service = endpoints_.wanted(backend);
-    there.confirmed = policy_.confirmed(backend, now);
+    there.list_valid = policy_.list_valid(now);
   }
   void report_client_gone(RequestId request, Millis now);
   // Cancels all of its attempts, even where the settings allow no cancellation. The caller answers the
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -39,7 +39,6 @@
                          },
                          [this](BackendId backend, const Result& result) {
                            counters_.probe_ended(policy_host_.host(backend), result.ending, result.elapsed);
-                           record_.probe_ended(policy_host_.host(backend), result, loop_.now());
                            policy_host_.report_probe(backend, result.ending, result.elapsed,
                                                      result.load ? &*result.load : nullptr, loop_.now());
                          },
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -81,9 +81,8 @@
   const PoolConfig& config() const { return config_; }
   bool has_current_list() const { return source_->has_current_list(); }  // a list has arrived since the start
   bool pushed() const { return source_->pushed(); }
-  // Whether the list stored before the start may be used, however old: health checks confirm it, or lists
-  // never expire.
-  bool may_use_given_list() const { return config_.settings.probing || !source_->expires(); }
+  // Whether the list stored before the start may be used, however old.
+  bool may_use_given_list() const { return !source_->expires(); }
   bool unreached() const { return source_->unreached(); }
   // Applies bans set by an operator; unwritten attempts to banned backends are cancelled.
   void ban(const manage::BanSet& bans);
--- a/src/node/pool_record.h
+++ b/src/node/pool_record.h
@@ -1,12 +1,10 @@
 // Records a pool's request and list events with the node's recorder, and keeps for the checker an independent
-// record of which backends may receive new requests, derived only from lists, bans and health checks. The
+// record of which backends may receive new requests, derived only from lists, their validity and bans. The
 // policy does not read that record.
 #pragma once
 
 #include <spdlog/spdlog.h>
 
-#include <utility>
-
 #include "guard/listed_record.h"
 #include "manage/bans.h"
 #include "node/policy_host.h"
@@ -37,10 +35,6 @@
     }
   }
   void validity(const ListValidity& validity) { listed_.set_validity(validity); }
-  void probe_ended(const std::string& host, const Result& result, Millis now) {
-    if (result.ending == Ending::kServed) listed_.confirmed(host, now - result.elapsed);
-    if (result.ending == Ending::kRejected) listed_.denied(host);
-  }
   bool withdrawn(const std::string& host, Millis now) const { return listed_.withdrawn(host, now); }
 
   void request(RequestId request, const Settings& settings, const RequestInfo& info) {
@@ -52,24 +46,12 @@
   void decided(const Choice& choice, const std::string& host, Millis now) {
     recorder_->attempt_decided(choice.request, choice.attempt, host, choice.backend,
                                listed_.valid_until() - now);
-    log_expired_use(host, now);
   }
   void refused(RequestId request, Millis now) { recorder_->refused(request, listed_.valid_until() <= now); }
 
  private:
-  // Logs the first attempt after each expiry of the list.
-  void log_expired_use(const std::string& host, Millis now) {
-    const Millis expired_for = now - listed_.valid_until();
-    if (expired_for < 0) {
-      expired_use_logged_ = false;
-    } else if (!std::exchange(expired_use_logged_, true)) {
-      spdlog::warn("request to {} although the list expired {:.2f} s ago", host, expired_for / 1000);
-    }
-  }
-
   const RecorderHandle recorder_;
   guard::ListedRecord listed_;
-  bool expired_use_logged_ = false;
 };
 
 }  // namespace shorelead::node
--- a/src/node/readiness.h
+++ b/src/node/readiness.h
@@ -16,8 +16,8 @@
     // so a start without it would use outdated backends. Nine in ten starts have 6 s.
     Millis pushed_list = 5000;
     Millis with_predecessor = 3000;  // if another process of the node serves meanwhile
-    // If no request may be sent by the list given at the start, because it may be out of date and health
-    // checks are not allowed. Nine in ten starts have 6 s. From then on requests are refused at once.
+    // If no request may be sent by the list given at the start, because it may be out of date. Nine in ten
+    // starts have 6 s. From then on requests are refused at once.
     Millis unusable_list = 5000;
   };
 
--- a/src/policy/backend_selector.h
+++ b/src/policy/backend_selector.h
@@ -4,7 +4,6 @@
 
 #include <tuple>
 
-#include "policy/confirmations.h"
 #include "policy/health.h"
 #include "policy/retries.h"
 #include "policy/rotation.h"
@@ -31,7 +30,7 @@
     if (const auto backend = r.home.is_set() ? lowest_expected_response(r, time_limit, true) : std::nullopt)
       return {backend, true};
     if (!context_.probes_before_send()) {
-      const std::optional<BackendId> backend = next_backend(r);
+      const std::optional<BackendId> backend = next_in_rotation(r);
       return {backend, backend.has_value()};
     }
     const std::optional<BackendId> backend = best_candidate(r);
@@ -46,16 +45,6 @@
                : lowest_expected_response(r, admission_limit(r));
   }
 
-  // The next in the rotation. While the list is outdated, only a few backends are confirmed and soon have no
-  // turn left: then the confirmed one with the lowest expected response time.
-  std::optional<BackendId> next_backend(const Request& r) const {
-    const std::optional<BackendId> backend = next_in_rotation(r);
-    if (backend || !confirmations_.list_outdated()) return backend;
-    return lowest_expected_response(r, context_.exceeds_probe_budget(kProbesPerAttempt)
-                                           ? admission_limit(r)
-                                           : kSkipShare * (r.aim_at - context_.now));
-  }
-
   // The next in the rotation that may have the request and is expected to answer in time. Exception "skip":
   // one that is not loses its turn.
   std::optional<BackendId> next_in_rotation(const Request& r) const {
@@ -70,18 +59,9 @@
     return pick;
   }
 
+  // Whether it may get the request. While the list is outdated no backend may.
   bool allowed(const Request& r, BackendId backend) const {
-    return confirmations_.confirmed(backend, context_.now) && eligible(r, backend);
-  }
-
-  // Whether only a health check is missing for it to get the request.
-  bool needs_check(const Request& r, BackendId backend) const {
-    return context_.settings.probing && !confirmations_.confirmed(backend, context_.now) &&
-           confirmations_.may_check(backend) && rotation_.usable(backend) && eligible(r, backend);
-  }
-
-  // Whether it may get the request if the list is valid.
-  bool eligible(const Request& r, BackendId backend) const {
+    if (lists_.outdated()) return false;
     if (r.home.required && !r.home.contains(lists_[backend])) return false;
     for (const Attempt& a : r.attempts) {
       if (a.backend == backend) return false;
@@ -114,7 +94,6 @@
   Context& context_;
   const Lists& lists_;
   const Probes& probes_;
-  const Confirmations& confirmations_;
   Rotation& rotation_;
   SlowStartBudgets& slow_start_;
   const Health& health_;
--- a/src/policy/lists.h
+++ b/src/policy/lists.h
@@ -56,6 +56,11 @@
       if (!still_listed[backend]) entries_[backend].state = BackendState::kGone;
   }
 
+  void set_validity(const ListValidity& validity) { validity_ = validity; }
+  bool valid(Millis now) const { return now < validity_.until; }
+  // Whether changes that have not arrived may bind, so that no backend may get a request.
+  bool outdated() const { return !valid(context_.now); }
+
   std::size_t size() const { return entries_.size(); }
   const BackendEntry& operator[](BackendId backend) const { return entries_[backend]; }
   // Throws std::out_of_range if no list has named it.
@@ -92,6 +97,7 @@
   Context& context_;
   std::vector<BackendEntry> entries_;
   std::unordered_map<std::uint32_t, BackendId> by_tag_;
+  ListValidity validity_;
   Millis retry_wait_ = 0;
   Millis failing_since_ = 0;
   Millis subscribed_at_ = -1e9;  // of the subscription that is open or being opened; negative = none
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -17,7 +17,7 @@
     std::visit([this](const auto& e) { on(e); }, event);
   }
 
-  bool confirmed(BackendId backend, Millis now) const { return confirmations_.confirmed(backend, now); }
+  bool list_valid(Millis now) const { return lists_.valid(now); }
 
   std::size_t avoided(Millis now) const {
     std::size_t count = 0;
@@ -54,7 +54,6 @@
   // A new or returned backend starts afresh: earlier measurements do not apply to it.
   void reset_backend(BackendId backend) {
     probes_.reset(backend);
-    confirmations_.reset(backend);
     rotation_.reset(backend);
     slow_start_.begin(backend);
     estimates_.reset(backend);
@@ -84,7 +83,6 @@
   void on(const ProbeEnded& e) {
     lists_.require_known(e.backend);
     const bool counts = probes_.ended(e.backend);
-    confirmations_.check_ended(e.backend, e.outcome, e.elapsed);
     if (e.has_report) estimates_.reported(e.backend, e.report);
     requests_.resume_held();
     if (counts) probes_.record(e);
@@ -99,22 +97,21 @@
   void on(const StreamStarted& e) { requests_.stream_started(e.request); }
   void on(const RequestGone& e) { requests_.client_gone(e.request); }
   void on(const RetriesAllowed& e) { retries_.set_fleet_budget(e.left); }
-  void on(const ListValidity& e) { confirmations_.set_validity(e); }
+  void on(const ListValidity& e) { lists_.set_validity(e); }
 
   policy::Context context_;
   policy::Lists lists_{context_};
   policy::Probes probes_{context_, lists_};
-  policy::Confirmations confirmations_{context_};
   policy::Rotation rotation_{context_, lists_, probes_};
   estimate::Backends estimates_{context_, context_.initial_service_time(), context_.settings.classes.size()};
   policy::SlowStartBudgets slow_start_{context_, estimates_};
   policy::Health health_{context_, lists_};
   policy::PeerExchange peer_exchange_{context_, lists_, estimates_};
   policy::Retries retries_{context_, lists_};
-  policy::BackendSelector selector_{context_,    lists_,  probes_,  confirmations_, rotation_,
+  policy::BackendSelector selector_{context_,    lists_,  probes_,  rotation_,
                                     slow_start_, health_, retries_, estimates_};
-  policy::ProbeBeforeSend probe_before_send_{context_,  lists_,         probes_,    confirmations_,
-                                             rotation_, peer_exchange_, estimates_, selector_};
+  policy::ProbeBeforeSend probe_before_send_{context_,       lists_,     probes_,  rotation_,
+                                             peer_exchange_, estimates_, selector_};
   policy::Requests requests_{{context_, lists_, probes_, rotation_, slow_start_, health_, peer_exchange_,
                               retries_, estimates_, selector_, probe_before_send_}};
   int tick_ = 0;
@@ -132,6 +129,6 @@
 
 std::size_t Policy::avoided(Millis now) const { return impl_->avoided(now); }
 
-bool Policy::confirmed(BackendId backend, Millis now) const { return impl_->confirmed(backend, now); }
+bool Policy::list_valid(Millis now) const { return impl_->list_valid(now); }
 
 }  // namespace shorelead
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -189,9 +189,8 @@
   // Number of ready backends that currently get no request of any class: dropped for the period, or ejected.
   // For metrics.
   std::size_t avoided(Millis now) const;
-  // Whether the list, or a health check passed after it became outdated, still allows new requests to the
-  // backend.
-  bool confirmed(BackendId backend, Millis now) const;
+  // Whether the list still allows new requests to its backends.
+  bool list_valid(Millis now) const;
 
  private:
   class Impl;
--- a/src/policy/probe_before_send.h
+++ b/src/policy/probe_before_send.h
@@ -15,9 +15,8 @@
 
 struct ProbeBeforeSend {
   Millis max_wait(const Request& r) const {
-    const Millis share = kProbeWaitShare * context_.request_class(r.request_class).aim;
-    if (context_.probes_before_send()) return share;
-    return confirmations_.list_outdated() ? std::max(share, kMaxProbeWait) : kMaxProbeWait;
+    return context_.probes_before_send() ? kProbeWaitShare * context_.request_class(r.request_class).aim
+                                         : kMaxProbeWait;
   }
 
   // Adds candidates to those probed for the request, if any are of use and there is time.
@@ -32,15 +31,6 @@
           old + static_cast<std::size_t>(context_.peers_report_load ? kOwnerQueries : kProbesPerAttempt);
       r.key != 0 && context_.settings.warm_keys ? add_preferred_for_key(r, limit)
                                                 : add_next_in_rotation(r, limit);
-    } else if (confirmations_.list_outdated()) {
-      const std::size_t limit =
-          old + static_cast<std::size_t>(
-                    context_.exceeds_probe_budget(kProbesPerAttempt) ? kProbesPerAttempt : kProbesPerRequest);
-      while (r.probe_rounds < kMaxProbeRounds && r.candidates.size() < limit) {
-        const auto backend = unconfirmed_backend(r, true);
-        if (!backend) break;
-        r.candidates.push_back(*backend);
-      }
     } else {
       const bool late = r.probe_rounds > 0 && context_.now > r.wait_until - kTimerTolerance;
       if (late || context_.exceeds_probe_budget((r.probe_rounds + 1) * kProbesPerRequest) ||
@@ -50,16 +40,6 @@
     }
   }
 
-  // While the list is outdated, each request that is sent has one more backend checked for the requests
-  // behind it, so that as many are confirmed as the traffic needs. Where checks exceed the probe budget, only
-  // those are made that a request has to wait for.
-  void check_one_more(const Request& r) const {
-    if (!confirmations_.list_outdated() || context_.probes_before_send() ||
-        context_.exceeds_probe_budget(kProbesPerAttempt))
-      return;
-    if (const auto backend = unconfirmed_backend(r, false)) probes_.probe_on_demand(*backend);
-  }
-
   // Requests a report on a backend: probes it, or queries its owner. Returns true if that owner is this node,
   // so that the answer is known already.
   bool query(BackendId backend) const {
@@ -77,30 +57,16 @@
   Context& context_;
   const Lists& lists_;
   Probes& probes_;
-  const Confirmations& confirmations_;
   Rotation& rotation_;
   PeerExchange& peer_exchange_;
   const estimate::Backends& estimates_;
   const BackendSelector& selector_;
 
  private:
-  // A backend, from a random position on, that only lacks a health check to get the request. `under_way`:
-  // also one that is being checked.
-  std::optional<BackendId> unconfirmed_backend(const Request& r, bool under_way) const {
-    const std::size_t count = lists_.size();
-    const std::size_t start = count == 0 ? 0 : context_.random.below(count);
-    for (std::size_t n = 0; n < count; ++n) {
-      const auto backend = static_cast<BackendId>((start + n) % count);
-      if (r.is_candidate(backend) || (!under_way && probes_.on_demand_pending(backend))) continue;
-      if (selector_.needs_check(r, backend)) return backend;
-    }
-    return std::nullopt;
-  }
-
   // Adds the next in the rotation, which lose their turns.
   void add_next_in_rotation(Request& r, std::size_t limit) const {
     rotation_.visit_turns([&](BackendId backend) {
-      if (r.is_candidate(backend) || !selector_.eligible(r, backend)) return Rotation::Turn::kKept;
+      if (r.is_candidate(backend) || !selector_.allowed(r, backend)) return Rotation::Turn::kKept;
       r.candidates.push_back(backend);
       return r.candidates.size() < limit ? Rotation::Turn::kLost : Rotation::Turn::kTaken;
     });
@@ -129,7 +95,7 @@
     for (BackendId backend = 0; backend < lists_.size(); ++backend) {
       const double share = rotation_.share(backend);
       if (!rotation_.usable(backend) || share <= 0 || r.is_candidate(backend) ||
-          !selector_.eligible(r, backend))
+          !selector_.allowed(r, backend))
         continue;
       Random draw(r.key ^ (lists_[backend].tag * 0x9e3779b97f4a7c15ULL));
       order.emplace_back(-std::log(1 - draw.unit()) / share, backend);
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -110,7 +110,7 @@
       if (!open || context_.now > r->wait_until - kTimerTolerance || !retries_.may_send(*r)) {
         proceed(*r);
       } else if (const auto backend =
-                     context_.probes_before_send() ? std::nullopt : selector_.next_backend(*r)) {
+                     context_.probes_before_send() ? std::nullopt : selector_.next_in_rotation(*r)) {
         send(*r, *backend);
       } else {
         held_.push_back(id);
@@ -142,9 +142,7 @@
       if (probe_before_send_.query(r.candidates[n])) resume_held();
       open |= probe_before_send_.reply_expected(r.candidates[n]);
     }
-    if (context_.probes_before_send() || r.probe_rounds == 0 ||
-        probe_before_send_.confirmations_.list_outdated())
-      r.wait_until = context_.now + (open ? wait : 0);
+    if (context_.probes_before_send() || r.probe_rounds == 0) r.wait_until = context_.now + (open ? wait : 0);
     if (r.wait_until == context_.now + wait) context_.set_timer(kProbeWaitTimer, r.wait_until);
     r.probe_rounds += 1;
     open ? held_.push_back(r.id) : proceed(r);
@@ -153,7 +151,6 @@
 
   void send(Request& r, BackendId backend) {
     const Millis expected = selector_.expected_response(r, backend), begin_by = retries_.begin_by(r);
-    probe_before_send_.check_one_more(r);
     slow_start_.sent(backend), r.candidates.clear(), r.probe_rounds = 0;
     r.attempts.push_back({backend, estimates_.sent(backend, r.request_class, r.work)});
     if (r.attempts.size() > 1) retries_.spend();
--- a/tests/crossings/outdated_list_test.cpp
+++ b/tests/crossings/outdated_list_test.cpp
@@ -68,7 +68,7 @@
 }
 
 // Drains that discovery has had for longer than that bind from the process's start, whatever list it was
-// given.
+// given; which backends drain it cannot know.
 TEST(OutdatedList, StartWithAnOldListSendsNothingToDrainingBackends) {
   const std::atomic<bool> drains{true};
   const std::atomic<bool> serves{false};
@@ -78,9 +78,18 @@
   const RefusedNode node(entry("s-1", first) + "," + entry("s-2", second) + "," + entry("s-3", ready), true);
   Line client = node.client();
   constexpr int kRequests = 40;
-  for (int n = 0; n < kRequests; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 200") << n;
-  EXPECT_EQ(first.count("/safe") + second.count("/safe"), 0U);
-  EXPECT_EQ(ready.count("/safe"), static_cast<std::size_t>(kRequests));
+  for (int n = 0; n < kRequests; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
+  EXPECT_EQ(first.count("/safe") + second.count("/safe") + ready.count("/safe"), 0U);
+}
+
+// The list given at the start is of unknown age, so that any backend on it may have left long ago.
+TEST(OutdatedList, StartWithAnOldListSendsNothingToBackendsThatPassTheirChecks) {
+  const std::atomic<bool> fails_checks{false};
+  AnsweringPeer left(backend_that(fails_checks));
+  const RefusedNode node(entry("s-1", left), true);
+  Line client = node.client();
+  for (int n = 0; n < 20; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
+  EXPECT_EQ(left.count("/safe"), 0U);
 }
 
 // All listed backends drain: clients are refused at once.
@@ -93,14 +102,14 @@
   EXPECT_EQ(only.count("/safe"), 0U);
 }
 
-// Without health checks a list of unknown age does not make the process ready: it waits for a current one.
-TEST(OutdatedList, WithoutHealthChecksReadyOnlyWithACurrentList) {
+// A list of unknown age does not make the process ready: it waits for a current one.
+void expect_ready_only_with_a_current_list(bool probing) {
   const std::atomic<bool> serves{false};
   std::atomic<bool> told{false};
   AnsweringPeer backend(backend_that(serves));
   const std::string list = first_line(R"({"seq":2,"whole":true,"hosts":[)" + entry("s-1", backend) + "]}\n");
   AnsweringPeer discovery([&](const std::string&) { return told ? list : kTurnedAway; });
-  const std::string text = configuration(entry("s-1", backend), discovery, false);
+  const std::string text = configuration(entry("s-1", backend), discovery, probing);
   const NodeProcess node(256, [&](Config& config) {
     config = parse_config(text, {});
     config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
@@ -116,21 +125,10 @@
   EXPECT_EQ(ask(client), "HTTP/1.1 200");
 }
 
-// A backend begins to drain while the process is refused every list: after the bound and the grace period it
-// gets nothing new, though the list still names it.
-TEST(OutdatedList, WithoutNewListsNothingGoesToABackendThatBeganToDrain) {
-  std::atomic<bool> drains{false};
-  AnsweringPeer leaving(backend_that(drains));
-  const RefusedNode node(entry("s-1", leaving), true);
-  Line client = node.client();
-  EXPECT_EQ(ask(client), "HTTP/1.1 200") << "not before its health check fails";
-  drains = true;
-  const double bound = steady_ms() + kToldAfter + kGrace;
-  while (steady_ms() < bound) ASSERT_FALSE(ask(client).empty());
-  const std::size_t before = leaving.count("/safe");
-  for (int n = 0; n < 20; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
-  EXPECT_EQ(leaving.count("/safe"), before);
+TEST(OutdatedList, WithoutHealthChecksReadyOnlyWithACurrentList) {
+  expect_ready_only_with_a_current_list(false);
 }
+TEST(OutdatedList, WithHealthChecksReadyOnlyWithACurrentList) { expect_ready_only_with_a_current_list(true); }
 
 // Brings one whole list to the first call and ends the watch; every later call is refused.
 class OneListOnly {
@@ -145,10 +143,11 @@
   int calls_ = 0;
 };
 
-// A backend that leaves the list unnoticed gets nothing once that binds, though it serves and passes checks.
-TEST(OutdatedList, ABackendThatLeftUnnoticedGetsNothingThoughItPassesItsChecks) {
-  const std::atomic<bool> fails_checks{false};
-  AnsweringPeer left(backend_that(fails_checks));
+// A backend is withdrawn while the process is refused every list: after the bound and the grace period it
+// gets nothing new, though the list still names it. `fails_checks`: its health checks fail from then on.
+void expect_nothing_for_an_unnoticed_withdrawal(bool fails_checks) {
+  std::atomic<bool> drains{false};
+  AnsweringPeer left(backend_that(drains));
   OneListOnly lists;
   lists.bring(entry("s-1", left));
   AnsweringPeer discovery([&](const std::string& path) { return lists(path); });
@@ -160,6 +159,7 @@
   wait_ready(node);
   Line client = node.client();
   EXPECT_EQ(ask(client), "HTTP/1.1 200") << "by the list that came";
+  drains = fails_checks;
   const double bound = steady_ms() + kToldAfter + kGrace;
   while (steady_ms() < bound) ASSERT_FALSE(ask(client).empty());
   const std::size_t before = left.count("/safe");
@@ -167,14 +167,11 @@
   EXPECT_EQ(left.count("/safe"), before);
 }
 
-// The list given at the start is of unknown age, so that any backend on it may have left long ago.
-TEST(OutdatedList, StartWithAnOldListSendsNothingToBackendsThatPassTheirChecks) {
-  const std::atomic<bool> fails_checks{false};
-  AnsweringPeer left(backend_that(fails_checks));
-  const RefusedNode node(entry("s-1", left), true);
-  Line client = node.client();
-  for (int n = 0; n < 20; ++n) EXPECT_EQ(ask(client), "HTTP/1.1 503") << n;
-  EXPECT_EQ(left.count("/safe"), 0U);
+TEST(OutdatedList, WithoutNewListsNothingGoesToABackendThatBeganToDrain) {
+  expect_nothing_for_an_unnoticed_withdrawal(true);
+}
+TEST(OutdatedList, ABackendThatLeftUnnoticedGetsNothingThoughItPassesItsChecks) {
+  expect_nothing_for_an_unnoticed_withdrawal(false);
 }
 
 }  // namespace
--- a/tests/guard/checker_test.cpp
+++ b/tests/guard/checker_test.cpp
@@ -127,24 +127,18 @@
   EXPECT_EQ(c.violations, Violations({Rule::kToWithdrawn}));
 }
 
-// Once the list is outdated, only a health check that passed recently, and after the last lost list, confirms
-// a backend.
-TEST(Checker, AnOutdatedListNeedsAHealthCheck) {
+// Once the list is outdated, no backend on it may get a new request until the list is valid again.
+TEST(Checker, AnOutdatedListWithdrawsEveryBackend) {
   ListedRecord listed;
   listed.begin_list(true);
   listed.listed("s-1", true);
-  listed.set_validity({.until = kStart, .confirmed_for = 100});
+  listed.set_validity({.until = kStart});
   EXPECT_FALSE(listed.withdrawn("s-1", kStart - 1));
   EXPECT_TRUE(listed.withdrawn("s-1", kStart));
-  listed.confirmed("s-1", kStart - 10);
-  EXPECT_FALSE(listed.withdrawn("s-1", kStart + 89));
-  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 90));
-  listed.confirmed("s-1", kStart + 50);
-  listed.denied("s-1");
-  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 60)) << "its check failed since";
-  listed.confirmed("s-1", kStart + 70);
-  listed.set_validity({.until = kStart, .confirmed_for = 100, .confirmed_after = kStart + 71});
-  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 80)) << "a list was lost since that check";
+  listed.set_validity({.until = kStart + 100});
+  EXPECT_FALSE(listed.withdrawn("s-1", kStart + 99));
+  EXPECT_TRUE(listed.withdrawn("s-1", kStart + 100));
+  EXPECT_TRUE(listed.withdrawn("s-2", kStart)) << "a valid list does not name it";
 }
 
 }  // namespace
--- a/tests/guard/guard_test.cpp
+++ b/tests/guard/guard_test.cpp
@@ -49,7 +49,7 @@
     EXPECT_EQ(may_write(request, BackendState(), kNow).reason, one.reason) << name_of(one.reason);
   }
   EXPECT_EQ(may_write(allowed(), {.in_service = false}, kNow).reason, Reason::kBackendWithdrawn);
-  EXPECT_EQ(may_write(allowed(), {.confirmed = false}, kNow).reason, Reason::kListOutdated);
+  EXPECT_EQ(may_write(allowed(), {.list_valid = false}, kNow).reason, Reason::kListOutdated);
   RequestState beside = allowed();
   beside.in_flight = 1;
   beside.parallel = true;
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -77,7 +77,6 @@
   lease.call_ended(CallEnd::kWatchEnded, kStart + 100);
   const Millis held_until = kStart + 100 + ListLease::kMaxHoldWithoutCall + kAllowance;
   EXPECT_EQ(lease.validity().until, held_until);
-  EXPECT_EQ(lease.validity().confirmed_for, ListLease::kMaxHoldWithoutCall + kAllowance);
   lease.call_begun(kStart + 1000);
   EXPECT_EQ(lease.validity().until, held_until) << "a call that is open proves nothing";
   lease.call_ended(CallEnd::kNotAttempted, kStart + 1010);
@@ -85,7 +84,6 @@
   lease.call_begun(kStart + 1020);
   lease.call_ended(CallEnd::kFailed, kStart + 1100);
   EXPECT_EQ(lease.validity().until, kStart - ListLease::kSignInterval + ListLease::kMaxAge + kAllowance);
-  EXPECT_EQ(lease.validity().confirmed_for, ListLease::kMaxAge + kAllowance);
 }
 
 TEST(ListLease, CallAfterAFailedOneHoldsNoLongerThanAFirstCall) {
@@ -104,7 +102,6 @@
   lease.call_begun(held_until + 50);
   lease.call_ended(CallEnd::kFailed, held_until + 60);
   EXPECT_LE(lease.validity().until, held_until + kAllowance);
-  EXPECT_EQ(lease.validity().confirmed_for, ListLease::kMaxHoldWithoutCall + kAllowance);
   lease.call_begun(held_until + 400);
   lease.call_answered();
   EXPECT_EQ(lease.validity().until, held_until + 400 + ListLease::kMaxAge + kAllowance);
@@ -121,12 +118,11 @@
   EXPECT_EQ(lease.validity().until, kStart + 3200 + kAllowance);
 }
 
-TEST(ListLease, IncompleteListEndsValidityAndOutdatesEarlierChecksUntilOneIsWhole) {
+TEST(ListLease, IncompleteListEndsValidityUntilOneIsWhole) {
   ListLease lease = watching();
   lease.list_incomplete(kStart + 100);
   lease.list_incomplete(kStart + 140);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
-  EXPECT_EQ(lease.validity().confirmed_after, kStart + 100);
   lease.sign_of_life(kStart + 150);
   EXPECT_GT(lease.validity().until, kStart + ListLease::kSignInterval) << "it is whole";
   lease.list_incomplete(kStart + 200);
@@ -136,14 +132,12 @@
   EXPECT_EQ(lease.validity().until, kStart + 200 + kAllowance);
   lease.call_answered();
   EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMaxAge + kAllowance);
-  EXPECT_LT(lease.validity().confirmed_after, 0);
 }
 
 TEST(ListLease, WithPushedListsTheEndOfTheWatchEndsTheLease) {
   ListLease lease = watching(true);
   lease.call_ended(CallEnd::kWatchEnded, kStart + 100);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
-  EXPECT_EQ(lease.validity().confirmed_for, kAllowance);
   lease.call_begun(kStart + 200);
   lease.call_ended(CallEnd::kFailed, kStart + 300);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
@@ -205,7 +199,6 @@
         break;
     }
     RC_ASSERT(lease.validity().until <= proof + ListLease::kMaxAge + kAllowance);
-    RC_ASSERT(lease.validity().confirmed_for <= ListLease::kMaxAge + kAllowance);
   }
 }
 
--- a/tests/policy/stream_text.cpp
+++ b/tests/policy/stream_text.cpp
@@ -53,10 +53,7 @@
     return format("told by %d ", e.peer) + words(e.message);
   }
   std::string operator()(const RetriesAllowed& e) { return format("further allowed %.17g", e.left); }
-  std::string operator()(const ListValidity& e) {
-    return format("list until %.17g confirmed for %.17g after %.17g", e.until, e.confirmed_for,
-                  e.confirmed_after);
-  }
+  std::string operator()(const ListValidity& e) { return format("list until %.17g", e.until); }
   std::string operator()(const SettingsChanged& e) {
     return format("settings: %zu classes, %zu tenants, attempts %d, first aim %.17g",
                   e.settings.classes.size(), e.settings.tenants.size(), e.settings.max_attempts,
