A list without a watch is held for the interval of the settings, not for 1.5 s

Cause: kMaxHoldWithoutCall, a quarter of the 6 s, stood for the time that the settings give for asking.

--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -85,9 +85,10 @@
 enum class KnownList { kNow, kOld, kEmpty };
 
 struct DiscoverySpec {
-  bool asked = false;       // lists come to those who ask; else by themselves
-  bool whole = false;       // a call's first list is always whole
-  bool leaves_out = false;  // whole lists leave out who drains
+  bool asked = false;        // lists come to those who ask; else by themselves
+  bool whole = false;        // a call's first list is always whole
+  bool leaves_out = false;   // whole lists leave out who drains
+  Millis ask_every = 10000;  // interval in which the settings ask for a list
   KnownList known = KnownList::kNow;
   Millis late_min = 100;  // word of a change goes out this much after it came true
   Millis late_max = 300;
--- a/src/lab/experiment_world.cpp
+++ b/src/lab/experiment_world.cpp
@@ -98,6 +98,7 @@
   in.flag("asked", discovery.asked);
   in.flag("whole", discovery.whole);
   in.flag("leaves_out", discovery.leaves_out);
+  in.time("ask_every", discovery.ask_every, false);
   if (in.has("kind")) discovery.registry = in.word("kind", kKinds) == 1;
   in.whole("members", discovery.members, 1, 9);
   in.share("cuts", discovery.cuts);
--- a/src/lab/node_config.cpp
+++ b/src/lab/node_config.cpp
@@ -85,7 +85,7 @@
   number("WarmUp", experiment.fleet.spec.warm_up);
   number("FallMultiple", experiment.fleet.spec.fall_multiple > 0 ? experiment.fleet.spec.fall_multiple : 3);
   number("Fall", experiment.fleet.spec.fall_span > 0 ? experiment.fleet.spec.fall_span : 1000);
-  number("AskEvery", 10000);
+  number("AskEvery", experiment.discovery.ask_every);
   number("StopSendingWithin", experiment.rules.drain_grace);
   out.EndObject();
   out.EndObject();
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -200,6 +200,7 @@
   std::vector<Outage> outages;
   std::vector<CrowdSpan> crowds;
   bool lists_pushed = true;
+  Millis ask_every = 10000;     // interval in which the settings ask for a list
   bool lists_recorded = false;  // the four above are there
   std::vector<NodeEvent> nodes;
   std::vector<Fallen> fallen;
--- a/src/lab/records_io.h
+++ b/src/lab/records_io.h
@@ -1,4 +1,4 @@
-// A run's record as a file, so that it can be judged again: JSON, one schema ("shorelead-lab-records/1"). It
+// A run's record as a file, so that it can be judged again: JSON, one schema ("shorelead-lab-records/5"). It
 // must never read a record that is not whole.
 #pragma once
 
--- a/src/lab/registry.cpp
+++ b/src/lab/registry.cpp
@@ -228,6 +228,7 @@
   run.list_calls.insert(run.list_calls.end(), calls_.begin(), calls_.end());
   run.outages.insert(run.outages.end(), outages_.begin(), outages_.end());
   run.lists_pushed = !spec_.asked;
+  run.ask_every = spec_.ask_every;
   run.lists_recorded = true;
 }
 
--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -41,14 +41,15 @@
 }
 
 Millis ListLease::hold_without_call() const {
-  return terms_.ask_every > 0 ? std::min(terms_.ask_every, kMaxHoldWithoutCall) : kMaxHoldWithoutCall;
+  return terms_.ask_every > 0 ? std::min(terms_.ask_every, kMaxAge) : kMaxAge;
 }
 
 // For how long the process may act on its list once that may differ from discovery's.
 Millis ListLease::hold_time() const {
   if (watching_) return kMaxAge;
   if (terms_.pushed) return 0;
-  return no_call_ended_since_ < kNever || lapsed_at_ < kNever ? hold_without_call() : 4 * hold_without_call();
+  return no_call_ended_since_ < kNever || lapsed_at_ < kNever ? hold_without_call()
+                                                              : kFailedCallFactor * hold_without_call();
 }
 
 Millis ListLease::valid_until() const {
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -17,9 +17,9 @@
  public:
   // A change binds this long after discovery had it and could be reached, whatever was rejected or lost.
   static constexpr Millis kMaxAge = 6000;
-  // Without an open watch a process may act on its list for this long, or four times as long (kMaxAge) if its
-  // last call failed. Where the settings ask for lists more often, their interval replaces this value.
-  static constexpr Millis kMaxHoldWithoutCall = kMaxAge / 4;
+  // Without an open watch a process may act on its list for the interval in which the settings ask for lists,
+  // or for this many times as long if its last call failed; never for longer than kMaxAge.
+  static constexpr double kFailedCallFactor = 4;
   // Interval of a watch's keep-alives. What the watch has not delivered yet may be this old.
   static constexpr Millis kSignInterval = 2000;
   // After a new configuration names another discovery, that one's earlier changes bind after this time at the
--- a/tests/lab/list_notice_test.cpp
+++ b/tests/lab/list_notice_test.cpp
@@ -19,6 +19,7 @@
 lab::Run history(bool pushed) {
   lab::Run run;
   run.lists_pushed = pushed;
+  run.ask_every = 1500;
   run.lists_recorded = true;
   run.nodes.push_back({kNode, NodeDid::kStarted, kHad - 30000, 0});
   run.had.push_back({kBox, BoxState::kReady, kHad - 40000});
@@ -83,6 +84,15 @@
   expect_bound(run, kHad + 6000, By::kAge);
 }
 
+TEST(ListNotices, ALongIntervalBindsNoSoonerThanTheAgeOfTheChange) {
+  lab::Run run = history(false);
+  run.ask_every = 10000;
+  ListCall over = watch();
+  over.ended = kHad + 300;
+  run.list_calls = {over};
+  expect_bound(run, kHad + 6000, By::kAge);
+}
+
 TEST(ListNotices, AProcessThatHasNotCalledIsBoundAsSoon) {
   lab::Run run = history(false);
   run.list_calls = {watch()};
