The soak draws backends that leave the list but serve, and lists that are never whole

The judge took a backend's first withdrawal as its last state. Change: lab event unlist (off the list at once, serving on and passing checks, back after a time), discovery's partial_end, partial_reset, partial_silent and partial_late (half of every list, of calls and watches, then an end, a reset, silence, or the rest 2.5 s later); the schedule draws both, ask_every and outages of up to 14 s. The judge knows returns: a backend counts as ready once that was written to the node or is 6 s old (pushed: at once), with a test of both sides.

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -10,7 +10,8 @@
 fill the descriptors. Of the requests in which a process is starting a third goes there, from the first moment in which
 its port can be reached, and waits 60 to 400 ms. Clients go on using open connections until SIGKILL, which comes at the operators' earliest: the
 longest deadline, 3 s at most, and 0.7 s more after SIGTERM. Backends that drain fail their health checks, and go on
-serving what they are sent.
+serving what they are sent. Others are left out of the list at once without draining (removed backends that serve on):
+they pass their checks, and are back after 1 to 14 s. In some spells of 1 to 14 s no list arrives whole.
 """
 
 import argparse
@@ -45,6 +46,7 @@
 asked = {asked}
 whole = {whole}
 leaves_out = {leaves_out}
+ask_every = "{ask_every} ms"
 known = "{known}"
 
 [clients]
@@ -119,6 +121,7 @@
             "asked": flag(0.5),
             "whole": flag(0.5),
             "leaves_out": flag(0.5),
+            "ask_every": self.random.choice([10000, 10000, 1500]),
             "known": self.random.choice(["now", "now", "old", "empty"]),
             "idle_close": self.random.choice([300, 2000, 60000]),
         }
@@ -166,7 +169,7 @@
             lines.append(f"latency = {self.length(300, 1500)}")
         if fault == "unavailable":
             lines.append(f"latency = {self.length(10, 2000)}")
-        return lines + [f"for = {self.length(300, self.random.choice([1500, 4000, 9000]))}"]
+        return lines + [f"for = {self.length(300, self.random.choice([1500, 4000, 9000, 14000]))}"]
 
     def refusals(self, at):
         """Watches end in place of a change, and whoever asks anew is refused: two events as one trouble."""
@@ -177,6 +180,19 @@
     def drain(self, at):
         return ['do = "drain"', f"boxes = {self.some(self.boxes, self.boxes // 4)}", f"back = {self.length(300, 1500)}", f"drain_time = {self.length(300, self.random.choice([1500, 9000]))}"]
 
+    def unlist(self, at):
+        return ['do = "unlist"', f"boxes = {self.some(self.boxes, self.boxes // 3)}", f"back = {self.length(1000, 14000)}"]
+
+    def partial_lists(self, at):
+        """No list arrives whole, and a third of the boxes may leave it meanwhile and serve on: two events as one trouble."""
+        fault = self.random.choice(["partial_end", "partial_reset", "partial_silent", "partial_late"])
+        span = self.random.randint(1000, 14000)
+        lines = ['do = "discovery"', f'fault = "{fault}"', f'for = "{span} ms"']
+        leaving = at + self.random.randint(0, span // 2)
+        if leaving >= self.span:
+            return lines
+        return lines + ["", "[[event]]", f'at = "{leaving} ms"'] + self.unlist(leaving)
+
     def kill(self, at):
         lines = ['do = "kill"', f"boxes = {self.some(self.boxes, self.boxes // 5)}", f"back = {self.length(200, 1500)}"]
         return lines + (["same_address = true"] if self.random.random() < 0.5 else [])
@@ -198,7 +214,7 @@
     # ---- groups ----
 
     def groups(self):
-        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.discovery, self.refusals, self.drain, self.kill, self.stall, self.link]
+        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.discovery, self.refusals, self.partial_lists, self.drain, self.unlist, self.kill, self.stall, self.link]
         if self.crowds:
             kinds.append(self.crowd)
         at = QUIET_MS
@@ -208,9 +224,9 @@
             if self.random.random() < 0.5 and self.node_term not in group:
                 group[0] = self.node_term
             # Drains right before, during and after a trouble of lists are what rule 3 is about.
-            lists = self.discovery in group or self.refusals in group
-            if lists and self.drain not in group:
-                group.insert(self.random.randint(0, len(group)), self.drain)
+            lists = self.discovery in group or self.refusals in group or self.partial_lists in group
+            if lists and self.drain not in group and self.unlist not in group:
+                group.insert(self.random.randint(0, len(group)), self.random.choice([self.drain, self.unlist]))
             moment = at
             for trouble in group:
                 yield moment, trouble(moment)
--- a/src/lab/box.h
+++ b/src/lab/box.h
@@ -38,6 +38,7 @@
   const BoxNote& note() const { return note_; }
   std::vector<unsigned short> ports() const;
   bool up() const { return up_; }
+  bool draining() const { return draining_since_ > 0; }
 
   void die();
   void drain();  // turns new requests away once the grace is over
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -145,6 +145,7 @@
     kDrain,      // boxes drain, then go, and come back cold under new ids after `back`
     kDeploy,     // all of `boxes` by drains, `batch` at a time
     kSlow,       // boxes serve at `factor` of their speed
+    kUnlist,     // boxes leave the list at once and serve on; back on the list after `back`
     kLink,       // links pass nothing, or are slow, or hurt answers
     kDiscovery,  // discovery is down, restarts with old numbers, or serves an empty list
     kNodeKill,
@@ -179,10 +180,11 @@
   int batch = 1;
   double factor = 1;
   bool same_address = false;  // the successor takes the address of the one that went
-  std::string fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
-                      // discovery: down, restart, empty, crowded, unavailable, slow, trickle, cut, ends,
-                      // silent, reset cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
-  double share = 1;   // of the answers hurt
+  std::string
+      fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
+              // discovery: down, restart, empty, crowded, unavailable, slow, trickle, cut, ends, partial_*,
+              // silent, reset cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
+  double share = 1;  // of the answers hurt
   Millis latency = 0;
   int after_bytes = 0;     // reset and truncate: so many bytes of the answer pass
   bool stay_away = false;  // node_kill, node_term, kill_planner: it is not started again
--- a/src/lab/experiment_events.cpp
+++ b/src/lab/experiment_events.cpp
@@ -8,15 +8,15 @@
 
 using Kind = Action::Kind;
 
-const std::array<std::string, 18> kKinds{
-    "kill",      "stall",     "drain",     "deploy",       "slow",    "link",
-    "discovery", "node_kill", "node_term", "node_reload",  "pause",   "node_start",
-    "rolling",   "cut",       "store",     "kill_planner", "signals", "crowd"};
+const std::array<std::string, 19> kKinds{
+    "kill",      "stall",     "drain",        "deploy",      "slow",  "unlist",     "link",
+    "discovery", "node_kill", "node_term",    "node_reload", "pause", "node_start", "rolling",
+    "cut",       "store",     "kill_planner", "signals",     "crowd"};
 const std::array<std::string, 9> kLinkFaults{"black_hole", "latency", "reset",   "truncate", "drip",
                                              "noise",      "second",  "interim", "endless"};
-const std::array<std::string, 11> kDiscoveryFaults{"down",        "restart", "empty",   "crowded",
-                                                   "unavailable", "slow",    "trickle", "cut",
-                                                   "ends",        "silent",  "reset"};
+const std::array<std::string, 15> kDiscoveryFaults{
+    "down", "restart", "empty", "crowded",     "unavailable",   "slow",           "trickle",     "cut",
+    "ends", "silent",  "reset", "partial_end", "partial_reset", "partial_silent", "partial_late"};
 const std::array<std::string, 2> kSignals{"hup", "term"};
 const std::array<std::string, 3> kFiles{"same", "moved", "broken"};
 const std::array<std::string, 3> kCutFaults{"hole", "latency", "bytes"};
@@ -160,9 +160,10 @@
     in.need("count");
     in.whole("count", action.count, 1, 2000);
   }
-  if (box_goes || node_goes || kind == Kind::kRolling) {
+  if (box_goes || node_goes || kind == Kind::kUnlist || kind == Kind::kRolling) {
     in.time("back", action.back);
-    if (kind >= Kind::kDeploy && action.back <= 0) action.back = 500;
+    const bool stays = kind < Kind::kDeploy || kind == Kind::kUnlist;
+    if (!stays && action.back <= 0) action.back = 500;
   }
   if (node_goes) in.flag("stay_away", action.stay_away);
   if (action.stay_away && in.has("back")) in.bad("back", "it is to \"stay_away\"");
--- a/src/lab/list_notice.cpp
+++ b/src/lab/list_notice.cpp
@@ -15,10 +15,14 @@
 
 ListNotices::ListNotices(const Run& run) : run_(run) {
   for (const Changed& change : run.had) {
-    if (change.state != BoxState::kReady) had_.emplace(change.box, change.at);  // the first one
+    std::vector<Withdrawal>& withdrawals = withdrawals_[change.box];
+    const bool open = !withdrawals.empty() && withdrawals.back().to == kNever;
+    if (change.state == BoxState::kReady && open) withdrawals.back().to = change.at;
+    if (change.state != BoxState::kReady && !open) withdrawals.push_back({change.at, kNever});
   }
   for (const Told& told : run.told) {
-    if (told.state != BoxState::kReady) told_[{told.node, told.box}].push_back(told.at);
+    auto& times = told.state == BoxState::kReady ? told_ready_ : told_;
+    times[{told.node, told.box}].push_back(told.at);
   }
   for (const ListCall& call : run.list_calls) calls_[call.node].push_back(&call);
   for (const NodeEvent& event : run.nodes) {
@@ -107,8 +111,8 @@
   return first;
 }
 
-std::optional<ListNotices::Notice> ListNotices::withdrawn(int node, int box, Millis now) const {
-  const Millis start = started(node, now);
+std::optional<ListNotices::Notice> ListNotices::notice_of(int node, int box, const Withdrawal& withdrawal,
+                                                          Millis start) const {
   std::optional<Notice> earliest;
   const auto consider = [&earliest](std::optional<Millis> at, By by) {
     if (at && *at < kNever && (!earliest || *at < earliest->at)) earliest = Notice{*at, by};
@@ -116,17 +120,38 @@
   const auto told = told_.find({node, box});
   if (told != told_.end()) {
     for (const Millis at : told->second) {
-      if (at >= start) consider(at, By::kWritten);
+      if (at >= start && at >= withdrawal.from && at < withdrawal.to) consider(at, By::kWritten);
     }
   }
-  const auto had = had_.find(box);
-  if (had == had_.end()) return earliest;
-  consider(reachable(had->second) + kAfterChange, By::kAge);
-  consider(by_silence(node, had->second), By::kSilence);
+  consider(reachable(withdrawal.from) + kAfterChange, By::kAge);
+  consider(by_silence(node, withdrawal.from), By::kSilence);
   if (run_.lists_pushed) {
-    consider(by_push(node, had->second), By::kPushed);
+    consider(by_push(node, withdrawal.from), By::kPushed);
   } else {
-    consider(by_unasked(node, had->second, start), By::kUnasked);
+    consider(by_unasked(node, withdrawal.from, start), By::kUnasked);
+  }
+  return earliest;
+}
+
+bool ListNotices::returned(int node, int box, const Withdrawal& withdrawal, Millis start, Millis now) const {
+  if (withdrawal.to > now) return false;
+  if (reachable(withdrawal.to) + kAfterChange <= now) return true;
+  if (run_.lists_pushed && by_push(node, withdrawal.to).value_or(kNever) <= now) return true;
+  const auto told = told_ready_.find({node, box});
+  return told != told_ready_.end() && std::any_of(told->second.begin(), told->second.end(), [&](Millis at) {
+           return at >= withdrawal.to && at >= start && at <= now;
+         });
+}
+
+std::optional<ListNotices::Notice> ListNotices::withdrawn(int node, int box, Millis now) const {
+  const auto withdrawals = withdrawals_.find(box);
+  if (withdrawals == withdrawals_.end()) return std::nullopt;
+  const Millis start = started(node, now);
+  std::optional<Notice> earliest;
+  for (const Withdrawal& withdrawal : withdrawals->second) {
+    if (returned(node, box, withdrawal, start, now)) continue;
+    const std::optional<Notice> notice = notice_of(node, box, withdrawal, start);
+    if (notice && (!earliest || notice->at < earliest->at)) earliest = notice;
   }
   return earliest;
 }
--- a/src/lab/list_notice.h
+++ b/src/lab/list_notice.h
@@ -28,7 +28,9 @@
 
   explicit ListNotices(const Run& run);
 
-  // The first for that box, as it binds the process of that node that ran at `now`.
+  // The first of a withdrawal of that box that binds the process of that node that ran at `now`, and has not
+  // been taken back by then: the box counts as ready again once that was written to the node, or 6 s after
+  // discovery had it; where lists are pushed, as soon as discovery has it.
   std::optional<Notice> withdrawn(int node, int box, Millis now) const;
 
  private:
@@ -37,6 +39,14 @@
     Millis to = 0;
   };
 
+  // From when discovery first had a box withdrawn until it had it ready again.
+  struct Withdrawal {
+    Millis from = 0;
+    Millis to = 0;  // infinity: it never did
+  };
+
+  std::optional<Notice> notice_of(int node, int box, const Withdrawal& withdrawal, Millis start) const;
+  bool returned(int node, int box, const Withdrawal& withdrawal, Millis start, Millis now) const;
   Millis reachable(Millis from) const;
   Millis started(int node, Millis now) const;
   void index_unasked(int node);
@@ -45,9 +55,10 @@
   std::optional<Millis> by_unasked(int node, Millis had, Millis start) const;
 
   const Run& run_;
-  std::map<int, Millis> had_;                                // by box: when discovery first had it withdrawn
-  std::map<std::pair<int, int>, std::vector<Millis>> told_;  // by node and box: when that was written
-  std::map<int, std::vector<const ListCall*>> calls_;        // by node, in order of their begin
+  std::map<int, std::vector<Withdrawal>> withdrawals_;             // by box
+  std::map<std::pair<int, int>, std::vector<Millis>> told_;        // by node and box: when that was written
+  std::map<std::pair<int, int>, std::vector<Millis>> told_ready_;  // and when it was written to be ready
+  std::map<int, std::vector<const ListCall*>> calls_;              // by node, in order of their begin
   std::map<int, std::vector<Millis>> starts_;
   std::map<int, std::vector<Millis>> reloads_;
   std::map<int, std::vector<Span>> unasked_;
--- a/src/lab/registry_session.cpp
+++ b/src/lab/registry_session.cpp
@@ -18,6 +18,7 @@
 
 constexpr Millis kSignOfLife = 2000;  // an empty line while nothing changes
 constexpr Millis kTrickle = 40;       // from one byte to the next
+constexpr Millis kRestAfter = 2500;   // of a list whose rest comes late
 
 std::string chunk(const std::string& text) {
   std::array<char, 32> size{};
@@ -133,6 +134,7 @@
   auto text = std::make_shared<std::string>(
       std::exchange(first_, false) || last_ ? queue_.front().text : chunk(queue_.front().text + "\n"));
   if (owner_.trouble().trickles && !queue_.front().says.empty()) return trickle(text, 0);
+  if (owner_.trouble().partial != PartialList::kNone && !queue_.front().says.empty()) return write_half(text);
   asio::async_write(socket_, asio::buffer(*text),
                     [self = shared_from_this(), text](const error_code& error, std::size_t) {
                       if (error) return self->close();
@@ -140,6 +142,48 @@
                     });
 }
 
+// The head, if there is one, and half of the list.
+void RegistrySession::write_half(std::shared_ptr<std::string> text) {
+  const std::size_t head_end = text->rfind("HTTP/", 0) == 0 ? text->find("\r\n\r\n") + 4 : 0;
+  const std::size_t half = head_end + (text->size() - head_end) / 2;
+  auto rest = std::make_shared<std::string>(text->substr(half));
+  text->resize(half);
+  asio::async_write(socket_, asio::buffer(*text),
+                    [self = shared_from_this(), text, rest](const error_code& error, std::size_t) {
+                      if (error) return self->close();
+                      self->end_half(rest);
+                    });
+}
+
+// Withdrawals count as written; that a box is ready does not before the rest has come.
+void RegistrySession::end_half(std::shared_ptr<std::string> rest) {
+  if (closed_) return;
+  for (const auto& [box, state] : queue_.front().says) {
+    if (state != BoxState::kReady) owner_.wrote(node_, box, state);
+  }
+  switch (owner_.trouble().partial) {
+    case PartialList::kFallsSilent:
+      return fall_silent();
+    case PartialList::kResets:
+      return reset();
+    case PartialList::kRestComesLate: {
+      auto timer = std::make_shared<asio::steady_timer>(owner_.context());
+      timer->expires_after(span(kRestAfter));
+      return timer->async_wait([self = shared_from_this(), timer, rest](const error_code& failed) {
+        if (failed || self->closed_) return;
+        asio::async_write(self->socket_, asio::buffer(*rest),
+                          [self, rest](const error_code& error, std::size_t) {
+                            if (error) return self->close();
+                            self->written();
+                          });
+      });
+    }
+    case PartialList::kNone:
+    case PartialList::kEnds:
+      return close();
+  }
+}
+
 void RegistrySession::trickle(std::shared_ptr<std::string> text, std::size_t at) {
   if (closed_) return;
   if (at == text->size()) return written();
--- a/src/lab/registry_session.h
+++ b/src/lab/registry_session.h
@@ -25,6 +25,9 @@
   std::vector<std::pair<int, BoxState>> says;
 };
 
+// How a list goes on after its first half.
+enum class PartialList { kNone, kEnds, kResets, kFallsSilent, kRestComesLate };
+
 // What befalls those who call discovery; all but the first two may hold together.
 struct ListTrouble {
   bool refuses = false;      // each call is answered 503 at once: too many callers
@@ -33,6 +36,7 @@
   bool trickles = false;     // answers come a byte at a time
   bool cuts = false;         // a change is written in half, and the watch ends
   bool ends = false;         // a watch ends in place of a change
+  PartialList partial = PartialList::kNone;  // no list comes whole, neither first ones nor changes
 };
 
 class RegistrySession : public std::enable_shared_from_this<RegistrySession> {
@@ -60,6 +64,8 @@
   void trickle(std::shared_ptr<std::string> text, std::size_t at);
   void note(const ListLine& line);
   void cut(const ListLine& line);
+  void write_half(std::shared_ptr<std::string> text);
+  void end_half(std::shared_ptr<std::string> rest);
   void sign();
   void after(Millis wait, void (RegistrySession::*step)());
   ListCall& call();
--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -169,6 +169,17 @@
   });
 }
 
+// Only the list changes: the box serves on and passes its checks. It is listed again after `back`, if it is
+// still there.
+void StandIns::unlist(int slot, Millis back) {
+  const std::shared_ptr<Box> box = slots_[static_cast<std::size_t>(slot)].box;
+  publish(box->number(), BoxState::kGone);
+  if (back <= 0) return;
+  later(back, [this, box] {
+    if (box->up() && !box->draining()) publish(box->number(), BoxState::kReady);
+  });
+}
+
 void StandIns::deploy_batch(std::shared_ptr<std::vector<int>> left, const Action& action) {
   if (left->empty()) {
     world_.mark("deploy done");
@@ -246,6 +257,10 @@
         for (const int slot : slots) slots_[static_cast<std::size_t>(slot)].box->slow(1);
       });
       break;
+    case Action::Kind::kUnlist:
+      world_.mark("off the list, serving on: " + boxes);
+      for (const int slot : slots) unlist(slot, action.back);
+      break;
     case Action::Kind::kLink: {
       world_.mark("links: " + action.fault + ", " + boxes);
       if (action.fault == "black_hole") {
--- a/src/lab/stand_ins.h
+++ b/src/lab/stand_ins.h
@@ -74,6 +74,7 @@
   void put(int slot, bool cold, bool same_address);
   void kill(int slot);
   void come_back(int slot, const Action& action, Millis after);
+  void unlist(int slot, Millis back);
   void drain(int slot, const Action& action);
   void deploy_batch(std::shared_ptr<std::vector<int>> left, const Action& action);
   void befall_discovery(const Action& action);
--- a/tests/lab/list_notice_test.cpp
+++ b/tests/lab/list_notice_test.cpp
@@ -84,6 +84,32 @@
   expect_bound(run, kHad + 6000, By::kAge);
 }
 
+// Whether a notice binds the node at `now`.
+bool binds(const lab::Run& run, Millis now) {
+  const auto notice = ListNotices(run).withdrawn(kNode, kBox, now);
+  return notice && notice->at <= now;
+}
+
+TEST(ListNotices, ABoxThatReturnsBindsUntilItsReturnWasWrittenOrIsSixSecondsOld) {
+  lab::Run run = history(false);
+  run.list_calls = {watch()};
+  const Millis back = kHad + 5600;
+  run.had.push_back({kBox, BoxState::kReady, back});
+  EXPECT_FALSE(binds(run, kHad + 5999));
+  EXPECT_TRUE(binds(run, kHad + 6000)) << "it is back, and the node does not know";
+  EXPECT_TRUE(binds(run, back + 5999));
+  EXPECT_FALSE(binds(run, back + 6000));
+  run.told.push_back({kNode, kBox, BoxState::kReady, back + 100});
+  EXPECT_FALSE(binds(run, kHad + 6000)) << "that it is ready again was written to the node";
+  run.had.push_back({kBox, BoxState::kGone, back + 2000});
+  EXPECT_FALSE(binds(run, back + 7999));
+  EXPECT_TRUE(binds(run, back + 8000)) << "it went once more";
+  run.lists_pushed = true;
+  EXPECT_TRUE(binds(run, kHad));
+  EXPECT_FALSE(binds(run, back)) << "pushed: as soon as discovery has it";
+  EXPECT_TRUE(binds(run, back + 2000));
+}
+
 TEST(ListNotices, ALongIntervalBindsNoSoonerThanTheAgeOfTheChange) {
   lab::Run run = history(false);
   run.ask_every = 10000;
