A watch on which a change arrived late is reopened: what follows may be as late

Cause: a change that took 2.5 s to arrive counted as a sign that the list is all that discovery had 2 s before its arrival. Behind it lay others, queued and older; in the gap between two of them the list was valid for 0.1 s. Class: stale read. Change: a change that takes over 0.5 s from its first byte to its last is applied and ends the watch as silent; the next call's answer counts from that call's begin. The first list of a call is exempt for that reason. Test: ListTrickle.AChangeThatArrivesLateEndsTheWatchOnceItIsWhole, red before (the watch stayed open).

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -37,7 +37,7 @@
   parser_.reset();
   pending_.clear();
   incomplete_since_ = 0;
-  head_received_ = reported_current_ = false;
+  head_received_ = reported_current_ = list_read_ = delayed_ = false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.later([this] {
@@ -98,6 +98,7 @@
   if (state == Parser::State::kDone) pending_.put("\n");  // the end of the response ends its last list too
   read_lists();
   if (!stream_) return;  // a list that could not be parsed ended the watch
+  if (delayed_) return on_end(stream, Ending::kSilent);
   if (!part.empty()) report_progress();
   if (pending_.held() > kMaxBytes) return end(Ending::kMalformed);
   if (too_slow()) return end(Ending::kSilent);
@@ -116,10 +117,17 @@
   return now - incomplete_since_ >= timeouts_.silence + static_cast<Millis>(pending_.held()) / kMinRate;
 }
 
+// The first list of a call counts from the call's begin, however long it takes.
+bool Discovery::change_was_late() const {
+  return list_read_ && incomplete_since_ > 0 && loop_.now() - incomplete_since_ > timeouts_.change;
+}
+
 void Discovery::read_lists() {
   while (!reader_) {
     std::optional<std::string> text = pending_.next();
     if (!text) return;
+    delayed_ = delayed_ || change_was_late();
+    list_read_ = true;
     incomplete_since_ = 0;  // what remains belongs to the next list
     read_text(std::move(*text));
     if (!stream_) return;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -34,6 +34,9 @@
     // Discovery sends an empty line every 2 s. A watch silent for longer than this is dead, even if its
     // connection is open.
     Millis silence = 3000;
+    // From a change's first byte to its last. A watch on which one takes longer is delayed by an unknown
+    // time: what follows may be as old, so it is reopened once the change is whole.
+    Millis change = 500;
   };
 
   Discovery(Loop& loop, const Poco::Net::SocketAddress& address, std::uint64_t version, Listener listener)
@@ -76,6 +79,7 @@
   void apply(const List& list);
   void reject(const FieldError& error);
   void report_progress();
+  bool change_was_late() const;
   void set_deadline(Millis wait, Ending ending);
   void disconnect();
   void end(Ending ending);
@@ -94,6 +98,8 @@
   Millis last_received_ = 0;
   bool head_received_ = false;   // the response's head was received
   Millis incomplete_since_ = 0;  // when the first part of the incomplete list arrived; 0 = there is none
+  bool list_read_ = false;       // the first list of this call was read
+  bool delayed_ = false;         // a change of this call arrived late
   bool has_list_ = false;
   std::uint64_t calls_ = 0;
   Millis call_began_at_ = 0;
--- a/tests/crossings/list_trickle_test.cpp
+++ b/tests/crossings/list_trickle_test.cpp
@@ -11,11 +11,15 @@
 constexpr Millis kSilence = 60;
 constexpr Millis kPause = 15;
 constexpr Millis kEnough = 2000;
+constexpr Millis kLate = 600;  // longer than a change may take to arrive
 
 const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string kList = "{\"seq\":9,\"whole\":true,\"hosts\":[]}\n";
 
 struct Watched {
+  explicit Watched(Millis silence = kSilence)
+      : timeouts{.connect = 1000, .response = 1000, .silence = silence} {}
+
   // Writes `piece` repeatedly while the watch is open.
   void trickle(const std::string& piece) {
     if (ending) return;
@@ -40,6 +44,7 @@
   std::optional<Ending> ending;
   int lists = 0;
   bool refuses = false;
+  Discovery::Timeouts timeouts;
   Discovery discovery{loop,
                       Poco::Net::SocketAddress("127.0.0.1", peer.port()),
                       7,
@@ -51,7 +56,7 @@
                          ending = how;
                          loop.stop();
                        }},
-                      {.connect = 1000, .response = 1000, .silence = kSilence}};
+                      timeouts};
 };
 
 TEST(ListTrickle, ListThatStaysIncompleteEndsAsSilent) {
@@ -78,6 +83,28 @@
   EXPECT_GT(w.lists, 50);
 }
 
+std::string chunk(const std::string& text) {
+  std::array<char, 32> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
+// What follows a change that arrived late may be as late: the change is applied, and the watch is reopened.
+TEST(ListTrickle, AChangeThatArrivesLateEndsTheWatchOnceItIsWhole) {
+  Watched w(kEnough);
+  w.discovery.watch();
+  w.line.emplace(w.peer.accept());
+  once_readable(w.loop, *w.line, [&w] {
+    w.line->request();
+    w.line->write(kHead + chunk(kList) + chunk(kList.substr(0, 8)));
+    w.loop.after(kLate, [&w] { w.line->write(chunk(kList.substr(8))); });
+  });
+  w.loop.after(kEnough, [&w] { w.loop.stop(); });
+  w.loop.run();
+  EXPECT_EQ(w.lists, 2);
+  EXPECT_EQ(w.ending, Ending::kSilent);
+}
+
 // Blank lines are keep-alives as long as no list has begun.
 TEST(ListTrickle, BlankLinesKeepAWatch) {
   Watched w;
