Where lists are pushed, a first list that arrived late does not make the list valid

Cause: a call's answer counted from the call's begin in both kinds of lists. A pushed change binds as soon as discovery has it, and changes made while the first list was on its way lay behind it. Class: stale read. Change: such a list is applied, and the lease is valid again only with the next thing that the watch brings in time. Test: ListLease.WithPushedListsAFirstListThatArrivesLateProvesNothing; without the condition it counts from the call's begin (the other half of the test, lists asked for, has that).

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -9,10 +9,11 @@
   if (no_call_ended_since_ == kNever) no_call_ended_since_ = now;
 }
 
-void ListLease::call_answered() {
+void ListLease::call_answered(bool late) {
   watching_ = true;
   current_until_ = std::max(current_until_, last_call_at_);
-  no_call_ended_since_ = unfinished_at_ = discovery_changed_at_ = lapsed_at_ = kNever;
+  no_call_ended_since_ = discovery_changed_at_ = lapsed_at_ = kNever;
+  unfinished_at_ = late && terms_.pushed ? std::min(unfinished_at_, last_call_at_) : kNever;
 }
 
 void ListLease::sign_of_life(Millis now) {
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -44,8 +44,10 @@
   void adopt(const Terms& terms) { terms_ = terms; }
 
   void call_begun(Millis now);
-  // The open call has brought the current list, or the message that it is unchanged.
-  void call_answered();
+  // The open call has brought the current list, or the message that it is unchanged. `late`: its arrival took
+  // long, so that what follows may be as late. Where lists are pushed it then proves nothing before the watch
+  // has brought something more.
+  void call_answered(bool late = false);
   // The open watch has brought a whole change or a keep-alive.
   void sign_of_life(Millis now);
   // A list has arrived in part; the changes in it may bind already.
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -41,8 +41,8 @@
       loop_, *config.discovery, config.known.version,
       Discovery::Listener{[this](const List& list) { list_changed(list); },
                           [this](Ending ending) { watch_ended(ending); },
-                          [this](bool first) { lease_->current(first); }, [this] { lease_->incomplete(); },
-                          [this] { lease_->call_begun(); }});
+                          [this](bool first, bool late) { lease_->current(first, late); },
+                          [this] { lease_->incomplete(); }, [this] { lease_->call_begun(); }});
 }
 
 BackendSource::~BackendSource() {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -37,7 +37,7 @@
   parser_.reset();
   pending_.clear();
   incomplete_since_ = 0;
-  head_received_ = reported_current_ = list_read_ = delayed_ = false;
+  head_received_ = reported_current_ = list_read_ = first_late_ = delayed_ = false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.later([this] {
@@ -117,16 +117,16 @@
   return now - incomplete_since_ >= timeouts_.silence + static_cast<Millis>(pending_.held()) / kMinRate;
 }
 
-// The first list of a call counts from the call's begin, however long it takes.
-bool Discovery::change_was_late() const {
-  return list_read_ && incomplete_since_ > 0 && loop_.now() - incomplete_since_ > timeouts_.change;
+// From its first byte to its last.
+bool Discovery::arrived_late() const {
+  return incomplete_since_ > 0 && loop_.now() - incomplete_since_ > timeouts_.change;
 }
 
 void Discovery::read_lists() {
   while (!reader_) {
     std::optional<std::string> text = pending_.next();
     if (!text) return;
-    delayed_ = delayed_ || change_was_late();
+    if (arrived_late()) (list_read_ ? delayed_ : first_late_) = true;
     list_read_ = true;
     incomplete_since_ = 0;  // what remains belongs to the next list
     read_text(std::move(*text));
@@ -170,7 +170,8 @@
 void Discovery::report_progress() {
   if (pending_.held() > 0 || reader_) return listener_.incomplete();
   has_list_ = true;
-  listener_.current(!std::exchange(reported_current_, true));
+  const bool first = !std::exchange(reported_current_, true);
+  listener_.current(first, first && first_late_);
 }
 
 void Discovery::apply(const List& list) {
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -21,7 +21,8 @@
     std::function<void(Ending)> ended;
     // All input so far has been processed and nothing is pending. `first`: for the first time in this call,
     // so that the list was complete at some time after the call began.
-    std::function<void(bool first)> current = [](bool) {};
+    // `late`: its arrival took longer than a change may take.
+    std::function<void(bool first, bool late)> current = [](bool, bool) {};
     std::function<void()> incomplete = [] {};  // a list has arrived in part
     std::function<void()> call_begun = [] {};  // a call begins
   };
@@ -79,7 +80,7 @@
   void apply(const List& list);
   void reject(const FieldError& error);
   void report_progress();
-  bool change_was_late() const;
+  bool arrived_late() const;
   void set_deadline(Millis wait, Ending ending);
   void disconnect();
   void end(Ending ending);
@@ -99,7 +100,8 @@
   bool head_received_ = false;   // the response's head was received
   Millis incomplete_since_ = 0;  // when the first part of the incomplete list arrived; 0 = there is none
   bool list_read_ = false;       // the first list of this call was read
-  bool delayed_ = false;         // a change of this call arrived late
+  bool first_late_ = false;      // it arrived late
+  bool delayed_ = false;         // a later one of this call did
   bool has_list_ = false;
   std::uint64_t calls_ = 0;
   Millis call_began_at_ = 0;
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -33,8 +33,8 @@
   report_change();
 }
 
-void DiscoveryLease::current(bool first) {
-  first ? lease_.call_answered() : lease_.sign_of_life(loop_.now());
+void DiscoveryLease::current(bool first, bool late) {
+  first ? lease_.call_answered(late) : lease_.sign_of_life(loop_.now());
   report_change();
 }
 
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -26,8 +26,8 @@
 
   void adopt(const Settings& settings);  // for drains and for how lists are obtained
   void call_begun();
-  void current(bool first);  // see Discovery::Listener::current
-  void incomplete();         // see Discovery::Listener::unfinished
+  void current(bool first, bool late);  // see Discovery::Listener::current
+  void incomplete();                    // see Discovery::Listener::unfinished
   void ended(Ending ending, const Discovery::CallEnd& end);
   void address_changed();
   void report();  // reports even if nothing has changed
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -164,6 +164,20 @@
   EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMaxAge + kAllowance);
 }
 
+TEST(ListLease, WithPushedListsAFirstListThatArrivesLateProvesNothing) {
+  for (const bool pushed : {false, true}) {
+    ListLease lease;
+    lease.adopt({.grace = kGrace, .pushed = pushed, .ask_every = kAskEvery});
+    lease.call_begun(kStart);
+    lease.list_incomplete(kStart + 10);
+    lease.call_answered(true);
+    const Millis requested = kStart + ListLease::kMaxAge + kAllowance;
+    EXPECT_EQ(lease.validity().until, pushed ? kStart + kAllowance : requested) << pushed;
+    lease.sign_of_life(kStart + 4000);
+    EXPECT_GT(lease.validity().until, kStart + 4000) << "the watch has caught up";
+  }
+}
+
 TEST(ListLease, DiscoveryChangeLimitsTheLease) {
   ListLease lease = watching();
   lease.discovery_changed(kStart + 100);
