--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -15,89 +15,10 @@
 """
 
 import argparse
+import pathlib
 import random
 
-HEAD = """name = "soak-{seed}"
-seed = {seed}
-
-[fleet]
-boxes = {boxes}
-zones = ["a", "b"]
-cells = 5
-cores = 2
-queue = 8
-connection_work = "200 us"
-cold_from = 0.4
-warm_up = "3 s"
-fall_multiple = 3
-fall_span = "1 s"
-report_age = "2 ms"
-latency = "200 us"
-jitter = "100 us"
-idle_close = "{idle_close} ms"
-serves_draining = true
-
-[nodes]
-count = {nodes}
-sockets = 256
-notice = "300 ms"
-
-[discovery]
-asked = {asked}
-whole = {whole}
-leaves_out = {leaves_out}
-ask_every = "{ask_every} ms"
-known = "{known}"
-
-[clients]
-retries = 2
-backoff = "60 ms"
-honour = 0.5
-leave = 0.05
-drop = 0.05
-until_kill = 0.5
-first_moments = 0.3
-bad_per_second = 4
-
-[load]
-arrivals = "poisson"
-rate = {rate}
-for = "{span} ms"
-
-[[class]]
-name = "check"
-effect = "keyed"
-group = "zone"
-window = "800 ms"
-aim = "410 ms"
-give_up = "{give_up} ms"
-worth = 5
-work = "10 ms"
-dist = "lognormal"
-cv = 0.7
-share = 0.5
-
-[[class]]
-name = "charge"
-effect = "unsafe"
-aim = "410 ms"
-give_up = "{give_up} ms"
-worth = 10
-work = "10 ms"
-dist = "lognormal"
-cv = 0.6
-share = 0.3
-
-[[class]]
-name = "look"
-effect = "safe"
-aim = "410 ms"
-give_up = "{give_up} ms"
-worth = 1
-work = "5 ms"
-dist = "exponential"
-share = 0.2
-"""
+HEAD = (pathlib.Path(__file__).parent / "head.toml").read_text()
 
 QUIET_MS = 1500  # at the start and at the end nothing is done
 MORE_TO_KILL_MS = 700  # after SIGTERM and the longest deadline
--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -58,16 +58,6 @@
   for (Slot& slot : slots_) slot.box->die();
 }
 
-std::string StandIns::discovery_dial(int node, int pool) const {
-  return registries_[static_cast<std::size_t>(pool)]->dial(node);
-}
-std::string StandIns::second_discovery_dial(int node) const { return registries_.front()->second_dial(node); }
-std::string StandIns::known_list(int node) const { return registries_.front()->known(node); }
-
-void StandIns::publish(int box, BoxState state) {
-  registries_[static_cast<std::size_t>(notes_[static_cast<std::size_t>(box)].pool)]->publish(box, state);
-}
-
 std::string StandIns::box_dial(int box, int node) const {
   const int slot = slot_of_[static_cast<std::size_t>(box)];
   const Slot& place = slots_[static_cast<std::size_t>(slot)];
@@ -169,17 +159,6 @@
   });
 }
 
-// Only the list changes: the box serves on and passes its checks. It is listed again after `back`, if it is
-// still there.
-void StandIns::unlist(int slot, Millis back) {
-  const std::shared_ptr<Box> box = slots_[static_cast<std::size_t>(slot)].box;
-  publish(box->number(), BoxState::kGone);
-  if (back <= 0) return;
-  later(back, [this, box] {
-    if (box->up() && !box->draining()) publish(box->number(), BoxState::kReady);
-  });
-}
-
 void StandIns::deploy_batch(std::shared_ptr<std::vector<int>> left, const Action& action) {
   if (left->empty()) {
     world_.mark("deploy done");
@@ -203,20 +182,6 @@
   }
 }
 
-void StandIns::befall_discovery(const Action& action) {
-  const auto each = [this, action](bool on) {
-    for (const auto& registry : registries_) {
-      if (action.fault == "restart") registry->restart();
-      if (action.fault == "down") registry->down(on);
-      if (action.fault == "empty") registry->lie_empty(on);
-      registry->befall(action.fault, action.latency, on);
-    }
-  };
-  each(true);
-  if (action.length <= 0) return;
-  later(action.length, [each] { each(false); });
-}
-
 void StandIns::act(const Action& action) {
   const std::vector<int> slots = action.kind <= Action::Kind::kLink ? chosen(action) : std::vector<int>{};
   const std::string boxes = std::to_string(slots.size()) + (slots.size() == 1 ? " box" : " boxes");
