The soak's judge: a return is told by any answer to the process after it

Change: an answer to a call of the process after the return tells it; pushed, a return counts as soon as discovery has it, as the header said. When a withdrawal binds is unchanged. Tests: both histories, each with the side on which it binds.

--- a/src/lab/list_notice.h
+++ b/src/lab/list_notice.h
@@ -29,8 +29,9 @@
   explicit ListNotices(const Run& run);
 
   // The first of a withdrawal of that box that binds the process of that node that ran at `now`, and has not
-  // been taken back by then: the box counts as ready again once that was written to the node, or 6 s after
-  // discovery had it; where lists are pushed, as soon as discovery has it.
+  // been taken back by then: the box counts as ready again once that was written to the node, or an answer to
+  // a call of the process, or 6 s after discovery had it; where lists are pushed, as soon as discovery has
+  // it.
   std::optional<Notice> withdrawn(int node, int box, Millis now) const;
 
  private:
--- a/tests/lab/list_notice_test.cpp
+++ b/tests/lab/list_notice_test.cpp
@@ -110,6 +110,29 @@
   EXPECT_TRUE(binds(run, back + 2000));
 }
 
+// The list that it was given at its start may have the return already, so that no answer names the box.
+TEST(ListNotices, AReturnIsToldByAnyAnswerToTheProcessAfterIt) {
+  lab::Run run = history(false);
+  const Millis back = kHad + 3000;
+  run.had.push_back({kBox, BoxState::kReady, back});
+  run.nodes.push_back({kNode, NodeDid::kStarted, back + 100, 0});
+  EXPECT_TRUE(binds(run, kHad + 6000));
+  run.list_calls = {{.node = kNode, .begun = back + 200, .answered = back + 210}};
+  EXPECT_FALSE(binds(run, kHad + 6000));
+  run.list_calls[0].begun = back - 50;
+  EXPECT_TRUE(binds(run, kHad + 6000)) << "a call of the process before";
+}
+
+// A reload of the process before delays the word of a withdrawal, not that of a return.
+TEST(ListNotices, APushedReturnCountsAsSoonAsDiscoveryHasIt) {
+  lab::Run run = history(true);
+  const Millis back = kHad + 3000;
+  run.had.push_back({kBox, BoxState::kReady, back});
+  run.nodes.push_back({kNode, NodeDid::kReloaded, back - 100, 0});
+  EXPECT_TRUE(binds(run, back - 1));
+  EXPECT_FALSE(binds(run, back));
+}
+
 TEST(ListNotices, ALongIntervalBindsNoSoonerThanTheAgeOfTheChange) {
   lab::Run run = history(false);
   run.ask_every = 10000;
