--- a/src/lab/stand_ins.cpp
+++ b/src/lab/stand_ins.cpp
@@ -185,16 +185,6 @@
 void StandIns::act(const Action& action) {
   const std::vector<int> slots = action.kind <= Action::Kind::kLink ? chosen(action) : std::vector<int>{};
   const std::string boxes = std::to_string(slots.size()) + (slots.size() == 1 ? " box" : " boxes");
-  const auto each_link = [this, slots, action](const auto& task) {
-    for (const int slot : slots) {
-      Box& box = *slots_[static_cast<std::size_t>(slot)].box;
-      for (int node = 0; node < world_.experiment.nodes.count; ++node) {
-        const bool named = action.nodes.empty() ||
-                           std::find(action.nodes.begin(), action.nodes.end(), node) != action.nodes.end();
-        if (named && box.up()) task(box, node);
-      }
-    }
-  };
   switch (action.kind) {
     case Action::Kind::kKill:
       world_.mark("kill " + boxes);
@@ -226,31 +216,10 @@
       world_.mark("off the list, serving on: " + boxes);
       for (const int slot : slots) unlist(slot, action.back);
       break;
-    case Action::Kind::kLink: {
+    case Action::Kind::kLink:
       world_.mark("links: " + action.fault + ", " + boxes);
-      if (action.fault == "black_hole") {
-        each_link([](Box& box, int node) { box.hole(node, true); });
-        later(action.length, [each_link] { each_link([](Box& box, int node) { box.hole(node, false); }); });
-        break;
-      }
-      const bool slower = action.fault == "latency";
-      each_link([&action, slower](Box& box, int node) {
-        LinkState& link = box.link(node);
-        if (slower) {
-          link.latency += action.latency;
-        } else {
-          link.fault = action.fault;
-          link.share = action.share > 0 ? action.share : 1;
-          link.after_bytes = action.after_bytes;
-        }
-      });
-      later(action.length, [each_link, slower, latency = action.latency] {
-        each_link([slower, latency](Box& box, int node) {
-          slower ? void(box.link(node).latency -= latency) : box.link(node).fault.clear();
-        });
-      });
+      hurt_links(slots, action);
       break;
-    }
     case Action::Kind::kDiscovery:
       world_.mark("discovery: " + action.fault);
       befall_discovery(action);
--- a/src/lab/stand_ins.h
+++ b/src/lab/stand_ins.h
@@ -75,6 +75,7 @@
   void kill(int slot);
   void come_back(int slot, const Action& action, Millis after);
   void unlist(int slot, Millis back);
+  void hurt_links(const std::vector<int>& slots, const Action& action);
   void drain(int slot, const Action& action);
   void deploy_batch(std::shared_ptr<std::vector<int>> left, const Action& action);
   void befall_discovery(const Action& action);
