--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -113,7 +113,8 @@
         Bad{"latency = \"1 ms\"", "jitter = \"1 ms\"",
             "f.toml:11:10: \"jitter\" is over \"latency\": a link would answer early"},
         Bad{"do = \"kill\"", "do = \"kil\"",
-            "f.toml:31:6: \"kil\" is none of kill, stall, drain, deploy, slow, link, discovery, node_kill, "
+            "f.toml:31:6: \"kil\" is none of kill, stall, drain, deploy, slow, unlist, link, discovery, "
+            "node_kill, "
             "node_term, node_reload, pause, node_start, rolling, cut, store, kill_planner, signals, crowd; "
             "did you mean "
             "\"kill\"?"},
