The log says by which rule a list is valid, and what had come of a call when it ended

Now logged: the settings of lists at the start, each change of the reason that limits the list's validity, and for each call its number, the version it asks from and the bytes that came, head and framing included. No decision changes.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -53,21 +53,52 @@
                                                               : kFailedCallFactor * hold_without_call();
 }
 
-Millis ListLease::valid_until() const {
-  Millis until = std::min(
-      {current_until_ + kMaxAge, unfinished_at_, lapsed_at_, discovery_changed_at_ + kDiscoveryChangeDelay});
-  if (watching_) return until;
-  if (terms_.pushed) return std::min(until, watch_ended_at_);
+ListLease::Bound ListLease::earliest_bound() const {
+  Bound earliest{current_until_ + kMaxAge, current_until_ > -kNever ? Limit::kAge : Limit::kNoList};
+  const auto consider = [&earliest](Millis until, Limit limit) {
+    if (until < earliest.until) earliest = {until, limit};
+  };
+  consider(unfinished_at_, Limit::kIncomplete);
+  consider(lapsed_at_, Limit::kNoCall);
+  consider(discovery_changed_at_ + kDiscoveryChangeDelay, Limit::kDiscoveryChanged);
+  if (watching_) return earliest;
+  if (terms_.pushed) {
+    consider(watch_ended_at_, Limit::kWatchEnded);
+    return earliest;
+  }
   const Millis since = no_call_ended_since_ < kNever ? no_call_ended_since_ : current_until_;
-  return std::min(until, since + hold_time());
+  consider(since + hold_time(), Limit::kNoCall);
+  return earliest;
 }
 
 ListValidity ListLease::validity() const {
   ListValidity validity;
   if (!terms_.grace) return validity;
   const Millis allowance = std::max(*terms_.grace - kMaxPause, 0.0);
-  validity.until = valid_until() + allowance;
+  validity.until = earliest_bound().until + allowance;
   return validity;
 }
 
+ListLease::Limit ListLease::limit() const { return terms_.grace ? earliest_bound().limit : Limit::kNone; }
+
+const char* name_of(ListLease::Limit limit) {
+  switch (limit) {
+    case ListLease::Limit::kNone:
+      return "nothing";
+    case ListLease::Limit::kNoList:
+      return "no list has arrived since the start";
+    case ListLease::Limit::kAge:
+      return "its age";
+    case ListLease::Limit::kIncomplete:
+      return "a list that has begun to arrive";
+    case ListLease::Limit::kNoCall:
+      return "the time without a watch";
+    case ListLease::Limit::kWatchEnded:
+      return "the end of the watch";
+    case ListLease::Limit::kDiscoveryChanged:
+      return "the change of discovery's address";
+  }
+  return "unknown";
+}
+
 }  // namespace shorelead::membership
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -35,6 +35,16 @@
     bool pushed = false;   // changes bind as soon as discovery has them, unless an open watch is silent
     Millis ask_every = 0;  // interval in which the settings ask for a list; 0 = not set
   };
+  // What ends the validity of the list, for the log.
+  enum class Limit {
+    kNone,              // the list is valid until the next arrives
+    kNoList,            // no list has arrived since the start
+    kAge,               // changes bind after kMaxAge
+    kIncomplete,        // a list has begun to arrive and is not whole
+    kNoCall,            // no watch is open, and no call has ended within the hold time
+    kWatchEnded,        // lists are pushed and no watch is open
+    kDiscoveryChanged,  // a new configuration names another discovery
+  };
   enum class CallEnd {
     kNotAttempted,  // no connection was attempted
     kFailed,        // the call brought nothing whole
@@ -57,13 +67,18 @@
   void discovery_changed(Millis now);
 
   ListValidity validity() const;
+  Limit limit() const;
 
  private:
   static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
   Millis hold_without_call() const;
   Millis hold_time() const;
-  Millis valid_until() const;
+  struct Bound {
+    Millis until;
+    Limit limit;
+  };
+  Bound earliest_bound() const;
 
   Terms terms_;
   bool watching_ = false;
@@ -78,4 +93,6 @@
   Millis discovery_changed_at_ = kNever;  // and no list has arrived since
 };
 
+const char* name_of(ListLease::Limit limit);
+
 }  // namespace shorelead::membership
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -62,6 +62,7 @@
 
 void BackendSource::start() {
   update_lease_terms();
+  log_list_settings();
   // The saved list may be of any age. The source will correct it; until then failed attempts and probes do.
   if (const auto saved = saved_list_copy_ ? saved_list_copy_->load() : std::nullopt)
     forward(*saved, ListSource::kStored);
@@ -71,6 +72,14 @@
   if (!config_.settings.list_on_request) discovery_->watch();
 }
 
+void BackendSource::log_list_settings() const {
+  if (!discovery_) return;
+  const Settings& settings = config_.settings;
+  spdlog::info("pool {}: lists are {}, interval {:.1f} s, grace {:.0f} ms, {} nodes", config_.name,
+               settings.list_on_request ? "requested" : "pushed", settings.ask_every / 1000,
+               settings.drain_grace.value_or(0), settings.instances);
+}
+
 void BackendSource::forward(const List& list, ListSource from) {
   listener_.list(start_times_.resolve(list), from);
 }
@@ -187,8 +196,10 @@
   const Discovery::CallEnd& end = discovery_->last_end();
   lease_->ended(ending, end);
   spdlog::warn(
-      "pool {}: watch on the list ended: {}, begun {:.2f} s and silent {:.2f} s before, {} bytes unfinished",
-      config_.name, name_of(ending), end.duration / 1000, end.silence / 1000, end.incomplete_bytes);
+      "pool {}: watch on the list ended: {}, begun {:.2f} s and silent {:.2f} s before, {} bytes unfinished; "
+      "call {} from version {}, {}, {} bytes received",
+      config_.name, name_of(ending), end.duration / 1000, end.silence / 1000, end.incomplete_bytes,
+      discovery_->calls(), end.from_version, end.answered ? "answered" : "not answered", end.received_bytes);
   // An agent that is down shows as a connection that ends before any byte of a response, or as silence.
   const bool answered =
       ending == Ending::kRejected || ending == Ending::kErred || ending == Ending::kMalformed;
--- a/src/node/backend_source.h
+++ b/src/node/backend_source.h
@@ -61,6 +61,7 @@
   membership::Update apply_to_view(const List& list);
   void tick_view();
   void update_lease_terms();
+  void log_list_settings() const;
 
   Loop& loop_;
   PoolConfig config_;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -36,6 +36,8 @@
   listener_.call_begun();
   parser_.reset();
   pending_.clear();
+  received_bytes_ = buffered_bytes_ = 0;
+  from_version_ = version_;
   incomplete_since_ = 0;
   head_received_ = reported_current_ = list_read_ = first_late_ = delayed_ = false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
@@ -79,6 +81,8 @@
 
 void Discovery::on_input(Stream& stream) {
   last_byte_at_ = loop_.now();
+  received_bytes_ += stream.input().size() - buffered_bytes_;
+  buffered_bytes_ = stream.input().size();
   const Parser::State state = parser_.advance(stream.input());
   if (state == Parser::State::kBad) {
     spdlog::warn("discovery: malformed response: {}", parser_.cause());
@@ -91,6 +95,7 @@
   last_received_ = loop_.now();
   // In chunks, or with a stated length where the response is no watch.
   const std::string part = parser_.take_decoded() + parser_.take_body(stream.input());
+  buffered_bytes_ = stream.input().size();
   // The head is a sign of life; after that only data counts.
   if (state == Parser::State::kBody && (!std::exchange(head_received_, true) || !part.empty()))
     set_deadline(timeouts_.silence, Ending::kSilent);
@@ -223,6 +228,8 @@
   last_end_ = {.duration = now - call_began_at_,
                .silence = now - last_byte_at_,
                .incomplete_bytes = pending_.held() + (reader_ ? 1 : 0),
+               .received_bytes = received_bytes_,
+               .from_version = from_version_,
                .answered = reported_current_};
   disconnect();
   listener_.ended(ending);
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -65,6 +65,8 @@
     Millis duration = 0;               // how long the call lasted
     Millis silence = 0;                // time since its last byte, or since its start
     std::size_t incomplete_bytes = 0;  // bytes of an incomplete list
+    std::size_t received_bytes = 0;    // bytes of the response, with its head and framing
+    std::uint64_t from_version = 0;    // the version after which changes were requested
     bool answered = false;             // a list or keep-alive was received whole
   };
   const CallEnd& last_end() const { return last_end_; }
@@ -105,8 +107,11 @@
   bool has_list_ = false;
   std::uint64_t calls_ = 0;
   Millis call_began_at_ = 0;
-  bool reported_current_ = false;  // `current` was called for this call
-  Millis last_byte_at_ = 0;        // when the last byte arrived, or the call began
+  bool reported_current_ = false;   // `current` was called for this call
+  std::size_t received_bytes_ = 0;  // bytes of this call's response
+  std::size_t buffered_bytes_ = 0;  // of these still in the stream's input
+  std::uint64_t from_version_ = 0;  // the version after which this call requests changes
+  Millis last_byte_at_ = 0;         // when the last byte arrived, or the call began
   CallEnd last_end_;
   static constexpr std::size_t kMaxBytes = 8U << 20;
 };
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -55,11 +55,18 @@
 
 void DiscoveryLease::report() {
   last_ = lease_.validity();
-  spdlog::debug("pool {}: the list is valid for {:.2f} s", pool_, (last_.until - loop_.now()) / 1000);
+  log_limit();
   log_expiry();
   listener_(last_);
 }
 
+// Keep-alives extend the validity every two seconds, so only another limit is logged.
+void DiscoveryLease::log_limit() {
+  if (lease_.limit() == std::exchange(last_limit_, lease_.limit())) return;
+  spdlog::info("pool {}: the list is valid for {:.2f} s, limited by {}", pool_,
+               (last_.until - loop_.now()) / 1000, name_of(last_limit_));
+}
+
 // Logs and counts once when the list expires and once when it is valid again.
 void DiscoveryLease::log_expiry() {
   const Millis now = loop_.now();
@@ -83,7 +90,8 @@
   if (!was_valid_ || expired_at_ < kNever) return;
   expired_at_ = now;
   ++expirations_;
-  spdlog::warn("pool {}: the list has expired: backends may have left it unnoticed", pool_);
+  spdlog::warn("pool {}: the list has expired: backends may have left it unnoticed; limited by {}", pool_,
+               name_of(last_limit_));
 }
 
 Millis DiscoveryLease::time_expired() const {
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -37,6 +37,7 @@
 
  private:
   void report_change();
+  void log_limit();
   void log_expiry();
 
   static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
@@ -46,6 +47,7 @@
   const Listener listener_;
   membership::ListLease lease_;
   ListValidity last_;
+  membership::ListLease::Limit last_limit_ = membership::ListLease::Limit::kNone;
   Loop::TimerId expiry_timer_ = 0;
   bool was_valid_ = false;      // since the start
   Millis expired_at_ = kNever;  // of the list in force; kNever = it has not expired
