An answer of discovery binds from its first byte, and so does one that cannot be read

Callers saw requests sent to draining backends 0.34 to 0.51 s after the process counted as told. Cause, as far as the records go: a list counts as told when discovery has written it, but the lease on the older list heard of nothing before the first byte of a list's own text (Discovery::on_input, 'if (!part.empty())'). A response that had begun with its head or a chunk's size, one that was cut there, and a list that was rejected or not applied left the older list valid, and a cut head even counted as a failed call, which lengthens its hold. Class: a missing sign taken for the sign that nothing happened. Now a response is incomplete from its first byte until what has arrived ends with a whole list or keep-alive (ListResponse), a rejected list ends the older one's validity, and a response that turns out to hold no list (an error status, the end of the framing) leaves the lease as it was.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -6,6 +6,7 @@
 
 void ListLease::call_begun(Millis now) {
   last_call_at_ = now;
+  unfinished_before_ = unfinished_at_;
   if (no_call_ended_since_ == kNever) no_call_ended_since_ = now;
 }
 
@@ -14,16 +15,21 @@
   current_until_ = std::max(current_until_, last_call_at_);
   no_call_ended_since_ = discovery_changed_at_ = lapsed_at_ = kNever;
   unfinished_at_ = late && terms_.pushed ? std::min(unfinished_at_, last_call_at_) : kNever;
+  unfinished_before_ = unfinished_at_;
 }
 
 void ListLease::sign_of_life(Millis now) {
   current_until_ = std::max(current_until_, now - kSignInterval);
-  unfinished_at_ = lapsed_at_ = kNever;
+  unfinished_at_ = unfinished_before_ = lapsed_at_ = kNever;
 }
 
 void ListLease::list_incomplete(Millis now) { unfinished_at_ = std::min(unfinished_at_, now); }
 
 void ListLease::call_ended(CallEnd how, Millis now) {
+  if (how == CallEnd::kInterrupted) {
+    list_incomplete(now);
+    how = watching_ ? CallEnd::kWatchEnded : CallEnd::kFailed;
+  }
   watching_ = false;
   if (how == CallEnd::kFailed) {
     // Changes that bind since the watch ended still bind, although a failed call allows a longer hold.
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -49,6 +49,7 @@
     kNotAttempted,  // no connection was attempted
     kFailed,        // the call brought nothing whole
     kWatchEnded,    // the call was answered, and its watch has ended
+    kInterrupted,   // what discovery sent could not be read
   };
 
   void adopt(const Terms& terms) { terms_ = terms; }
@@ -60,8 +61,10 @@
   void call_answered(bool late = false);
   // The open watch has brought a whole change or a keep-alive.
   void sign_of_life(Millis now);
-  // A list has arrived in part; the changes in it may bind already.
+  // A response or a list has arrived in part; the changes in it may bind already.
   void list_incomplete(Millis now);
+  // What had arrived in part turned out to hold no list.
+  void nothing_told() { unfinished_at_ = unfinished_before_; }
   void call_ended(CallEnd how, Millis now);
   // Discovery is at another address from now on, and no call to it is open.
   void discovery_changed(Millis now);
@@ -89,6 +92,7 @@
   Millis no_call_ended_since_ = -kNever;
   // Since then a list is incomplete, or was never completed, and none has arrived whole.
   Millis unfinished_at_ = kNever;
+  Millis unfinished_before_ = kNever;     // its value before the latest response or list began
   Millis lapsed_at_ = kNever;             // no call had ended in time, and no list has arrived since
   Millis discovery_changed_at_ = kNever;  // and no list has arrived since
 };
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -89,6 +89,11 @@
   // that it took, which the caller removes.
   std::string take_decoded();
   Place take_consumed();
+  // Whether the buffer ends within a chunk or its size, so that more of the body must follow.
+  bool within_chunk(std::string_view buffer) const {
+    if (state_ != State::kBody || !chunked_) return false;
+    return chunk_ == Chunk::kData || (chunk_ == Chunk::kSize && at_ < buffer.size());
+  }
 
  private:
   State bad(int refusal, const char* cause);
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -34,12 +34,10 @@
   ++calls_;
   call_began_at_ = last_byte_at_ = loop_.now();
   listener_.call_begun();
-  parser_.reset();
-  pending_.clear();
-  received_bytes_ = buffered_bytes_ = 0;
+  response_.reset();
   from_version_ = version_;
   incomplete_since_ = 0;
-  head_received_ = reported_current_ = list_read_ = first_late_ = delayed_ = false;
+  head_received_ = told_nothing_ = reported_current_ = list_read_ = first_late_ = delayed_ = false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.later([this] {
@@ -51,18 +49,23 @@
 }
 
 void Discovery::watch_from_start() {
+  leave();
   version_ = 0;
-  if (stream_) disconnect();
   watch();
 }
 
 void Discovery::change_address(const Poco::Net::SocketAddress& address) {
   if (address == address_) return;
+  leave();
   address_ = address;
-  if (stream_) disconnect();
   watch();
 }
 
+// Closes the connection without calling `ended`.
+void Discovery::leave() {
+  if (stream_) disconnect();
+}
+
 void Discovery::set_deadline(Millis wait, Ending ending) {
   loop_.cancel(deadline_);
   deadline_ = loop_.after(wait, [this, ending] {
@@ -81,45 +84,42 @@
 
 void Discovery::on_input(Stream& stream) {
   last_byte_at_ = loop_.now();
-  received_bytes_ += stream.input().size() - buffered_bytes_;
-  buffered_bytes_ = stream.input().size();
-  const Parser::State state = parser_.advance(stream.input());
+  const Parser::State state = response_.receive(stream.input());
   if (state == Parser::State::kBad) {
-    spdlog::warn("discovery: malformed response: {}", parser_.cause());
+    spdlog::warn("discovery: malformed response: {}", response_.cause());
     return end(Ending::kMalformed);
   }
-  if (!parser_.has_head()) return;
-  if (parser_.head().status != 200) {
-    return end(parser_.head().status == 503 ? Ending::kRejected : Ending::kErred);
+  if (!response_.has_head()) return listener_.incomplete();
+  if (response_.status() != 200) {
+    told_nothing_ = true;
+    return end(response_.status() == 503 ? Ending::kRejected : Ending::kErred);
   }
   last_received_ = loop_.now();
-  // In chunks, or with a stated length where the response is no watch.
-  const std::string part = parser_.take_decoded() + parser_.take_body(stream.input());
-  buffered_bytes_ = stream.input().size();
   // The head is a sign of life; after that only data counts.
-  if (state == Parser::State::kBody && (!std::exchange(head_received_, true) || !part.empty()))
-    set_deadline(timeouts_.silence, Ending::kSilent);
-  pending_.put(part);
-  if (state == Parser::State::kDone) pending_.put("\n");  // the end of the response ends its last list too
+  const bool sign = !std::exchange(head_received_, true) || response_.data_received();
+  if (state == Parser::State::kBody && sign) set_deadline(timeouts_.silence, Ending::kSilent);
   read_lists();
   if (!stream_) return;  // a list that could not be parsed ended the watch
   if (delayed_) return on_end(stream, Ending::kSilent);
-  if (!part.empty()) report_progress();
-  if (pending_.held() > kMaxBytes) return end(Ending::kMalformed);
+  report_progress();
+  if (response_.too_long()) return end(Ending::kMalformed);
   if (too_slow()) return end(Ending::kSilent);
-  if (state == Parser::State::kDone) on_end(stream, Ending::kPeerClosed);
+  if (state != Parser::State::kDone) return;
+  told_nothing_ = !response_.incomplete();
+  on_end(stream, Ending::kPeerClosed);
 }
 
 // A list that arrives too slowly must not count as received while it binds already. An incomplete list has as
 // long as a silent watch, plus the time that its bytes take at the minimum rate.
 bool Discovery::too_slow() {
-  if (pending_.held() == 0) {
+  if (response_.incomplete_list_bytes() == 0) {
     incomplete_since_ = 0;
     return false;
   }
   const Millis now = loop_.now();
   if (incomplete_since_ == 0) incomplete_since_ = now;
-  return now - incomplete_since_ >= timeouts_.silence + static_cast<Millis>(pending_.held()) / kMinRate;
+  return now - incomplete_since_ >=
+         timeouts_.silence + static_cast<Millis>(response_.incomplete_list_bytes()) / kMinRate;
 }
 
 // From its first byte to its last.
@@ -129,7 +129,7 @@
 
 void Discovery::read_lists() {
   while (!reader_) {
-    std::optional<std::string> text = pending_.next();
+    std::optional<std::string> text = response_.next();
     if (!text) return;
     if (arrived_late()) (list_read_ ? delayed_ : first_late_) = true;
     list_read_ = true;
@@ -171,9 +171,10 @@
   if (stream_) report_progress();
 }
 
-// All input has been processed: unless some of it is incomplete, the list is up to date.
+// Unless some of the input is incomplete, the list is up to date. Framing alone is no sign of life.
 void Discovery::report_progress() {
-  if (pending_.held() > 0 || reader_) return listener_.incomplete();
+  if (response_.incomplete() || reader_) return listener_.incomplete();
+  if (!response_.data_received()) return;
   has_list_ = true;
   const bool first = !std::exchange(reported_current_, true);
   listener_.current(first, first && first_late_);
@@ -227,10 +228,11 @@
   const Millis now = loop_.now();
   last_end_ = {.duration = now - call_began_at_,
                .silence = now - last_byte_at_,
-               .incomplete_bytes = pending_.held() + (reader_ ? 1 : 0),
-               .received_bytes = received_bytes_,
+               .incomplete_bytes = response_.incomplete_list_bytes() + (reader_ ? 1 : 0),
+               .received_bytes = response_.received_bytes(),
                .from_version = from_version_,
-               .answered = reported_current_};
+               .answered = reported_current_,
+               .told_nothing = told_nothing_};
   disconnect();
   listener_.ended(ending);
 }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -9,7 +9,7 @@
 
 #include "node/config.h"
 #include "node/list_reader.h"
-#include "node/list_stream.h"
+#include "node/list_response.h"
 #include "node/net.h"
 
 namespace shorelead::node {
@@ -23,7 +23,7 @@
     // so that the list was complete at some time after the call began.
     // `late`: its arrival took longer than a change may take.
     std::function<void(bool first, bool late)> current = [](bool, bool) {};
-    std::function<void()> incomplete = [] {};  // a list has arrived in part
+    std::function<void()> incomplete = [] {};  // a response or a list has arrived in part
     std::function<void()> call_begun = [] {};  // a call begins
   };
 
@@ -68,6 +68,7 @@
     std::size_t received_bytes = 0;    // bytes of the response, with its head and framing
     std::uint64_t from_version = 0;    // the version after which changes were requested
     bool answered = false;             // a list or keep-alive was received whole
+    bool told_nothing = false;         // what arrived after the last whole list holds none
   };
   const CallEnd& last_end() const { return last_end_; }
 
@@ -84,6 +85,7 @@
   void report_progress();
   bool arrived_late() const;
   void set_deadline(Millis wait, Ending ending);
+  void leave();
   void disconnect();
   void end(Ending ending);
 
@@ -93,8 +95,7 @@
   const Timeouts timeouts_;
   std::uint64_t version_;
   std::shared_ptr<Stream> stream_;
-  Parser parser_{Parser::Kind::kResponse, kMaxBytes};
-  ListStream pending_;                  // received and not yet parsed
+  ListResponse response_;
   std::unique_ptr<ListReader> reader_;  // a long list, parsed in slices; later lists wait for it
   Loop::TimerId slice_timer_ = 0;
   Loop::TimerId deadline_ = 0;
@@ -107,13 +108,11 @@
   bool has_list_ = false;
   std::uint64_t calls_ = 0;
   Millis call_began_at_ = 0;
+  bool told_nothing_ = false;       // see CallEnd
   bool reported_current_ = false;   // `current` was called for this call
-  std::size_t received_bytes_ = 0;  // bytes of this call's response
-  std::size_t buffered_bytes_ = 0;  // of these still in the stream's input
   std::uint64_t from_version_ = 0;  // the version after which this call requests changes
   Millis last_byte_at_ = 0;         // when the last byte arrived, or the call began
   CallEnd last_end_;
-  static constexpr std::size_t kMaxBytes = 8U << 20;
 };
 
 }  // namespace shorelead::node
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -10,9 +10,15 @@
 using CallEnd = membership::ListLease::CallEnd;
 
 CallEnd call_end(Ending ending, bool answered) {
-  if (answered) return CallEnd::kWatchEnded;
-  const bool attempted = ending != Ending::kLocalFailure && ending != Ending::kNoDescriptor;
-  return attempted ? CallEnd::kFailed : CallEnd::kNotAttempted;
+  switch (ending) {
+    case Ending::kLocalFailure:
+    case Ending::kNoDescriptor:
+      return CallEnd::kNotAttempted;
+    case Ending::kMalformed:
+      return CallEnd::kInterrupted;
+    default:
+      return answered ? CallEnd::kWatchEnded : CallEnd::kFailed;
+  }
 }
 
 }  // namespace
@@ -44,6 +50,7 @@
 }
 
 void DiscoveryLease::ended(Ending ending, const Discovery::CallEnd& end) {
+  if (end.told_nothing) lease_.nothing_told();
   lease_.call_ended(call_end(ending, end.answered), loop_.now());
   report_change();
 }
