A call to discovery that this process leaves binds: its answer may be written to nobody

A call that got no answer within 3 s, a watch that fell silent and a watch left for another discovery ended as if nothing had been written on them: the older list went on until its own age ended. Now what has arrived is read before a deadline ends the call, unread bytes at a change of address count as a list that has begun, and a call or watch that the process gives up ends the older list's validity.

--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -49,7 +49,9 @@
     kNotAttempted,  // no connection was attempted
     kFailed,        // the call brought nothing whole
     kWatchEnded,    // the call was answered, and its watch has ended
-    kInterrupted,   // what discovery sent could not be read
+    // Discovery may have sent what was not received or could not be read: the connection was left although it
+    // was open, or what came was malformed.
+    kInterrupted,
   };
 
   void adopt(const Terms& terms) { terms_ = terms; }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -61,6 +61,8 @@
   bool read_now();
   // Whether neither input nor an end has arrived on a connection that is expected to be idle.
   bool quiet() const;
+  // Whether input has arrived that was not read yet.
+  bool has_unread_input() const { return open() && peek() == Peek::kData; }
   // Whether the peer has closed. Behind unread input this is known only if the state of the TCP connection
   // shows it.
   bool ended() const;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -61,19 +61,28 @@
   watch();
 }
 
-// Closes the connection without calling `ended`.
+// Closes the connection without calling `ended`. What has arrived on it and was not read binds.
 void Discovery::leave() {
-  if (stream_) disconnect();
+  if (!stream_) return;
+  if (stream_->has_unread_input()) listener_.incomplete();
+  disconnect();
 }
 
 void Discovery::set_deadline(Millis wait, Ending ending) {
   loop_.cancel(deadline_);
   deadline_ = loop_.after(wait, [this, ending] {
     deadline_ = 0;
-    end(ending);
+    give_up(ending);
   });
 }
 
+// Part of a response may have arrived in the same turn of the loop.
+void Discovery::give_up(Ending ending) {
+  const std::shared_ptr<Stream> stream = stream_;
+  while (stream && stream == stream_ && stream->read_now()) continue;
+  if (deadline_ == 0) end(ending);
+}
+
 void Discovery::on_connected(Stream& stream) {
   const std::string request = "GET /api/targets?watch=1&from=" + std::to_string(version_) +
                               " HTTP/1.1\r\nHost: " + address_.toString() + "\r\n\r\n";
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -85,6 +85,7 @@
   void report_progress();
   bool arrived_late() const;
   void set_deadline(Millis wait, Ending ending);
+  void give_up(Ending ending);
   void leave();
   void disconnect();
   void end(Ending ending);
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -15,6 +15,8 @@
     case Ending::kNoDescriptor:
       return CallEnd::kNotAttempted;
     case Ending::kMalformed:
+    case Ending::kSilent:
+    case Ending::kTimeout:
       return CallEnd::kInterrupted;
     default:
       return answered ? CallEnd::kWatchEnded : CallEnd::kFailed;
--- a/tests/crossings/begun_response_test.cpp
+++ b/tests/crossings/begun_response_test.cpp
@@ -124,5 +124,12 @@
   }
 }
 
+// Discovery may still answer a call that the node has left, and that answer is written to nobody.
+TEST(BegunResponse, NothingIsSentByTheOldListOnceACallWasGivenUp) {
+  NodeWithAList node;
+  EXPECT_EQ(node.next_call().rest(), "") << "closed by the node";
+  node.expect_nothing_sent_after_the_grace();
+}
+
 }  // namespace
 }  // namespace shorelead::node
