The soak cuts lists off before their first byte, and sends some that cannot be read

Now it also ends, resets, falls silent or goes on 2.5 s later behind part of the head, the head, or a digit of a chunk's size (begun_*), sends unreadable lists, and a trickled list tells with its first byte, as PROTOCOL has it (told when written, whether or not it arrives).

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -11,7 +11,8 @@
 its port can be reached, and waits 60 to 400 ms. Clients go on using open connections until SIGKILL, which comes at the operators' earliest: the
 longest deadline, 3 s at most, and 0.7 s more after SIGTERM. Backends that drain fail their health checks, and go on
 serving what they are sent. Others are left out of the list at once without draining (removed backends that serve on):
-they pass their checks, and are back after 1 to 14 s. In some spells of 1 to 14 s no list arrives whole.
+they pass their checks, and are back after 1 to 14 s. In some spells of 1 to 14 s no list arrives whole:
+half of it comes, or part of the response's head and framing alone. In others each list has an entry that cannot be read.
 """
 
 import argparse
@@ -82,7 +83,7 @@
         return ['do = "pause"', f"nodes = {self.some(self.nodes, self.nodes // 3)}", f"for = {self.length(50, 150)}", "unnoticed = true"]
 
     def discovery(self, at):
-        fault = self.random.choice(["down", "down", "unavailable", "slow", "trickle", "cut", "ends", "silent", "reset", "restart"])
+        fault = self.random.choice(["down", "down", "unavailable", "slow", "trickle", "cut", "ends", "silent", "reset", "restart", "unreadable"])
         lines = ['do = "discovery"', f'fault = "{fault}"']
         if fault in ("silent", "reset", "restart"):
             return lines
@@ -105,8 +106,9 @@
         return ['do = "unlist"', f"boxes = {self.some(self.boxes, self.boxes // 3)}", f"back = {self.length(1000, 14000)}"]
 
     def partial_lists(self, at):
-        """No list arrives whole, and a third of the boxes may leave it meanwhile and serve on: two events as one trouble."""
-        fault = self.random.choice(["partial_end", "partial_reset", "partial_silent", "partial_late"])
+        """No list arrives whole, or not even its first byte behind the head, and a third of the boxes may leave it meanwhile and serve on: two events as one trouble."""
+        begun = self.random.choice(["partial", "begun"])
+        fault = begun + self.random.choice(["_end", "_reset", "_silent", "_late"])
         span = self.random.randint(1000, 14000)
         lines = ['do = "discovery"', f'fault = "{fault}"', f'for = "{span} ms"']
         leaving = at + self.random.randint(0, span // 2)
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -180,10 +180,10 @@
   int batch = 1;
   double factor = 1;
   bool same_address = false;  // the successor takes the address of the one that went
-  std::string
-      fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
-              // discovery: down, restart, empty, crowded, unavailable, slow, trickle, cut, ends, partial_*,
-              // silent, reset cut: hole, latency, bytes; store: down, restart, slow, deaf, full, cuts
+  std::string fault;  // link: black_hole, latency, reset, truncate, drip, noise, second, interim, endless
+                      // discovery: down, restart, empty, crowded, unavailable, slow, trickle, cut, ends,
+                      // partial_*, begun_*, unreadable, silent, reset; cut: hole, latency, bytes; store:
+                      // down, restart, slow, deaf, full, cuts
   double share = 1;  // of the answers hurt
   Millis latency = 0;
   int after_bytes = 0;     // reset and truncate: so many bytes of the answer pass
--- a/src/lab/registry.cpp
+++ b/src/lab/registry.cpp
@@ -11,13 +11,6 @@
 
 constexpr Millis kListenAgain = 20;
 
-PartialList partial_list(const std::string& fault) {
-  if (fault == "partial_end") return PartialList::kEnds;
-  if (fault == "partial_reset") return PartialList::kResets;
-  if (fault == "partial_silent") return PartialList::kFallsSilent;
-  return fault == "partial_late" ? PartialList::kRestComesLate : PartialList::kNone;
-}
-
 void append(std::string& hosts, const std::string& entry) {
   if (!hosts.empty()) hosts += ',';
   hosts += entry;
@@ -217,8 +210,8 @@
   if (fault == "trickle") trouble_.trickles = on;
   if (fault == "cut") trouble_.cuts = on;
   if (fault == "ends") trouble_.ends = on;
-  if (const PartialList partial = partial_list(fault); partial != PartialList::kNone)
-    trouble_.partial = on ? partial : PartialList::kNone;
+  if (fault == "unreadable") trouble_.unreadable = on;
+  if (const auto damage = list_damage(fault)) trouble_.damage = on ? *damage : ListDamage();
   if (fault == "unavailable") {
     trouble_.unavailable = on;
     trouble_.latency = on ? latency : 0;
--- a/src/lab/registry_session.cpp
+++ b/src/lab/registry_session.cpp
@@ -20,12 +20,6 @@
 constexpr Millis kTrickle = 40;       // from one byte to the next
 constexpr Millis kRestAfter = 2500;   // of a list whose rest comes late
 
-std::string chunk(const std::string& text) {
-  std::array<char, 32> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-  return size.data() + text + "\r\n";
-}
-
 std::chrono::microseconds span(Millis time) {
   return std::chrono::microseconds(static_cast<long long>(time * 1000));
 }
@@ -82,7 +76,7 @@
 }
 
 void RegistrySession::answer_whole() {
-  ListLine line = owner_.whole(node_);
+  ListLine line = readable(owner_.whole(node_));
   line.text = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + std::to_string(line.text.size()) +
               "\r\n\r\n" + line.text;
   queue_.push_back(std::move(line));
@@ -96,7 +90,7 @@
     std::from_chars(target_.data() + at + 5, target_.data() + target_.size(), from);
   }
   watching_ = true;
-  ListLine line = owner_.since(node_, from);
+  ListLine line = readable(owner_.since(node_, from));
   line.text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
               chunk(line.text + "\n");
   queue_.push_back(std::move(line));
@@ -116,25 +110,32 @@
   const ListTrouble& trouble = owner_.trouble();
   if (!line.says.empty() && trouble.cuts && queue_.empty()) return cut(line);
   if (!line.says.empty() && trouble.ends) return close();
-  queue_.push_back(std::move(line));
+  queue_.push_back(readable(std::move(line)));
   if (queue_.size() == 1) write();
 }
 
+// As it stands while no trouble makes lists unreadable.
+ListLine RegistrySession::readable(ListLine line) const {
+  if (owner_.trouble().unreadable && !line.says.empty()) line.text = with_unreadable_entry(line.text);
+  return line;
+}
+
 // Half of it goes out, and counts as written.
 void RegistrySession::cut(const ListLine& line) {
   const std::string text = chunk(line.text + "\n");
   error_code ignored;
   socket_.non_blocking(true, ignored);
   socket_.write_some(asio::buffer(text.data(), text.size() / 2), ignored);
-  note(line);
+  note(line, true);
   close();
 }
 
 void RegistrySession::write() {
   auto text = std::make_shared<std::string>(
       std::exchange(first_, false) || last_ ? queue_.front().text : chunk(queue_.front().text + "\n"));
-  if (owner_.trouble().trickles && !queue_.front().says.empty()) return trickle(text, 0);
-  if (owner_.trouble().partial != PartialList::kNone && !queue_.front().says.empty()) return write_half(text);
+  const bool damaged = owner_.trouble().damage.then != PartialList::kNone;
+  if (!queue_.front().says.empty() && owner_.trouble().trickles) return trickle(text, 0);
+  if (!queue_.front().says.empty() && damaged) return write_part(text);
   asio::async_write(socket_, asio::buffer(*text),
                     [self = shared_from_this(), text](const error_code& error, std::size_t) {
                       if (error) return self->close();
@@ -142,26 +143,21 @@
                     });
 }
 
-// The head, if there is one, and half of the list.
-void RegistrySession::write_half(std::shared_ptr<std::string> text) {
-  const std::size_t head_end = text->rfind("HTTP/", 0) == 0 ? text->find("\r\n\r\n") + 4 : 0;
-  const std::size_t half = head_end + (text->size() - head_end) / 2;
-  auto rest = std::make_shared<std::string>(text->substr(half));
-  text->resize(half);
+void RegistrySession::write_part(std::shared_ptr<std::string> text) {
+  const std::size_t size = first_part(*text, owner_.trouble().damage.at, call_ + parts_++);
+  auto rest = std::make_shared<std::string>(text->substr(size));
+  text->resize(size);
   asio::async_write(socket_, asio::buffer(*text),
                     [self = shared_from_this(), text, rest](const error_code& error, std::size_t) {
                       if (error) return self->close();
-                      self->end_half(rest);
+                      self->end_part(rest);
                     });
 }
 
-// Withdrawals count as written; that a box is ready does not before the rest has come.
-void RegistrySession::end_half(std::shared_ptr<std::string> rest) {
+void RegistrySession::end_part(std::shared_ptr<std::string> rest) {
   if (closed_) return;
-  for (const auto& [box, state] : queue_.front().says) {
-    if (state != BoxState::kReady) owner_.wrote(node_, box, state);
-  }
-  switch (owner_.trouble().partial) {
+  note(queue_.front(), false);
+  switch (owner_.trouble().damage.then) {
     case PartialList::kFallsSilent:
       return fall_silent();
     case PartialList::kResets:
@@ -190,6 +186,7 @@
   error_code error;
   socket_.write_some(asio::buffer(text->data() + at, 1), error);
   if (error) return close();
+  if (at == 0) note(queue_.front(), false);
   auto timer = std::make_shared<asio::steady_timer>(owner_.context());
   timer->expires_after(span(kTrickle));
   timer->async_wait([self = shared_from_this(), timer, text, at](const error_code& failed) {
@@ -197,13 +194,16 @@
   });
 }
 
-void RegistrySession::note(const ListLine& line) {
-  for (const auto& [box, state] : line.says) owner_.wrote(node_, box, state);
+// Withdrawals count as written with the first byte; that a box is ready does not before the rest has come.
+void RegistrySession::note(const ListLine& line, bool whole) {
+  for (const auto& [box, state] : line.says) {
+    if (whole || state != BoxState::kReady) owner_.wrote(node_, box, state);
+  }
 }
 
 void RegistrySession::written() {
   if (closed_) return;
-  note(queue_.front());
+  note(queue_.front(), true);
   if (watching_ && call().answered == 0) call().answered = clock_now();
   queue_.pop_front();
   if (!queue_.empty()) return write();
--- a/src/lab/registry_session.h
+++ b/src/lab/registry_session.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "lab/list_damage.h"
 #include "lab/records.h"
 
 namespace shorelead::lab {
@@ -25,9 +26,6 @@
   std::vector<std::pair<int, BoxState>> says;
 };
 
-// How a list goes on after its first half.
-enum class PartialList { kNone, kEnds, kResets, kFallsSilent, kRestComesLate };
-
 // What befalls those who call discovery; all but the first two may hold together.
 struct ListTrouble {
   bool refuses = false;      // each call is answered 503 at once: too many callers
@@ -36,7 +34,8 @@
   bool trickles = false;     // answers come a byte at a time
   bool cuts = false;         // a change is written in half, and the watch ends
   bool ends = false;         // a watch ends in place of a change
-  PartialList partial = PartialList::kNone;  // no list comes whole, neither first ones nor changes
+  bool unreadable = false;   // each list has an entry that cannot be read
+  ListDamage damage;         // no list comes whole, neither first ones nor changes
 };
 
 class RegistrySession : public std::enable_shared_from_this<RegistrySession> {
@@ -62,10 +61,11 @@
   void write();
   void written();
   void trickle(std::shared_ptr<std::string> text, std::size_t at);
-  void note(const ListLine& line);
+  void note(const ListLine& line, bool whole);
   void cut(const ListLine& line);
-  void write_half(std::shared_ptr<std::string> text);
-  void end_half(std::shared_ptr<std::string> rest);
+  ListLine readable(ListLine line) const;
+  void write_part(std::shared_ptr<std::string> text);
+  void end_part(std::shared_ptr<std::string> rest);
   void sign();
   void after(Millis wait, void (RegistrySession::*step)());
   ListCall& call();
@@ -79,10 +79,11 @@
   boost::beast::http::request_parser<boost::beast::http::string_body> parser_;
   std::deque<ListLine> queue_;
   std::string target_;
-  std::size_t call_ = 0;  // its number in the record
+  std::size_t call_ = 0;   // its number in the record
+  std::size_t parts_ = 0;  // lists that were cut off
   bool asked_ = false;
   bool watching_ = false;
-  bool first_ = false;
+  bool first_ = false;  // the head goes out with the next line
   bool last_ = false;
   bool silent_ = false;
   bool closed_ = false;
