--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -184,7 +184,7 @@
                       // discovery: down, restart, empty, crowded, unavailable, slow, trickle, cut, ends,
                       // partial_*, begun_*, unreadable, silent, reset; cut: hole, latency, bytes; store:
                       // down, restart, slow, deaf, full, cuts
-  double share = 1;  // of the answers hurt
+  double share = 1;   // of the answers hurt
   Millis latency = 0;
   int after_bytes = 0;     // reset and truncate: so many bytes of the answer pass
   bool stay_away = false;  // node_kill, node_term, kill_planner: it is not started again
