Lists and keep-alives are late from the first byte of their response or chunk

Cause: a first list whose head came 2.5 s before the rest counted as having come at once, as its time ran from the first byte of the list's own text; a list that is as old as that proves nothing where lists are pushed. The log of node 37 shows it: called at 44.758, list 22 came 2.51 s later and was held valid for 3.59 s. The same for a change and for a keep-alive behind the first digit of their chunk's size. Now ArrivalTime counts from the first byte of whatever is incomplete.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t kSliceThreshold = 65536;  // bytes: some 500 entries, parsed in under a millisecond
 constexpr int kSliceEntries = 500;              // parsed in about 0.4 ms
-constexpr Millis kMinRate = 32;                 // bytes per ms at which a list must arrive
 
 }  // namespace
 
@@ -36,7 +35,7 @@
   listener_.call_begun();
   response_.reset();
   from_version_ = version_;
-  incomplete_since_ = 0;
+  arrival_.reset();
   head_received_ = told_nothing_ = reported_current_ = list_read_ = first_late_ = delayed_ = false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
@@ -98,7 +97,7 @@
     spdlog::warn("discovery: malformed response: {}", response_.cause());
     return end(Ending::kMalformed);
   }
-  if (!response_.has_head()) return listener_.incomplete();
+  if (!response_.has_head()) return report_progress();
   if (response_.status() != 200) {
     told_nothing_ = true;
     return end(response_.status() == 503 ? Ending::kRejected : Ending::kErred);
@@ -109,40 +108,28 @@
   if (state == Parser::State::kBody && sign) set_deadline(timeouts_.silence, Ending::kSilent);
   read_lists();
   if (!stream_) return;  // a list that could not be parsed ended the watch
+  if (!response_.incomplete()) note_lateness(!list_read_ && !reported_current_);  // of a keep-alive
   if (delayed_) return on_end(stream, Ending::kSilent);
   report_progress();
   if (response_.too_long()) return end(Ending::kMalformed);
-  if (too_slow()) return end(Ending::kSilent);
+  if (arrival_.too_slow(timeouts_.silence, response_.incomplete_list_bytes(), loop_.now()))
+    return end(Ending::kSilent);
   if (state != Parser::State::kDone) return;
   told_nothing_ = !response_.incomplete();
   on_end(stream, Ending::kPeerClosed);
 }
 
-// A list that arrives too slowly must not count as received while it binds already. An incomplete list has as
-// long as a silent watch, plus the time that its bytes take at the minimum rate.
-bool Discovery::too_slow() {
-  if (response_.incomplete_list_bytes() == 0) {
-    incomplete_since_ = 0;
-    return false;
-  }
-  const Millis now = loop_.now();
-  if (incomplete_since_ == 0) incomplete_since_ = now;
-  return now - incomplete_since_ >=
-         timeouts_.silence + static_cast<Millis>(response_.incomplete_list_bytes()) / kMinRate;
-}
-
-// From its first byte to its last.
-bool Discovery::arrived_late() const {
-  return incomplete_since_ > 0 && loop_.now() - incomplete_since_ > timeouts_.change;
+// What has just become whole took longer to arrive than a change may.
+void Discovery::note_lateness(bool first) {
+  if (arrival_.longer_than(timeouts_.change, loop_.now())) (first ? first_late_ : delayed_) = true;
 }
 
 void Discovery::read_lists() {
   while (!reader_) {
     std::optional<std::string> text = response_.next();
     if (!text) return;
-    if (arrived_late()) (list_read_ ? delayed_ : first_late_) = true;
-    list_read_ = true;
-    incomplete_since_ = 0;  // what remains belongs to the next list
+    note_lateness(!std::exchange(list_read_, true));
+    arrival_.reset();  // what remains belongs to the next list
     read_text(std::move(*text));
     if (!stream_) return;
   }
@@ -182,6 +169,7 @@
 
 // Unless some of the input is incomplete, the list is up to date. Framing alone is no sign of life.
 void Discovery::report_progress() {
+  arrival_.update(response_.incomplete(), loop_.now());
   if (response_.incomplete() || reader_) return listener_.incomplete();
   if (!response_.data_received()) return;
   has_list_ = true;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 
+#include "node/arrival_time.h"
 #include "node/config.h"
 #include "node/list_reader.h"
 #include "node/list_response.h"
@@ -76,14 +77,13 @@
   void on_connected(Stream&) override;
   void on_input(Stream& stream) override;
   void on_end(Stream& stream, Ending ending) override;
-  bool too_slow();
+  void note_lateness(bool first);
   void read_lists();
   void read_text(std::string text);
   void read_slice();
   void apply(const List& list);
   void reject(const FieldError& error);
   void report_progress();
-  bool arrived_late() const;
   void set_deadline(Millis wait, Ending ending);
   void give_up(Ending ending);
   void leave();
@@ -101,11 +101,11 @@
   Loop::TimerId slice_timer_ = 0;
   Loop::TimerId deadline_ = 0;
   Millis last_received_ = 0;
-  bool head_received_ = false;   // the response's head was received
-  Millis incomplete_since_ = 0;  // when the first part of the incomplete list arrived; 0 = there is none
-  bool list_read_ = false;       // the first list of this call was read
-  bool first_late_ = false;      // it arrived late
-  bool delayed_ = false;         // a later one of this call did
+  bool head_received_ = false;  // the response's head was received
+  ArrivalTime arrival_;
+  bool list_read_ = false;   // the first list of this call was read
+  bool first_late_ = false;  // it arrived late
+  bool delayed_ = false;     // a later one of this call did
   bool has_list_ = false;
   std::uint64_t calls_ = 0;
   Millis call_began_at_ = 0;
