Refused connections are evidence of an outage: the list does not age while nobody listens

Cause: the lease counts its 6 s from the last proof that the list is current, also where discovery provably cannot be reached, and no change binds before it can. Now each end of a watch is followed by a bare connect to discovery's address (ReachabilityCheck); while connections are refused, without a gap from the watch's end on (100 ms, then 1 s), the list does not age; a pushed one is valid up to the latest proof, checked every 50 ms. A 503, a reset, a time-out and a failure of this machine prove nothing, an incomplete list stays unusable, and a list given at a start too. BegunResponse passes over the check's connection, which sends nothing; its checks are as before.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -12,6 +12,7 @@
 
 void ListLease::call_answered(bool late) {
   watching_ = true;
+  last_proof_at_ = -kNever;
   current_until_ = std::max(current_until_, last_call_at_);
   no_call_ended_since_ = discovery_changed_at_ = lapsed_at_ = kNever;
   unfinished_at_ = late && terms_.pushed ? std::min(unfinished_at_, last_call_at_) : kNever;
@@ -41,7 +42,23 @@
   if (how == CallEnd::kWatchEnded) no_call_ended_since_ = watch_ended_at_ = now;
 }
 
+bool ListLease::follows_proof(Millis now) const {
+  return last_proof_at_ > -kNever && now - last_proof_at_ <= kMaxTimeBetweenProofs;
+}
+
+void ListLease::unreachable(Millis now) {
+  if (watching_) return;
+  const bool follows = follows_proof(now);
+  if (!follows && now - watch_ended_at_ > kMaxTimeToProof) return;
+  const Millis out_of_reach = follows ? now - last_proof_at_ : 0;
+  last_proof_at_ = now;
+  current_until_ += out_of_reach;
+  watch_ended_at_ += out_of_reach;
+  if (no_call_ended_since_ < kNever) no_call_ended_since_ += out_of_reach;
+}
+
 void ListLease::discovery_changed(Millis now) {
+  last_proof_at_ = -kNever;
   if (watching_) no_call_ended_since_ = watch_ended_at_ = now;
   watching_ = false;
   discovery_changed_at_ = now;
@@ -69,7 +86,7 @@
   consider(discovery_changed_at_ + kDiscoveryChangeDelay, Limit::kDiscoveryChanged);
   if (watching_) return earliest;
   if (terms_.pushed) {
-    consider(watch_ended_at_, Limit::kWatchEnded);
+    consider(std::max(watch_ended_at_, last_proof_at_), Limit::kWatchEnded);
     return earliest;
   }
   const Millis since = no_call_ended_since_ < kNever ? no_call_ended_since_ : current_until_;
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -25,6 +25,11 @@
   // After a new configuration names another discovery, that one's earlier changes bind after this time at the
   // latest.
   static constexpr Millis kDiscoveryChangeDelay = 4000;
+  // Between the end of the watch and the first proof that discovery cannot be reached.
+  static constexpr Millis kMaxTimeToProof = 100;
+  // Between two such proofs, for discovery to count as out of reach throughout: it does not come back and go
+  // away again in less time.
+  static constexpr Millis kMaxTimeBetweenProofs = 1000;
   // The longest pause of the process between its last reading of the clock and its write.
   static constexpr Millis kMaxPause = 150;
 
@@ -68,6 +73,10 @@
   // What had arrived in part turned out to hold no list.
   void nothing_told() { unfinished_at_ = unfinished_before_; }
   void call_ended(CallEnd how, Millis now);
+  // A connection to discovery was refused: nobody listens there, so that no change binds before it returns.
+  // From the end of a watch on, and while such proofs follow each other closely, the list does not age. Where
+  // lists are pushed changes bind as soon as discovery is back, so that it is valid up to the latest proof.
+  void unreachable(Millis now);
   // Discovery is at another address from now on, and no call to it is open.
   void discovery_changed(Millis now);
 
@@ -77,6 +86,7 @@
  private:
   static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
+  bool follows_proof(Millis now) const;
   Millis hold_without_call() const;
   Millis hold_time() const;
   struct Bound {
@@ -89,7 +99,8 @@
   bool watching_ = false;
   Millis current_until_ = -kNever;   // up to then the list is all that discovery had
   Millis last_call_at_ = -kNever;    // start of the last call
-  Millis watch_ended_at_ = -kNever;  // end of the last watch
+  Millis watch_ended_at_ = -kNever;  // end of the last watch, without the time out of reach since
+  Millis last_proof_at_ = -kNever;   // that discovery cannot be reached, in the present series
   // No call has ended since then; kNever: one has, or a watch is open.
   Millis no_call_ended_since_ = -kNever;
   // Since then a list is incomplete, or was never completed, and none has arrived whole.
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -46,7 +46,8 @@
   // After an interrupted connect() the connection is in progress, which the repeated call reports.
   const int result = uninterrupted([&] { return ::connect(fd, address.addr(), address.length()); });
   if (result != 0 && !connect_in_progress(errno)) {
-    if (connection_refused(errno)) failure_ = Ending::kRefused;
+    connect_error_ = errno;
+    if (connection_refused(connect_error_)) failure_ = Ending::kRefused;
     return false;
   }
   const int on = 1;
@@ -187,6 +188,7 @@
     socklen_t size = sizeof error;
     if (::getsockopt(fd(), SOL_SOCKET, SO_ERROR, &error, &size) != 0)
       return;  // tried again at the next wake-up
+    connect_error_ = error;
     if (error != 0) return fail(Ending::kRefused);
     sockaddr_storage peer{};
     socklen_t length = sizeof peer;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -41,6 +41,9 @@
   int descriptor() const { return open() ? fd() : -1; }
   bool connected() const { return connected_; }
   Ending failure() const { return failure_; }  // why connecting failed at once
+  int connect_error() const {
+    return connect_error_;
+  }  // errno of a connection that was not established, or 0
   // Tries again to connect after a failure of this machine; returns whether the stream is open.
   bool connect(const Poco::Net::SocketAddress& address);
 
@@ -91,6 +94,7 @@
   bool connected_ = false;
   bool broken_ = false;  // a write failed
   Ending failure_ = Ending::kNoDescriptor;
+  int connect_error_ = 0;
   std::string input_;
   std::string output_;
   static std::atomic<int> open_count_;  // of all threads
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -36,7 +36,8 @@
   }
   if (!config.discovery) return;
   lease_ = std::make_unique<DiscoveryLease>(
-      loop_, config.name, [this](const ListValidity& validity) { listener_.validity(validity); });
+      loop_, config.name, *config.discovery,
+      [this](const ListValidity& validity) { listener_.validity(validity); });
   discovery_ = std::make_unique<Discovery>(
       loop_, *config.discovery, config.known.version,
       Discovery::Listener{[this](const List& list) { list_changed(list); },
@@ -101,7 +102,7 @@
   loop_.cancel(rewatch_timer_);
   watch_backoff_.reset();
   update_lease_terms();
-  if (config.discovery != before) lease_->address_changed();
+  if (config.discovery != before) lease_->address_changed(*config.discovery);
   discovery_->change_address(*config.discovery);
   if (reconnecting || !config_.settings.list_on_request) discovery_->watch();
 }
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -25,14 +25,20 @@
 
 }  // namespace
 
-DiscoveryLease::DiscoveryLease(Loop& loop, std::string pool, Listener listener)
-    : loop_(loop), pool_(std::move(pool)), listener_(std::move(listener)) {}
+DiscoveryLease::DiscoveryLease(Loop& loop, std::string pool, const Poco::Net::SocketAddress& address,
+                               Listener listener)
+    : loop_(loop),
+      pool_(std::move(pool)),
+      listener_(std::move(listener)),
+      address_(address),
+      reachability_(loop, [this] { unreachable(); }) {}
 
 DiscoveryLease::~DiscoveryLease() { loop_.cancel(expiry_timer_); }
 
 void DiscoveryLease::adopt(const Settings& settings) {
-  lease_.adopt(
-      {.grace = settings.drain_grace, .pushed = !settings.list_on_request, .ask_every = settings.ask_every});
+  expires_ = settings.drain_grace.has_value();
+  pushed_ = !settings.list_on_request;
+  lease_.adopt({.grace = settings.drain_grace, .pushed = pushed_, .ask_every = settings.ask_every});
   report_change();
 }
 
@@ -42,6 +48,7 @@
 }
 
 void DiscoveryLease::current(bool first, bool late) {
+  reachability_.stop();
   first ? lease_.call_answered(late) : lease_.sign_of_life(loop_.now());
   report_change();
 }
@@ -53,11 +60,24 @@
 
 void DiscoveryLease::ended(Ending ending, const Discovery::CallEnd& end) {
   if (end.told_nothing) lease_.nothing_told();
-  lease_.call_ended(call_end(ending, end.answered), loop_.now());
+  const CallEnd how = call_end(ending, end.answered);
+  lease_.call_ended(how, loop_.now());
   report_change();
+  if (how != CallEnd::kWatchEnded || !expires_) return;
+  outage_logged_ = false;
+  reachability_.start(address_, pushed_ ? kCheckIntervalPushed : kCheckInterval);
 }
 
-void DiscoveryLease::address_changed() {
+void DiscoveryLease::unreachable() {
+  if (!std::exchange(outage_logged_, true))
+    spdlog::warn("pool {}: discovery refuses connections: the list does not age meanwhile", pool_);
+  lease_.unreachable(loop_.now());
+  report_change();
+}
+
+void DiscoveryLease::address_changed(const Poco::Net::SocketAddress& address) {
+  reachability_.stop();
+  address_ = address;
   lease_.discovery_changed(loop_.now());
   report_change();
 }
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -1,5 +1,6 @@
-// Keeps the lease on discovery's list: feeds it the events of calls to discovery and reports its validity
-// whenever that changes. It makes no calls and holds no list.
+// Keeps the lease on discovery's list: feeds it the events of calls to discovery, checks after the end of a
+// watch whether discovery can be reached at all, and reports the lease's validity whenever that changes. It
+// calls for no list and holds none.
 #pragma once
 
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include "membership/list_lease.h"
 #include "node/discovery.h"
 #include "node/net.h"
+#include "node/reachability_check.h"
 #include "settings/settings.h"
 
 namespace shorelead::node {
@@ -18,8 +20,8 @@
  public:
   using Listener = std::function<void(const ListValidity&)>;
 
-  // `pool`: the pool's name, for the log.
-  DiscoveryLease(Loop& loop, std::string pool, Listener listener);
+  // `pool`: the pool's name, for the log; `address`: discovery's.
+  DiscoveryLease(Loop& loop, std::string pool, const Poco::Net::SocketAddress& address, Listener listener);
   ~DiscoveryLease();
   DiscoveryLease(const DiscoveryLease&) = delete;
   DiscoveryLease& operator=(const DiscoveryLease&) = delete;
@@ -29,23 +31,33 @@
   void current(bool first, bool late);  // see Discovery::Listener::current
   void incomplete();                    // see Discovery::Listener::unfinished
   void ended(Ending ending, const Discovery::CallEnd& end);
-  void address_changed();
+  void address_changed(const Poco::Net::SocketAddress& address);
   void report();  // reports even if nothing has changed
 
   std::uint64_t expirations() const { return expirations_; }  // how often a valid list has expired
   Millis time_expired() const;  // for how long in all, without the time before the first valid list
 
  private:
+  void unreachable();
   void report_change();
   void log_limit();
   void log_expiry();
 
+  // Where lists are pushed the list is valid up to the latest check, so that they follow each other within
+  // the grace period; else the checks need only show that discovery did not return between them.
+  static constexpr Millis kCheckIntervalPushed = 50;
+  static constexpr Millis kCheckInterval = 500;
   static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
   Loop& loop_;
   const std::string pool_;
   const Listener listener_;
   membership::ListLease lease_;
+  Poco::Net::SocketAddress address_;
+  ReachabilityCheck reachability_;
+  bool expires_ = false;  // a grace is configured, so that the list is valid for a limited time
+  bool pushed_ = false;
+  bool outage_logged_ = false;
   ListValidity last_;
   membership::ListLease::Limit last_limit_ = membership::ListLease::Limit::kNone;
   Loop::TimerId expiry_timer_ = 0;
--- a/tests/crossings/begun_response_test.cpp
+++ b/tests/crossings/begun_response_test.cpp
@@ -45,8 +45,9 @@
   // Ends the watch and returns the node's next call.
   Line& next_call() {
     watch_->write("0\r\n\r\n");
-    watch_.emplace(discovery_.accept());
-    watch_->request();
+    // The node first checks by a connection without a request whether discovery can be reached.
+    do watch_.emplace(discovery_.accept());
+    while (watch_->request().empty());
     EXPECT_EQ(ask(), "HTTP/1.1 200") << "a call that nobody has answered binds nobody";
     return *watch_;
   }
--- a/tests/crossings/node_process.h
+++ b/tests/crossings/node_process.h
@@ -79,19 +79,18 @@
 // A bound address that refuses connections until it starts listening.
 class DownAddress {
  public:
-  DownAddress() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(::bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-    const timeval limit{kHangSeconds, 0};
-    ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  }
+  DownAddress() { bind(0); }
   ~DownAddress() { ::close(fd_); }
   DownAddress(const DownAddress&) = delete;
   DownAddress& operator=(const DownAddress&) = delete;
   unsigned short port() const { return port_of(fd_); }
   void start_listening() { EXPECT_EQ(::listen(fd_, 8), 0); }
+  // Connections that were accepted stay open.
+  void stop_listening() {
+    const unsigned short port_before = port();
+    ::close(fd_);
+    bind(port_before);
+  }
   Line accept() {
     const int fd = ::accept(fd_, nullptr, nullptr);
     EXPECT_GE(fd, 0) << "no connection arrives";
@@ -99,7 +98,21 @@
   }
 
  private:
-  int fd_;
+  // To any port if it is 0.
+  void bind(unsigned short port) {
+    fd_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::bind(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    const timeval limit{kHangSeconds, 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  }
+
+  int fd_ = -1;
 };
 
 }  // namespace shorelead::node
--- a/tests/membership/interrupted_lease_test.cpp
+++ b/tests/membership/interrupted_lease_test.cpp
@@ -63,5 +63,58 @@
   }
 }
 
+constexpr Millis kCheckInterval = 500;
+
+// A watch ends at kStart, and connections are refused from then on, up to `until`.
+ListLease out_of_reach(bool pushed, Millis until, Millis interval = kCheckInterval) {
+  ListLease lease = watching(pushed);
+  lease.call_ended(CallEnd::kWatchEnded, kStart);
+  for (Millis now = kStart + 1; now <= until; now += interval) lease.unreachable(now);
+  return lease;
+}
+
+TEST(ListLease, AListDoesNotAgeWhileDiscoveryRefusesConnections) {
+  constexpr Millis kOutage = 20 * kCheckInterval;
+  const Millis before = out_of_reach(false, kStart).validity().until;
+  ListLease lease = out_of_reach(false, kStart + 1 + kOutage);
+  EXPECT_EQ(lease.validity().until, before + kOutage);
+  lease.call_begun(kStart + kOutage + 10);
+  lease.call_ended(CallEnd::kFailed, kStart + kOutage + 20);
+  EXPECT_EQ(lease.validity().until, before + kOutage) << "it ages again from the latest proof on";
+}
+
+TEST(ListLease, APushedListIsValidUpToTheLatestProofThatDiscoveryIsOutOfReach) {
+  const Millis latest = kStart + 1 + 20 * kCheckInterval;
+  EXPECT_EQ(out_of_reach(true, latest).validity().until, latest + kAllowance);
+}
+
+TEST(ListLease, ProofsThatDoNotFollowTheWatchOrEachOtherCloselyProveNothing) {
+  for (const bool pushed : {false, true}) {
+    ListLease late = watching(pushed);
+    late.call_ended(CallEnd::kWatchEnded, kStart);
+    const ListValidity before = late.validity();
+    late.unreachable(kStart + ListLease::kMaxTimeToProof + 1);
+    EXPECT_EQ(late.validity(), before) << pushed;
+    const Millis interval = ListLease::kMaxTimeBetweenProofs + 1;
+    const Millis first = out_of_reach(pushed, kStart + 1).validity().until;
+    EXPECT_EQ(out_of_reach(pushed, kStart + 1 + 3 * interval, interval).validity().until, first) << pushed;
+  }
+}
+
+TEST(ListLease, AnOutageDoesNotMakeAnIncompleteOrGivenListValid) {
+  for (const bool pushed : {false, true}) {
+    ListLease lease = watching(pushed);
+    lease.list_incomplete(kStart - 10);
+    lease.call_ended(CallEnd::kWatchEnded, kStart);
+    for (Millis now = kStart + 1; now < kStart + 5000; now += kCheckInterval) lease.unreachable(now);
+    EXPECT_EQ(lease.validity().until, kStart - 10 + kAllowance) << pushed;
+  }
+  ListLease given = lease_on_request();
+  given.call_begun(kStart);
+  given.call_ended(CallEnd::kFailed, kStart + 1);
+  given.unreachable(kStart + 2);
+  EXPECT_LT(given.validity().until, 0);
+}
+
 }  // namespace
 }  // namespace shorelead::membership
