Tests of late lists and outages force their order by what was read, not by time

The rest of a late list is written once its first part has been read, and the loop stops on what is reported; a deadline that meets a list is 1 s, so that a busy machine does not miss it before the test begins; requests during an outage are paced, as refusals are quicker than answers and would count for more. The checks are the same.

--- a/tests/crossings/discovery_outage_test.cpp
+++ b/tests/crossings/discovery_outage_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr double kOutage = 8000;  // longer than a list may be used without a proof
 constexpr double kServed = 0.9;   // least share of requests served meanwhile
+constexpr auto kBetweenRequests = std::chrono::milliseconds(5);
 
 std::string settings(bool pushed) {
   return std::string(R"({"Instances":1,"Me":0,"RegistryMode":")") + (pushed ? "automatic" : "subscribe") +
@@ -61,10 +62,13 @@
   watch.reset();
   int asked = 0;
   int served = 0;
+  auto next = std::chrono::steady_clock::now();
   const double end = steady_ms() + kOutage;
   while (steady_ms() < end) {
     ++asked;
     served += ask(client) == "HTTP/1.1 200" ? 1 : 0;
+    std::this_thread::sleep_until(next +=
+                                  kBetweenRequests);  // refusals must not count for more time than they take
   }
   EXPECT_GE(served, kServed * asked) << asked << " requests";
 
--- a/tests/crossings/given_up_watch_test.cpp
+++ b/tests/crossings/given_up_watch_test.cpp
@@ -15,6 +15,7 @@
 
 const std::string kList = "{\"seq\":6,\"whole\":true,\"hosts\":[]}\n";
 constexpr Millis kLong = 20000;
+constexpr Millis kDeadline = 1000;
 constexpr Millis kSoon = 30;
 
 class GivenUp {
@@ -52,10 +53,10 @@
 };
 
 TEST(GivenUpWatch, AListThatArrivesInTheTurnOfTheDeadlineIsApplied) {
-  GivenUp call(kSoon);
+  GivenUp call(kDeadline);
   call.run([&call] {
     call.write_unread(first_line(kList));
-    const Millis deadline = call.loop.now() + 2 * kSoon;
+    const Millis deadline = call.loop.now() + kDeadline + kSoon;
     while (call.loop.now() < deadline) continue;
   });
   EXPECT_EQ(call.lists, 1);
--- a/tests/crossings/late_list_test.cpp
+++ b/tests/crossings/late_list_test.cpp
@@ -19,27 +19,36 @@
 const std::string kKeepAlive = "1\r\n\n\r\n";
 constexpr Millis kLong = 20000;
 constexpr Millis kLate = 80;
-constexpr Millis kSoon = 20;
 
 struct Watched {
-  // Writes the first part, and the rest only after it would be late.
+  // Writes the first part, and the rest once that has been read for so long that the whole is late.
   void play(const std::string& first, const std::string& rest) {
+    rest_of_response = rest;
     discovery.watch();
     line.emplace(peer.accept());
-    once_readable(loop, *line, [this, first, rest] {
+    once_readable(loop, *line, [this, first] {
       line->request();
-      if (!first.empty()) line->write(first);
-      loop.after(kLate, [this, rest] {
-        line->write(rest);
-        loop.after(kSoon, [this] { loop.stop(); });
-      });
+      first.empty() ? write_rest_later() : line->write(first);
     });
     loop.run();
   }
+  void write_rest_later() {
+    if (std::exchange(rest_scheduled, true)) return;
+    loop.after(kLate, [this] {
+      rest_written = true;
+      line->write(rest_of_response);
+    });
+  }
+  void stop_after_rest() {
+    if (rest_written) loop.stop();
+  }
 
   Loop loop;
   Peer peer;
   std::optional<Line> line;
+  std::string rest_of_response;
+  bool rest_scheduled = false;
+  bool rest_written = false;
   int lists = 0;
   int signs = 0;
   std::optional<bool> first_was_late;
@@ -48,12 +57,18 @@
                       Poco::Net::SocketAddress("127.0.0.1", peer.port()),
                       5,
                       {.changed = [this](const List&) { ++lists; },
-                       .ended = [this](Ending how) { ending = how; },
+                       .ended =
+                           [this](Ending how) {
+                             ending = how;
+                             loop.stop();
+                           },
                        .current =
                            [this](bool first, bool late) {
                              if (first) first_was_late = late;
                              if (!first) ++signs;
-                           }},
+                             stop_after_rest();
+                           },
+                       .incomplete = [this] { write_rest_later(); }},
                       {.connect = kLong, .response = kLong, .silence = kLong, .change = kLate / 2}};
 };
 
