The log says when a response's forwarding begins and how it ends

The log at debug level had of such a request "attempt 6.0 served 287.1 ms" and nothing until its client left: it could not tell a response that the backend had ended from one that this node kept back, or one that nobody waited for.

Two lines are new: when the forwarding of a response that is still received begins, and how it ends, with the bytes that the backend had sent.

The receiving side of forwarded responses moves from the backend connection to StreamedResponses, unchanged.

--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -156,40 +156,10 @@
   owner.set_timer(*this);
 }
 
-// ---- streamed response ----
-
-// Forwards what has arrived of the response and ends the flow with it.
-void Upstream::Connection::forward_response() {
-  const std::shared_ptr<Connection> hold = shared_from_this();
-  last_received = owner.loop_.now();
-  response.raw += std::exchange(stream.input(), {});
-  const Parser::State state = response.parser.advance(response.raw);
-  const std::shared_ptr<net::Flow> flow = response_flow;
-  if (state != Parser::State::kBad) flow->put(response.parser.take_body(response.raw));
-  if (!response_flow) return;  // the client has closed
-  if (state == Parser::State::kBad) return end_response_flow(false);
-  if (state == Parser::State::kDone) return end_response_flow(true);
-  if (flow->full()) stream.want_input(false);
-}
-
-void Upstream::Connection::end_response_flow(bool whole) {
-  const std::shared_ptr<Connection> hold = shared_from_this();
-  const std::shared_ptr<net::Flow> flow = std::exchange(response_flow, nullptr);
-  flow->set_source({});
-  owner.streamed_responses_->ended(*this);
-  const bool keep = whole && response.head().keep_alive && response.raw.size() == response.parser.size() &&
-                    request_complete && !withdrawn && stream.open() && owner.listener_.keep(false);
-  if (keep) {
-    stream.want_input(true);
-    owner.connections_->mark_idle(*this, true);
-  } else {
-    owner.connections_->close(*this, whole ? Ending::kDone : Ending::kBroken);
-  }
-  whole ? flow->end() : flow->cut();
-}
+// ---- responses ----
 
 void Upstream::Connection::on_input(Stream&) {
-  if (response_flow) return forward_response();
+  if (response_flow) return owner.streamed_responses_->receive(*this);
   if (!job) return owner.connections_->close(*this, Ending::kUnasked);  // never reused with input pending
   response.raw = std::exchange(stream.input(), {});
   Parser::State state = response.parser.advance(response.raw);
@@ -222,8 +192,8 @@
 
 void Upstream::Connection::on_end(Stream&, Ending ending) {
   if (response_flow) {
-    return end_response_flow(ending == Ending::kPeerClosed &&
-                             response.parser.finish() == Parser::State::kDone);
+    const bool whole = ending == Ending::kPeerClosed && response.parser.finish() == Parser::State::kDone;
+    return owner.streamed_responses_->end(*this, whole);
   }
   if (!job) return owner.connections_->close(*this, ending);
   response.raw = std::move(stream.input());
--- a/src/node/backend_connection.h
+++ b/src/node/backend_connection.h
@@ -51,8 +51,6 @@
   void detach_body();
   // When the job's timer next expires, unless the job makes progress first.
   Millis next_check() const;
-  // Ends the forwarding of a response: `whole`, or cut short by either side.
-  void end_response_flow(bool whole);
 
   void on_connected(Stream&) override;
   void on_input(Stream&) override;
@@ -69,11 +67,16 @@
   bool body_sent = false;           // its last part was passed to the stream
   Millis body_progress = 0;
   std::shared_ptr<net::Flow> response_flow;  // set while the response is being forwarded
-  bool request_complete = false;             // the forwarded response's request was written whole
-  Millis last_received = 0;                  // when a part of the forwarded response last arrived
-  bool sent = false;                         // the job's request was passed to the stream
-  bool opened_for_probe = false;             // and still carries that probe
-  bool withdrawn = false;                    // not to be reused: its backend was withdrawn or restarted
+  struct Attempt {
+    RequestId request = 0;
+    int number = 0;
+  };
+  Attempt forwarded;              // whose response is being forwarded
+  bool request_complete = false;  // the forwarded response's request was written whole
+  Millis last_received = 0;       // when a part of the forwarded response last arrived
+  bool sent = false;              // the job's request was passed to the stream
+  bool opened_for_probe = false;  // and still carries that probe
+  bool withdrawn = false;         // not to be reused: its backend was withdrawn or restarted
   Message response{Parser::Kind::kResponse};
   Millis idle_since = 0;
   Millis settled_at = 0;  // until then a duplicate response to the last attempt may arrive
@@ -86,7 +89,6 @@
   void start_body();
   void send_body();
   void count_if_written();
-  void forward_response();
   Ending ending_for_status(int status) const;
   Ending ending_for_break(Ending ending) const;
 };
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -92,6 +92,17 @@
   if (written) checker_.attempt_ended(request, never_ran);
 }
 
+void Recorder::response_begun(RequestId request, int attempt, std::uint64_t bytes) const {
+  spdlog::debug("attempt {}.{}: its response is forwarded from now on, {} bytes so far", request, attempt,
+                bytes);
+}
+
+void Recorder::response_over(RequestId request, int attempt, bool whole, std::uint64_t bytes,
+                             Millis silent) const {
+  spdlog::debug("attempt {}.{}: its response ended {} after {} bytes, {:.0f} ms after the last part", request,
+                attempt, whole ? "whole" : "cut short", bytes, silent);
+}
+
 void Recorder::ended(RequestId request, manage::RequestEnd end) {
   switch (end) {
     case manage::RequestEnd::kPassed:
--- a/src/node/recorder.h
+++ b/src/node/recorder.h
@@ -36,6 +36,10 @@
                        Millis at);
   // `never_ran`: the outcome of a written attempt proves that it was not processed.
   void attempt_over(RequestId request, int attempt, Ending ending, bool written, bool never_ran);
+  // A response is forwarded from now on while it is received; `bytes` of its body have arrived.
+  void response_begun(RequestId request, int attempt, std::uint64_t bytes) const;
+  // Its backend sends no more of it, or is not asked for more; `silent`: since its last byte.
+  void response_over(RequestId request, int attempt, bool whole, std::uint64_t bytes, Millis silent) const;
   void ended(RequestId request, manage::RequestEnd end);  // with or without a final response
   void handler_threw(RequestId request);
 
--- a/src/node/streamed_responses.h
+++ b/src/node/streamed_responses.h
@@ -1,6 +1,6 @@
-// Responses that are forwarded while they are received: the backend connections that carry one, and the
-// memory that all of them share. Buffers no more of a response than its flow may hold, and ends one whose
-// backend has stalled.
+// Responses that are forwarded while they are received: reads them from their backend connections into flows
+// (net/flow.h), whose memory they share. Buffers no more of a response than its flow may hold, and ends one
+// whose backend has stalled.
 #pragma once
 
 #include <memory>
@@ -12,16 +12,19 @@
 
 class Upstream::StreamedResponses {
  public:
-  StreamedResponses(Loop& loop, std::shared_ptr<net::FlowBudget> flows)
-      : loop_(loop), flows_(std::move(flows)) {}
+  StreamedResponses(Upstream& owner, std::shared_ptr<net::FlowBudget> flows)
+      : owner_(owner), flows_(std::move(flows)) {}
 
   // Starts forwarding the response of this connection. False: there is no memory for one more.
   bool begin(Connection& connection);
-  void ended(Connection& connection) { connections_.erase(&connection); }
+  // Forwards what has arrived, and ends the flow with the response.
+  void receive(Connection& connection);
+  // Ends the forwarding of a response: `whole`, or cut short by either side.
+  void end(Connection& connection, bool whole);
   void sweep();
 
  private:
-  Loop& loop_;
+  Upstream& owner_;
   const std::shared_ptr<net::FlowBudget> flows_;
   std::unordered_set<Connection*> connections_;
 };
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -26,7 +26,7 @@
       listener_(std::move(listener)),
       connections_(std::make_unique<Connections>(loop, listener_.recorder)),
       connector_(std::make_unique<Connector>(*this)),
-      streamed_responses_(std::make_unique<StreamedResponses>(loop, std::move(flows))) {
+      streamed_responses_(std::make_unique<StreamedResponses>(*this, std::move(flows))) {
   adopt(connect_timeout, idle_timeout, settle);
   sweep();
 }
@@ -141,7 +141,7 @@
   if (!streamed_responses_->begin(connection)) return finish(connection, Ending::kErred, nullptr, false);
   finish(connection, Ending::kServed, &connection.response, false);
   if (connection.response_flow && !connection.response_flow->has_sink())
-    connection.end_response_flow(false);  // the request already has another response
+    streamed_responses_->end(connection, false);  // the request already has another response
 }
 
 void Upstream::finish(Connection& connection, Ending ending, const Message* response, bool keep) {
