A response that is forwarded before it is whole keeps its request's deadline

Cause: a 200 without a length is forwarded from 70% of its attempt's time on. There Upstream reports the attempt as served, and PolicyHost counts the request as answered and drops its deadline. A stated length of over 64 KiB took the same way from its head on.

The client sees a body without its last chunk, short of its length, or a reset.

A request that was read behind such a response could not be answered once it is cut short: where one was, the response is not begun before it is whole, and times out as others do; while one is forwarded nothing further is read.

--- a/src/manage/calls.h
+++ b/src/manage/calls.h
@@ -13,6 +13,11 @@
 
 enum class CallKind { kReady, kShowStat, kDisable, kEnable, kDrain, kResume };
 
+// Whether a call concerns one process and not the node, which two processes may be for a while.
+constexpr bool concerns_process(CallKind kind) {
+  return kind == CallKind::kReady || kind == CallKind::kDrain || kind == CallKind::kResume;
+}
+
 struct Call {
   CallKind kind = CallKind::kReady;
   std::string id;  // of a backend, if the call takes one
--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -59,7 +59,9 @@
   if (!written()) return std::min(job->until, job->begin_by);
   // A short response is better forwarded whole, and while it is buffered another attempt can still win; so it
   // is buffered for most of the attempt's time.
-  return job->response_begun ? job->started + kBufferingShare * (job->until - job->started) : job->until;
+  return job->response_begun && !job->buffer_whole
+             ? job->started + kBufferingShare * (job->until - job->started)
+             : job->until;
 }
 
 void Upstream::Connection::write_request(Ending if_unread) {
--- a/src/node/backend_connection.h
+++ b/src/node/backend_connection.h
@@ -32,6 +32,7 @@
   std::uint64_t serial = 0;
   bool counted = false;         // in Upstream::written_
   bool response_begun = false;  // a response of unknown length has begun
+  bool buffer_whole = false;    // it is forwarded only if it is whole in time
 };
 
 // One connection to a backend, its job if it carries one, and the response received so far.
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -124,17 +124,20 @@
 
 void Client::forward(const Message& response, std::shared_ptr<net::Flow> flow) {
   host_.answered(200);
-  response_forwarder = std::make_shared<ResponseForwarder>(std::move(flow), message->head().minor, last());
+  const bool uploading = forwarding_request_body();  // its rest has no reader any more
+  response_forwarder = std::make_shared<ResponseForwarder>(
+      loop_, std::move(flow), uploading ? loop_.now() + timeout : due, message->head().minor, last());
   state = State::kForwarding;
-  response_forwarder->begin(
-      stream, response, [this] { pump(); }, loop_.now());
+  // A request that was read behind a response could not be answered if that is cut short.
+  if (!uploading) stream.want_input(false);
+  response_forwarder->begin(stream, response, [this] { pump(); });
   pump();
 }
 
 void Client::pump() {
   if (state != State::kForwarding || !stream.open() || !stream.flushed()) return;
   const std::shared_ptr<ResponseForwarder> hold = response_forwarder;
-  switch (hold->pump(stream, loop_.now())) {
+  switch (hold->pump(stream)) {
     case ResponseForwarder::Step::kContinues:
       return;
     case ResponseForwarder::Step::kComplete:
@@ -163,9 +166,8 @@
   host_.answered(refusal.status);
   if (force_close) keep_alive_ = false;
   const bool closes = last();
-  const std::string_view line = refusal.cause;
-  const std::string head = generated_head(refusal, line.size() + 1, closes);
-  const std::array<std::string_view, 3> pieces = {head, line, "\n"};
+  const std::string head = generated_head(refusal, std::string_view(refusal.cause).size() + 1, closes);
+  const std::array<std::string_view, 3> pieces = {head, refusal.cause, "\n"};
   stream.send(pieces);
   answered(closes);
 }
@@ -195,9 +197,7 @@
   last_used = loop_.now();
   answered_before = true;
   set_unused(!closes);
-  if (closes) {
-    return end_sending();
-  }
+  if (closes) return end_sending();
   state = State::kReading;
   host_.became_idle();
   message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMaxRequestBody);
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -85,6 +85,7 @@
   Millis last_used = 0;
   bool counted = false;                                   // the request is in the request counters
   Millis timeout = 0;                                     // the client's, less the time in transit
+  Millis due = 0;                                         // of the current request, by that
   std::shared_ptr<RequestBodyForwarder> request_body;     // null: the body is not streamed
   std::shared_ptr<ResponseForwarder> response_forwarder;  // null: no response is streamed
   bool streamed_body = false;      // had a streamed body, so its response may precede the end of that
--- /dev/null
+++ b/src/node/client_eviction.cpp
@@ -0,0 +1,28 @@
+#include "node/client_eviction.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace shorelead::node {
+
+Client* take_evictable(const std::unordered_map<Client*, std::shared_ptr<Client>>& clients,
+                       const std::function<bool(const Client&)>& may_evict) {
+  std::vector<Client*> candidates;
+  for (const auto& [client, hold] : clients) {
+    if (may_evict(*client)) candidates.push_back(client);
+  }
+  const auto after = [](const Client* a, const Client* b) {
+    return std::pair(a->used, a->last_used) > std::pair(b->used, b->last_used);
+  };
+  std::make_heap(candidates.begin(), candidates.end(), after);
+  while (!candidates.empty()) {
+    Client* const client = candidates.front();
+    if (client->try_evict()) return client;
+    std::pop_heap(candidates.begin(), candidates.end(), after);  // it has unread input
+    candidates.pop_back();
+  }
+  return nullptr;
+}
+
+}  // namespace shorelead::node
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/client_eviction.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -53,7 +55,7 @@
   const Millis timeout = info.due;
   // The deadline counts from the request's last byte, which is in what was read last.
   client.timeout = timeout - std::min(kTransit, kMaxTransitShare * timeout);
-  info.due = client.last_input_at + client.timeout;
+  info.due = client.due = client.last_input_at + client.timeout;
   info.body_pending = client.forwarding_request_body();
   client.request = ++last_request_;
   waiting_[client.request] = &client;
@@ -88,7 +90,8 @@
 void Front::body_complete(Client& client) {
   if (waiting_.count(client.request) == 0) return;
   count(client);
-  listener_.body_complete(client.request, client.last_input_at + client.timeout);
+  client.due = client.last_input_at + client.timeout;
+  listener_.body_complete(client.request, client.due);
 }
 
 // The request cannot go on, for a fault of the client's or within this node: no further attempt may run.
@@ -112,6 +115,10 @@
   return waiting(request) != nullptr && waiting(request)->still_waits();
 }
 
+bool Front::has_read_ahead(RequestId request) const {
+  return waiting(request) != nullptr && waiting(request)->stream.held() > 0;
+}
+
 void Front::serve(RequestId request, const Message& response, std::shared_ptr<net::Flow> flow) {
   Client* const client = waiting(request);
   if (client == nullptr) return;
@@ -135,26 +142,12 @@
 }
 
 bool Front::evict_idle() {
-  std::vector<Client*> candidates;
-  for (const auto& [client, hold] : clients_) {
-    if (timeouts_.may_evict(*client, loop_.now())) candidates.push_back(client);
-  }
-  // Connections that never carried a request first, then by the time that they have been idle.
-  const auto after = [](const Client* a, const Client* b) {
-    return std::pair(a->used, a->last_used) > std::pair(b->used, b->last_used);
-  };
-  std::make_heap(candidates.begin(), candidates.end(), after);
-  while (!candidates.empty()) {
-    Client* const client = candidates.front();
-    if (client->try_evict()) {
-      ++counters_.evicted;
-      forget(*client, Ending::kEvicted);
-      return true;
-    }
-    std::pop_heap(candidates.begin(), candidates.end(), after);  // it has unread input
-    candidates.pop_back();
-  }
-  return false;
+  const auto may_evict = [this](const Client& client) { return timeouts_.may_evict(client, loop_.now()); };
+  Client* const evicted = take_evictable(clients_, may_evict);
+  if (evicted == nullptr) return false;
+  ++counters_.evicted;
+  forget(*evicted, Ending::kEvicted);
+  return true;
 }
 
 void Front::set_drain_state(manage::DrainState state) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -63,6 +63,8 @@
 
   // Whether the client still waits for its response. Checked just before an attempt is written.
   bool still_waits(RequestId request);
+  // Whether a further request, or a part of one, has been read on its connection.
+  bool has_read_ahead(RequestId request) const;
   // Final responses; without effect if the client has gone. `flow`: of a body that is still being received.
   void serve(RequestId request, const Message& response, std::shared_ptr<net::Flow> flow);
   void refuse(RequestId request, const Refusal& refusal);
@@ -107,7 +109,7 @@
   void answered(int status) override;
   void left_early() override { ++counters_.left_early; }
   void left_unanswered(const Client& client, Ending why) override {
-    recorder_->client_left(client.request, why, loop_.now() - (client.last_input_at + client.timeout));
+    recorder_->client_left(client.request, why, loop_.now() - client.due);
   }
   void count_unused(bool unused) override { unused ? ++unused_ : --unused_; }
   void became_idle() override;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -49,6 +49,7 @@
                            policy_host_.describe(request, backend, now, state, there);
                            state.client_waiting = host_.still_waits(request);
                          },
+                         [this](RequestId request) { return !host_.has_read_ahead(request); },
                          [this](BackendId backend, Millis now) {
                            return record_.withdrawn(policy_host_.host(backend), now);
                          },
@@ -154,10 +155,8 @@
   switch (choice.kind) {
     case Choice::Kind::kSend:
       // A streamed body of which a part was given to one backend is not available for another.
-      if (it == open_.end() || (it->second.message->flow && it->second.message->flow->touched())) {
-        Result result;
-        return attempt_done(choice.request, choice.attempt, result);
-      }
+      if (it == open_.end() || (it->second.message->flow && it->second.message->flow->touched()))
+        return attempt_done(choice.request, choice.attempt, Result());
       counters_.attempt_sent();
       record_.decided(choice, policy_host_.host(choice.backend), loop_.now());
       upstream_->send(choice.request, choice.attempt, choice.backend, policy_host_.dial(choice.backend),
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -33,6 +33,8 @@
     std::function<bool(limits::Purpose)> keep;
     // Whether its client waits; asked just before an attempt is written.
     std::function<bool(RequestId)> still_waits;
+    // Whether a further request, or a part of one, has been read on this request's connection.
+    std::function<bool(RequestId)> has_read_ahead;
     Recorder* recorder = nullptr;  // outlives the pool; null: the pool records nothing
   };
 
--- a/src/node/response_forwarder.h
+++ b/src/node/response_forwarder.h
@@ -1,12 +1,12 @@
-// Forwards a response to a client while it is received. Owns the sink side of the body's flow (net/flow.h)
-// and the framing of the body. Reports the progress of the body; the caller ends the request and the
-// connection.
+// Forwards a response to a client while it is received. Owns the sink side of the body's flow (net/flow.h),
+// the framing of the body, and the time of the request from the response's first byte to its last. Reports
+// the progress of the body; the caller ends the request and the connection.
 #pragma once
 
 #include <functional>
 #include <memory>
-#include <utility>
 
+#include "limits/response_deadline.h"
 #include "net/flow.h"
 #include "node/net.h"
 
@@ -19,16 +19,18 @@
  public:
   enum class Step { kContinues, kComplete, kTruncated };
 
-  // `minor`: the client's HTTP/1 minor version; `last`: the connection closes after this response.
-  ResponseForwarder(std::shared_ptr<net::Flow> flow, int minor, bool last)
-      : flow_(std::move(flow)),
-        chunked_(!flow_->length() && minor == 1),
-        last_(last || (!flow_->length() && !chunked_)) {}
+  // `due`: the deadline of the request; `minor`: the client's HTTP/1 minor version; `last`: the connection
+  // closes after this response.
+  ResponseForwarder(Loop& loop, std::shared_ptr<net::Flow> flow, Millis due, int minor, bool last);
+  ~ResponseForwarder() { loop_.cancel(timer_); }
+  ResponseForwarder(const ResponseForwarder&) = delete;
+  ResponseForwarder& operator=(const ResponseForwarder&) = delete;
 
   // Sends the head at once. The callback `pump` is called whenever more of the body or its end has arrived,
-  // or its source has failed; it has to call the member function pump().
-  void begin(Stream& stream, const Message& response, const std::function<void()>& pump, Millis now);
-  Step pump(Stream& stream, Millis now);
+  // its source has failed or its time is over; it has to call the member function pump(). `stream` outlives
+  // this object.
+  void begin(Stream& stream, const Message& response, const std::function<void()>& pump);
+  Step pump(Stream& stream);
   // Stops forwarding: the client takes no more of the body.
   void leave();
 
@@ -38,9 +40,18 @@
   Millis progress_at() const { return progress_at_; }  // when bytes were last passed to the connection
 
  private:
+  void check_at(const Stream& stream, Millis at);
+  void check(const Stream& stream);
+
+  Loop& loop_;
   const std::shared_ptr<net::Flow> flow_;
   const bool chunked_;
   const bool last_;
+  limits::ResponseDeadline deadline_;
+  std::function<void()> pump_;
+  Loop::TimerId timer_ = 0;
+  bool input_handled_ = false;  // whatever had arrived when the deadline expired
+  bool expired_ = false;
   Millis progress_at_ = 0;
 };
 
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -116,6 +116,7 @@
   host.make_room = [this](limits::Purpose purpose) { return room_.make(purpose, *front_); };
   host.keep = [this](limits::Purpose purpose) { return room_.keep(purpose); };
   host.still_waits = [this](RequestId request) { return front_->still_waits(request); };
+  host.has_read_ahead = [this](RequestId request) { return front_->has_read_ahead(request); };
   host.recorder = &recorder_;
   // Each pool needs a random sequence of its own; a node with one pool uses the configured seed itself.
   const std::uint64_t seed = whole.pools.size() <= 1 ? whole.seed : whole.seed ^ subset::hash_of(config.name);
@@ -160,10 +161,7 @@
 }
 
 std::string Server::call(const manage::Call& call) {
-  const bool of_this_process = call.kind == manage::CallKind::kReady ||
-                               call.kind == manage::CallKind::kDrain ||
-                               call.kind == manage::CallKind::kResume;
-  if (hot_restart_.is_replaced() && of_this_process)
+  if (hot_restart_.is_replaced() && manage::concerns_process(call.kind))
     return manage::error_response("replaced: another process serves");
   switch (call.kind) {
     case manage::CallKind::kReady:
--- a/src/node/streamed_responses.cpp
+++ b/src/node/streamed_responses.cpp
@@ -6,11 +6,6 @@
 #include "node/recorder.h"
 
 namespace shorelead::node {
-namespace {
-
-constexpr Millis kStallTimeout = 30000;  // without a byte of the body from the backend
-
-}  // namespace
 
 bool Upstream::StreamedResponses::begin(Connection& connection) {
   if (!flows_->room()) {
@@ -22,7 +17,6 @@
   connection.request_complete = connection.written();
   connection.last_received = owner_.loop_.now();
   connection.forwarded = {connection.job->request, connection.job->attempt};
-  connections_.insert(&connection);
   flow->put(connection.response.parser.take_body(connection.response.raw));
   if (Recorder* const recorder = owner_.listener_.recorder)
     recorder->response_begun(connection.forwarded.request, connection.forwarded.number, flow->passed());
@@ -51,7 +45,6 @@
   const std::shared_ptr<Connection> hold = connection.shared_from_this();
   const std::shared_ptr<net::Flow> flow = std::exchange(connection.response_flow, nullptr);
   flow->set_source({});
-  connections_.erase(&connection);
   if (Recorder* const recorder = owner_.listener_.recorder) {
     recorder->response_over(connection.forwarded.request, connection.forwarded.number, whole, flow->passed(),
                             owner_.loop_.now() - connection.last_received);
@@ -69,17 +62,4 @@
   whole ? flow->end() : flow->cut();
 }
 
-void Upstream::StreamedResponses::sweep() {
-  const Millis now = owner_.loop_.now();
-  std::vector<std::shared_ptr<Connection>> stalled;
-  for (Connection* const connection : connections_) {
-    // A full flow waits for its client and not for the backend.
-    if (!connection->response_flow->full() && now - connection->last_received >= kStallTimeout)
-      stalled.push_back(connection->shared_from_this());
-  }
-  for (const auto& connection : stalled) {
-    if (connection->response_flow) end(*connection, false);
-  }
-}
-
 }  // namespace shorelead::node
--- a/src/node/streamed_responses.h
+++ b/src/node/streamed_responses.h
@@ -1,10 +1,10 @@
 // Responses that are forwarded while they are received: reads them from their backend connections into flows
-// (net/flow.h), whose memory they share. Buffers no more of a response than its flow may hold, and ends one
-// whose backend has stalled.
+// (net/flow.h), whose memory they share. Buffers no more of a response than its flow may hold. How long one
+// may take is decided on the client's side (ResponseForwarder), which leaves the flow of one that takes too
+// long.
 #pragma once
 
 #include <memory>
-#include <unordered_set>
 
 #include "node/backend_connection.h"
 
@@ -21,12 +21,10 @@
   void receive(Connection& connection);
   // Ends the forwarding of a response: `whole`, or cut short by either side.
   void end(Connection& connection, bool whole);
-  void sweep();
 
  private:
   Upstream& owner_;
   const std::shared_ptr<net::FlowBudget> flows_;
-  std::unordered_set<Connection*> connections_;
 };
 
 }  // namespace shorelead::node
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -120,15 +120,16 @@
   if (ended_by_pending_input(connection)) return;
   const Job& job = *connection.job;
   const Millis now = loop_.now();
-  const bool too_late = now >= job.begin_by;
   if (connection.stream.connected() && connection.sending_body()) {
     const bool stuck = !connection.stream.flushed() && now - connection.body_progress >= kBodyStallTimeout;
-    if (!stuck && !too_late) return set_timer(connection);
+    if (!stuck && now < job.begin_by) return set_timer(connection);
   } else if (now < connection.next_check()) {
     return set_timer(connection);  // the deadline has moved since the timer was set
   } else if (!connection.stream.connected()) {
     return connector_->on_timer(connection);
-  } else if (connection.written() && job.response_begun) {
+  } else if (connection.written() && job.response_begun && !job.buffer_whole) {
+    connection.job->buffer_whole = !listener_.may_stream(job.request);
+    if (job.buffer_whole) return set_timer(connection);
     connection.response.raw = std::exchange(connection.stream.input(), {});
     return start_streaming(connection);
   }
@@ -140,8 +141,8 @@
   const std::shared_ptr<Connection> hold = connection.shared_from_this();
   if (!streamed_responses_->begin(connection)) return finish(connection, Ending::kErred, nullptr, false);
   finish(connection, Ending::kServed, &connection.response, false);
-  if (connection.response_flow && !connection.response_flow->has_sink())
-    streamed_responses_->end(connection, false);  // the request already has another response
+  const auto& flow = connection.response_flow;  // without a sink: the request already has another response
+  if (flow && !flow->has_sink()) streamed_responses_->end(connection, false);
 }
 
 void Upstream::finish(Connection& connection, Ending ending, const Message* response, bool keep) {
@@ -244,7 +245,6 @@
 void Upstream::sweep() {
   sweep_timer_ = loop_.after(kSweepInterval, [this] { sweep(); });
   connections_->sweep();
-  streamed_responses_->sweep();
 }
 
 }  // namespace shorelead::node
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -44,6 +44,8 @@
     // immediately before an attempt is written.
     std::function<void(RequestId, BackendId, Millis now, guard::RequestState&, guard::BackendState&)>
         describe = [](RequestId, BackendId, Millis, guard::RequestState&, guard::BackendState&) {};
+    // Returns whether the response to this request may be forwarded before it is known that it will be whole.
+    std::function<bool(RequestId)> may_stream = [](RequestId) { return true; };
     // Returns whether the checker has this backend as one that must receive nothing new at `now`.
     std::function<bool(BackendId, Millis now)> withdrawn = [](BackendId, Millis) { return false; };
     Recorder* recorder = nullptr;
