--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -52,9 +52,8 @@
   if (!open_ids_.emplace(message.value("x-request-id")).second) {
     return client.answer(409, "a request with this X-Request-ID is open", 0, false);
   }
-  const Millis timeout = info.due;
   // The deadline counts from the request's last byte, which is in what was read last.
-  client.timeout = timeout - std::min(kTransit, kMaxTransitShare * timeout);
+  client.timeout = info.due - std::min(kTransit, kMaxTransitShare * info.due);
   info.due = client.due = client.last_input_at + client.timeout;
   info.body_pending = client.forwarding_request_body();
   client.request = ++last_request_;
@@ -102,9 +101,7 @@
   release(client, end);
   if (client.request_body) client.request_body->cut();
   if (client.state == Client::State::kForwarding) {
-    // The response has begun, so the client can only be shown that it is truncated.
-    client.stream.reset_on_close();
-    forget(client, Ending::kBroken);
+    truncate(client);
   } else {
     client.answer(status, cause, 0, true);
   }
@@ -174,13 +171,22 @@
   for (const auto& [client, hold] : clients) client->read_all();
   const auto open = waiting_;
   for (const auto& [request, client] : open) {
-    // A response that has begun cannot be replaced: the connection's end will show that it is truncated.
+    // A response that has begun cannot be replaced; see cut_responses().
     if (waiting(request) == nullptr || client->state == Client::State::kForwarding) continue;
     fail(request, 504);
     listener_.client_gone(request);
   }
 }
 
+void Front::cut_responses() {
+  const auto clients = clients_;
+  for (const auto& [client, hold] : clients) {
+    if (client->state != Client::State::kForwarding) continue;
+    release(*client, manage::RequestEnd::kBadGateway);
+    truncate(*client);
+  }
+}
+
 // Closes a connection. It is freed once the current handler, which may be its own, has returned.
 void Front::forget(Client& client, Ending why) {
   if (waiting_.count(client.request) > 0) recorder_->closed_unanswered(client.request);
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -91,6 +91,8 @@
   // At the end of the process: answers all open requests as failed and has their attempts cancelled. Requests
   // that have been received but not started, or are received from now on, are refused.
   void fail_all();
+  // Ends the responses that are still forwarded, such that their clients see that they are cut short.
+  void cut_responses();
 
   unsigned short port() const { return acceptor_.port(); }
   const Acceptor& acceptor() const { return acceptor_; }
@@ -115,6 +117,11 @@
   void became_idle() override;
   const std::shared_ptr<net::FlowBudget>& flows() const override { return listener_.flows; }
 
+  // Closes a connection such that the client sees that the response which has begun is cut short.
+  void truncate(Client& client) {
+    client.stream.reset_on_close();
+    forget(client, Ending::kBroken);
+  }
   void count(Client& client);  // in the request counters, once the request is complete
   Client* waiting(RequestId request) const {
     const auto it = waiting_.find(request);
--- a/src/node/graceful_shutdown.cpp
+++ b/src/node/graceful_shutdown.cpp
@@ -79,6 +79,7 @@
     return;
   }
   host_.front().fail_all();
+  host_.front().cut_responses();
   spdlog::info("shut down, {} connections left", host_.front().clients());
   loop_.stop();
 }
--- a/tests/crossings/unfinished_responses.h
+++ b/tests/crossings/unfinished_responses.h
@@ -113,6 +113,15 @@
   return all;
 }
 
+// Reads everything up to the end of the connection and returns its error; 0 if it ended in order.
+inline int error_at_end(const Line& line) {
+  char part[4096];
+  while (true) {
+    const ssize_t got = ::recv(line.fd(), part, sizeof part, 0);
+    if (got <= 0) return got < 0 ? errno : 0;
+  }
+}
+
 // Waits until this node has failed a request that its backend left without a response for `wait` ms.
 inline void let_pass(const Node& node, Peer& peer, int wait) {
   Line client = node.client();
--- a/tests/crossings/unfinished_responses_test.cpp
+++ b/tests/crossings/unfinished_responses_test.cpp
@@ -50,11 +50,7 @@
   Line there = backend.accept();
   there.request();
   there.write(kChunked + "4\r\nmade\r\n");
-  char byte = 0;
-  ssize_t got = 1;
-  while (got > 0) got = ::recv(client.fd(), &byte, 1, 0);
-  EXPECT_EQ(got, -1);
-  EXPECT_EQ(errno, ECONNRESET);
+  EXPECT_EQ(error_at_end(client), ECONNRESET);
 }
 
 // A request that was read behind one whose response stops is answered: the response has not begun to be
@@ -184,5 +180,26 @@
   while (!ended) std::this_thread::yield();
 }
 
+// Guards against a process that ends in the middle of a response without chunks or length: a plain end of the
+// connection would pass for the end of the response.
+TEST(UnfinishedResponses, AProcessThatEndsShowsThatAResponseIsCutShort) {
+  Peer backend;
+  Node node;
+  node.know("s-1", backend);
+  for (RequestClass& one : node.config.settings.classes) one.deadline = 300;
+  node.start();
+  Line client = node.client();
+  client.write("GET /safe HTTP/1.0\r\nHost: a\r\n" + id_field() + kWait + "\r\n");
+  Line there = backend.accept();
+  there.request();
+  Trickles trickles;  // a long response, which is not cut off before the process ends
+  there.write(kChunked + "FFFFFF\r\n" + std::string(70000, 'a'));
+  trickles.add(there, "a");
+  trickles.start();
+  EXPECT_EQ(status_of(client.some()), "HTTP/1.1 200");
+  ::kill(::getpid(), SIGTERM);
+  EXPECT_EQ(error_at_end(client), ECONNRESET);
+}
+
 }  // namespace
 }  // namespace shorelead::node
