--- a/src/limits/response_deadline.cpp
+++ b/src/limits/response_deadline.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "limits/body_rate.h"
-
 namespace shorelead::limits {
 
 ResponseDeadline::ResponseDeadline(Millis due, std::optional<std::uint64_t> length, Millis now)
@@ -19,7 +17,7 @@
   const Millis late = due_ + kLateResponse;
   if (received_ == 0) return late;
   if (stated_long_ || received_ > kLongBody) return std::max(late, last_received_ + kMaxPauseOfLong);
-  const Millis behind_pace = begun_ + static_cast<double>(received_) / kMinBodyRate;
+  const Millis behind_pace = begun_ + static_cast<double>(received_) / kMinLongPace;
   return std::max(late, std::min(behind_pace, last_received_ + kMaxPause));
 }
 
--- a/src/limits/response_deadline.h
+++ b/src/limits/response_deadline.h
@@ -4,7 +4,7 @@
 // The last byte of a response is due at its request's deadline; up to kLateResponse later it is of no use,
 // but complete. Of a long response only the first bytes are due by then, and the rest is not cut off while
 // the backend sends it. A stated length says whether a response is long. Without one it counts as long once
-// it has come to kLongBody, and may become long as long as it keeps the pace of a body.
+// it has come to kLongBody, and may become long as long as it keeps the pace of one.
 #pragma once
 
 #include <cstddef>
@@ -21,6 +21,9 @@
 constexpr Millis kLateResponse = 350;
 // Without a byte: a backend may stand still for 310 ms now and then.
 constexpr Millis kMaxPause = 350;
+// Of a response without a length that may become long: bytes per ms, on average; an eighth of what slow peers
+// send.
+constexpr double kMinLongPace = 8;
 constexpr Millis kMaxPauseOfLong = 2500;  // the same in a long response; slow peers take up to 2 s
 
 class ResponseDeadline {
--- a/src/node/client_timeouts.cpp
+++ b/src/node/client_timeouts.cpp
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 
-#include "limits/body_rate.h"
-
 namespace shorelead::node {
 namespace {
 
+constexpr double kMinBodyRate = 32;      // bytes per ms, on average over a request
 constexpr Millis kStallTimeout = 10000;  // for which a client may read nothing of a response
 
 }  // namespace
@@ -28,7 +27,7 @@
   if (stopped(client, now)) return true;
   const auto received = static_cast<double>(request_body ? request_body->received() : client.stream.held());
   return now - client.request_started_at - (request_body ? request_body->paused_total() : 0) >=
-         request + received / limits::kMinBodyRate;
+         request + received / kMinBodyRate;
 }
 
 bool ClientTimeouts::overdue(const Client& client, Millis now, manage::DrainState drain, bool roomy) const {
