--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -31,45 +31,9 @@
     if (std::exchange(run_due_scheduled_, true)) return;
     loop_.later([this] { run_due(); });
   });
-  const auto purpose = [](bool probe) { return probe ? limits::Purpose::kProbe : limits::Purpose::kRequest; };
-  upstream_ = std::make_unique<Upstream>(
-      loop_, config.settings.connect_timeout, config.host.idle_timeout, config.host.settle, std::move(flows),
-      Upstream::Listener{[this](RequestId request, int attempt, const Result& result) {
-                           attempt_done(request, attempt, result);
-                         },
-                         [this](BackendId backend, const Result& result) {
-                           counters_.probe_ended(policy_host_.host(backend), result.ending, result.elapsed);
-                           policy_host_.report_probe(backend, result.ending, result.elapsed,
-                                                     result.load ? &*result.load : nullptr, loop_.now());
-                         },
-                         [this, purpose](bool probe) { return host_.make_room(purpose(probe)); },
-                         [this, purpose](bool probe) { return host_.keep(purpose(probe)); },
-                         [this](RequestId request, BackendId backend, Millis now, guard::RequestState& state,
-                                guard::BackendState& there) {
-                           policy_host_.describe(request, backend, now, state, there);
-                           state.client_waiting = host_.still_waits(request);
-                         },
-                         [this](RequestId request) { return !host_.has_read_ahead(request); },
-                         [this](BackendId backend, Millis now) {
-                           return record_.withdrawn(policy_host_.host(backend), now);
-                         },
-                         host_.recorder});
-  source_ = std::make_unique<BackendSource>(
-      loop_, config, seed,
-      BackendSource::Listener{[this](const List& list, ListSource from) {
-                                record_.list(list);
-                                const auto unwanted = policy_host_.report_list(list, from, loop_.now());
-                                for (const BackendId one : unwanted)
-                                  record_.log_withdrawn(list.version, policy_host_.host(one));
-                                upstream_->withdraw(unwanted);
-                                for (const auto& one : policy_host_.take_restarted())
-                                  upstream_->backend_restarted(one.backend, one.started);
-                              },
-                              [this] { policy_host_.report_watch_ended(loop_.now()); },
-                              [this](const ListValidity& validity) {
-                                record_.validity(validity);
-                                policy_host_.report_validity(validity, loop_.now());
-                              }});
+  upstream_ = std::make_unique<Upstream>(loop_, config.settings.connect_timeout, config.host.idle_timeout,
+                                         config.host.settle, std::move(flows), upstream_listener());
+  source_ = std::make_unique<BackendSource>(loop_, config, seed, source_listener());
 }
 
 Pool::~Pool() { loop_.cancel(wake_timer_); }
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -108,6 +108,9 @@
     Ending last = Ending::kNotSent;  // of its last attempt
   };
 
+  Upstream::Listener upstream_listener();
+  BackendSource::Listener source_listener();
+  void apply(const List& list, ListSource from);
   void execute(const Choice& choice);
   void execute_step(const Choice& choice);
   void fail_after_exception(RequestId request);
@@ -116,6 +119,7 @@
   void run_due();
   void probe(BackendId backend);
   void attempt_done(RequestId request, int attempt, const Result& result);
+  void probe_done(BackendId backend, const Result& result);
 
   Loop& loop_;
   PoolConfig config_;
