A forwarded response counts for its backend when it ends, not when it begins

Callers saw: a backend that begins its responses and cuts them off, or stops, went on getting its full share of the requests. Each counted as a success.

Cause: an attempt is reported as served when its response is forwarded, and the policy's record of outcomes took that for the end of it. Nothing reported how the response ended.

Fix: AttemptEnded says that its response is still open; the record of outcomes skips it and takes ResponseEnded instead: whole is a success, cut short a lost connection, given up after its deadline (Flow::leave_overdue) no answer. A client that leaves, and a connection whose backend was withdrawn or restarted meanwhile, say nothing. Estimates of service times learn at the begin, as before: that time is the backend's. Nothing is added to other responses.

--- a/src/net/flow.cpp
+++ b/src/net/flow.cpp
@@ -56,4 +56,9 @@
   notify(source_.left);
 }
 
+void Flow::leave_overdue() {
+  overdue_ = true;
+  leave();
+}
+
 }  // namespace shorelead::net
--- a/src/net/flow.h
+++ b/src/net/flow.h
@@ -65,11 +65,13 @@
   std::string take();  // all buffered bytes; may call the source
   bool empty() const { return bytes_.empty(); }
   void leave();
+  void leave_overdue();  // as the source has not sent the rest in time
 
   // Something was taken, so the body cannot be sent from its beginning again.
   bool touched() const { return touched_; }
   bool ended() const { return ended_; }  // no more bytes will arrive; the buffered ones may be taken
   bool was_cut() const { return cut_; }
+  bool overdue() const { return overdue_; }  // the sink left because the source was late
   const std::optional<std::uint64_t>& length() const { return length_; }
   std::uint64_t passed() const { return passed_; }  // bytes put so far
 
@@ -87,6 +89,7 @@
   bool ended_ = false;
   bool cut_ = false;
   bool abandoned_ = false;
+  bool overdue_ = false;
 };
 
 }  // namespace shorelead::net
--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -195,7 +195,8 @@
 void Upstream::Connection::on_end(Stream&, Ending ending) {
   if (response_flow) {
     const bool whole = ending == Ending::kPeerClosed && response.parser.finish() == Parser::State::kDone;
-    return owner.streamed_responses_->end(*this, whole);
+    return owner.streamed_responses_->end(
+        *this, whole ? StreamedResponses::End::kWhole : StreamedResponses::End::kCutShort);
   }
   if (!job) return owner.connections_->close(*this, ending);
   response.raw = std::move(stream.input());
--- a/src/node/open_requests.h
+++ b/src/node/open_requests.h
@@ -19,6 +19,7 @@
  public:
   struct Entry {
     Millis due = 0;
+    int request_class = 0;
     std::vector<BackendId> attempts{};
     int in_flight = 0;            // attempts that have not ended
     guard::RequestState rules{};  // by the settings under which it arrived
--- a/src/node/policy_host.cpp
+++ b/src/node/policy_host.cpp
@@ -35,6 +35,7 @@
 
 Choice PolicyHost::pick(RequestId request, const RequestInfo& info, Millis now) {
   requests_.begin(request, {.due = info.body_pending ? kNoDeadline : info.due,
+                            .request_class = info.request_class,
                             .rules = guarded_rules(classes_.settings(), info.request_class),
                             .home = info.home,
                             .affinity_hold = info.affinity_hold});
@@ -45,7 +46,7 @@
 }
 
 Choice PolicyHost::report(RequestId request, int attempt, Ending ending, Millis elapsed,
-                          const LoadReport* load, Millis now) {
+                          const LoadReport* load, Millis now, bool response_open) {
   OpenRequests::Entry* const found = requests_.find(request);
   if (found == nullptr) return {Choice::Kind::kEnded, request};
   OpenRequests::Entry& entry = *found;
@@ -60,6 +61,8 @@
   const bool forward = event.outcome == Outcome::kServed && guard::may_forward({.answered = entry.ended});
   entry.ended = entry.ended || forward;
   event.request_over = entry.ended;
+  event.response_open = forward && response_open;
+  if (event.response_open) responses_.begin(request, event.backend, entry.request_class);
   endpoints_.heard(event.backend, event.outcome);
   spare_capacity_.attempt_ended(event.outcome == Outcome::kRejected);
   if (load != nullptr) spare_capacity_.reported(load->busy);
@@ -68,6 +71,10 @@
   return forward ? Choice{Choice::Kind::kForward, request} : deferred_.take(request, Choice::Kind::kPending);
 }
 
+void PolicyHost::report_response(RequestId request, std::optional<Ending> ending, Millis now) {
+  if (const auto event = responses_.end(request, ending)) feed(*event, now);
+}
+
 void PolicyHost::report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load,
                               Millis now) {
   endpoints_.release(backend);
--- a/src/node/policy_host.h
+++ b/src/node/policy_host.h
@@ -16,6 +16,7 @@
 #include "node/endpoint_list.h"
 #include "node/net.h"
 #include "node/open_requests.h"
+#include "node/open_responses.h"
 #include "node/retry_allowance.h"
 #include "policy/policy.h"
 #include "settings/settings.h"
@@ -51,8 +52,12 @@
   std::vector<int> adopt(const Settings& settings, const HostSettings& host, Millis now);
 
   Choice pick(RequestId request, const RequestInfo& info, Millis now);
+  // `response_open`: its response is still being received; if it is forwarded, report_response() follows.
   Choice report(RequestId request, int attempt, Ending ending, Millis elapsed, const LoadReport* load,
-                Millis now);
+                Millis now, bool response_open = false);
+  // How the response ended that was forwarded while it was received; empty: that says nothing about its
+  // backend.
+  void report_response(RequestId request, std::optional<Ending> ending, Millis now);
   void report_probe(BackendId backend, Ending ending, Millis elapsed, const LoadReport* load, Millis now);
   // Returns the backends that have just become unavailable for new attempts.
   std::vector<BackendId> report_list(const List& list, ListSource source, Millis now);
@@ -112,6 +117,7 @@
   Policy policy_;
   EndpointList endpoints_;
   OpenRequests requests_;
+  OpenResponses responses_;
   std::multimap<Millis, std::uint64_t> timers_;
   RetryAllowanceBound retry_allowance_;
   estimate::SpareCapacity spare_capacity_;
--- a/src/node/pool.cpp
+++ b/src/node/pool.cpp
@@ -191,8 +191,9 @@
   counters_.attempt_ended(request, attempt, result.ending, result.elapsed);
   const auto it = open_.find(request);
   if (it != open_.end()) it->second.last = result.ending;
-  const Choice choice = policy_host_.report(request, attempt, result.ending, result.elapsed,
-                                            result.load ? &*result.load : nullptr, loop_.now());
+  const Choice choice =
+      policy_host_.report(request, attempt, result.ending, result.elapsed,
+                          result.load ? &*result.load : nullptr, loop_.now(), result.flow != nullptr);
   if (choice.kind == Choice::Kind::kForward) {
     host_.serve(request, *result.response, result.flow);
     close(request);
--- a/src/node/pool_listeners.cpp
+++ b/src/node/pool_listeners.cpp
@@ -14,6 +14,9 @@
     attempt_done(request, attempt, result);
   };
   listener.probe_done = [this](BackendId backend, const Result& result) { probe_done(backend, result); };
+  listener.response_ended = [this](RequestId request, std::optional<Ending> ending) {
+    policy_host_.report_response(request, ending, loop_.now());
+  };
   listener.make_room = [this](bool probe) { return host_.make_room(purpose_of(probe)); };
   listener.keep = [this](bool probe) { return host_.keep(purpose_of(probe)); };
   listener.describe = [this](RequestId request, BackendId backend, Millis now, guard::RequestState& state,
--- a/src/node/response_forwarder.cpp
+++ b/src/node/response_forwarder.cpp
@@ -88,7 +88,7 @@
 void ResponseForwarder::leave() {
   loop_.cancel(timer_);
   flow_->clear_sink();
-  flow_->leave();
+  expired_ ? flow_->leave_overdue() : flow_->leave();
 }
 
 }  // namespace shorelead::node
--- a/src/node/streamed_responses.cpp
+++ b/src/node/streamed_responses.cpp
@@ -22,7 +22,7 @@
     recorder->response_begun(connection.forwarded.request, connection.forwarded.number, flow->passed());
   flow->set_source({[&connection] { connection.stream.want_input(true); },
                     [this, hold = connection.shared_from_this()] {
-                      if (hold->response_flow) end(*hold, false);
+                      if (hold->response_flow) end(*hold, End::kAbandoned);
                     }});
   return true;
 }
@@ -36,19 +36,17 @@
   const std::shared_ptr<net::Flow> flow = connection.response_flow;
   if (state != Parser::State::kBad) flow->put(response.parser.take_body(response.raw));
   if (!connection.response_flow) return;  // the client has closed
-  if (state == Parser::State::kBad) return end(connection, false);
-  if (state == Parser::State::kDone) return end(connection, true);
+  if (state == Parser::State::kBad) return end(connection, End::kCutShort);
+  if (state == Parser::State::kDone) return end(connection, End::kWhole);
   if (flow->full()) connection.stream.want_input(false);
 }
 
-void Upstream::StreamedResponses::end(Connection& connection, bool whole) {
+void Upstream::StreamedResponses::end(Connection& connection, End end) {
   const std::shared_ptr<Connection> hold = connection.shared_from_this();
   const std::shared_ptr<net::Flow> flow = std::exchange(connection.response_flow, nullptr);
   flow->set_source({});
-  if (Recorder* const recorder = owner_.listener_.recorder) {
-    recorder->response_over(connection.forwarded.request, connection.forwarded.number, whole, flow->passed(),
-                            owner_.loop_.now() - connection.last_received);
-  }
+  report(connection, end, *flow);
+  const bool whole = end == End::kWhole;
   const Message& response = connection.response;
   const bool keep = whole && response.head().keep_alive && response.raw.size() == response.parser.size() &&
                     connection.request_complete && !connection.withdrawn && connection.stream.open() &&
@@ -62,4 +60,19 @@
   whole ? flow->end() : flow->cut();
 }
 
+// What a connection carries that was withdrawn says nothing about the backend as it is now.
+void Upstream::StreamedResponses::report(const Connection& connection, End end, const net::Flow& flow) const {
+  const auto [request, attempt] = connection.forwarded;
+  if (Recorder* const recorder = owner_.listener_.recorder) {
+    recorder->response_over(request, attempt, end == End::kWhole, flow.passed(),
+                            owner_.loop_.now() - connection.last_received);
+  }
+  std::optional<Ending> ending;
+  if (end == End::kWhole) ending = Ending::kServed;
+  if (end == End::kCutShort) ending = Ending::kBroken;
+  if (end == End::kAbandoned && flow.overdue()) ending = Ending::kTimeout;
+  if (connection.withdrawn) ending = std::nullopt;
+  owner_.listener_.response_ended(request, ending);
+}
+
 }  // namespace shorelead::node
--- a/src/node/streamed_responses.h
+++ b/src/node/streamed_responses.h
@@ -19,10 +19,17 @@
   bool begin(Connection& connection);
   // Forwards what has arrived, and ends the flow with the response.
   void receive(Connection& connection);
-  // Ends the forwarding of a response: `whole`, or cut short by either side.
-  void end(Connection& connection, bool whole);
+  enum class End {
+    kWhole,
+    kCutShort,   // by the backend
+    kAbandoned,  // the flow's sink left, or there is none
+  };
+  // Ends the forwarding of a response.
+  void end(Connection& connection, End end);
 
  private:
+  void report(const Connection& connection, End end, const net::Flow& flow) const;
+
   Upstream& owner_;
   const std::shared_ptr<net::FlowBudget> flows_;
 };
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -142,7 +142,7 @@
   if (!streamed_responses_->begin(connection)) return finish(connection, Ending::kErred, nullptr, false);
   finish(connection, Ending::kServed, &connection.response, false);
   const auto& flow = connection.response_flow;  // without a sink: the request already has another response
-  if (flow && !flow->has_sink()) streamed_responses_->end(connection, false);
+  if (flow && !flow->has_sink()) streamed_responses_->end(connection, StreamedResponses::End::kAbandoned);
 }
 
 void Upstream::finish(Connection& connection, Ending ending, const Message* response, bool keep) {
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -48,6 +48,10 @@
     std::function<bool(RequestId)> may_stream = [](RequestId) { return true; };
     // Returns whether the checker has this backend as one that must receive nothing new at `now`.
     std::function<bool(BackendId, Millis now)> withdrawn = [](BackendId, Millis) { return false; };
+    // The response to this request, which was reported with its flow, has ended; without a value: in a way
+    // that says nothing about its backend.
+    std::function<void(RequestId, std::optional<Ending>)> response_ended = [](RequestId,
+                                                                              std::optional<Ending>) {};
     Recorder* recorder = nullptr;
   };
 
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -94,6 +94,10 @@
 
   void on(const RequestArrived& e) { requests_.arrived(e); }
   void on(const AttemptEnded& e) { requests_.ended(e); }
+  void on(const ResponseEnded& e) {
+    lists_.require_known(e.backend);
+    health_.record_outcome(e.backend, e.request_class, e.outcome);
+  }
   void on(const StreamStarted& e) { requests_.stream_started(e.request); }
   void on(const RequestGone& e) { requests_.client_gone(e.request); }
   void on(const RetriesAllowed& e) { retries_.set_fleet_budget(e.left); }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -100,6 +100,13 @@
   bool request_over = false;  // it has its final answer, or its client has gone
   bool has_report = false;
   LoadReport report;
+  bool response_open = false;  // its response is still being received; ResponseEnded says how that ends
+};
+// How a response ended that was forwarded while it was received.
+struct ResponseEnded {
+  BackendId backend = 0;
+  int request_class = 0;
+  Outcome outcome = Outcome::kServed;
 };
 // The client has gone.
 struct RequestGone {
@@ -130,8 +137,8 @@
   std::uint64_t cookie = 0;
 };
 using Event =
-    std::variant<Started, ListUpdate, RequestArrived, StreamStarted, AttemptEnded, RequestGone, ProbeEnded,
-                 TimerFired, SettingsChanged, PeerMessageReceived, RetriesAllowed, ListValidity>;
+    std::variant<Started, ListUpdate, RequestArrived, StreamStarted, AttemptEnded, ResponseEnded, RequestGone,
+                 ProbeEnded, TimerFired, SettingsChanged, PeerMessageReceived, RetriesAllowed, ListValidity>;
 
 struct SendAttempt {
   RequestId request = 0;
--- a/src/policy/requests.h
+++ b/src/policy/requests.h
@@ -206,7 +206,7 @@
       probes_.mark_missed(e.backend);
       rotation_.drop(e.backend);
     }
-    health_.record_outcome(e.backend, r.request_class, e.outcome);
+    if (!e.response_open) health_.record_outcome(e.backend, r.request_class, e.outcome);
     const bool served = e.outcome == Outcome::kServed;
     if (served || e.outcome == Outcome::kNoAnswer) estimates_.learn(a.backend, a.sent, e.elapsed, served);
     a.may_have_run = !(rejected || e.outcome == Outcome::kNoConnection || e.outcome == Outcome::kNotSent);
--- a/tests/policy/stream_text.cpp
+++ b/tests/policy/stream_text.cpp
@@ -44,6 +44,9 @@
                   static_cast<int>(e.outcome), e.elapsed, e.request_over,
                   e.has_report ? words(e.report).c_str() : "");
   }
+  std::string operator()(const ResponseEnded& e) {
+    return format("response of %u class %d: %d", e.backend, e.request_class, static_cast<int>(e.outcome));
+  }
   std::string operator()(const RequestGone& e) { return format("gone %u", e.request); }
   std::string operator()(const ProbeEnded& e) {
     return format("probed %u: %d after %.17g %s", e.backend, static_cast<int>(e.outcome), e.elapsed,
