A list behind a quiet watch ages on while nobody listens at discovery

Cause: ListLease::unreachable moved current_until_, and with it a bound that had begun to run with the silence, on by the outage: the end of a watch was taken for proof that the list was current then. Change: only a list whose last whole message came at most 100 ms before the first refused connection (dated by the system's arrival time) stands still; others age on, and a change binds 6 s after the last message at the latest. Cost: an outage with nobody listening that begins later than 100 ms after a sign of the watch is served for 4.1 to 6.1 s from that sign, and refused then.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -10,8 +10,9 @@
   if (no_call_ended_since_ == kNever) no_call_ended_since_ = now;
 }
 
-void ListLease::call_answered(bool late) {
+void ListLease::call_answered(Millis now, bool late) {
   watching_ = true;
+  if (!late) last_message_at_ = now;
   last_proof_at_ = -kNever;
   current_until_ = std::max(current_until_, last_call_at_);
   no_call_ended_since_ = discovery_changed_at_ = lapsed_at_ = kNever;
@@ -20,6 +21,7 @@
 }
 
 void ListLease::sign_of_life(Millis now) {
+  last_message_at_ = now;
   current_until_ = std::max(current_until_, now - kSignInterval);
   unfinished_at_ = unfinished_before_ = lapsed_at_ = kNever;
 }
@@ -49,10 +51,13 @@
 void ListLease::unreachable(Millis now) {
   if (watching_) return;
   const bool follows = follows_proof(now);
-  if (!follows && now - watch_ended_at_ > kMaxTimeToProof) return;
+  if (!follows) {
+    if (now - watch_ended_at_ > kMaxTimeToProof) return;
+    current_before_outage_ = now - last_message_at_ <= kMaxTimeToProof;
+  }
   const Millis out_of_reach = follows ? now - last_proof_at_ : 0;
   last_proof_at_ = now;
-  current_until_ += out_of_reach;
+  if (current_before_outage_) current_until_ += out_of_reach;
   watch_ended_at_ += out_of_reach;
   if (no_call_ended_since_ < kNever) no_call_ended_since_ += out_of_reach;
 }
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -25,7 +25,8 @@
   // After a new configuration names another discovery, that one's earlier changes bind after this time at the
   // latest.
   static constexpr Millis kDiscoveryChangeDelay = 4000;
-  // Between the end of the watch and the first proof that discovery cannot be reached.
+  // Between the end of the watch and the first proof that discovery cannot be reached. Also between the last
+  // message and that proof, for the list to be current when discovery went away.
   static constexpr Millis kMaxTimeToProof = 100;
   // Between two such proofs, for discovery to count as out of reach throughout: it does not come back and go
   // away again in less time.
@@ -62,10 +63,10 @@
   void adopt(const Terms& terms) { terms_ = terms; }
 
   void call_begun(Millis now);
-  // The open call has brought the current list, or the message that it is unchanged. `late`: its arrival took
-  // long, so that what follows may be as late. Where lists are pushed it then proves nothing before the watch
-  // has brought something more.
-  void call_answered(bool late = false);
+  // The open call has brought the current list, or the message that it is unchanged, at `now`. `late`: its
+  // arrival took long, so that what follows may be as late. Where lists are pushed it then proves nothing
+  // before the watch has brought something more.
+  void call_answered(Millis now, bool late = false);
   // The open watch has brought a whole change or a keep-alive.
   void sign_of_life(Millis now);
   // A response or a list has arrived in part; the changes in it may bind already.
@@ -73,10 +74,16 @@
   // What had arrived in part turned out to hold no list.
   void nothing_told() { unfinished_at_ = unfinished_before_; }
   void call_ended(CallEnd how, Millis now);
-  // A connection to discovery was refused: nobody listens there, so that no change binds before it returns.
-  // From the end of a watch on, and while such proofs follow each other closely, the list does not age. Where
-  // lists are pushed changes bind as soon as discovery is back, so that it is valid up to the latest proof.
+  // A connection to discovery was refused: nobody listens there, so that no new change binds before it
+  // returns. From the end of a watch on, and while such proofs follow each other closely, a list that was
+  // current when discovery went away does not age. One whose watch had been quiet before ages on: a change
+  // that a silent watch missed binds kMaxAge after its last message, also while nobody listens. Where lists
+  // are pushed changes bind as soon as discovery is back, so that a list is valid up to the latest proof.
   void unreachable(Millis now);
+  // Whether the list stands still in age, as nobody has listened at discovery since it was current.
+  bool stands_still() const { return last_proof_at_ > -kNever && current_before_outage_; }
+  // Time from the last message of the watch to its end.
+  Millis quiet_before_end() const { return watch_ended_at_ - last_message_at_; }
   // Discovery is at another address from now on, and no call to it is open.
   void discovery_changed(Millis now);
 
@@ -97,10 +104,12 @@
 
   Terms terms_;
   bool watching_ = false;
-  Millis current_until_ = -kNever;   // up to then the list is all that discovery had
-  Millis last_call_at_ = -kNever;    // start of the last call
-  Millis watch_ended_at_ = -kNever;  // end of the last watch, without the time out of reach since
-  Millis last_proof_at_ = -kNever;   // that discovery cannot be reached, in the present series
+  Millis current_until_ = -kNever;      // up to then the list is all that discovery had
+  Millis last_call_at_ = -kNever;       // start of the last call
+  Millis last_message_at_ = -kNever;    // last whole list or keep-alive of a watch
+  Millis watch_ended_at_ = -kNever;     // end of the last watch, without the time out of reach since
+  Millis last_proof_at_ = -kNever;      // that discovery cannot be reached, in the present series
+  bool current_before_outage_ = false;  // the list was, when the present series began
   // No call has ended since then; kNever: one has, or a watch is open.
   Millis no_call_ended_since_ = -kNever;
   // Since then a list is incomplete, or was never completed, and none has arrived whole.
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -40,10 +40,10 @@
       [this](const ListValidity& validity) { listener_.validity(validity); });
   discovery_ = std::make_unique<Discovery>(
       loop_, *config.discovery, config.known.version,
-      Discovery::Listener{[this](const List& list) { list_changed(list); },
-                          [this](Ending ending) { watch_ended(ending); },
-                          [this](bool first, bool late) { lease_->current(first, late); },
-                          [this] { lease_->incomplete(); }, [this] { lease_->call_begun(); }});
+      Discovery::Listener{
+          [this](const List& list) { list_changed(list); }, [this](Ending ending) { watch_ended(ending); },
+          [this](bool first, bool late) { lease_->current(first, late, discovery_->last_byte_at()); },
+          [this] { lease_->incomplete(); }, [this] { lease_->call_begun(); }});
 }
 
 BackendSource::~BackendSource() {
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -91,7 +91,7 @@
 }
 
 void Discovery::on_input(Stream& stream) {
-  last_byte_at_ = loop_.now();
+  last_byte_at_ = loop_.now() - stream.waited();
   const Parser::State state = response_.receive(stream.input());
   if (state == Parser::State::kBad) {
     spdlog::warn("discovery: malformed response: {}", response_.cause());
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -59,6 +59,7 @@
   std::uint64_t version() const { return version_; }
   Millis last_received() const { return last_received_; }  // when any part of a response arrived; 0 = never
   bool has_list() const { return has_list_; }  // a list, or a sign that nothing has changed, was received
+  Millis last_byte_at() const { return last_byte_at_; }  // when the last byte arrived, or the call began
   std::uint64_t calls() const { return calls_; }
 
   // State of the last call when it ended, for the log.
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -47,9 +47,9 @@
   report_change();
 }
 
-void DiscoveryLease::current(bool first, bool late) {
+void DiscoveryLease::current(bool first, bool late, Millis received_at) {
   reachability_.stop();
-  first ? lease_.call_answered(late) : lease_.sign_of_life(loop_.now());
+  first ? lease_.call_answered(received_at, late) : lease_.sign_of_life(received_at);
   report_change();
 }
 
@@ -69,12 +69,21 @@
 }
 
 void DiscoveryLease::unreachable() {
-  if (!std::exchange(outage_logged_, true))
-    spdlog::warn("pool {}: discovery refuses connections: the list does not age meanwhile", pool_);
   lease_.unreachable(loop_.now());
+  if (!std::exchange(outage_logged_, true)) log_outage();
   report_change();
 }
 
+void DiscoveryLease::log_outage() const {
+  if (lease_.stands_still()) {
+    spdlog::warn("pool {}: discovery refuses connections: the list does not age meanwhile", pool_);
+    return;
+  }
+  spdlog::warn(
+      "pool {}: discovery refuses connections: the list ages on, as its watch was quiet for {:.0f} ms before",
+      pool_, lease_.quiet_before_end());
+}
+
 void DiscoveryLease::address_changed(const Poco::Net::SocketAddress& address) {
   reachability_.stop();
   address_ = address;
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -28,8 +28,9 @@
 
   void adopt(const Settings& settings);  // for drains and for how lists are obtained
   void call_begun();
-  void current(bool first, bool late);  // see Discovery::Listener::current
-  void incomplete();                    // see Discovery::Listener::unfinished
+  // See Discovery::Listener::current; `received_at`: when the last byte arrived.
+  void current(bool first, bool late, Millis received_at);
+  void incomplete();  // see Discovery::Listener::unfinished
   void ended(Ending ending, const Discovery::CallEnd& end);
   void address_changed(const Poco::Net::SocketAddress& address);
   void report();  // reports even if nothing has changed
@@ -40,6 +41,7 @@
  private:
   void unreachable();
   void report_change();
+  void log_outage() const;
   void log_limit();
   void log_expiry();
 
--- a/tests/membership/interrupted_lease_test.cpp
+++ b/tests/membership/interrupted_lease_test.cpp
@@ -18,7 +18,7 @@
   EXPECT_EQ(lease.validity().until, kStart + 200 + kAllowance);
   lease.call_begun(kStart + 400);
   EXPECT_EQ(lease.validity().until, kStart + 200 + kAllowance);
-  lease.call_answered();
+  lease.call_answered(kStart + 400);
   EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMaxAge + kAllowance);
 }
 
@@ -58,7 +58,7 @@
     lease.call_ended(CallEnd::kFailed, kStart + 300);
     EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance) << watched;
     lease.call_begun(kStart + 400);
-    lease.call_answered();
+    lease.call_answered(kStart + 400);
     EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMaxAge + kAllowance) << watched;
   }
 }
@@ -83,6 +83,17 @@
   EXPECT_EQ(lease.validity().until, before + kOutage) << "it ages again from the latest proof on";
 }
 
+TEST(ListLease, AListWhoseWatchWasQuietBeforeAnOutageAgesOn) {
+  constexpr Millis kQuiet = ListLease::kMaxTimeToProof + 1;
+  for (const bool pushed : {false, true}) {
+    ListLease lease = watching(pushed);
+    lease.call_ended(CallEnd::kWatchEnded, kStart + kQuiet);
+    for (Millis now = kStart + kQuiet; now < kStart + 10000; now += kCheckInterval) lease.unreachable(now);
+    EXPECT_EQ(lease.validity().until, watching(pushed).validity().until) << pushed;
+    EXPECT_FALSE(lease.stands_still());
+  }
+}
+
 TEST(ListLease, APushedListIsValidUpToTheLatestProofThatDiscoveryIsOutOfReach) {
   const Millis latest = kStart + 1 + 20 * kCheckInterval;
   EXPECT_EQ(out_of_reach(true, latest).validity().until, latest + kAllowance);
--- a/tests/membership/lease_case.h
+++ b/tests/membership/lease_case.h
@@ -17,8 +17,6 @@
 // What the process reports at the reset of an answered watch.
 inline constexpr CallEnd kWatchReset = CallEnd::kWatchEnded;
 
-inline void answer(ListLease& lease, Millis) { lease.call_answered(); }
-
 inline ListLease lease_on_request(Millis ask_every = kAskEvery) {
   ListLease lease;
   lease.adopt({.grace = kGrace, .pushed = false, .ask_every = ask_every});
@@ -30,7 +28,7 @@
   ListLease lease;
   lease.adopt({.grace = kGrace, .pushed = pushed, .ask_every = ask_every});
   lease.call_begun(kStart - 4000);
-  lease.call_answered();
+  lease.call_answered(kStart - 4000);
   lease.sign_of_life(kStart);
   return lease;
 }
--- a/tests/membership/lease_histories_test.cpp
+++ b/tests/membership/lease_histories_test.cpp
@@ -88,7 +88,7 @@
         return reading_.call(now_);
       case Event::kAnswer:
         connection_ = Connection::kWatch;
-        answer(lease_, now_);
+        lease_.call_answered(now_);
         return reading_.answer(now_);
       case Event::kRejected:
         lease_.nothing_told();
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -32,7 +32,7 @@
 TEST(ListLease, ValidityCountsFromTheStartOfTheCall) {
   ListLease lease = lease_on_request();
   lease.call_begun(kStart);
-  lease.call_answered();
+  lease.call_answered(kStart);
   EXPECT_EQ(lease.validity().until, kStart + ListLease::kMaxAge + kAllowance);
 }
 
@@ -96,14 +96,14 @@
   lease.call_ended(CallEnd::kFailed, held_until + 60);
   EXPECT_LE(lease.validity().until, held_until + kAllowance);
   lease.call_begun(held_until + 400);
-  lease.call_answered();
+  lease.call_answered(held_until + 400);
   EXPECT_EQ(lease.validity().until, held_until + 400 + ListLease::kMaxAge + kAllowance);
 }
 
 TEST(ListLease, ShorterConfiguredIntervalShortensTheHold) {
   ListLease lease = lease_on_request(800);
   lease.call_begun(kStart);
-  lease.call_answered();
+  lease.call_answered(kStart);
   lease.call_ended(CallEnd::kWatchEnded, kStart + 500);
   EXPECT_EQ(lease.validity().until, kStart + 500 + 800 + kAllowance);
   lease.call_begun(kStart + 600);
@@ -120,7 +120,7 @@
   lease.call_ended(CallEnd::kFailed, kStart + 300);
   EXPECT_EQ(lease.validity().until, kStart + 100 + kAllowance);
   lease.call_begun(kStart + 400);
-  lease.call_answered();
+  lease.call_answered(kStart + 400);
   EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMaxAge + kAllowance);
 }
 
@@ -130,7 +130,7 @@
     lease.adopt({.grace = kGrace, .pushed = pushed, .ask_every = kAskEvery});
     lease.call_begun(kStart);
     lease.list_incomplete(kStart + 10);
-    lease.call_answered(true);
+    lease.call_answered(kStart + 10, true);
     const Millis requested = kStart + ListLease::kMaxAge + kAllowance;
     EXPECT_EQ(lease.validity().until, pushed ? kStart + kAllowance : requested) << pushed;
     lease.sign_of_life(kStart + 4000);
@@ -151,7 +151,7 @@
   ListLease lease;
   lease.adopt({.grace = 100, .pushed = false, .ask_every = kAskEvery});
   lease.call_begun(kStart);
-  lease.call_answered();
+  lease.call_answered(kStart);
   EXPECT_EQ(lease.validity().until, kStart + ListLease::kMaxAge);
 }
 
@@ -172,7 +172,7 @@
         break;
       case 1:
         if (!open || std::exchange(whole, true)) break;
-        lease.call_answered();
+        lease.call_answered(now);
         proof = now;
         break;
       case 2:
