--- a/tests/crossings/listed_node.h
+++ b/tests/crossings/listed_node.h
@@ -29,6 +29,7 @@
     while (!served()) continue;
   }
 
+  Line client() const { return node_->client(); }
   Line& watch() { return *watch_; }
   // Waits for the next call; connections without a request are checks.
   void accept_call() {
