A reset of the watch ends the validity of the list until a call is answered

PROTOCOL: a change is told when discovery has written it; a reset discards what is under way. A list that was current when discovery went away (last message and first refused connection within 100 ms) stands still as before, however the watch ended.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -15,7 +15,7 @@
   if (!late) last_message_at_ = now;
   last_proof_at_ = -kNever;
   current_until_ = std::max(current_until_, last_call_at_);
-  no_call_ended_since_ = discovery_changed_at_ = lapsed_at_ = kNever;
+  no_call_ended_since_ = watch_reset_at_ = discovery_changed_at_ = lapsed_at_ = kNever;
   unfinished_at_ = late && terms_.pushed ? std::min(unfinished_at_, last_call_at_) : kNever;
   unfinished_before_ = unfinished_at_;
 }
@@ -33,6 +33,10 @@
     list_incomplete(now);
     how = watching_ ? CallEnd::kWatchEnded : CallEnd::kFailed;
   }
+  if (how == CallEnd::kWatchReset) {
+    watch_reset_at_ = std::min(watch_reset_at_, now);
+    how = CallEnd::kWatchEnded;
+  }
   watching_ = false;
   if (how == CallEnd::kFailed) {
     // Changes that bind since the watch ended still bind, although a failed call allows a longer hold.
@@ -54,6 +58,7 @@
   if (!follows) {
     if (now - watch_ended_at_ > kMaxTimeToProof) return;
     current_before_outage_ = now - last_message_at_ <= kMaxTimeToProof;
+    if (current_before_outage_) watch_reset_at_ = kNever;
   }
   const Millis out_of_reach = follows ? now - last_proof_at_ : 0;
   last_proof_at_ = now;
@@ -87,6 +92,7 @@
     if (until < earliest.until) earliest = {until, limit};
   };
   consider(unfinished_at_, Limit::kIncomplete);
+  consider(watch_reset_at_, Limit::kWatchReset);
   consider(lapsed_at_, Limit::kNoCall);
   consider(discovery_changed_at_ + kDiscoveryChangeDelay, Limit::kDiscoveryChanged);
   if (watching_) return earliest;
@@ -123,6 +129,8 @@
       return "the time without a watch";
     case ListLease::Limit::kWatchEnded:
       return "the end of the watch";
+    case ListLease::Limit::kWatchReset:
+      return "a reset of the watch";
     case ListLease::Limit::kDiscoveryChanged:
       return "the change of discovery's address";
   }
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -49,12 +49,16 @@
     kIncomplete,        // a list has begun to arrive and is not whole
     kNoCall,            // no watch is open, and no call has ended within the hold time
     kWatchEnded,        // lists are pushed and no watch is open
+    kWatchReset,        // the watch was reset, and what was written into it may be lost
     kDiscoveryChanged,  // a new configuration names another discovery
   };
   enum class CallEnd {
     kNotAttempted,  // no connection was attempted
     kFailed,        // the call brought nothing whole
-    kWatchEnded,    // the call was answered, and its watch has ended
+    kWatchEnded,    // the call was answered, and its watch has ended in order
+    // The call was answered, and its watch was reset. A change counts from the moment in which discovery
+    // writes it, and the reset may have discarded it on the way.
+    kWatchReset,
     // Discovery may have sent what was not received or could not be read: the connection was left although it
     // was open, or what came was malformed.
     kInterrupted,
@@ -76,9 +80,10 @@
   void call_ended(CallEnd how, Millis now);
   // A connection to discovery was refused: nobody listens there, so that no new change binds before it
   // returns. From the end of a watch on, and while such proofs follow each other closely, a list that was
-  // current when discovery went away does not age. One whose watch had been quiet before ages on: a change
-  // that a silent watch missed binds kMaxAge after its last message, also while nobody listens. Where lists
-  // are pushed changes bind as soon as discovery is back, so that a list is valid up to the latest proof.
+  // current when discovery went away does not age, however the watch ended. One whose watch had been quiet
+  // before ages on: a change that a silent watch missed binds kMaxAge after its last message, also while
+  // nobody listens. Where lists are pushed changes bind as soon as discovery is back, so that a list is valid
+  // up to the latest proof.
   void unreachable(Millis now);
   // Whether the list stands still in age, as nobody has listened at discovery since it was current.
   bool stands_still() const { return last_proof_at_ > -kNever && current_before_outage_; }
@@ -116,6 +121,7 @@
   Millis unfinished_at_ = kNever;
   Millis unfinished_before_ = kNever;     // its value before the latest response or list began
   Millis lapsed_at_ = kNever;             // no call had ended in time, and no list has arrived since
+  Millis watch_reset_at_ = kNever;        // and no list has arrived since
   Millis discovery_changed_at_ = kNever;  // and no list has arrived since
 };
 
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -18,6 +18,8 @@
     case Ending::kSilent:
     case Ending::kTimeout:
       return CallEnd::kInterrupted;
+    case Ending::kBroken:
+      return answered ? CallEnd::kWatchReset : CallEnd::kFailed;
     default:
       return answered ? CallEnd::kWatchEnded : CallEnd::kFailed;
   }
@@ -63,7 +65,8 @@
   const CallEnd how = call_end(ending, end.answered);
   lease_.call_ended(how, loop_.now());
   report_change();
-  if (how != CallEnd::kWatchEnded || !expires_) return;
+  const bool watched = how == CallEnd::kWatchEnded || how == CallEnd::kWatchReset;
+  if (!watched || !expires_) return;
   outage_logged_ = false;
   reachability_.start(address_, pushed_ ? kCheckIntervalPushed : kCheckInterval);
 }
--- a/tests/membership/interrupted_lease_test.cpp
+++ b/tests/membership/interrupted_lease_test.cpp
@@ -94,6 +94,31 @@
   }
 }
 
+TEST(ListLease, AResetOfTheWatchEndsValidityUntilACallIsAnswered) {
+  for (const bool pushed : {false, true}) {
+    ListLease lease = watching(pushed);
+    lease.call_ended(CallEnd::kWatchReset, kStart + 300);
+    EXPECT_EQ(lease.validity().until, kStart + 300 + kAllowance) << pushed;
+    lease.call_begun(kStart + 310);
+    lease.call_ended(CallEnd::kFailed, kStart + 320);
+    lease.unreachable(kStart + 330);
+    EXPECT_EQ(lease.validity().until, kStart + 300 + kAllowance) << pushed;
+    lease.call_begun(kStart + 400);
+    lease.call_answered(kStart + 410);
+    EXPECT_EQ(lease.validity().until, kStart + 400 + ListLease::kMaxAge + kAllowance) << pushed;
+  }
+}
+
+TEST(ListLease, AListThatWasCurrentWhenDiscoveryWentAwayStandsStillHoweverItsWatchEnded) {
+  for (const CallEnd end : {CallEnd::kWatchEnded, CallEnd::kWatchReset}) {
+    ListLease lease = watching();
+    lease.call_ended(end, kStart + 10);
+    for (Millis now = kStart + 11; now < kStart + 10000; now += kCheckInterval) lease.unreachable(now);
+    EXPECT_TRUE(lease.stands_still());
+    EXPECT_GT(lease.validity().until, kStart + 10000);
+  }
+}
+
 TEST(ListLease, APushedListIsValidUpToTheLatestProofThatDiscoveryIsOutOfReach) {
   const Millis latest = kStart + 1 + 20 * kCheckInterval;
   EXPECT_EQ(out_of_reach(true, latest).validity().until, latest + kAllowance);
--- a/tests/membership/lease_case.h
+++ b/tests/membership/lease_case.h
@@ -14,9 +14,6 @@
 inline constexpr Millis kAskEvery = 10000;      // longer than changes take to bind at the latest
 inline constexpr Millis kShortAskEvery = 1500;  // a list is asked for so often that it binds sooner
 
-// What the process reports at the reset of an answered watch.
-inline constexpr CallEnd kWatchReset = CallEnd::kWatchEnded;
-
 inline ListLease lease_on_request(Millis ask_every = kAskEvery) {
   ListLease lease;
   lease.adopt({.grace = kGrace, .pushed = false, .ask_every = ask_every});
--- a/tests/membership/lease_histories_test.cpp
+++ b/tests/membership/lease_histories_test.cpp
@@ -73,7 +73,7 @@
         end(CallEnd::kWatchEnded);
         return reading_.watch_ended_in_order(now_);
       case Event::kReset:
-        end(kWatchReset);
+        end(CallEnd::kWatchReset);
         return reading_.watch_reset(now_);
       case Event::kLeft:
         end(CallEnd::kInterrupted);
