Refused connections after a move of discovery prove nothing of the list's age

Seen: in histories of the lease alone; a process stops its checks when discovery moves, so no order of events is known that reaches it. Cause: ListLease::unreachable did not know that the list is another discovery's. Evidence: LeaseHistories, 880 of 154,360 histories as found. The test stays listed for one more cause, an open call that renews a lease whose time for asking was over (AskEvery of 1 s).

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -53,7 +53,7 @@
 }
 
 void ListLease::unreachable(Millis now) {
-  if (watching_) return;
+  if (watching_ || discovery_changed_at_ < kNever) return;  // of another discovery it proves nothing
   const bool follows = follows_proof(now);
   if (!follows) {
     if (now - watch_ended_at_ > kMaxTimeToProof) return;
