A lease that has run out by the time without a watch is not renewed by an open call

Seen: by LeaseHistories alone. With AskEvery under 1.5 s a call that fails allows 4 x AskEvery; once that was over, the start of a further call set the lease anew (AskEvery from then), though changes had come to bind in between. A process calls again within 1.5 x AskEvery, so no order of events on a real process is known. Cause: only a call's failure, not its start, noted that the time was over, and only behind a watch. Now both do (note_lapse).

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -5,6 +5,7 @@
 namespace shorelead::membership {
 
 void ListLease::call_begun(Millis now) {
+  note_lapse(now);
   last_call_at_ = now;
   unfinished_before_ = unfinished_at_;
   if (no_call_ended_since_ == kNever) no_call_ended_since_ = now;
@@ -39,15 +40,19 @@
   }
   watching_ = false;
   if (how == CallEnd::kFailed) {
-    // Changes that bind since the watch ended still bind, although a failed call allows a longer hold.
-    const Millis lapses_at = watch_ended_at_ + hold_without_call();
-    if (no_call_ended_since_ <= watch_ended_at_ && now >= lapses_at)
-      lapsed_at_ = std::min(lapsed_at_, lapses_at);
+    note_lapse(now);
     no_call_ended_since_ = kNever;
   }
   if (how == CallEnd::kWatchEnded) no_call_ended_since_ = watch_ended_at_ = now;
 }
 
+// What binds by the time without a watch goes on to bind, although a further call allows a longer hold.
+void ListLease::note_lapse(Millis now) {
+  if (watching_ || terms_.pushed) return;
+  const Millis lapses_at = held_since() + hold_time();
+  if (now >= lapses_at) lapsed_at_ = std::min(lapsed_at_, lapses_at);
+}
+
 bool ListLease::follows_proof(Millis now) const {
   return last_proof_at_ > -kNever && now - last_proof_at_ <= kMaxTimeBetweenProofs;
 }
@@ -78,6 +83,10 @@
   return terms_.ask_every > 0 ? std::min(terms_.ask_every, kMaxAge) : kMaxAge;
 }
 
+Millis ListLease::held_since() const {
+  return no_call_ended_since_ < kNever ? no_call_ended_since_ : current_until_;
+}
+
 // For how long the process may act on its list once that may differ from discovery's.
 Millis ListLease::hold_time() const {
   if (watching_) return kMaxAge;
@@ -100,8 +109,7 @@
     consider(std::max(watch_ended_at_, last_proof_at_), Limit::kWatchEnded);
     return earliest;
   }
-  const Millis since = no_call_ended_since_ < kNever ? no_call_ended_since_ : current_until_;
-  consider(since + hold_time(), Limit::kNoCall);
+  consider(held_since() + hold_time(), Limit::kNoCall);
   return earliest;
 }
 
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -99,8 +99,10 @@
   static constexpr Millis kNever = std::numeric_limits<Millis>::infinity();
 
   bool follows_proof(Millis now) const;
+  void note_lapse(Millis now);
   Millis hold_without_call() const;
   Millis hold_time() const;
+  Millis held_since() const;  // without a watch, for hold_time() from then on
   struct Bound {
     Millis until;
     Limit limit;
