A call that could not be attempted does not renew the lease of the failed one before it

With AskEvery under 1.5 s a call for which this machine had no descriptor moved the hold on to AskEvery after its start. PROTOCOL counts from the last call, and nobody was asked. Cause: call_ended(kNotAttempted) kept what call_begun had set.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -8,6 +8,7 @@
   note_lapse(now);
   last_call_at_ = now;
   unfinished_before_ = unfinished_at_;
+  no_call_ended_before_ = no_call_ended_since_;
   if (no_call_ended_since_ == kNever) no_call_ended_since_ = now;
 }
 
@@ -39,6 +40,7 @@
     how = CallEnd::kWatchEnded;
   }
   watching_ = false;
+  if (how == CallEnd::kNotAttempted) no_call_ended_since_ = no_call_ended_before_;
   if (how == CallEnd::kFailed) {
     note_lapse(now);
     no_call_ended_since_ = kNever;
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -119,6 +119,7 @@
   bool current_before_outage_ = false;  // the list was, when the present series began
   // No call has ended since then; kNever: one has, or a watch is open.
   Millis no_call_ended_since_ = -kNever;
+  Millis no_call_ended_before_ = kNever;  // its value before the latest call began
   // Since then a list is incomplete, or was never completed, and none has arrived whole.
   Millis unfinished_at_ = kNever;
   Millis unfinished_before_ = kNever;     // its value before the latest response or list began
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -100,6 +100,18 @@
   EXPECT_EQ(lease.validity().until, held_until + 400 + ListLease::kMaxAge + kAllowance);
 }
 
+TEST(ListLease, ACallThatWasNotAttemptedLeavesTheHoldOfTheFailedOneBeforeIt) {
+  constexpr Millis kInterval = 1000;
+  ListLease lease = watching(false, kInterval);
+  lease.call_ended(CallEnd::kWatchEnded, kStart);
+  lease.call_begun(kStart + 10);
+  lease.call_ended(CallEnd::kFailed, kStart + 20);
+  const ListValidity before = lease.validity();
+  lease.call_begun(before.until - kAllowance - 10);
+  lease.call_ended(CallEnd::kNotAttempted, before.until - kAllowance - 5);
+  EXPECT_EQ(lease.validity(), before);
+}
+
 TEST(ListLease, ShorterConfiguredIntervalShortensTheHold) {
   ListLease lease = lease_on_request(800);
   lease.call_begun(kStart);
