The checker has a ground of its own for how old a list may be

Seen: the run-time checker saw nothing of the breaks of this incident: it took the list's validity from the lease that was wrong. Change: guard/discovery_record.h notes when discovery was last heard (a whole list or keep-alive), refused connections and resets of a watch, and counts an attempt over 6 s and the grace behind the last message, or behind a reset, as sent to a withdrawn backend, whatever the lease says. It shares no code with the lease and nothing decides by it.

--- a/src/guard/listed_record.h
+++ b/src/guard/listed_record.h
@@ -1,6 +1,6 @@
-// The checker's own record of which backends may get new requests, built from the lists and the operators'
-// calls. Separate from the record that decisions are based on. Not to be used for decisions. Owns one entry
-// for each backend.
+// The checker's own record of which backends may get new requests, built from the lists, the operators' calls
+// and what was heard of discovery. Separate from the record that decisions are based on. Not to be used for
+// decisions. Owns one entry for each backend.
 #pragma once
 
 #include <functional>
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/list_validity.h"
+#include "guard/discovery_record.h"
 
 namespace shorelead::guard {
 
@@ -31,10 +32,12 @@
 
   void set_validity(const ListValidity& validity) { validity_ = validity; }
   Millis valid_until() const { return validity_.until; }
+  void discovery(const DiscoverySign& sign) { discovery_.note(sign); }
 
   bool withdrawn(std::string_view host, Millis now) const {
     const bool listed = ready_.find(host) != ready_.end();
-    return !listed || out_of_service_.find(host) != out_of_service_.end() || now >= validity_.until;
+    return !listed || out_of_service_.find(host) != out_of_service_.end() || now >= validity_.until ||
+           discovery_.may_be_bound(now);
   }
 
  private:
@@ -47,6 +50,7 @@
   Hosts ready_;
   Hosts out_of_service_;
   ListValidity validity_;
+  DiscoveryRecord discovery_;
 };
 
 }  // namespace shorelead::guard
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -37,13 +37,17 @@
   if (!config.discovery) return;
   lease_ = std::make_unique<DiscoveryLease>(
       loop_, config.name, *config.discovery,
-      [this](const ListValidity& validity) { listener_.validity(validity); });
+      [this](const ListValidity& validity) { listener_.validity(validity); },
+      [this] { report_sign(guard::DiscoverySign::Kind::kRefused, loop_.now()); });
   discovery_ = std::make_unique<Discovery>(
       loop_, *config.discovery, config.known.version,
-      Discovery::Listener{
-          [this](const List& list) { list_changed(list); }, [this](Ending ending) { watch_ended(ending); },
-          [this](bool first, bool late) { lease_->current(first, late, discovery_->last_byte_at()); },
-          [this] { lease_->incomplete(); }, [this] { lease_->call_begun(); }});
+      Discovery::Listener{[this](const List& list) { list_changed(list); },
+                          [this](Ending ending) { watch_ended(ending); },
+                          [this](bool first, bool late) {
+                            lease_->current(first, late, discovery_->last_byte_at());
+                            report_sign(guard::DiscoverySign::Kind::kMessage, discovery_->last_byte_at());
+                          },
+                          [this] { lease_->incomplete(); }, [this] { lease_->call_begun(); }});
 }
 
 BackendSource::~BackendSource() {
@@ -56,6 +60,10 @@
   if (lease_ && !view_) lease_->adopt(config_.settings);
 }
 
+void BackendSource::report_sign(guard::DiscoverySign::Kind kind, Millis at) const {
+  if (expires()) listener_.discovery({kind, at, *config_.settings.drain_grace});
+}
+
 void BackendSource::adopt(const Settings& settings) {
   config_.settings = settings;
   update_lease_terms();
@@ -119,24 +127,6 @@
   return !discovery_ || discovery_->has_list();
 }
 
-// Passes discovery's lists through the view. A whole list with a version lower than the last one comes from a
-// discovery that lost its state, and begins a new epoch.
-membership::Update BackendSource::apply_to_view(const List& list) {
-  const Millis now = loop_.now();
-  if (list.whole) {
-    std::vector<membership::Entry> entries;
-    entries.reserve(list.backends.size());
-    for (const ListedBackend& backend : list.backends) entries.push_back({backend, list.version, false});
-    if (view_->known(0) && list.version < view_->revision(0)) ++epoch_;
-    return view_->snapshot(0, epoch_, list.version, entries, now);
-  }
-  std::vector<membership::View::Change> changes;
-  changes.reserve(list.backends.size());
-  for (const ListedBackend& backend : list.backends)
-    changes.push_back({{backend, list.version, false}, false});
-  return view_->change(0, changes, now);
-}
-
 // Passes on the changes that the view has accepted.
 void BackendSource::report_changes(const membership::Update& update) {
   if (registry_ && registry_->follower().counters().unreadable !=
@@ -188,13 +178,15 @@
   }
   spdlog::info("pool {}: list {}: {}, {} ready, {} draining, {} gone", config_.name, list.version,
                list.whole ? "whole" : "changes", ready, draining, list.backends.size() - ready - draining);
-  if (view_ && discovery_) return report_changes(apply_to_view(list));
+  if (view_ && discovery_) return report_changes(view_lists_.apply(*view_, list, loop_.now()));
   forward(list, ListSource::kWatch);
 }
 
 void BackendSource::watch_ended(Ending ending) {
   ++watch_endings_[ending];
   const Discovery::CallEnd& end = discovery_->last_end();
+  if (end.answered && ending == Ending::kBroken)
+    report_sign(guard::DiscoverySign::Kind::kWatchReset, loop_.now());
   lease_->ended(ending, end);
   spdlog::warn(
       "pool {}: watch on the list ended: {}, begun {:.2f} s and silent {:.2f} s before, {} bytes unfinished; "
--- a/src/node/backend_source.h
+++ b/src/node/backend_source.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <string>
 
+#include "guard/discovery_record.h"
 #include "membership/registry/client.h"
 #include "membership/view.h"
 #include "node/config.h"
@@ -18,6 +19,7 @@
 #include "node/net.h"
 #include "node/saved_list_copy.h"
 #include "node/start_times.h"
+#include "node/view_lists.h"
 #include "node/watch_backoff.h"
 
 namespace shorelead::node {
@@ -29,6 +31,8 @@
     std::function<void()> watch_ended;  // a watch ended and the listener decides when to call again
     // For how long the list may be acted on; called whenever that changes.
     std::function<void(const ListValidity&)> validity = [](const ListValidity&) {};
+    // What was heard of discovery, where a list expires; for the checker.
+    std::function<void(const guard::DiscoverySign&)> discovery = [](const guard::DiscoverySign&) {};
   };
 
   BackendSource(Loop& loop, const PoolConfig& config, std::uint64_t seed, Listener listener);
@@ -58,9 +62,9 @@
   void list_changed(const List& list);
   void watch_ended(Ending ending);
   void report_changes(const membership::Update& update);
-  membership::Update apply_to_view(const List& list);
   void tick_view();
   void update_lease_terms();
+  void report_sign(guard::DiscoverySign::Kind kind, Millis at) const;
   void log_list_settings() const;
 
   Loop& loop_;
@@ -75,7 +79,7 @@
   bool stale_ = false;
   bool unreached_ = false;
   std::uint64_t logged_unreadable_ = 0;  // count already reported in the log
-  std::uint64_t epoch_ = 1;              // of discovery's version numbers
+  DiscoveryViewLists view_lists_;
   std::uint64_t last_list_number_ = 0;   // of lists passed on, where the source has no version
   Loop::TimerId view_timer_ = 0;
   Loop::TimerId rewatch_timer_ = 0;
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -28,10 +28,11 @@
 }  // namespace
 
 DiscoveryLease::DiscoveryLease(Loop& loop, std::string pool, const Poco::Net::SocketAddress& address,
-                               Listener listener)
+                               Listener listener, std::function<void()> refused)
     : loop_(loop),
       pool_(std::move(pool)),
       listener_(std::move(listener)),
+      refused_(std::move(refused)),
       address_(address),
       reachability_(loop, [this] { unreachable(); }) {}
 
@@ -73,6 +74,7 @@
 
 void DiscoveryLease::unreachable() {
   lease_.unreachable(loop_.now());
+  refused_();
   if (!std::exchange(outage_logged_, true)) log_outage();
   report_change();
 }
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -20,8 +20,9 @@
  public:
   using Listener = std::function<void(const ListValidity&)>;
 
-  // `pool`: the pool's name, for the log; `address`: discovery's.
-  DiscoveryLease(Loop& loop, std::string pool, const Poco::Net::SocketAddress& address, Listener listener);
+  // `pool`: the pool's name, for the log; `address`: discovery's; `refused`: a check found nobody listening.
+  DiscoveryLease(Loop& loop, std::string pool, const Poco::Net::SocketAddress& address, Listener listener,
+                 std::function<void()> refused);
   ~DiscoveryLease();
   DiscoveryLease(const DiscoveryLease&) = delete;
   DiscoveryLease& operator=(const DiscoveryLease&) = delete;
@@ -54,6 +55,7 @@
   Loop& loop_;
   const std::string pool_;
   const Listener listener_;
+  const std::function<void()> refused_;
   membership::ListLease lease_;
   Poco::Net::SocketAddress address_;
   ReachabilityCheck reachability_;
--- a/src/node/pool_listeners.cpp
+++ b/src/node/pool_listeners.cpp
@@ -40,6 +40,7 @@
     record_.validity(validity);
     policy_host_.report_validity(validity, loop_.now());
   };
+  listener.discovery = [this](const guard::DiscoverySign& sign) { record_.discovery(sign); };
   return listener;
 }
 
--- a/src/node/pool_record.h
+++ b/src/node/pool_record.h
@@ -35,6 +35,7 @@
     }
   }
   void validity(const ListValidity& validity) { listed_.set_validity(validity); }
+  void discovery(const guard::DiscoverySign& sign) { listed_.discovery(sign); }
   bool withdrawn(const std::string& host, Millis now) const { return listed_.withdrawn(host, now); }
 
   void request(RequestId request, const Settings& settings, const RequestInfo& info) {
--- a/tests/guard/checker_test.cpp
+++ b/tests/guard/checker_test.cpp
@@ -141,5 +141,47 @@
   EXPECT_TRUE(listed.withdrawn("s-2", kStart)) << "a valid list does not name it";
 }
 
+// Discovery was last heard at kStart; the lease wrongly holds the list for ever.
+struct Heard {
+  Heard() {
+    listed.begin_list(true);
+    listed.listed("s-1", true);
+    note(DiscoverySign::Kind::kMessage, kStart);
+  }
+  void note(DiscoverySign::Kind kind, Millis at) { listed.discovery({kind, at, kGrace}); }
+  bool withdrawn(Millis now) const { return listed.withdrawn("s-1", now); }
+  static constexpr Millis kGrace = 250;
+  ListedRecord listed;
+};
+
+TEST(Checker, SixSecondsWithoutAMessageOfDiscoveryWithdrawEveryBackendWhateverTheLeaseSays) {
+  Heard heard;
+  EXPECT_FALSE(heard.withdrawn(kStart + 6250));
+  EXPECT_TRUE(heard.withdrawn(kStart + 6251));
+  heard.note(DiscoverySign::Kind::kRefused, kStart + 800);
+  EXPECT_TRUE(heard.withdrawn(kStart + 6251)) << "the watch was quiet before the outage";
+  heard.note(DiscoverySign::Kind::kMessage, kStart + 7000);
+  EXPECT_FALSE(heard.withdrawn(kStart + 7001));
+}
+
+TEST(Checker, AnOutageThatBeginsWhileTheListIsCurrentWithdrawsNobody) {
+  Heard heard;
+  heard.note(DiscoverySign::Kind::kWatchReset, kStart + 50);
+  for (Millis at = kStart + 51; at < kStart + 9000; at += 500) heard.note(DiscoverySign::Kind::kRefused, at);
+  EXPECT_FALSE(heard.withdrawn(kStart + 14000));
+  EXPECT_TRUE(heard.withdrawn(kStart + 15500));
+}
+
+TEST(Checker, AResetOfTheWatchWithdrawsEveryBackendUntilAMessageComes) {
+  Heard heard;
+  heard.note(DiscoverySign::Kind::kWatchReset, kStart + 400);
+  EXPECT_FALSE(heard.withdrawn(kStart + 650));
+  EXPECT_TRUE(heard.withdrawn(kStart + 651));
+  heard.note(DiscoverySign::Kind::kRefused, kStart + 450);
+  EXPECT_TRUE(heard.withdrawn(kStart + 651));
+  heard.note(DiscoverySign::Kind::kMessage, kStart + 700);
+  EXPECT_FALSE(heard.withdrawn(kStart + 701));
+}
+
 }  // namespace
 }  // namespace shorelead::guard
