--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -12,7 +12,8 @@
 longest deadline, 3 s at most, and 0.7 s more after SIGTERM. Backends that drain fail their health checks, and go on
 serving what they are sent. Others are left out of the list at once without draining (removed backends that serve on):
 they pass their checks, and are back after 1 to 14 s. In some spells of 1 to 14 s no list arrives whole:
-half of it comes, or part of the response's head and framing alone. In others each list has an entry that cannot be read.
+half of it comes, or part of the response's head and framing alone. In others each list has an entry that cannot be read. Watches fall silent, boxes leave, and nobody listens at discovery before the silence can be noticed; or a
+change is written into watches that are reset before it arrives.
 """
 
 import argparse
@@ -99,6 +100,34 @@
         ends = ['do = "discovery"', 'fault = "ends"', f"for = {span}"]
         return ends + ["", "[[event]]", f'at = "{at} ms"', 'do = "discovery"', 'fault = "crowded"', f"for = {span}"]
 
+    def then(self, at, *events):
+        """Further events behind the one before them; each a delay and a function that gives its lines."""
+        lines = []
+        for delay, event in events:
+            if at + delay < self.span:
+                lines += ["", "[[event]]", f'at = "{at + delay} ms"'] + event(at + delay)
+        return lines
+
+    def leave(self, at):
+        return self.random.choice([self.drain, self.unlist])(at)
+
+    def silent_outage(self, at):
+        """Watches fall silent, boxes leave the list, and nobody listens at discovery before the silence can be noticed."""
+        leaves = self.random.randint(20, 600)
+        away = self.random.randint(leaves, 2900)
+        outage = lambda _: ['do = "discovery"', 'fault = "down"', f"for = {self.length(3000, 9000)}"]
+        return ['do = "discovery"', 'fault = "silent"'] + self.then(at, (leaves, self.leave), (away, outage))
+
+    def lost_change(self, at):
+        """Boxes leave the list, and the watches on which that is written are reset before it arrives."""
+        leaves = self.random.randint(20, 600)
+        span = self.random.randint(leaves + 100, 3000)
+        lines = ['do = "discovery"', 'fault = "loses"', f'for = "{span} ms"']
+        if self.random.random() < 0.5:
+            return lines + self.then(at, (leaves, self.leave))
+        outage = lambda _: ['do = "discovery"', f'fault = "{self.random.choice(["down", "crowded"])}"', f"for = {self.length(300, 9000)}"]
+        return lines + self.then(at, (leaves, self.leave), (leaves + 5, outage))
+
     def drain(self, at):
         return ['do = "drain"', f"boxes = {self.some(self.boxes, self.boxes // 4)}", f"back = {self.length(300, 1500)}", f"drain_time = {self.length(300, self.random.choice([1500, 9000]))}"]
 
@@ -137,7 +166,7 @@
     # ---- groups ----
 
     def groups(self):
-        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.discovery, self.refusals, self.partial_lists, self.drain, self.unlist, self.kill, self.stall, self.link]
+        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.discovery, self.refusals, self.partial_lists, self.silent_outage, self.lost_change, self.drain, self.unlist, self.kill, self.stall, self.link]
         if self.crowds:
             kinds.append(self.crowd)
         at = QUIET_MS
--- a/src/lab/experiment_events.cpp
+++ b/src/lab/experiment_events.cpp
@@ -14,11 +14,11 @@
     "cut",       "store",     "kill_planner", "signals",     "crowd"};
 const std::array<std::string, 9> kLinkFaults{"black_hole", "latency", "reset",   "truncate", "drip",
                                              "noise",      "second",  "interim", "endless"};
-const std::array<std::string, 20> kDiscoveryFaults{
-    "down",         "restart",    "empty",       "crowded",       "unavailable",
-    "slow",         "trickle",    "cut",         "ends",          "silent",
-    "reset",        "unreadable", "partial_end", "partial_reset", "partial_silent",
-    "partial_late", "begun_end",  "begun_reset", "begun_silent",  "begun_late"};
+const std::array<std::string, 21> kDiscoveryFaults{
+    "down",         "restart",       "empty",          "crowded",      "unavailable", "slow",
+    "trickle",      "cut",           "ends",           "silent",       "reset",       "unreadable",
+    "partial_end",  "partial_reset", "partial_silent", "partial_late", "begun_end",   "begun_reset",
+    "begun_silent", "begun_late",    "loses"};
 const std::array<std::string, 2> kSignals{"hup", "term"};
 const std::array<std::string, 3> kFiles{"same", "moved", "broken"};
 const std::array<std::string, 3> kCutFaults{"hole", "latency", "bytes"};
--- a/src/lab/registry.cpp
+++ b/src/lab/registry.cpp
@@ -210,6 +210,7 @@
   if (fault == "trickle") trouble_.trickles = on;
   if (fault == "cut") trouble_.cuts = on;
   if (fault == "ends") trouble_.ends = on;
+  if (fault == "loses") trouble_.loses = on;
   if (fault == "unreadable") trouble_.unreadable = on;
   if (const auto damage = list_damage(fault)) trouble_.damage = on ? *damage : ListDamage();
   if (fault == "unavailable") {
--- a/src/lab/registry_session.cpp
+++ b/src/lab/registry_session.cpp
@@ -110,6 +110,7 @@
   const ListTrouble& trouble = owner_.trouble();
   if (!line.says.empty() && trouble.cuts && queue_.empty()) return cut(line);
   if (!line.says.empty() && trouble.ends) return close();
+  if (!line.says.empty() && trouble.loses) return note(line, true), reset();
   queue_.push_back(readable(std::move(line)));
   if (queue_.size() == 1) write();
 }
--- a/src/lab/registry_session.h
+++ b/src/lab/registry_session.h
@@ -34,6 +34,7 @@
   bool trickles = false;     // answers come a byte at a time
   bool cuts = false;         // a change is written in half, and the watch ends
   bool ends = false;         // a watch ends in place of a change
+  bool loses = false;        // a change is written, and a reset of the watch takes it before it arrives
   bool unreadable = false;   // each list has an entry that cannot be read
   ListDamage damage;         // no list comes whole, neither first ones nor changes
 };
