A long list counts as current when its framing arrives while it is parsed

A list over 64 KB is parsed in slices; where the end of its chunk (CR LF) arrived in a read of its own meanwhile, the list was applied and did not count as current before the next keep-alive: requests are refused for up to 2 s, no rule is touched. Cause: Discovery::report_progress asked whether the latest read had brought data. Now data counts until it is reported. Test red before (0 reports in 0.5 s): the bytes before the framing are a multiple of what one read takes, which forces the order.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -36,7 +36,8 @@
   response_.reset();
   from_version_ = version_;
   arrival_.reset();
-  head_received_ = told_nothing_ = reported_current_ = list_read_ = first_late_ = delayed_ = false;
+  head_received_ = told_nothing_ = reported_current_ = list_read_ = first_late_ = delayed_ = data_pending_ =
+      false;
   stream_ = std::make_shared<Stream>(loop_, *this, address_);
   if (!stream_->open()) {
     loop_.later([this] {
@@ -97,6 +98,7 @@
     spdlog::warn("discovery: malformed response: {}", response_.cause());
     return end(Ending::kMalformed);
   }
+  data_pending_ = data_pending_ || response_.data_received();
   if (!response_.has_head()) return report_progress();
   if (response_.status() != 200) {
     told_nothing_ = true;
@@ -171,7 +173,7 @@
 void Discovery::report_progress() {
   arrival_.update(response_.incomplete(), loop_.now());
   if (response_.incomplete() || reader_) return listener_.incomplete();
-  if (!response_.data_received()) return;
+  if (!std::exchange(data_pending_, false)) return;
   has_list_ = true;
   const bool first = !std::exchange(reported_current_, true);
   listener_.current(first, first && first_late_);
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -111,6 +111,7 @@
   std::uint64_t calls_ = 0;
   Millis call_began_at_ = 0;
   bool told_nothing_ = false;       // see CallEnd
+  bool data_pending_ = false;       // a list or keep-alive has arrived since the last report
   bool reported_current_ = false;   // `current` was called for this call
   std::uint64_t from_version_ = 0;  // the version after which this call requests changes
   Millis last_byte_at_ = 0;         // when the last byte arrived, or the call began
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
 #include <thread>
 
 #include "peer.h"
@@ -88,5 +89,44 @@
   }
 }
 
+// A long list whose chunk's last bytes, the framing, arrive in a read of their own while it is parsed in
+// slices.
+TEST(Discovery, ALongListCountsAsCurrentWhenItsFramingArrivesWhileItIsParsed) {
+  constexpr Millis kSilence = 500;
+  constexpr std::size_t kBytesOfReads = std::size_t{5} * 16384;  // a stream reads 16,384 bytes at once
+  std::string list = R"({"seq":6,"whole":true,"hosts":[{"host":"s-0","dial":"127.0.0.1:9","health":"ready"})";
+  const std::string end = "]}\n";
+  const std::string framing = "13f00\r\n";  // replaced by the size, of as many digits
+  const std::size_t size = kBytesOfReads - kWatchHead.size() - framing.size();
+  for (int n = 1; size - list.size() - end.size() > 100; ++n)
+    list += R"(,{"host":"s-)" + std::to_string(n) + R"(","dial":"127.0.0.1:9","health":"ready"})";
+  list += std::string(size - list.size() - end.size(), ' ') + end;
+  std::ostringstream digits;
+  digits << std::hex << size << "\r\n";
+  ASSERT_EQ(digits.str().size(), framing.size());
+
+  Loop loop;
+  Peer peer;
+  std::optional<Line> line;
+  int current = 0;
+  Discovery discovery(loop, Poco::Net::SocketAddress("127.0.0.1", peer.port()), 5,
+                      {.changed = [](const List&) {},
+                       .ended = [&](Ending) { loop.stop(); },
+                       .current =
+                           [&](bool, bool) {
+                             ++current;
+                             loop.stop();
+                           }},
+                      {kLong, kLong, kSilence});
+  discovery.watch();
+  line.emplace(peer.accept());
+  once_readable(loop, *line, [&] {
+    line->request();
+    line->write(kWatchHead + digits.str() + list + "\r\n");
+  });
+  loop.run();
+  EXPECT_EQ(current, 1);
+}
+
 }  // namespace
 }  // namespace shorelead::node
