--- a/src/node/backend_source.h
+++ b/src/node/backend_source.h
@@ -80,7 +80,7 @@
   bool unreached_ = false;
   std::uint64_t logged_unreadable_ = 0;  // count already reported in the log
   DiscoveryViewLists view_lists_;
-  std::uint64_t last_list_number_ = 0;   // of lists passed on, where the source has no version
+  std::uint64_t last_list_number_ = 0;  // of lists passed on, where the source has no version
   Loop::TimerId view_timer_ = 0;
   Loop::TimerId rewatch_timer_ = 0;
   WatchBackoff watch_backoff_;
