Log and counters tell how much memory a process has used, and what held it

A line is written when the peak passes 50, 70, 80, 90 and 95% of the limit, with the counts of clients, open requests, streamed bodies and connections to backends; SIGUSR1 and the end of the process print the same. The counters of descriptors move to the part that counts them.

--- a/src/node/descriptor_room.h
+++ b/src/node/descriptor_room.h
@@ -29,7 +29,7 @@
   // Evicts an idle connection if needed; returns whether a descriptor is available.
   bool make(limits::Purpose purpose, Front& front);
   bool evict_of_pools();  // closes the connection of any pool that has been idle for longest
-  int most_seen() const { return max_seen_; }
+  void log_counters(const Front& front) const;
 
  private:
   const std::vector<std::shared_ptr<Pool>>& pools_;
--- /dev/null
+++ b/src/node/memory_log.cpp
@@ -0,0 +1,53 @@
+#include "node/memory_log.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <array>
+#include <utility>
+
+namespace shorelead::node {
+namespace {
+
+constexpr Millis kInterval = 100;
+constexpr double kKilobytesPerMb = 1024;
+constexpr std::array<double, 5> kShares = {0.5, 0.7, 0.8, 0.9, 0.95};  // of the limit
+
+// Of this process so far; 0 if the system does not tell.
+double peak_mb() {
+  rusage usage{};
+  if (::getrusage(RUSAGE_SELF, &usage) != 0) return 0;
+  return static_cast<double>(usage.ru_maxrss) / kKilobytesPerMb;
+}
+
+}  // namespace
+
+MemoryLog::MemoryLog(Loop& loop, std::function<double()> limit_mb, std::function<MemoryHolders()> holders)
+    : loop_(loop), limit_mb_(std::move(limit_mb)), holders_(std::move(holders)) {
+  timer_ = loop_.after(kInterval, [this] { check(); });
+}
+
+void MemoryLog::check() {
+  timer_ = loop_.after(kInterval, [this] { check(); });
+  const double peak = peak_mb();
+  const double limit = limit_mb_();
+  std::size_t passed = logged_;
+  while (passed < kShares.size() && peak >= kShares[passed] * limit) ++passed;
+  if (passed == logged_) return;
+  logged_ = passed;
+  spdlog::warn("memory: peak {:.1f} MB, {:.0f}% of {:.0f} MB; {}", peak, 100 * peak / limit, limit,
+               holders());
+}
+
+std::string MemoryLog::holders() const {
+  const MemoryHolders now = holders_();
+  return fmt::format("clients={} open_requests={} streamed_bodies={} backend_connections={}", now.clients,
+                     now.open_requests, now.streamed_bodies, now.backend_connections);
+}
+
+void MemoryLog::log_counters() const {
+  spdlog::info("counters: memory peak_mb={:.1f} limit_mb={:.0f} {}", peak_mb(), limit_mb_(), holders());
+}
+
+}  // namespace shorelead::node
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -55,7 +55,9 @@
            [this] { trim_connections(); }, [this] { shutdown_.replaced(); },
            [this] { return shutdown_.resume(); }, [this] { return admissions_.give_reserve(); },
            [this](Millis before) { admissions_.take_reserve(before); }}),
-      readiness_(loop, {.list = timeouts.list, .pushed_list = timeouts.pushed_list}) {
+      readiness_(loop, {.list = timeouts.list, .pushed_list = timeouts.pushed_list}),
+      memory_log_(
+          loop, [this] { return memory_limit_mb(); }, [this] { return memory_holders(); }) {
   limits_.sockets = allowed_descriptors(limits_.sockets);
   flow_budget_ = std::make_shared<net::FlowBudget>(flow_budget_bytes());
   const auto listed = [this](const std::string& id) {
@@ -136,14 +138,20 @@
 }
 
 int Server::max_streams() const {
-  const int all = hot_restart_.two_processes_run() ? limits_.sockets / 2 : limits_.sockets;
-  return all - kReservedDescriptors - (config_.admin ? AdminServer::kDescriptors : 0);
+  return limits_.sockets / processes() - kReservedDescriptors -
+         (config_.admin ? AdminServer::kDescriptors : 0);
+}
+
+double Server::memory_limit_mb() const {
+  return (limits_.memory_mb > 0 ? limits_.memory_mb : kDefaultMemoryMb) / processes();
 }
 
 std::size_t Server::flow_budget_bytes() const {
-  const double mb = limits_.memory_mb > 0 ? limits_.memory_mb : kDefaultMemoryMb;
-  return static_cast<std::size_t>(mb * 1048576 * kFlowMemoryShare /
-                                  (hot_restart_.two_processes_run() ? 2 : 1));
+  return static_cast<std::size_t>(memory_limit_mb() * 1048576 * kFlowMemoryShare);
+}
+
+MemoryHolders Server::memory_holders() const {
+  return {front_->clients(), open_requests(), flow_budget_->open(), room_.counts().backends};
 }
 
 // Evicts idle connections down to the limits, which halve while two processes run.
@@ -234,13 +242,8 @@
   for (const auto& pool : generations_.pools()) {
     pool->log_counters(generations_.pools().size() > 1 ? "pool " + pool->name() + ": " : std::string());
   }
-  spdlog::info(
-      "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} paused={}",
-      Stream::open_count(), room_.most_seen(), front_->clients(), front_->acceptor().accepted(), front.silent,
-      front.idle, front.evicted, front_->acceptor().pauses());
-  spdlog::info("counters: descriptors state={} most={} backends_budget={} probing={}",
-               limits::name_of(room_.rules().state(room_.counts())), max_streams(),
-               room_.rules().backends_budget(), room_.counts().probing);
+  room_.log_counters(*front_);
+  memory_log_.log_counters();
   spdlog::info("counters: open_requests={} worst_timer_lag_ms={:.2f} wakeups={}", open_requests(),
                loop_.worst_lag(), loop_.wakeups());
 }
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -19,6 +19,7 @@
 #include "node/generations.h"
 #include "node/graceful_shutdown.h"
 #include "node/hot_restart.h"
+#include "node/memory_log.h"
 #include "node/net.h"
 #include "node/readiness.h"
 #include "node/recorder.h"
@@ -71,8 +72,11 @@
   bool can_serve() const;
   void apply(Config fresh);  // throws if it cannot be applied; nothing has changed then
   void trim_connections();
+  int processes() const { return hot_restart_.two_processes_run() ? 2 : 1; }  // that share the limits
   int max_streams() const;
+  double memory_limit_mb() const;  // of this process, while two run half of the node's
   std::size_t flow_budget_bytes() const;
+  MemoryHolders memory_holders() const;
   std::size_t open_requests() const;
   std::string metrics() const;
 
@@ -94,6 +98,7 @@
   HotRestart hot_restart_;
   std::unique_ptr<AdminServer> admin_server_;  // null unless configured
   Readiness readiness_;
+  MemoryLog memory_log_;
 };
 
 }  // namespace shorelead::node
