--- /dev/null
+++ b/tests/bounds/crowd_test.cpp
@@ -0,0 +1,85 @@
+// Crowds of clients that write slowly, stop or do not read: the process stays within its memory, and others
+// are answered meanwhile.
+#include "crowd.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+#include "crowd.h"
+#include "small_fleet.h"
+
+namespace shorelead::node {
+namespace {
+
+constexpr double kWatchedMs = 4000;
+
+class CrowdCase : public testing::Test {
+ protected:
+  // Watches the node while the crowd goes on writing.
+  void watch(Crowd& crowd, const std::function<std::string(int)>& text) {
+    const double start = now_ms();
+    int whole = 0;
+    while (now_ms() - start < kWatchedMs) {
+      whole = crowd.write(text);
+      others.ask(node, get("/safe", kOtherWait, next_id()));
+      others.ask(node, "POST /unsafe HTTP/1.1\r\nHost: a\r\n" + next_id() + kOtherWait +
+                           "Content-Length: 3000\r\n\r\n" + std::string(3000, 'b'));
+    }
+    std::printf(
+        "peak %.1f MB; others: %d, %d served, %d closed, %d late, worst %.0f ms; %d of the crowd wrote all\n",
+        node.peak_mb(), others.sent, others.served, others.closed, others.late, others.worst_ms, whole);
+    EXPECT_TRUE(node.runs());
+    EXPECT_LT(node.peak_mb(), kMemoryMb);
+    EXPECT_EQ(others.late, 0);
+    EXPECT_EQ(others.closed, 0);
+    EXPECT_GT(others.served, 0);
+  }
+  SmallFleet fleet;
+  BoundedNode node{fleet.dials()};
+  Others others;
+};
+
+std::string head_of(const std::string& path, std::size_t length, const std::string& wait = "") {
+  return "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + next_id() + wait +
+         "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+TEST_F(CrowdCase, BodiesThatNeverEndStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  watch(crowd, [](int) { return head_of("/unsafe", 65000) + std::string(64900, 'b'); });
+}
+
+TEST_F(CrowdCase, HalfOfLongBodiesStaysWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  watch(crowd, [](int) { return head_of("/unsafe", 300000) + std::string(150000, 'b'); });
+}
+
+TEST_F(CrowdCase, HeadsOfManyFieldsStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  std::string fields;
+  while (fields.size() < 15000) fields += "a:\r\n";
+  watch(crowd, [&](int) { return "GET /safe HTTP/1.1\r\nHost: a\r\n" + fields; });
+}
+
+TEST_F(CrowdCase, AnswersThatBackendsDoNotEndStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  watch(crowd, [](int) { return get("/safe/begin", "X-Timeout-Ms: 3000\r\n", next_id()); });
+}
+
+TEST_F(CrowdCase, LongAnswersThatAreNotReadStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd, kSmallReceiveBuffer);
+  watch(crowd, [](int) { return get("/safe/long", "", next_id()); });
+}
+
+TEST_F(CrowdCase, ShortAnswersThatAreNotReadStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd, kSmallReceiveBuffer);
+  watch(crowd, [](int) {
+    std::string many;
+    for (int n = 0; n < 60; ++n) many += get("/safe/short", "", next_id());
+    return many;
+  });
+}
+
+}  // namespace
+}  // namespace shorelead::node
