RequestBodyForwarder reads the body that it forwards

The client's connection parsed streamed bodies itself; the object that owns their source does now, so that what follows from a read (pauses, deadlines) stands in one place.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -1,7 +1,5 @@
 #include "node/client.h"
 
-#include <spdlog/spdlog.h>
-
 #include <array>
 #include <utility>
 
@@ -105,19 +103,12 @@
 void Client::take_request_body() {
   const std::shared_ptr<Client> hold = shared_from_this();
   const std::shared_ptr<RequestBodyForwarder> taking = request_body;
-  message->raw += std::exchange(stream.input(), {});
-  const Parser::State parsed = message->parser.advance(message->raw);
-  if (parsed == Parser::State::kBad) {
+  const RequestBodyForwarder::Read read = taking->read(*message);
+  if (read == RequestBodyForwarder::Read::kBad) {
     return host_.abort(*this, message->parser.refusal(), message->parser.cause(), manage::RequestEnd::kLeft);
   }
-  std::string part = message->parser.take_body(message->raw);
-  if (parsed == Parser::State::kDone) {
-    stream.input() = message->raw.substr(message->parser.size());
-    message->raw.resize(message->parser.size());
-    host_.body_complete(*this);
-    return taking->end(std::move(part));
-  }
-  taking->put(std::move(part));
+  if (read == RequestBodyForwarder::Read::kComplete) host_.body_complete(*this);
+  taking->forward();
 }
 
 // ---- responses ----
--- a/src/node/request_body_forwarder.cpp
+++ b/src/node/request_body_forwarder.cpp
@@ -14,19 +14,27 @@
                      {}});
 }
 
+RequestBodyForwarder::Read RequestBodyForwarder::read(Message& message) {
+  message.raw += std::exchange(stream_.input(), {});
+  const Parser::State parsed = message.parser.advance(message.raw);
+  if (parsed == Parser::State::kBad) return Read::kBad;
+  part_ = message.parser.take_body(message.raw);
+  if (parsed != Parser::State::kDone) return Read::kMore;
+  complete_ = true;
+  stream_.input() = message.raw.substr(message.parser.size());
+  message.raw.resize(message.parser.size());
+  return Read::kComplete;
+}
+
 // The sink that takes the part may end the request, which drops this object: the caller keeps it alive.
-void RequestBodyForwarder::put(std::string part) {
-  flow_->put(std::move(part));
+void RequestBodyForwarder::forward() {
+  flow_->put(std::exchange(part_, {}));
+  if (complete_) return flow_->end();
   if (!flow_->full() || flow_->ended() || left_) return;
   paused_at_ = loop_.now();
   stream_.want_input(false);
 }
 
-void RequestBodyForwarder::end(std::string last) {
-  flow_->put(std::move(last));
-  flow_->end();
-}
-
 void RequestBodyForwarder::leave() {
   left_ = true;
   flow_->set_source({});
--- a/src/node/request_body_forwarder.h
+++ b/src/node/request_body_forwarder.h
@@ -1,6 +1,6 @@
 // Forwards a request body while it is received. Owns the source side of the body's flow (net/flow.h) and the
-// time for which this node stopped reading from the client because the backend took nothing. Does not parse
-// the body or end the request.
+// time for which this node stopped reading from the client because the backend took nothing. Does not end the
+// request.
 #pragma once
 
 #include <cstdint>
@@ -16,8 +16,11 @@
  public:
   RequestBodyForwarder(Loop& loop, Stream& stream, std::shared_ptr<net::Flow> flow);
 
-  void put(std::string part);
-  void end(std::string last);
+  enum class Read { kMore, kComplete, kBad };
+  // Parses what the stream has received; of a complete body it leaves what follows in the stream's buffer.
+  // forward() then passes the part on.
+  Read read(Message& message);
+  void forward();
   void cut() { flow_->cut(); }  // the body stays incomplete
   void leave();                 // the same, and the client's stream is used no more
 
@@ -31,6 +34,8 @@
   Loop& loop_;
   Stream& stream_;
   const std::shared_ptr<net::Flow> flow_;
+  std::string part_;  // that was read and not passed on
+  bool complete_ = false;
   bool left_ = false;
   Millis paused_total_ = 0;
   Millis paused_at_ = 0;  // 0 = not paused
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <optional>
 
 namespace shorelead::node {
 namespace {
@@ -239,9 +238,9 @@
                listed(front.by_status, [](int code) { return std::to_string(code); }));
   recorder_.log_counters();
   if (snapshot().admission) snapshot().admission->log_counters();
-  for (const auto& pool : generations_.pools()) {
-    pool->log_counters(generations_.pools().size() > 1 ? "pool " + pool->name() + ": " : std::string());
-  }
+  const bool several = generations_.pools().size() > 1;
+  for (const auto& pool : generations_.pools())
+    pool->log_counters(several ? "pool " + pool->name() + ": " : std::string());
   room_.log_counters(*front_);
   memory_log_.log_counters();
   spdlog::info("counters: open_requests={} worst_timer_lag_ms={:.2f} wakeups={}", open_requests(),
