A client that pipelines without pause no longer grows its read-ahead with each response

Cause: Client::answered resumed reading whatever was buffered already, so each response of some 100 bytes let one more read of 16 KB in, and every request copied all that lay behind it. The bound on what is read ahead (128 KB) was checked only while a request waited.

Reading now goes on only while less than one read (16 KB) is buffered, at every step that changes it; a request that is not whole is always read on. An end behind unread input is found as before, by the state of the connection just before an attempt is written.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -8,7 +8,7 @@
 namespace shorelead::node {
 namespace {
 
-constexpr std::size_t kMaxReadAhead = 131072;  // bytes buffered after the current request
+constexpr std::size_t kMaxReadAhead = 16384;  // bytes buffered after the current request, beside one read
 constexpr int kMaxReads = 16;  // in one read_all(): enough for a long request and some after it
 
 }  // namespace
@@ -22,9 +22,12 @@
   last_input_at = loop_.now() - stream.waited();
   if (state == State::kReading) return read();
   if (forwarding_request_body()) return take_request_body();
-  if (stream.input().size() > kMaxReadAhead) stream.want_input(false);
+  limit_read_ahead();
 }
 
+// Each response would otherwise let in another read, however much is buffered already.
+void Client::limit_read_ahead() { stream.want_input(stream.held() < kMaxReadAhead); }
+
 void Client::read() {
   std::string& input = stream.input();
   if (input.empty()) return;
@@ -34,6 +37,7 @@
     return answer(message->parser.refusal(), message->parser.cause(), 0, true);
   }
   if (parsed != Parser::State::kDone) {
+    stream.want_input(true);
     if (parsed == Parser::State::kBody && !sent_continue_ && message->head().find(input, "expect")) {
       sent_continue_ = true;
       const std::array<std::string_view, 1> pieces = {"HTTP/1.1 100 Continue\r\n\r\n"};
@@ -49,6 +53,7 @@
   message->raw = std::move(input);
   message->raw.resize(size);
   input = std::move(rest);
+  limit_read_ahead();
   keep_alive_ = message->head().keep_alive;
   used = true;
   set_unused(false);
@@ -192,7 +197,7 @@
   state = State::kReading;
   host_.became_idle();
   message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMaxRequestBody);
-  stream.want_input(true);
+  limit_read_ahead();
   if (stream.input().empty()) return;
   // Reads the next request, which is already buffered. Deferred, as this may run while the last one is still
   // being handled.
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -104,6 +104,7 @@
   }
   void take_input();
   void read();
+  void limit_read_ahead();
   void begin_request_body();
   void take_request_body();
   void pump();
--- a/tests/bounds/flood_test.cpp
+++ b/tests/bounds/flood_test.cpp
@@ -80,6 +80,19 @@
   flood([] { return get("/safe", "", next_id()); });
 }
 
+TEST(Flood, UnderEverNewTenantsLeavesMemoryBounded) {
+  int tenant = 0;
+  flood([&] { return get("/safe", "X-Tenant-ID: t" + std::to_string(++tenant) + "\r\n", next_id()); });
+}
+
+TEST(Flood, UnderEverNewKeysLeavesMemoryBounded) {
+  int key = 0;
+  flood([&] {
+    return "POST /keyed HTTP/1.1\r\nHost: a\r\n" + next_id() + "Idempotency-Key: k" + std::to_string(++key) +
+           "\r\nContent-Length: 1\r\n\r\nx";
+  });
+}
+
 TEST(Flood, OfHealthChecksLeavesMemoryBounded) {
   flood([] { return std::string("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"); });
 }
