Pipelined requests of one connection leave others their turn

Cause: what lay whole in a connection's buffer was answered to its end within one turn of the loop (a read of 16 KB holds some 400 health checks), on each of the flooding connections, before anybody else was read.

After four requests a connection now waits for the next turn.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::size_t kMaxReadAhead = 16384;  // bytes buffered after the current request, beside one read
-constexpr int kMaxReads = 16;  // in one read_all(): enough for a long request and some after it
+constexpr int kRequestsPerTurn = 4;  // of one connection's buffered requests, before others are handled
+constexpr int kMaxReads = 16;        // in one read_all(): enough for a long request and some after it
 
 }  // namespace
 
@@ -181,10 +182,6 @@
   return !keep_alive_ || forwarding_request_body() || (host_.is_last(*this) && stream.quiet());
 }
 
-void Client::set_unused(bool unused) {
-  if (unused != std::exchange(counted_unused_, unused)) host_.count_unused(unused);
-}
-
 void Client::answered(bool closes) {
   leave_bodies();
   request = 0;
@@ -199,11 +196,17 @@
   message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMaxRequestBody);
   limit_read_ahead();
   if (stream.input().empty()) return;
-  // Reads the next request, which is already buffered. Deferred, as this may run while the last one is still
-  // being handled.
-  loop_.later([this, hold = shared_from_this()] {
+  read_buffered();
+}
+
+// Reads the next request, which is already buffered. Deferred, as this may run while the last one is still
+// being handled; now and then until other connections have had their turn.
+void Client::read_buffered() {
+  const Loop::Task task = [this, hold = shared_from_this()] {
     if (stream.open() && state == State::kReading) guarded(&Client::read);
-  });
+  };
+  if (++buffered_requests_ % kRequestsPerTurn != 0) return loop_.later(task);
+  loop_.after(0, task);
 }
 
 // Half-closes: a full close with unread bytes would reset the connection, and the response could be lost.
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "manage/metrics.h"
 #include "net/flow.h"
@@ -70,8 +71,11 @@
   bool close_idle();
   // The same if its descriptor is needed at once: whether the connection may be closed now.
   bool try_evict();
-  void leave_bodies();           // ends the forwarding of both bodies
-  void set_unused(bool unused);  // idle after its first request
+  void leave_bodies();  // ends the forwarding of both bodies
+  // Idle after its first request.
+  void set_unused(bool unused) {
+    if (unused != std::exchange(counted_unused_, unused)) host_.count_unused(unused);
+  }
 
   Stream stream;
   State state = State::kReading;
@@ -105,6 +109,7 @@
   void take_input();
   void read();
   void limit_read_ahead();
+  void read_buffered();
   void begin_request_body();
   void take_request_body();
   void pump();
@@ -117,7 +122,8 @@
   Host& host_;
   bool keep_alive_ = true;
   bool counted_unused_ = false;
-  bool sent_continue_ = false;  // 100 Continue, for the current request
+  unsigned buffered_requests_ = 0;  // that were whole when their predecessor ended
+  bool sent_continue_ = false;      // 100 Continue, for the current request
 };
 
 }  // namespace shorelead::node
--- a/tests/bounds/flood_test.cpp
+++ b/tests/bounds/flood_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdio>
+#include <deque>
 #include <functional>
 
 #include "crowd.h"
@@ -14,6 +15,7 @@
 
 constexpr int kRequestsPerWrite = 200;
 constexpr double kFloodMs = 3000;
+constexpr int kFloods = 20;
 
 // Sends without pause until it is destroyed, and reads all answers.
 class Flood {
@@ -97,6 +99,20 @@
   flood([] { return std::string("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"); });
 }
 
+TEST(Flood, OfManyClientsLeavesOthersInTime) {
+  SmallFleet fleet;
+  BoundedNode node(fleet.dials());
+  std::deque<Flood> floods;
+  for (int n = 0; n < kFloods; ++n)
+    floods.emplace_back(node, [] { return std::string("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"); });
+  Others others;
+  const double start = now_ms();
+  while (now_ms() - start < kFloodMs) others.ask(node, get("/safe", kOtherWait, next_id()));
+  std::printf("others: %d of %d served, worst %.0f ms\n", others.served, others.sent, others.worst_ms);
+  EXPECT_EQ(others.late, 0);
+  EXPECT_EQ(others.served, others.sent);
+}
+
 TEST(Flood, OfEverNewClassesLeavesMemoryBounded) {
   int name = 0;
   flood([&] { return get("/class" + std::to_string(++name), "", next_id()); });
