A long body that its backend does not take no longer holds its request beyond its time

Cause: a request's time counts from its last byte, and was begun when this node had read that byte. Where a backend takes no more, the node stops reading, so the byte lies unread in the buffers of either machine: the request had no deadline, the client's time-outs leave a paused body alone, and an attempt's time begins with its last byte. What was left was a stall of 5 s at the backend, or the backend's own pace. Class: an obligation that passes from one owner to the next only when the next one looks.

RequestBodyForwarder holds that time now: from the first read that leaves something unread, or after which reading pauses, the client may have written all (UploadDeadline; but what the buffers between cannot hold has not been written). Once the client's wait is over from there, its attempts end, none of which was written whole, and it is refused. A client that is found to be still writing has none of its time used up. A body that is read whole in the end is due by the same moment, and an attempt that is not written whole ends with its request.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -170,6 +170,7 @@
   std::array<char, kReadBytes> part;
   const ssize_t got = uninterrupted([&] { return ::recv(fd(), part.data(), part.size(), 0); });
   const int error = errno;
+  drained_ = got < static_cast<ssize_t>(part.size());
   if (got > 0) {
     input_.append(part.data(), static_cast<std::size_t>(got));
     handler_.on_input(*this);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -62,6 +62,8 @@
 
   // Reads once without waiting for the reactor. Returns whether there was input, so that there may be more.
   bool read_now();
+  // Whether the last read took all that had arrived.
+  bool drained() const { return drained_; }
   // Whether neither input nor an end has arrived on a connection that is expected to be idle.
   bool quiet() const;
   // Whether input has arrived that was not read yet.
@@ -93,6 +95,7 @@
   std::unique_ptr<Watch> watch_;
   bool connected_ = false;
   bool broken_ = false;  // a write failed
+  bool drained_ = true;
   Ending failure_ = Ending::kNoDescriptor;
   int connect_error_ = 0;
   std::string input_;
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -104,6 +104,7 @@
   message->flow->put(std::move(first));
   request_body = std::make_shared<RequestBodyForwarder>(loop_, stream, message->flow);
   host_.begin(*this);
+  if (request_body) request_body->hold_time(timeout, [this] { host_.body_overdue(*this); });
 }
 
 void Client::take_request_body() {
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -30,6 +30,9 @@
     // A request has been received: whole, or its head where the body is streamed.
     virtual void begin(Client& client) = 0;
     virtual void body_complete(Client& client) = 0;  // a streamed body
+    // The client's time is over, and its streamed body, which it may have written whole, has not been read
+    // whole.
+    virtual void body_overdue(Client& client) = 0;
     // Aborts the request: the client is answered with `status`, and all attempts end.
     virtual void abort(Client& client, int status, const char* cause, manage::RequestEnd end) = 0;
     virtual void release(Client& client, manage::RequestEnd end) = 0;  // the request has ended
--- a/src/node/client_eviction.cpp
+++ b/src/node/client_eviction.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace shorelead::node {
 
@@ -25,4 +24,18 @@
   return nullptr;
 }
 
+std::vector<std::shared_ptr<Client>> overdue_clients(
+    const std::unordered_map<Client*, std::shared_ptr<Client>>& clients, const ClientTimeouts& timeouts,
+    Millis now, manage::DrainState drain, bool roomy) {
+  std::vector<std::shared_ptr<Client>> found;
+  for (const auto& [client, hold] : clients) {
+    if (timeouts.overdue(*client, now, drain, roomy)) {
+      found.push_back(hold);
+    } else if (client->stream.paused()) {
+      client->still_waits();
+    }
+  }
+  return found;
+}
+
 }  // namespace shorelead::node
--- a/src/node/client_eviction.h
+++ b/src/node/client_eviction.h
@@ -1,11 +1,14 @@
-// Chooses which client connection is closed when its descriptor is needed for another one.
+// Chooses which client connections are closed: one whose descriptor is needed for another, and those whose
+// time is over.
 #pragma once
 
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "node/client.h"
+#include "node/client_timeouts.h"
 
 namespace shorelead::node {
 
@@ -14,4 +17,10 @@
 Client* take_evictable(const std::unordered_map<Client*, std::shared_ptr<Client>>& clients,
                        const std::function<bool(const Client&)>& may_evict);
 
+// Returns the connections whose time-outs have passed. An end behind input that is not read for now is
+// noticed here for the others.
+std::vector<std::shared_ptr<Client>> overdue_clients(
+    const std::unordered_map<Client*, std::shared_ptr<Client>>& clients, const ClientTimeouts& timeouts,
+    Millis now, manage::DrainState drain, bool roomy);
+
 }  // namespace shorelead::node
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -89,10 +89,19 @@
 void Front::body_complete(Client& client) {
   if (waiting_.count(client.request) == 0) return;
   count(client);
-  client.due = client.last_input_at + client.timeout;
+  client.due = client.request_body->written_at(client.last_input_at) + client.timeout;
   listener_.body_complete(client.request, client.due);
 }
 
+// No attempt can have run, as none was written whole. Attempts end first: one under way might have run.
+void Front::body_overdue(Client& client) {
+  const RequestId request = client.request;
+  if (client.state != Client::State::kWaiting || waiting(request) != &client) return;
+  recorder_->body_overdue(request, client.request_body->received());
+  listener_.client_gone(request);
+  refuse(request, {503, "the body was not taken in time", "", 0});
+}
+
 // The request cannot go on, for a fault of the client's or within this node: no further attempt may run.
 void Front::abort(Client& client, int status, const char* cause, manage::RequestEnd end) {
   if (!client.stream.open() || client.state == Client::State::kClosing) return;
@@ -222,17 +231,8 @@
 void Front::sweep() {
   sweep_timer_ = loop_.after(timeouts_.sweep, [this] { sweep(); });
   classifier_.drop_expired(loop_.now());
-  const Millis now = loop_.now();
   const bool roomy = clients_.empty() || listener_.roomy();
-  std::vector<std::shared_ptr<Client>> found;
-  for (const auto& [client, hold] : clients_) {
-    if (timeouts_.overdue(*client, now, drain_, roomy)) {
-      found.push_back(hold);
-    } else if (client->stream.paused()) {
-      client->still_waits();
-    }
-  }
-  for (const auto& client : found) {
+  for (const auto& client : overdue_clients(clients_, timeouts_, loop_.now(), drain_, roomy)) {
     if (client->state == Client::State::kClosing || client->state == Client::State::kForwarding) {
       release(*client, manage::RequestEnd::kLeft);
       forget(*client, Ending::kTimeout);
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -103,6 +103,7 @@
  private:
   void begin(Client& client) override;
   void body_complete(Client& client) override;
+  void body_overdue(Client& client) override;
   void abort(Client& client, int status, const char* cause, manage::RequestEnd end) override;
   void release(Client& client, manage::RequestEnd end) override;
   void forget(Client& client, Ending why) override;
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -103,6 +103,10 @@
                 attempt, whole ? "whole" : "cut short", bytes, silent);
 }
 
+void Recorder::body_overdue(RequestId request, std::uint64_t read) const {
+  spdlog::info("request {} refused: its body was not taken in its time, {} bytes were read", request, read);
+}
+
 void Recorder::ended(RequestId request, manage::RequestEnd end) {
   switch (end) {
     case manage::RequestEnd::kPassed:
--- a/src/node/recorder.h
+++ b/src/node/recorder.h
@@ -40,6 +40,8 @@
   void response_begun(RequestId request, int attempt, std::uint64_t bytes) const;
   // Its backend sends no more of it, or is not asked for more; `silent`: since its last byte.
   void response_over(RequestId request, int attempt, bool whole, std::uint64_t bytes, Millis silent) const;
+  // Its time is over, and `read` bytes of its body were read, which its client may have written whole.
+  void body_overdue(RequestId request, std::uint64_t read) const;
   void ended(RequestId request, manage::RequestEnd end);  // with or without a final response
   void handler_threw(RequestId request);
 
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -215,11 +215,10 @@
 void Upstream::cancel_unsent(RequestId request) {
   std::vector<std::shared_ptr<Connection>> found;
   const auto [first, last] = active_.equal_range(request);
-  for (auto it = first; it != last; ++it) {
-    if (!it->second->sent) found.push_back(it->second->shared_from_this());
-  }
+  for (auto it = first; it != last; ++it) found.push_back(it->second->shared_from_this());
   for (const auto& connection : found) {
-    if (connection->job && !connection->sent) finish(*connection, Ending::kStoppedUnsent, nullptr, false);
+    if (connection->job && !connection->written())
+      finish(*connection, Ending::kStoppedUnsent, nullptr, false);
   }
 }
 
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -68,7 +68,7 @@
             std::shared_ptr<const Message> message,
             Millis begin_by = std::numeric_limits<Millis>::infinity());
   void cancel(RequestId request, int attempt);
-  // The request is over: cancels its attempts that still wait for a connection.
+  // The request is over: cancels its attempts that were not written whole.
   void cancel_unsent(RequestId request);
   void probe(BackendId backend, const std::string& dial);
   // These backends must receive nothing new: ends unwritten attempts to them and closes idle connections.
--- a/tests/crossings/stalled_body_test.cpp
+++ b/tests/crossings/stalled_body_test.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kReadBeforeStop = 8192;
 constexpr std::size_t kLong = 1000000;
 constexpr std::size_t kPiece = 20000;
+constexpr int kSmallBuffer = 16384;
 const std::string kBodyWait = "X-Timeout-Ms: " + std::to_string(kWaitMs) + "\r\n";
 
 std::string hex(std::size_t size) {
@@ -53,6 +54,7 @@
       for (const std::size_t size : {std::size_t{100000}, std::size_t{300000}, kLong}) {
         Served served;
         auto& [backend, node, client] = served;
+        ::setsockopt(backend.fd(), SOL_SOCKET, SO_RCVBUF, &kSmallBuffer, sizeof kSmallBuffer);
         client.write(long_request(path, size, chunked));
         const double written_at = steady_ms();
         Line there = backend.accept();
@@ -66,6 +68,33 @@
   }
 }
 
+TEST(StalledBody, AClientIsAnsweredInTimeWhoseBackendReadsSlowly) {
+  for (const std::string path : {"/unsafe", "/keyed"}) {
+    Served served;
+    auto& [backend, node, client] = served;
+    client.write(long_request(path, kLong, false));
+    const double written_at = steady_ms();
+    Line there = backend.accept();
+    std::atomic<bool> stopped = false;
+    std::thread reads([&] {  // 400 bytes a ms
+      while (!stopped) {
+        const double next = steady_ms() + static_cast<double>(kPiece) / 400;
+        std::array<char, kPiece> part{};
+        if (::recv(there.fd(), part.data(), part.size(), MSG_WAITALL) <= 0) return;
+        while (steady_ms() < next && !stopped) std::this_thread::yield();
+      }
+    });
+    std::string answer;
+    EXPECT_LT(lateness(client, written_at, answer), kLateMs) << path;
+    EXPECT_FALSE(answer.empty());
+    stopped = true;
+    ::shutdown(there.fd(), SHUT_RDWR);
+    reads.join();
+  }
+}
+
+// A client that takes longer than its time for its body, and for one piece of it, has none of its time used
+// up.
 TEST(StalledBody, ASlowUploadIsServedHoweverLongItTakes) {
   Served served;
   auto& [backend, node, client] = served;
@@ -74,7 +103,7 @@
   Line there = backend.accept();
   std::string got;
   for (int piece = 0; piece < 10; ++piece) {
-    const double next = steady_ms() + kWaitMs / 4.0;
+    const double next = steady_ms() + (piece == 3 ? 1.5 : 0.25) * kWaitMs;
     client.write(std::string(kPiece, 'b'));
     while (steady_ms() < next) std::this_thread::yield();
   }
