A request that may have run is not run again when its id comes back

Cause: the ids of requests were known only while they were open, so one that came again, on a new connection, while or after the first attempt ran, was a new request.

What never ran (refused, not written) may come again, and safe classes are not remembered. Not covered: the other process of an upgrade, and a restart.

--- a/src/node/client.h
+++ b/src/node/client.h
@@ -90,10 +90,11 @@
   Millis request_started_at = 0;  // when the first byte of the current request was read; 0 = none was
   Millis last_input_at = 0;       // when the system received the bytes that were read last
   Millis last_used = 0;
-  bool counted = false;                                   // the request is in the request counters
-  Millis timeout = 0;                                     // the client's, less the time in transit
-  Millis due = 0;                                         // of the current request, by that
-  std::shared_ptr<RequestBodyForwarder> request_body;     // null: the body is not streamed
+  bool has_effect = false;                             // the request is of a class that is not safe to repeat
+  bool counted = false;                                // the request is in the request counters
+  Millis timeout = 0;                                  // the client's, less the time in transit
+  Millis due = 0;                                      // of the current request, by that
+  std::shared_ptr<RequestBodyForwarder> request_body;  // null: the body is not streamed
   std::shared_ptr<ResponseForwarder> response_forwarder;  // null: no response is streamed
   bool streamed_body = false;      // had a streamed body, so its response may precede the end of that
   LingeringClose lingering_close;  // while closing
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -13,6 +13,10 @@
 constexpr Millis kTransit = 5;
 constexpr double kMaxTransitShare = 0.1;  // of the time-out
 
+Effect effect_of(const RequestRoute& route) {
+  return route.snapshot->classes[static_cast<std::size_t>(route.request_class)].effect;
+}
+
 }  // namespace
 
 Front::Front(Loop& loop, const ListenSpec& spec, std::shared_ptr<const RoutingSnapshot> snapshot,
@@ -47,10 +51,14 @@
   const char* cause = "";
   const int refusal = classifier_.read(message, loop_.now(), info, request_route, cause);
   if (refusal != 0) return client.answer(refusal, cause, 0, false);
-  // Two open requests must not have the same id: a backend, or a reader of its records, would take one for a
-  // repeat of the other.
-  if (!open_ids_.emplace(message.value("x-request-id")).second) {
-    return client.answer(409, "a request with this X-Request-ID is open", 0, false);
+  // A backend, or a reader of its records, would take one of two requests with the same id for a repeat.
+  switch (ids_.open(message.value("x-request-id"))) {
+    case RequestIds::Verdict::kNew:
+      break;
+    case RequestIds::Verdict::kOpen:
+      return client.answer(409, "a request with this X-Request-ID is open", 0, false);
+    case RequestIds::Verdict::kMayHaveRun:
+      return client.answer(409, "a request with this X-Request-ID may have run", 0, false);
   }
   // The deadline counts from the request's last byte, which is in what was read last.
   client.timeout = info.due - std::min(kTransit, kMaxTransitShare * info.due);
@@ -60,6 +68,7 @@
   waiting_[client.request] = &client;
   client.class_name = request_route.snapshot->names[static_cast<std::size_t>(request_route.request_class)];
   client.counted = false;
+  client.has_effect = effect_of(request_route) != Effect::kSafe;
   recorder_->taken(client.request, message.value("x-request-id"), client.last_input_at, info.due);
   if (!client.forwarding_request_body()) count(client);
   if (failing_all_) return refuse(client.request, {});  // no attempt was made
@@ -78,7 +87,15 @@
   // A request that was never complete and has no response is not counted.
   if (!client.counted && end != manage::RequestEnd::kLeft) count(client);
   if (std::exchange(client.counted, false)) request_counters_.ended(client.class_name, end);
-  open_ids_.erase(std::string(client.message->value("x-request-id")));
+  ids_.close(client.message->value("x-request-id"), id_end(client, end));
+}
+
+// Asked while the request's attempts are still known.
+RequestIds::End Front::id_end(const Client& client, manage::RequestEnd end) const {
+  if (!client.has_effect || end == manage::RequestEnd::kDropped) return RequestIds::End::kNothingRan;
+  if (end == manage::RequestEnd::kPassed) return RequestIds::End::kServed;
+  const bool may_have_run = end == manage::RequestEnd::kBadGateway || listener_.may_have_run(client.request);
+  return may_have_run ? RequestIds::End::kMayHaveRun : RequestIds::End::kNothingRan;
 }
 
 void Front::count(Client& client) {
@@ -117,14 +134,6 @@
   if (gone != 0) listener_.client_gone(gone);
 }
 
-bool Front::still_waits(RequestId request) {
-  return waiting(request) != nullptr && waiting(request)->still_waits();
-}
-
-bool Front::has_read_ahead(RequestId request) const {
-  return waiting(request) != nullptr && waiting(request)->stream.held() > 0;
-}
-
 void Front::serve(RequestId request, const Message& response, std::shared_ptr<net::Flow> flow) {
   Client* const client = waiting(request);
   if (client == nullptr) return;
@@ -218,15 +227,6 @@
   return drain_ != manage::DrainState::kServing || acceptor_.paused() || stays || listener_.crowded();
 }
 
-void Front::answered(int status) {
-  ++counters_.by_status[status];
-  if (status / 100 == 4) ++counters_.malformed;
-}
-
-void Front::became_idle() {
-  if (acceptor_.paused()) loop_.later([this] { acceptor_.try_resume(); });
-}
-
 // Closes connections whose clients send no request, or never complete one.
 void Front::sweep() {
   sweep_timer_ = loop_.after(timeouts_.sweep, [this] { sweep(); });
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -9,7 +9,6 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "manage/drain.h"
 #include "manage/metrics.h"
@@ -20,6 +19,7 @@
 #include "node/policy_host.h"
 #include "node/recorder.h"
 #include "node/request_classifier.h"
+#include "node/request_ids.h"
 #include "node/routing_snapshot.h"
 
 namespace shorelead::node {
@@ -46,6 +46,8 @@
     std::function<bool()> make_room;  // frees descriptors; whether one more client may be accepted
     // The streamed body of a request has been received whole; its client waits until `due`.
     std::function<void(RequestId, Millis due)> body_complete = [](RequestId, Millis) {};
+    // Whether an attempt of this open request may have been processed.
+    std::function<bool(RequestId)> may_have_run = [](RequestId) { return false; };
     std::shared_ptr<net::FlowBudget> flows = nullptr;  // for streamed bodies; null: large bodies are refused
     Recorder* recorder = nullptr;                      // outlives the front; null: nothing is recorded
   };
@@ -62,9 +64,13 @@
   ~Front() override;
 
   // Whether the client still waits for its response. Checked just before an attempt is written.
-  bool still_waits(RequestId request);
+  bool still_waits(RequestId request) {
+    return waiting(request) != nullptr && waiting(request)->still_waits();
+  }
   // Whether a further request, or a part of one, has been read on its connection.
-  bool has_read_ahead(RequestId request) const;
+  bool has_read_ahead(RequestId request) const {
+    return waiting(request) != nullptr && waiting(request)->stream.held() > 0;
+  }
   // Final responses; without effect if the client has gone. `flow`: of a body that is still being received.
   void serve(RequestId request, const Message& response, std::shared_ptr<net::Flow> flow);
   void refuse(RequestId request, const Refusal& refusal);
@@ -109,13 +115,18 @@
   void forget(Client& client, Ending why) override;
   void client_gone(RequestId request) override { listener_.client_gone(request); }
   bool is_last(const Client& client) const override;
-  void answered(int status) override;
+  void answered(int status) override {
+    ++counters_.by_status[status];
+    if (status / 100 == 4) ++counters_.malformed;
+  }
   void left_early() override { ++counters_.left_early; }
   void left_unanswered(const Client& client, Ending why) override {
     recorder_->client_left(client.request, why, loop_.now() - client.due);
   }
   void count_unused(bool unused) override { unused ? ++unused_ : --unused_; }
-  void became_idle() override;
+  void became_idle() override {
+    if (acceptor_.paused()) loop_.later([this] { acceptor_.try_resume(); });
+  }
   const std::shared_ptr<net::FlowBudget>& flows() const override { return listener_.flows; }
 
   // Closes a connection such that the client sees that the response which has begun is cut short.
@@ -123,6 +134,7 @@
     client.stream.reset_on_close();
     forget(client, Ending::kBroken);
   }
+  RequestIds::End id_end(const Client& client, manage::RequestEnd end) const;
   void count(Client& client);  // in the request counters, once the request is complete
   Client* waiting(RequestId request) const {
     const auto it = waiting_.find(request);
@@ -138,8 +150,8 @@
   const Timeouts timeouts_;
   std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
   std::unordered_map<RequestId, Client*> waiting_;
-  std::unordered_set<std::string> open_ids_;  // the X-Request-ID of each waiting request
-  std::size_t unused_ = 0;                    // connections that are idle after their first request
+  RequestIds ids_;
+  std::size_t unused_ = 0;  // connections that are idle after their first request
   RequestId last_request_ = 0;
   manage::DrainState drain_ = manage::DrainState::kServing;
   bool failing_all_ = false;
--- a/src/node/open_requests.cpp
+++ b/src/node/open_requests.cpp
@@ -65,6 +65,11 @@
   state.may_have_run = entry.may_have_run || state.in_flight > 0;
 }
 
+bool OpenRequests::may_have_run(RequestId request) const {
+  const auto it = requests_.find(request);
+  return it != requests_.end() && it->second.state().may_have_run;
+}
+
 void OpenRequests::forget(RequestId request, Entry& entry) {
   deadlines_.erase({entry.due + kExpiryDelay, request});
   for (const BackendId backend : entry.attempts) endpoints_.release(backend);
--- a/src/node/open_requests.h
+++ b/src/node/open_requests.h
@@ -49,6 +49,8 @@
   void set_due(RequestId request, Millis due);
   // Removes the next deadline that has passed and returns its request, if that is still unanswered.
   std::optional<RequestId> take_overdue(Millis now);
+  // Whether an attempt of this request may have been processed; one in flight is taken to be written.
+  bool may_have_run(RequestId request) const;
   // Fills in the part of the guard's state that is known here.
   void describe(RequestId request, guard::RequestState& state) const;
   Millis next_deadline() const { return deadlines_.empty() ? 0 : deadlines_.begin()->first; }
--- a/src/node/policy_host.h
+++ b/src/node/policy_host.h
@@ -76,6 +76,7 @@
     there.in_service = endpoints_.wanted(backend);
     there.list_valid = policy_.list_valid(now);
   }
+  bool may_have_run(RequestId request) const { return requests_.may_have_run(request); }
   void report_client_gone(RequestId request, Millis now);
   // Cancels all of its attempts, even where the settings allow no cancellation. The caller answers the
   // request if it has no answer yet.
--- a/src/node/pool.h
+++ b/src/node/pool.h
@@ -47,6 +47,8 @@
   void start();
   void request(RequestId request, const RequestInfo& info, std::shared_ptr<const Message> message);
   void client_gone(RequestId request);  // its client closed the connection
+  // Whether an attempt of this open request may have been processed.
+  bool may_have_run(RequestId request) const { return policy_host_.may_have_run(request); }
   // Cancels all attempts at a request; if it has no response yet, it fails.
   void cancel(RequestId request);
   // The current state of a backend, cell or zone of this pool.
--- a/src/node/request_table.cpp
+++ b/src/node/request_table.cpp
@@ -127,6 +127,11 @@
   if (pool) pool->client_gone(request);
 }
 
+bool RequestTable::may_have_run(RequestId request) const {
+  const auto it = entries_.find(request);
+  return it != entries_.end() && !it->second.waiting && it->second.pool->may_have_run(request);
+}
+
 void RequestTable::close(RequestId request, FleetAdmission::End end) {
   const auto it = entries_.find(request);
   if (it == entries_.end()) return;
--- a/src/node/request_table.h
+++ b/src/node/request_table.h
@@ -29,6 +29,8 @@
   void reconsider(RequestId request);
   void body_complete(RequestId request, Millis due);
   void client_gone(RequestId request);
+  bool may_have_run(
+      RequestId request) const;  // of an open request: whether an attempt may have been processed
   // The request has its answer: releases what it uses of the shared limits.
   void close(RequestId request, FleetAdmission::End end);
   std::uint64_t stood_in() const { return stood_in_; }  // requests sent to a fallback pool
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -87,7 +87,8 @@
           [this](std::size_t unused) { return static_cast<int>(unused) * kManyIdleDivisor > max_streams(); },
           [this] { return Stream::open_count() * kPlentifulDivisor < max_streams(); },
           [this] { return room_.make(limits::Purpose::kClient, *front_); },
-          [this](RequestId request, Millis due) { request_table_.body_complete(request, due); }, flow_budget_,
+          [this](RequestId request, Millis due) { request_table_.body_complete(request, due); },
+          [this](RequestId request) { return request_table_.may_have_run(request); }, flow_budget_,
           &recorder_});
   if (!hot_restart_.standalone()) ban_list_->use_file(context.ban_file_path());
   admissions_.switch_to(snapshot(), snapshot());
@@ -149,10 +150,6 @@
   return static_cast<std::size_t>(memory_limit_mb() * 1048576 * kFlowMemoryShare);
 }
 
-MemoryHolders Server::memory_holders() const {
-  return {front_->clients(), open_requests(), flow_budget_->open(), room_.counts().backends};
-}
-
 // Evicts idle connections down to the limits, which halve while two processes run.
 void Server::trim_connections() {
   flow_budget_->state(flow_budget_bytes());
