--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -8,7 +8,7 @@
 namespace shorelead::node {
 namespace {
 
-constexpr std::size_t kMaxReadAhead = 16384;  // bytes buffered after the current request, beside one read
+constexpr std::size_t kMaxReadAhead = 131072;  // bytes buffered after the current request, beside one read
 constexpr int kRequestsPerTurn = 4;  // of one connection's buffered requests, before others are handled
 constexpr int kMaxReads = 16;        // in one read_all(): enough for a long request and some after it
 
