What client connections hold has one limit, and the oldest holder gives way first

Cause: each buffer had a bound of its own (64 KB of a body, 128 KB ahead, a response for each client) and nobody summed them: 800 clients could hold 64 MB of unfinished bodies in a process of 32 MB. Class: limits that sum to more than the whole.

ClientMemory counts what all connections of clients hold; its limit is a fifth of the process's memory, half of that while two processes run. From half of the limit on nothing is read beside an open request, and reads are small. Beyond it the unfinished request that began first is refused (it was not taken), then the connection closed that has not taken its response for longest; a whole request of over 4 KB is refused before an attempt. A client that does not take its response is not read on. A request keeps no larger buffer than it needs; reads of a new request are 4 KB.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -14,7 +14,6 @@
 namespace shorelead::net {
 namespace {
 
-constexpr std::size_t kReadBytes = 16384;
 constexpr Millis kMinMeasurableWait = 10;  // TCP_INFO counts in steps of some milliseconds
 constexpr int kSendBufferBytes = 131072;
 constexpr std::size_t kMaxPieces = 64;  // per call; the rest is buffered
@@ -168,9 +167,9 @@
   if (!connected_) return on_writable(), false;
   // Read into a local buffer, so that an idle connection keeps no memory for reading.
   std::array<char, kReadBytes> part;
-  const ssize_t got = uninterrupted([&] { return ::recv(fd(), part.data(), part.size(), 0); });
+  const ssize_t got = uninterrupted([&] { return ::recv(fd(), part.data(), read_limit_, 0); });
   const int error = errno;
-  drained_ = got < static_cast<ssize_t>(part.size());
+  drained_ = got < static_cast<ssize_t>(read_limit_);
   if (got > 0) {
     input_.append(part.data(), static_cast<std::size_t>(got));
     handler_.on_input(*this);
@@ -206,6 +205,7 @@
   if (sent < 0) return fail(Ending::kBroken);
   output_.erase(0, static_cast<std::size_t>(sent));
   if (!output_.empty()) return;
+  std::string().swap(output_);
   watch_->want_write(false);
   handler_.on_flushed(*this);
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -20,6 +21,8 @@
 
 class Stream : public Watch::Handler {
  public:
+  static constexpr std::size_t kReadBytes = 16384;
+
   class Handler {
    public:
     virtual ~Handler() = default;
@@ -49,6 +52,7 @@
 
   std::string& input() { return input_; }
   std::size_t held() const { return input_.size(); }
+  std::size_t output_capacity() const { return output_.capacity(); }  // bytes allocated for unsent output
   // Pauses or resumes reading. While it is paused, the end of the connection is not noticed.
   void want_input(bool wanted);
 
@@ -62,6 +66,8 @@
 
   // Reads once without waiting for the reactor. Returns whether there was input, so that there may be more.
   bool read_now();
+  // The most that one read takes, up to kReadBytes.
+  void limit_reads(std::size_t bytes) { read_limit_ = std::min(bytes, kReadBytes); }
   // Whether the last read took all that had arrived.
   bool drained() const { return drained_; }
   // Whether neither input nor an end has arrived on a connection that is expected to be idle.
@@ -96,6 +102,7 @@
   bool connected_ = false;
   bool broken_ = false;  // a write failed
   bool drained_ = true;
+  std::size_t read_limit_ = kReadBytes;
   Ending failure_ = Ending::kNoDescriptor;
   int connect_error_ = 0;
   std::string input_;
--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -3,8 +3,6 @@
 #include <array>
 #include <utility>
 
-#include "guard/guard.h"
-
 namespace shorelead::node {
 namespace {
 
@@ -21,17 +19,31 @@
     return;
   }
   last_input_at = loop_.now() - stream.waited();
-  if (state == State::kReading) return read();
   if (forwarding_request_body()) return take_request_body();
-  limit_read_ahead();
+  state == State::kReading ? read() : limit_read_ahead();
+  account();
 }
 
-// Each response would otherwise let in another read, however much is buffered already.
-void Client::limit_read_ahead() { stream.want_input(stream.held() < kMaxReadAhead); }
+// Each response would otherwise let in another read, however much is buffered already. Where memory is scarce
+// nothing is read beside a request that is open.
+void Client::limit_read_ahead() {
+  const std::size_t open = state == State::kReading ? 1 : 0;
+  stream.want_input(stream.held() < (host_.memory().scarce() ? open : kMaxReadAhead));
+}
+
+void Client::account() {
+  const bool forwarding = state == State::kForwarding || message->flow != nullptr;
+  const std::size_t output = forwarding ? 0 : stream.output_capacity();
+  const bool large = message->flow != nullptr || stream.held() >= ClientMemory::kSmall;
+  stream.limit_reads(large && !host_.memory().scarce() ? Stream::kReadBytes : ClientMemory::kSmall);
+  host_.memory().charge(charged, stream.input().capacity() + message->raw.capacity() + output);
+  if (host_.memory().over()) host_.relieve_memory();
+}
 
 void Client::read() {
   std::string& input = stream.input();
   if (input.empty()) return;
+  if (!stream.flushed()) return stream.want_input(false);  // until the client has taken its last response
   if (request_started_at == 0) request_started_at = last_input_at;
   const Parser::State parsed = message->parser.advance(input);
   if (parsed == Parser::State::kBad) {
@@ -48,12 +60,11 @@
     return;
   }
   if (left_while_unread()) return;
-  // The message takes its bytes; later input stays in the stream's buffer.
   const std::size_t size = message->parser.size();
-  std::string rest = input.size() > size ? input.substr(size) : std::string();
-  message->raw = std::move(input);
+  std::string rest = input.substr(size);
+  message->raw = std::exchange(input, std::move(rest));
   message->raw.resize(size);
-  input = std::move(rest);
+  if (message->raw.capacity() > 2 * size) message->raw.shrink_to_fit();
   limit_read_ahead();
   keep_alive_ = message->head().keep_alive;
   used = true;
@@ -72,7 +83,7 @@
 }
 
 void Client::read_all() {
-  for (int read = 0; read < kMaxReads && stream.read_now(); ++read) continue;
+  for (int read = 0; read < kMaxReads && !host_.memory().over() && stream.read_now(); ++read) continue;
 }
 
 bool Client::still_waits() {
@@ -196,8 +207,8 @@
   host_.became_idle();
   message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMaxRequestBody);
   limit_read_ahead();
-  if (stream.input().empty()) return;
-  read_buffered();
+  account();
+  if (!stream.input().empty()) read_buffered();
 }
 
 // Reads the next request, which is already buffered. Deferred, as this may run while the last one is still
@@ -213,28 +224,16 @@
 // Half-closes: a full close with unread bytes would reset the connection, and the response could be lost.
 void Client::end_sending() {
   state = State::kClosing;
+  std::exchange(stream.input(), {});
+  host_.memory().charge(charged, 0);
   lingering_close.begin(loop_.now(), streamed_body);
   stream.want_input(true);
   if (stream.flushed()) stream.close_sending();
 }
 
-bool Client::close_idle() {
-  if (!guard::may_close_client({.under_way = !idle(), .unread = !stream.quiet()})) return false;
-  set_unused(false);
-  end_sending();
-  return true;
-}
-
-bool Client::try_evict() {
-  if (state == State::kClosing) {
-    stream.read_now();
-    return !stream.open() || stream.quiet();
-  }
-  return close_idle() && stream.flushed() && stream.quiet();
-}
-
 void Client::on_flushed(Stream&) {
   if (state == State::kForwarding) return guarded(&Client::pump);
+  if (state == State::kReading && !stream.input().empty()) read_buffered();
   if (state == State::kClosing) stream.close_sending();
 }
 
--- a/src/node/client.h
+++ b/src/node/client.h
@@ -7,8 +7,10 @@
 #include <string>
 #include <utility>
 
+#include "guard/guard.h"
 #include "manage/metrics.h"
 #include "net/flow.h"
+#include "node/client_memory.h"
 #include "node/error_responses.h"
 #include "node/guarded.h"
 #include "node/lingering_close.h"
@@ -46,10 +48,13 @@
     virtual void count_unused(bool unused) = 0;  // the connection is idle after a request, or no longer
     virtual void became_idle() = 0;              // the response is sent; the connection may be evicted
     virtual const std::shared_ptr<net::FlowBudget>& flows() const = 0;
+    virtual ClientMemory& memory() = 0;
+    virtual void relieve_memory() = 0;  // gives up connections until the limit is kept
   };
 
   Client(Loop& loop, Host& host, int fd) : stream(loop, *this, fd), loop_(loop), host_(host) {
     last_used = last_input_at = loop.now();
+    stream.limit_reads(ClientMemory::kSmall);
   }
 
   // Between requests, by the input read so far.
@@ -71,9 +76,18 @@
   bool still_waits();
   // Half-closes an idle connection: a request that crosses this is dropped without a reset. False if there is
   // unread input, which has to be read first.
-  bool close_idle();
+  bool close_idle() {
+    if (!guard::may_close_client({.under_way = !idle(), .unread = !stream.quiet()})) return false;
+    set_unused(false);
+    end_sending();
+    return true;
+  }
   // The same if its descriptor is needed at once: whether the connection may be closed now.
-  bool try_evict();
+  bool try_evict() {
+    if (state != State::kClosing) return close_idle() && stream.flushed() && stream.quiet();
+    stream.read_now();
+    return !stream.open() || stream.quiet();
+  }
   void leave_bodies();  // ends the forwarding of both bodies
   // Idle after its first request.
   void set_unused(bool unused) {
@@ -84,8 +98,9 @@
   State state = State::kReading;
   std::shared_ptr<Message> message = std::make_shared<Message>(Parser::Kind::kRequest, net::kMaxRequestBody);
   RequestId request = 0;
-  std::string class_name;  // of that request
-  bool used = false;       // has carried a request
+  std::string class_name;   // of that request
+  std::size_t charged = 0;  // bytes counted in ClientMemory
+  bool used = false;        // has carried a request
   bool answered_before = false;
   Millis request_started_at = 0;  // when the first byte of the current request was read; 0 = none was
   Millis last_input_at = 0;       // when the system received the bytes that were read last
@@ -113,6 +128,7 @@
   void take_input();
   void read();
   void limit_read_ahead();
+  void account();
   void read_buffered();
   void begin_request_body();
   void take_request_body();
--- /dev/null
+++ b/src/node/client_memory.h
@@ -0,0 +1,44 @@
+// What the connections of all clients hold in memory, against one limit: input that was read ahead or belongs
+// to a request that is not whole, requests that wait for their response, and responses that clients have not
+// taken. A client's bytes are counted by its connection; the caller frees memory when the limit is passed.
+// Streamed bodies have a limit of their own (net/flow.h).
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+namespace shorelead::node {
+
+class Client;
+
+class ClientMemory {
+ public:
+  // Requests up to this size are always read and handled: 1,024 of them are 4 MB.
+  static constexpr std::size_t kSmall = 4096;
+
+  explicit ClientMemory(std::function<std::size_t()> limit) : limit_(std::move(limit)) {}
+
+  // Counts a connection that held `charged` and holds `bytes` now.
+  void charge(std::size_t& charged, std::size_t bytes) {
+    held_ += bytes;
+    held_ -= std::exchange(charged, bytes);
+  }
+  bool over() const { return held_ > limit_(); }
+  // So much is held that nothing is read ahead.
+  bool scarce() const { return held_ > limit_() / 2; }
+  std::size_t held() const { return held_; }  // bytes
+
+ private:
+  const std::function<std::size_t()> limit_;
+  std::size_t held_ = 0;
+};
+
+// The connection to give up when the limit is passed: of those with an unfinished request of more than kSmall
+// the one that began first, else of those that do not take their responses the one that has waited longest.
+// Null: none.
+Client* take_memory_holder(const std::unordered_map<Client*, std::shared_ptr<Client>>& clients);
+
+}  // namespace shorelead::node
--- a/src/node/descriptor_room.cpp
+++ b/src/node/descriptor_room.cpp
@@ -64,9 +64,10 @@
 void DescriptorRoom::log_counters(const Front& front) const {
   const FrontCounters& counters = front.counters();
   spdlog::info(
-      "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} paused={}",
+      "counters: sockets open={} most={} clients={} accepted={} silent={} unused={} evicted={} "
+      "for_memory={} paused={}",
       Stream::open_count(), max_seen_, front.clients(), front.acceptor().accepted(), counters.silent,
-      counters.idle, counters.evicted, front.acceptor().pauses());
+      counters.idle, counters.evicted, counters.gave_up_for_memory, front.acceptor().pauses());
   spdlog::info("counters: descriptors state={} most={} backends_budget={} probing={}",
                limits::name_of(rules().state(counts())), max_(), rules().backends_budget(), counts().probing);
 }
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kTransit = 5;
 constexpr double kMaxTransitShare = 0.1;  // of the time-out
 
+const Refusal kNoMemory = {503, "no memory for this request", "", 0};
+
 Effect effect_of(const RequestRoute& route) {
   return route.snapshot->classes[static_cast<std::size_t>(route.request_class)].effect;
 }
@@ -26,6 +28,7 @@
       listener_(std::move(listener)),
       recorder_(loop, listener_.recorder),
       timeouts_(timeouts),
+      memory_(listener_.memory_bytes),
       acceptor_(loop, spec,
                 {[this](int fd) {
                    const auto client = std::make_shared<Client>(loop_, static_cast<Client::Host&>(*this), fd);
@@ -46,6 +49,7 @@
     const bool ready = listener_.ready();
     return client.answer(ready ? 200 : 503, ready ? "ready" : "not ready", 0, false);
   }
+  if (memory_.over() && message.raw.size() > ClientMemory::kSmall) return client.answer(kNoMemory, false);
   RequestInfo info;
   RequestRoute request_route;
   const char* cause = "";
@@ -149,13 +153,6 @@
   client->answer(refusal, false);
 }
 
-void Front::fail(RequestId request, int status) {
-  Client* const client = waiting(request);
-  if (client == nullptr) return;
-  release(*client, manage::RequestEnd::kBadGateway);
-  client->answer(status, "failed", 0, false);
-}
-
 bool Front::evict_idle() {
   const auto may_evict = [this](const Client& client) { return timeouts_.may_evict(client, loop_.now()); };
   Client* const evicted = take_evictable(clients_, may_evict);
@@ -165,22 +162,12 @@
   return true;
 }
 
-void Front::set_drain_state(manage::DrainState state) {
-  drain_ = state;
-  if (state == manage::DrainState::kDrained) close_idle_clients(true);
-}
-
 void Front::close_idle_clients(bool only_used) {
   for (const auto& [client, hold] : clients_) {
     if (client->used || !only_used) client->close_idle();
   }
 }
 
-bool Front::close_idle() {
-  close_idle_clients(false);
-  return clients_.empty() && acceptor_.listening() < 0;
-}
-
 void Front::fail_all() {
   failing_all_ = true;
   // Requests that have been received but not read are answered too; and unread input would reset the
@@ -205,6 +192,15 @@
   }
 }
 
+void Front::relieve_memory() {
+  while (memory_.over()) {
+    Client* const holder = take_memory_holder(clients_);
+    if (holder == nullptr) return;
+    ++counters_.gave_up_for_memory;
+    holder->partial_since() > 0 ? holder->answer(kNoMemory, true) : truncate(*holder);
+  }
+}
+
 // Closes a connection. It is freed once the current handler, which may be its own, has returned.
 void Front::forget(Client& client, Ending why) {
   if (waiting_.count(client.request) > 0) recorder_->closed_unanswered(client.request);
@@ -212,6 +208,7 @@
   client.stream.close();
   client.leave_bodies();
   client.set_unused(false);
+  memory_.charge(client.charged, 0);
   const auto it = clients_.find(&client);
   if (it == clients_.end()) return;
   loop_.later([hold = it->second] {});
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,6 +31,8 @@
   std::uint64_t silent = 0;      // connections closed that never carried a request
   std::uint64_t idle = 0;        // connections closed after a request, for being idle
   std::uint64_t evicted = 0;     // connections closed for their descriptors
+  std::uint64_t gave_up_for_memory =
+      0;  // unfinished requests refused, and connections closed, for their memory
   std::map<int, std::uint64_t> by_status;
 };
 
@@ -48,6 +51,8 @@
     std::function<void(RequestId, Millis due)> body_complete = [](RequestId, Millis) {};
     // Whether an attempt of this open request may have been processed.
     std::function<bool(RequestId)> may_have_run = [](RequestId) { return false; };
+    // The limit on what client connections hold in memory.
+    std::function<std::size_t()> memory_bytes = [] { return std::numeric_limits<std::size_t>::max(); };
     std::shared_ptr<net::FlowBudget> flows = nullptr;  // for streamed bodies; null: large bodies are refused
     Recorder* recorder = nullptr;                      // outlives the front; null: nothing is recorded
   };
@@ -74,7 +79,12 @@
   // Final responses; without effect if the client has gone. `flow`: of a body that is still being received.
   void serve(RequestId request, const Message& response, std::shared_ptr<net::Flow> flow);
   void refuse(RequestId request, const Refusal& refusal);
-  void fail(RequestId request, int status);
+  void fail(RequestId request, int status) {
+    Client* const client = waiting(request);
+    if (client == nullptr) return;
+    release(*client, manage::RequestEnd::kBadGateway);
+    client->answer(status, "failed", 0, false);
+  }
 
   // Requests read from now on use this generation, but a client's repeat of a keyed request uses the previous
   // one for the class's window: that is where its key is known, and elsewhere it would run again.
@@ -90,10 +100,16 @@
   bool evict_idle();  // closes the connection that has been idle for longest; false if none is
   // Applies the drain state: from draining on, each response is the last on its connection; once drained,
   // idle connections are closed.
-  void set_drain_state(manage::DrainState state);
+  void set_drain_state(manage::DrainState state) {
+    drain_ = state;
+    if (state == manage::DrainState::kDrained) close_idle_clients(true);
+  }
   void close_listener() { acceptor_.close(); }
   // Closes connections without a request under way. True when no connection is left or waits to be accepted.
-  bool close_idle();
+  bool close_idle() {
+    close_idle_clients(false);
+    return clients_.empty() && acceptor_.listening() < 0;
+  }
   // At the end of the process: answers all open requests as failed and has their attempts cancelled. Requests
   // that have been received but not started, or are received from now on, are refused.
   void fail_all();
@@ -103,6 +119,7 @@
   unsigned short port() const { return acceptor_.port(); }
   const Acceptor& acceptor() const { return acceptor_; }
   std::size_t clients() const { return clients_.size(); }
+  std::size_t held_bytes() const { return memory_.held(); }  // by the connections of clients
   const FrontCounters& counters() const { return counters_; }
   const manage::RequestCounters& request_counters() const { return request_counters_; }
 
@@ -128,6 +145,8 @@
     if (acceptor_.paused()) loop_.later([this] { acceptor_.try_resume(); });
   }
   const std::shared_ptr<net::FlowBudget>& flows() const override { return listener_.flows; }
+  ClientMemory& memory() override { return memory_; }
+  void relieve_memory() override;
 
   // Closes a connection such that the client sees that the response which has begun is cut short.
   void truncate(Client& client) {
@@ -148,6 +167,7 @@
   Listener listener_;
   const RecorderHandle recorder_;
   const Timeouts timeouts_;
+  ClientMemory memory_;
   std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
   std::unordered_map<RequestId, Client*> waiting_;
   RequestIds ids_;
--- a/src/node/memory_log.cpp
+++ b/src/node/memory_log.cpp
@@ -42,8 +42,9 @@
 
 std::string MemoryLog::holders() const {
   const MemoryHolders now = holders_();
-  return fmt::format("clients={} open_requests={} streamed_bodies={} backend_connections={}", now.clients,
-                     now.open_requests, now.streamed_bodies, now.backend_connections);
+  return fmt::format("clients={} client_bytes={} open_requests={} streamed_bodies={} backend_connections={}",
+                     now.clients, now.client_bytes, now.open_requests, now.streamed_bodies,
+                     now.backend_connections);
 }
 
 void MemoryLog::log_counters() const {
--- a/src/node/memory_log.h
+++ b/src/node/memory_log.h
@@ -14,6 +14,7 @@
 // How many there are now of what holds memory.
 struct MemoryHolders {
   std::size_t clients = 0;
+  std::size_t client_bytes = 0;  // held by their connections
   std::size_t open_requests = 0;
   std::size_t streamed_bodies = 0;  // of requests and responses
   int backend_connections = 0;
--- a/src/node/server.cpp
+++ b/src/node/server.cpp
@@ -7,13 +7,15 @@
 namespace shorelead::node {
 namespace {
 
-constexpr int kReservedDescriptors = 32;   // standard streams, reactor, timers, signals, listener, spare
-constexpr double kFlowMemoryShare = 0.25;  // of the node's memory, for streamed bodies
-constexpr double kDefaultMemoryMb = 256;   // if the configuration gives no limit
-constexpr int kCrowdedDivisor = 8;         // crowded: less than 1/8 of the descriptors are free
-constexpr int kPlentifulDivisor = 2;       // plentiful: less than 1/2 of the descriptors are in use
-constexpr int kManyIdleDivisor = 6;        // too many idle: over 1/6 of the descriptors
-constexpr Millis kBanFileTimeout = 5000;   // after the start, to read the file of bans
+constexpr int kReservedDescriptors = 32;  // standard streams, reactor, timers, signals, listener, spare
+constexpr double kBytesPerMb = 1048576;
+constexpr double kFlowMemoryShare = 0.25;   // of the node's memory, for streamed bodies
+constexpr double kClientMemoryShare = 0.2;  // the same, for what client connections hold beside these
+constexpr double kDefaultMemoryMb = 256;    // if the configuration gives no limit
+constexpr int kCrowdedDivisor = 8;          // crowded: less than 1/8 of the descriptors are free
+constexpr int kPlentifulDivisor = 2;        // plentiful: less than 1/2 of the descriptors are in use
+constexpr int kManyIdleDivisor = 6;         // too many idle: over 1/6 of the descriptors
+constexpr Millis kBanFileTimeout = 5000;    // after the start, to read the file of bans
 
 }  // namespace
 
@@ -88,8 +90,9 @@
           [this] { return Stream::open_count() * kPlentifulDivisor < max_streams(); },
           [this] { return room_.make(limits::Purpose::kClient, *front_); },
           [this](RequestId request, Millis due) { request_table_.body_complete(request, due); },
-          [this](RequestId request) { return request_table_.may_have_run(request); }, flow_budget_,
-          &recorder_});
+          [this](RequestId request) { return request_table_.may_have_run(request); },
+          [this] { return static_cast<std::size_t>(memory_limit_mb() * kBytesPerMb * kClientMemoryShare); },
+          flow_budget_, &recorder_});
   if (!hot_restart_.standalone()) ban_list_->use_file(context.ban_file_path());
   admissions_.switch_to(snapshot(), snapshot());
   for (const auto& pool : generations_.pools()) pool->start();
@@ -147,7 +150,7 @@
 }
 
 std::size_t Server::flow_budget_bytes() const {
-  return static_cast<std::size_t>(memory_limit_mb() * 1048576 * kFlowMemoryShare);
+  return static_cast<std::size_t>(memory_limit_mb() * kBytesPerMb * kFlowMemoryShare);
 }
 
 // Evicts idle connections down to the limits, which halve while two processes run.
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -77,7 +77,8 @@
   double memory_limit_mb() const;  // of this process, while two run half of the node's
   std::size_t flow_budget_bytes() const;
   MemoryHolders memory_holders() const {
-    return {front_->clients(), open_requests(), flow_budget_->open(), room_.counts().backends};
+    return {front_->clients(), front_->held_bytes(), open_requests(), flow_budget_->open(),
+            room_.counts().backends};
   }
   std::size_t open_requests() const;
   std::string metrics() const;
--- a/tests/bounds/crowd_test.cpp
+++ b/tests/bounds/crowd_test.cpp
@@ -62,6 +62,28 @@
   watch(crowd, [&](int) { return "GET /safe HTTP/1.1\r\nHost: a\r\n" + fields; });
 }
 
+TEST_F(CrowdCase, WholeBodiesThatWaitStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  watch(crowd, [](int) {
+    return head_of("/unsafe/hang", 64000, "X-Timeout-Ms: 3000\r\n") + std::string(64000, 'b');
+  });
+}
+
+TEST_F(CrowdCase, RequestsReadAheadStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  watch(crowd, [](int) {
+    return get("/safe/hang", "X-Timeout-Ms: 3000\r\n", next_id()) + head_of("/unsafe", 200000) +
+           std::string(199000, 'b');
+  });
+}
+
+TEST_F(CrowdCase, HeadsOfManyFieldsThatWaitStayWithinTheMemory) {
+  Crowd crowd(node, kCrowd);
+  std::string fields;
+  for (int n = 0; n < 90; ++n) fields += "Field-" + std::to_string(n) + ": " + std::string(150, 'v') + "\r\n";
+  watch(crowd, [&](int) { return get("/safe/hang", "X-Timeout-Ms: 3000\r\n" + fields, next_id()); });
+}
+
 TEST_F(CrowdCase, AnswersThatBackendsDoNotEndStayWithinTheMemory) {
   Crowd crowd(node, kCrowd);
   watch(crowd, [](int) { return get("/safe/begin", "X-Timeout-Ms: 3000\r\n", next_id()); });
