A client that has left counts no more in the memory of clients

Found on reading again: a connection that was closed while its input was handled (a request whose client had left) was counted once more after it had been taken off, for good. After some hundreds of such clients the limit is passed for ever and each request of over 4 KB is refused. A closed connection is not counted.

Also by reading: the function that ends an overdue upload is copied before the call, as it drops its owner, and the task that reads a buffered request no longer keeps its connection alive beyond the front.

--- a/src/node/client.cpp
+++ b/src/node/client.cpp
@@ -32,6 +32,7 @@
 }
 
 void Client::account() {
+  if (!stream.open()) return;  // it has been given up, and counts no more
   const bool forwarding = state == State::kForwarding || message->flow != nullptr;
   const std::size_t output = forwarding ? 0 : stream.output_capacity();
   const bool large = message->flow != nullptr || stream.held() >= ClientMemory::kSmall;
@@ -46,9 +47,8 @@
   if (!stream.flushed()) return stream.want_input(false);  // until the client has taken its last response
   if (request_started_at == 0) request_started_at = last_input_at;
   const Parser::State parsed = message->parser.advance(input);
-  if (parsed == Parser::State::kBad) {
+  if (parsed == Parser::State::kBad)
     return answer(message->parser.refusal(), message->parser.cause(), 0, true);
-  }
   if (parsed != Parser::State::kDone) {
     stream.want_input(true);
     if (parsed == Parser::State::kBody && !sent_continue_ && message->head().find(input, "expect")) {
@@ -214,8 +214,9 @@
 // Reads the next request, which is already buffered. Deferred, as this may run while the last one is still
 // being handled; now and then until other connections have had their turn.
 void Client::read_buffered() {
-  const Loop::Task task = [this, hold = shared_from_this()] {
-    if (stream.open() && state == State::kReading) guarded(&Client::read);
+  const Loop::Task task = [weak = weak_from_this()] {
+    const std::shared_ptr<Client> client = weak.lock();
+    if (client && client->stream.open() && client->state == State::kReading) client->guarded(&Client::read);
   };
   if (++buffered_requests_ % kRequestsPerTurn != 0) return loop_.later(task);
   loop_.after(0, task);
--- a/src/node/memory_log.cpp
+++ b/src/node/memory_log.cpp
@@ -10,7 +10,7 @@
 namespace shorelead::node {
 namespace {
 
-constexpr Millis kInterval = 100;
+constexpr Millis kInterval = 250;
 constexpr double kKilobytesPerMb = 1024;
 constexpr std::array<double, 5> kShares = {0.5, 0.7, 0.8, 0.9, 0.95};  // of the limit
 
--- a/src/node/request_body_forwarder.cpp
+++ b/src/node/request_body_forwarder.cpp
@@ -68,7 +68,10 @@
   Millis next = deadline_->due();
   if (loop_.now() >= next) {
     const bool idle = stream_.open() && !stream_.has_unread_input();
-    if (!idle || paused()) return overdue_();
+    if (!idle || paused()) {
+      const std::function<void()> overdue = overdue_;  // which may drop this object
+      return overdue();
+    }
     if (!held_back()) return deadline_->caught_up();
     next = resumed_at_ + kRefillTime;
   }
--- a/tests/bounds/crowd_test.cpp
+++ b/tests/bounds/crowd_test.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr double kWatchedMs = 4000;
+constexpr int kLeavers = 4000;
+constexpr std::size_t kLeaversBody = 10000;
 
 class CrowdCase : public testing::Test {
  protected:
@@ -89,6 +91,16 @@
   watch(crowd, [](int) { return get("/safe/begin", "X-Timeout-Ms: 3000\r\n", next_id()); });
 }
 
+// What they sent is not counted any more: a request of the size that is refused first is served.
+TEST_F(CrowdCase, ClientsThatLeaveBehindARequestLeaveNothingCounted) {
+  for (int n = 0; n < kLeavers; ++n) {
+    Line client = node.client();
+    client.write(head_of("/unsafe/hang", kLeaversBody) + std::string(kLeaversBody, 'b'));
+  }
+  others.ask(node, head_of("/unsafe", 60000, kOtherWait) + std::string(60000, 'b'));
+  EXPECT_EQ(others.served, 1);
+}
+
 TEST_F(CrowdCase, LongAnswersThatAreNotReadStayWithinTheMemory) {
   Crowd crowd(node, kCrowd, kSmallReceiveBuffer);
   watch(crowd, [](int) { return get("/safe/long", "", next_id()); });
