--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -44,6 +44,7 @@
       Discovery::Listener{[this](const List& list) { list_changed(list); },
                           [this](Ending ending) { watch_ended(ending); },
                           [this](bool first, bool late) {
+                            if (first) log_answer(late);
                             lease_->current(first, late, discovery_->last_byte_at());
                             report_sign(guard::DiscoverySign::Kind::kMessage, discovery_->last_byte_at());
                           },
@@ -89,6 +90,12 @@
                settings.drain_grace.value_or(0), settings.instances);
 }
 
+void BackendSource::log_answer(bool late) const {
+  spdlog::info("pool {}: call {} answered {:.2f} s after it began, version {}{}", config_.name,
+               discovery_->calls(), (loop_.now() - discovery_->call_began_at()) / 1000, discovery_->version(),
+               late ? ", arrived late" : "");
+}
+
 void BackendSource::forward(const List& list, ListSource from) {
   listener_.list(start_times_.resolve(list), from);
 }
--- a/src/node/backend_source.h
+++ b/src/node/backend_source.h
@@ -66,6 +66,7 @@
   void update_lease_terms();
   void report_sign(guard::DiscoverySign::Kind kind, Millis at) const;
   void log_list_settings() const;
+  void log_answer(bool late) const;
 
   Loop& loop_;
   PoolConfig config_;
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -61,6 +61,7 @@
   bool has_list() const { return has_list_; }  // a list, or a sign that nothing has changed, was received
   Millis last_byte_at() const { return last_byte_at_; }  // when the last byte arrived, or the call began
   std::uint64_t calls() const { return calls_; }
+  Millis call_began_at() const { return call_began_at_; }  // the last call
 
   // State of the last call when it ended, for the log.
   struct CallEnd {
--- a/src/node/pool_record.h
+++ b/src/node/pool_record.h
@@ -5,6 +5,10 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdint>
+#include <string>
+#include <utility>
+
 #include "guard/listed_record.h"
 #include "manage/bans.h"
 #include "node/policy_host.h"
@@ -19,6 +23,7 @@
   explicit PoolRecord(const RecorderHandle& recorder) : recorder_(recorder) {}
 
   void list(const List& list) {
+    version_ = list.version;
     listed_.begin_list(list.whole);
     for (const ListedBackend& backend : list.backends) {
       listed_.listed(backend.host, backend.health == "ready");
@@ -35,7 +40,12 @@
     }
   }
   void validity(const ListValidity& validity) { listed_.set_validity(validity); }
-  void discovery(const guard::DiscoverySign& sign) { listed_.discovery(sign); }
+  void discovery(const guard::DiscoverySign& sign) {
+    listed_.discovery(sign);
+    if (sign.kind != guard::DiscoverySign::Kind::kMessage) return;
+    heard_at_ = sign.at;
+    quiet_logged_ = false;
+  }
   bool withdrawn(const std::string& host, Millis now) const { return listed_.withdrawn(host, now); }
 
   void request(RequestId request, const Settings& settings, const RequestInfo& info) {
@@ -45,14 +55,28 @@
   void body_complete(RequestId request, Millis due) { recorder_->due(request, due); }
   void handler_threw(RequestId request) { recorder_->handler_threw(request); }
   void decided(const Choice& choice, const std::string& host, Millis now) {
+    log_quiet_discovery(now);
     recorder_->attempt_decided(choice.request, choice.attempt, host, choice.backend,
                                listed_.valid_until() - now);
   }
   void refused(RequestId request, Millis now) { recorder_->refused(request, listed_.valid_until() <= now); }
 
  private:
+  // Discovery sends a keep-alive every 2 s, so that a longer silence means that no watch is alive.
+  static constexpr Millis kQuietLimit = 2500;
+
+  // Logs once in each silence of discovery that requests go on by the list from before it.
+  void log_quiet_discovery(Millis now) {
+    if (heard_at_ == 0 || now - heard_at_ < kQuietLimit || std::exchange(quiet_logged_, true)) return;
+    spdlog::info("requests go by list {}, valid for {:.2f} s, though discovery was last heard {:.2f} s ago",
+                 version_, (listed_.valid_until() - now) / 1000, (now - heard_at_) / 1000);
+  }
+
   const RecorderHandle recorder_;
   guard::ListedRecord listed_;
+  std::uint64_t version_ = 0;  // of the last list
+  Millis heard_at_ = 0;        // last message of discovery; 0 = none yet
+  bool quiet_logged_ = false;  // since then
 };
 
 }  // namespace shorelead::node
--- a/src/node/recorder.cpp
+++ b/src/node/recorder.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "node/log_output.h"
+#include "node/processor_time.h"
 
 namespace shorelead::node {
 namespace {
@@ -108,6 +109,8 @@
 }
 
 void Recorder::ended(RequestId request, manage::RequestEnd end) {
+  if (!std::exchange(any_ended_, true))
+    spdlog::info("first request over: {}, after {:.1f} ms of processor time", name_of(end), processor_time());
   switch (end) {
     case manage::RequestEnd::kPassed:
       add(EventKind::kServed, request, 0, 0);
--- a/src/node/recorder.h
+++ b/src/node/recorder.h
@@ -81,6 +81,7 @@
   std::uint64_t list_version_ = 0;  // of the last list that any pool applied
   std::uint64_t dumps_ = 0;
   std::uint64_t thrown_ = 0;
+  bool any_ended_ = false;  // a request, since the start
 };
 
 // Refers to the node's recorder, or owns one if none is given, as in unit tests.
--- a/src/node/serve.cpp
+++ b/src/node/serve.cpp
@@ -15,6 +15,7 @@
 #include "node/language_binding.h"
 #include "node/log_output.h"
 #include "node/platform_file.h"
+#include "node/processor_time.h"
 #include "node/server.h"
 
 namespace shorelead::node {
@@ -121,6 +122,7 @@
   for (const std::string& warning : config.warnings) spdlog::warn("configuration: {}", warning);
   // From here on every accepted request must be answered.
   with_retries([&server] { server.open(); });
+  spdlog::info("listening after {:.1f} ms of processor time", processor_time());
   if (config.pools.empty()) {
     spdlog::info("serving on {}, discovery at {}, list {} with {} backends", config.listen.toString(),
                  config.discovery.toString(), config.known.version, config.known.backends.size());
