Tests, red: a list read late, and a first byte written after its backend was withdrawn

A held process (SIGSTOP for 150 ms) reckons the grace of a list in part from its reading: 20 requests go by the old list after that, in both modes, so that a second pause before a write exceeds grace and slack (0.40 s). A request whose first sendmsg() finds no room stays in the stream's buffer as sent; withdraw() passes over it and its first byte goes out later.

--- a/tests/crossings/listed_node.h
+++ b/tests/crossings/listed_node.h
@@ -41,6 +41,8 @@
     watch_->await_taken();
     last_sign_ = steady_ms();
   }
+  void hold() const { node_->hold(); }
+  void resume() const { node_->resume(); }
   void discovery_goes_away() { discovery_.stop_listening(); }
   void discovery_returns() { discovery_.start_listening(); }
   double last_sign() const { return last_sign_; }
--- a/tests/crossings/node_process.h
+++ b/tests/crossings/node_process.h
@@ -45,6 +45,9 @@
     EXPECT_EQ(::prlimit(child_, RLIMIT_NOFILE, &limit, nullptr), 0);
   }
   void reload() const { ::kill(child_, SIGHUP); }
+  // Holds the process up until resume().
+  void hold() const { ::kill(child_, SIGSTOP); }
+  void resume() const { ::kill(child_, SIGCONT); }
 
  private:
   [[noreturn]] static void serve(int descriptors, const ConfigChange& configure,
