A request that finds no room in its socket is checked again before its first byte

What callers saw: a request could reach a backend after that was withdrawn, or after the list had expired. Cause: Stream::send() kept what the socket did not take and the attempt counted as sent, so that withdraw() passed over it and on_writable() wrote its first byte without a check (time of check to time of use). Evidence: Faults.ResumedWrite, sendmsg() fails with EAGAIN until the withdrawal; red before, the whole request arrived. Fix: Stream::begin() keeps nothing if not one byte was taken; the connection asks the guard again once there is room. Checked: Faults.ResumedWrite (2), Upstream (12) pass.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -64,23 +64,39 @@
 }
 
 void Stream::send(std::span<const std::string_view> pieces) {
-  if (!open()) return;
-  std::size_t written = 0;
-  if (connected_ && output_.empty()) {
-    std::array<iovec, kMaxPieces> parts{};
-    std::size_t count = 0;
-    for (const std::string_view piece : pieces) {
-      if (piece.empty() || count == kMaxPieces) continue;
-      parts[count++] = {const_cast<char*>(piece.data()), piece.size()};
-    }
-    msghdr message{};
-    message.msg_iov = parts.data();
-    message.msg_iovlen = count;
-    const ssize_t sent = uninterrupted([&] { return ::sendmsg(fd(), &message, MSG_NOSIGNAL); });
-    // The failure is reported by on_writable(), not within the caller's call.
-    if (sent < 0 && !is_transient(errno)) broken_ = true;
-    written = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  if (open()) buffer(pieces, write_now(pieces));
+}
+
+bool Stream::begin(std::span<const std::string_view> pieces) {
+  if (!open()) return true;
+  const std::size_t written = write_now(pieces);
+  if (written == 0 && !broken_ && connected_ && output_.empty()) {
+    watch_->want_write(true);
+    return false;
   }
+  buffer(pieces, written);
+  return true;
+}
+
+// Returns how many bytes the socket has taken.
+std::size_t Stream::write_now(std::span<const std::string_view> pieces) {
+  if (!connected_ || !output_.empty()) return 0;
+  std::array<iovec, kMaxPieces> parts{};
+  std::size_t count = 0;
+  for (const std::string_view piece : pieces) {
+    if (piece.empty() || count == kMaxPieces) continue;
+    parts[count++] = {const_cast<char*>(piece.data()), piece.size()};
+  }
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = count;
+  const ssize_t sent = uninterrupted([&] { return ::sendmsg(fd(), &message, MSG_NOSIGNAL); });
+  if (sent < 0 && !is_transient(errno)) broken_ = true;  // reported by on_writable(), not to the caller
+  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
+// Keeps what follows the first `written` bytes until the socket takes it.
+void Stream::buffer(std::span<const std::string_view> pieces, std::size_t written) {
   for (const std::string_view piece : pieces) {
     const std::size_t skip = std::min(written, piece.size());
     written -= skip;
@@ -199,11 +215,13 @@
     if (!open() || output_.empty()) return;
   }
   if (broken_) return fail(Ending::kBroken);
-  const ssize_t sent =
-      uninterrupted([&] { return ::send(fd(), output_.data(), output_.size(), MSG_NOSIGNAL); });
-  if (sent < 0 && is_transient(errno)) return;
-  if (sent < 0) return fail(Ending::kBroken);
-  output_.erase(0, static_cast<std::size_t>(sent));
+  if (!output_.empty()) {
+    const ssize_t sent =
+        uninterrupted([&] { return ::send(fd(), output_.data(), output_.size(), MSG_NOSIGNAL); });
+    if (sent < 0 && is_transient(errno)) return;
+    if (sent < 0) return fail(Ending::kBroken);
+    output_.erase(0, static_cast<std::size_t>(sent));
+  }
   if (!output_.empty()) return;
   std::string().swap(output_);
   watch_->want_write(false);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -58,6 +58,9 @@
 
   // Writes the pieces in one call, and buffers a copy of what the socket does not take.
   void send(std::span<const std::string_view> pieces);
+  // As send(), but keeps nothing if the socket takes no byte for now: returns false then, and on_flushed()
+  // follows once it may. For what has to be checked again before its first byte is written.
+  bool begin(std::span<const std::string_view> pieces);
   bool flushed() const { return connected_ && output_.empty(); }
 
   // How long the last input had waited in the system before it was read: in the accept queue, or while this
@@ -86,6 +89,8 @@
   static int open_count() { return open_count_.load(std::memory_order_relaxed); }
 
  private:
+  std::size_t write_now(std::span<const std::string_view> pieces);
+  void buffer(std::span<const std::string_view> pieces, std::size_t written);
   void on_readable() override { read_now(); }
   void on_writable() override;
   void on_error() override;
--- a/src/node/backend_connection.cpp
+++ b/src/node/backend_connection.cpp
@@ -90,7 +90,7 @@
       recorder->attempt_denied(job->request, job->attempt, guard::Reason::kInputUnread);
     return end_unsent(if_unread);
   }
-  stream.send(pieces);
+  if (!stream.begin(pieces)) return;  // checked again by on_flushed()
   sent = true;
   if (recorder != nullptr && !job->probe)
     recorder->attempt_written(job->request, job->attempt, backend, owner.listener_.withdrawn(backend, now),
@@ -147,6 +147,7 @@
 void Upstream::Connection::on_flushed(Stream&) {
   if (sending_body()) return send_body();
   if (!job) return;
+  if (!sent) write_request(Ending::kBrokenUnsent);
   count_if_written();
   owner.set_timer(*this);
 }
