A sign of discovery binds from when it can have occurred, not from when it was read

What callers saw: a process that is held up before it reads part of a list, a reset or the end of its watch sent by the old list for 100 ms after reading it; with one more pause before a write that is 0.40 s after the event, 0.30 allowed. Cause: the lease was told loop.now() at the reading (two clocks for one event). A refused connection proves something up to the time before it was attempted.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -30,13 +30,13 @@
 
 void ListLease::list_incomplete(Millis now) { unfinished_at_ = std::min(unfinished_at_, now); }
 
-void ListLease::call_ended(CallEnd how, Millis now) {
+void ListLease::call_ended(CallEnd how, Millis now, Millis occurred_at) {
   if (how == CallEnd::kInterrupted) {
-    list_incomplete(now);
+    list_incomplete(occurred_at);
     how = watching_ ? CallEnd::kWatchEnded : CallEnd::kFailed;
   }
   if (how == CallEnd::kWatchReset) {
-    watch_reset_at_ = std::min(watch_reset_at_, now);
+    watch_reset_at_ = std::min(watch_reset_at_, occurred_at);
     how = CallEnd::kWatchEnded;
   }
   watching_ = false;
@@ -45,7 +45,10 @@
     note_lapse(now);
     no_call_ended_since_ = kNever;
   }
-  if (how == CallEnd::kWatchEnded) no_call_ended_since_ = watch_ended_at_ = now;
+  if (how == CallEnd::kWatchEnded) {
+    no_call_ended_since_ = watch_ended_at_ = occurred_at;
+    watch_end_seen_at_ = now;
+  }
 }
 
 // What binds by the time without a watch goes on to bind, although a further call allows a longer hold.
@@ -63,7 +66,7 @@
   if (watching_ || discovery_changed_at_ < kNever) return;  // of another discovery it proves nothing
   const bool follows = follows_proof(now);
   if (!follows) {
-    if (now - watch_ended_at_ > kMaxTimeToProof) return;
+    if (now - watch_end_seen_at_ > kMaxTimeToProof) return;
     current_before_outage_ = now - last_message_at_ <= kMaxTimeToProof;
     if (current_before_outage_) watch_reset_at_ = kNever;
     if (!current_before_outage_ && terms_.pushed) return;  // what discovery had binds since the watch ended
@@ -77,7 +80,7 @@
 
 void ListLease::discovery_changed(Millis now) {
   last_proof_at_ = -kNever;
-  if (watching_) no_call_ended_since_ = watch_ended_at_ = now;
+  if (watching_) no_call_ended_since_ = watch_ended_at_ = watch_end_seen_at_ = now;
   watching_ = false;
   discovery_changed_at_ = now;
 }
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -77,7 +77,9 @@
   void list_incomplete(Millis now);
   // What had arrived in part turned out to hold no list.
   void nothing_told() { unfinished_at_ = unfinished_before_; }
-  void call_ended(CallEnd how, Millis now);
+  // The end is seen at `now` and may have occurred as early as `occurred_at`, from which on it binds.
+  void call_ended(CallEnd how, Millis now, Millis occurred_at);
+  void call_ended(CallEnd how, Millis now) { call_ended(how, now, now); }
   // A connection to discovery was refused: nobody listens there, so that no new change binds before it
   // returns. From the end of a watch on, and while such proofs follow each other closely, a list that was
   // current when discovery went away does not age, however the watch ended. One whose watch had been quiet
@@ -87,8 +89,8 @@
   void unreachable(Millis now);
   // Whether the list stands still in age, as nobody has listened at discovery since it was current.
   bool stands_still() const { return last_proof_at_ > -kNever && current_before_outage_; }
-  // Time from the last message of the watch to its end.
-  Millis quiet_before_end() const { return watch_ended_at_ - last_message_at_; }
+  // Time from the last message of the watch to the sight of its end.
+  Millis quiet_before_end() const { return watch_end_seen_at_ - last_message_at_; }
   // Discovery is at another address from now on, and no call to it is open.
   void discovery_changed(Millis now);
 
@@ -115,6 +117,7 @@
   Millis last_call_at_ = -kNever;       // start of the last call
   Millis last_message_at_ = -kNever;    // last whole list or keep-alive of a watch
   Millis watch_ended_at_ = -kNever;     // end of the last watch, without the time out of reach since
+  Millis watch_end_seen_at_ = -kNever;  // when the process saw that end
   Millis last_proof_at_ = -kNever;      // that discovery cannot be reached, in the present series
   bool current_before_outage_ = false;  // the list was, when the present series began
   // No call has ended since then; kNever: one has, or a watch is open.
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -148,6 +148,7 @@
 
 void Loop::onBusy() {
   ++wakeups_;
+  wakeups_at_ = {wakeups_at_[1], wakeups_at_[2], now()};
   if (timer_failed_) arm_timer();
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -10,6 +10,7 @@
 #include <Poco/Net/SocketNotification.h>
 #include <Poco/Net/SocketReactor.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -47,6 +48,10 @@
   TimerId after(Millis wait, Task task) { return at(now() + wait, std::move(task)); }
   void cancel(TimerId& id);  // also sets `id` to 0
 
+  // An event that is handled now had not occurred before this time: the poll before the one that reported it
+  // began later. The process may have been suspended since, so that the event is older than its handling.
+  Millis no_event_before() const { return wakeups_at_[0]; }
+
   // Runs `task` after the current handler has returned, before the next one.
   void later(Task task) { later_.push_back(std::move(task)); }
 
@@ -93,6 +98,9 @@
   bool in_handler_ = false;
   Millis worst_lag_ = 0;
   std::uint64_t wakeups_ = 0;
+  // Of the current turn and the two before it, the oldest first. The poll that the turn in the middle
+  // followed began after the oldest.
+  std::array<Millis, 3> wakeups_at_{};
 };
 
 }  // namespace shorelead::net
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace shorelead::node {
@@ -34,7 +35,7 @@
       listener_(std::move(listener)),
       refused_(std::move(refused)),
       address_(address),
-      reachability_(loop, [this] { unreachable(); }) {}
+      reachability_(loop, [this](Millis checked_at) { unreachable(checked_at); }) {}
 
 DiscoveryLease::~DiscoveryLease() { loop_.cancel(expiry_timer_); }
 
@@ -56,15 +57,19 @@
   report_change();
 }
 
+Millis DiscoveryLease::earliest_occurrence() const {
+  return std::max(loop_.no_event_before(), loop_.now() - membership::ListLease::kMaxPause);
+}
+
 void DiscoveryLease::incomplete() {
-  lease_.list_incomplete(loop_.now());
+  lease_.list_incomplete(earliest_occurrence());
   report_change();
 }
 
 void DiscoveryLease::ended(Ending ending, const Discovery::CallEnd& end) {
   if (end.told_nothing) lease_.nothing_told();
   const CallEnd how = call_end(ending, end.answered);
-  lease_.call_ended(how, loop_.now());
+  lease_.call_ended(how, loop_.now(), earliest_occurrence());
   report_change();
   const bool watched = how == CallEnd::kWatchEnded || how == CallEnd::kWatchReset;
   if (!watched || !expires_) return;
@@ -72,8 +77,8 @@
   reachability_.start(address_, pushed_ ? kCheckIntervalPushed : kCheckInterval);
 }
 
-void DiscoveryLease::unreachable() {
-  lease_.unreachable(loop_.now());
+void DiscoveryLease::unreachable(Millis checked_at) {
+  lease_.unreachable(checked_at);
   refused_();
   if (!std::exchange(outage_logged_, true)) log_outage();
   report_change();
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -40,7 +40,10 @@
   Millis time_expired() const;  // for how long in all, without the time before the first valid list
 
  private:
-  void unreachable();
+  void unreachable(Millis checked_at);
+  // The earliest time at which what is handled now can have happened. The process may have been suspended
+  // since then.
+  Millis earliest_occurrence() const;
   void report_change();
   void log_outage() const;
   void log_limit();
--- a/src/node/reachability_check.cpp
+++ b/src/node/reachability_check.cpp
@@ -5,7 +5,7 @@
 
 namespace shorelead::node {
 
-ReachabilityCheck::ReachabilityCheck(Loop& loop, std::function<void()> refused)
+ReachabilityCheck::ReachabilityCheck(Loop& loop, std::function<void(Millis)> refused)
     : loop_(loop), refused_(std::move(refused)) {}
 
 ReachabilityCheck::~ReachabilityCheck() { loop_.cancel(timer_); }
@@ -28,6 +28,7 @@
 
 // A connection that is neither established nor refused within the interval ends the checks.
 void ReachabilityCheck::check() {
+  checked_at_ = loop_.now();
   timer_ = loop_.after(interval_, [this] {
     timer_ = 0;
     stop();
@@ -46,7 +47,7 @@
     timer_ = 0;
     check();
   });
-  refused_();
+  refused_(checked_at_);
 }
 
 }  // namespace shorelead::node
--- a/src/node/reachability_check.h
+++ b/src/node/reachability_check.h
@@ -14,8 +14,9 @@
 
 class ReachabilityCheck : public Stream::Handler {
  public:
-  // `refused` is called in the moment in which a connection was refused.
-  ReachabilityCheck(Loop& loop, std::function<void()> refused);
+  // `refused` is called when a connection was refused, with the time before it was attempted: nobody may be
+  // said to have been away for longer than up to then.
+  ReachabilityCheck(Loop& loop, std::function<void(Millis checked_at)> refused);
   ~ReachabilityCheck() override;
   ReachabilityCheck(const ReachabilityCheck&) = delete;
   ReachabilityCheck& operator=(const ReachabilityCheck&) = delete;
@@ -32,9 +33,10 @@
   void checked(const Stream& stream);
 
   Loop& loop_;
-  const std::function<void()> refused_;
+  const std::function<void(Millis)> refused_;
   Poco::Net::SocketAddress address_;
   Millis interval_ = 0;
+  Millis checked_at_ = 0;  // when the present or last check began
   std::shared_ptr<Stream> stream_;
   Loop::TimerId timer_ = 0;
 };
--- a/tests/crossings/discovery_outage_test.cpp
+++ b/tests/crossings/discovery_outage_test.cpp
@@ -97,7 +97,7 @@
     DownAddress address;
     if (listens) address.start_listening();
     int refused = 0;
-    ReachabilityCheck check(loop, [&refused] { ++refused; });
+    ReachabilityCheck check(loop, [&refused](Millis) { ++refused; });
     check.start(Poco::Net::SocketAddress("127.0.0.1", address.port()), 5);
     loop.after(100, [&loop] { loop.stop(); });
     loop.run();
--- a/tests/crossings/listed_node.h
+++ b/tests/crossings/listed_node.h
@@ -41,6 +41,11 @@
     watch_->await_taken();
     last_sign_ = steady_ms();
   }
+  // Returns once the node's loop has handled all that had reached it.
+  void await_turn() {
+    client_->write(kReady);
+    EXPECT_FALSE(client_->answer().empty());
+  }
   void hold() const { node_->hold(); }
   void resume() const { node_->resume(); }
   void discovery_goes_away() { discovery_.stop_listening(); }
