The first of several configurations counts for the delay, from its signal

What callers saw: after a new configuration that moves discovery, requests went by the old list for longer than 4 s after the signal. Cause: ListLease::discovery_changed() took the latest of several configurations, at the time it was applied; a torn file is read again for up to 2 s (two clocks for one event).

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -78,11 +78,11 @@
   if (no_call_ended_since_ < kNever) no_call_ended_since_ += out_of_reach;
 }
 
-void ListLease::discovery_changed(Millis now) {
+void ListLease::discovery_changed(Millis now, Millis requested_at) {
   last_proof_at_ = -kNever;
   if (watching_) no_call_ended_since_ = watch_ended_at_ = watch_end_seen_at_ = now;
   watching_ = false;
-  discovery_changed_at_ = now;
+  discovery_changed_at_ = std::min(discovery_changed_at_, requested_at);
 }
 
 Millis ListLease::hold_without_call() const {
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -91,8 +91,10 @@
   bool stands_still() const { return last_proof_at_ > -kNever && current_before_outage_; }
   // Time from the last message of the watch to the sight of its end.
   Millis quiet_before_end() const { return watch_end_seen_at_ - last_message_at_; }
-  // Discovery is at another address from now on, and no call to it is open.
-  void discovery_changed(Millis now);
+  // Discovery is at another address from now on, and no call to it is open. The configuration that says so
+  // was requested at `requested_at`. Of several in a row the first one binds, until a call is answered.
+  void discovery_changed(Millis now, Millis requested_at);
+  void discovery_changed(Millis now) { discovery_changed(now, now); }
 
   ListValidity validity() const;
   Limit limit() const;
--- a/src/node/backend_source.cpp
+++ b/src/node/backend_source.cpp
@@ -117,7 +117,7 @@
   loop_.cancel(rewatch_timer_);
   watch_backoff_.reset();
   update_lease_terms();
-  if (config.discovery != before) lease_->address_changed(*config.discovery);
+  if (config.discovery != before) lease_->address_changed(*config.discovery, config.requested_at);
   discovery_->change_address(*config.discovery);
   if (reconnecting || !config_.settings.list_on_request) discovery_->watch();
 }
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -155,8 +155,13 @@
 }
 
 std::vector<PoolConfig> pools_of(const Config& config) {
-  if (!config.pools.empty()) return config.pools;
+  if (!config.pools.empty()) {
+    std::vector<PoolConfig> pools = config.pools;
+    for (PoolConfig& pool : pools) pool.requested_at = config.requested_at;
+    return pools;
+  }
   PoolConfig pool;
+  pool.requested_at = config.requested_at;
   pool.name = "main";
   pool.discovery = config.discovery;
   pool.known = config.known;
--- a/src/node/config.h
+++ b/src/node/config.h
@@ -54,7 +54,8 @@
       classes;  // by class of the node: its index in this pool's settings; -1 = cannot reach this pool
   HostSettings host;
   FleetOptions fleet;
-  int fallback = -1;  // index of the pool used while no backend here is ready; -1 = none
+  int fallback = -1;        // index of the pool used while no backend here is ready; -1 = none
+  Millis requested_at = 0;  // of a reload: when it was requested, on the loop's clock
 };
 
 struct Config {
@@ -74,6 +75,7 @@
   std::vector<PoolConfig> pools;
   std::optional<FleetConfig> shared;  // state shared with other processes; only .shore files configure it
   std::vector<std::string> warnings;  // to be logged at start and reload
+  Millis requested_at = 0;            // of a reload: when it was requested, on the loop's clock
 };
 
 // Returns the pools of a configuration in either format; at least one.
--- a/src/node/config_reloader.cpp
+++ b/src/node/config_reloader.cpp
@@ -2,8 +2,11 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "membership/list_lease.h"
+
 namespace shorelead::node {
 namespace {
 
@@ -14,6 +17,10 @@
 }  // namespace
 
 void ConfigReloader::reload(const ReadConfig& read) {
+  // The signal may have come while the process was suspended.
+  const Millis now = loop_.now();
+  const Millis requested_at = std::max(loop_.no_event_before(), now - membership::ListLease::kMaxPause);
+  if (requested_at_ == 0) requested_at_ = requested_at;
   loop_.cancel(retry_timer_);
   attempts_ = 0;
   attempt(read);
@@ -35,6 +42,7 @@
   } catch (const std::exception& error) {
     return reject("reloaded", error);
   }
+  fresh.requested_at = std::exchange(requested_at_, 0);
   try {
     host_.apply(std::move(fresh));
     ++succeeded_;
@@ -45,6 +53,7 @@
 
 void ConfigReloader::reject(const char* what, const std::exception& error) {
   ++failed_;
+  requested_at_ = 0;
   spdlog::error("configuration not {}, keeping the current one: {}", what, error.what());
 }
 
--- a/src/node/config_reloader.h
+++ b/src/node/config_reloader.h
@@ -38,6 +38,7 @@
   const Host host_;
   Loop::TimerId retry_timer_ = 0;
   int attempts_ = 0;
+  Millis requested_at_ = 0;  // of the first request that is not carried out yet; 0 = none
   std::uint64_t succeeded_ = 0;
   std::uint64_t failed_ = 0;
 };
--- a/src/node/discovery_lease.cpp
+++ b/src/node/discovery_lease.cpp
@@ -94,10 +94,10 @@
       pool_, lease_.quiet_before_end());
 }
 
-void DiscoveryLease::address_changed(const Poco::Net::SocketAddress& address) {
+void DiscoveryLease::address_changed(const Poco::Net::SocketAddress& address, Millis requested_at) {
   reachability_.stop();
   address_ = address;
-  lease_.discovery_changed(loop_.now());
+  lease_.discovery_changed(loop_.now(), requested_at);
   report_change();
 }
 
--- a/src/node/discovery_lease.h
+++ b/src/node/discovery_lease.h
@@ -33,7 +33,8 @@
   void current(bool first, bool late, Millis received_at);
   void incomplete();  // see Discovery::Listener::unfinished
   void ended(Ending ending, const Discovery::CallEnd& end);
-  void address_changed(const Poco::Net::SocketAddress& address);
+  // `requested_at`: when the configuration that names this address was requested.
+  void address_changed(const Poco::Net::SocketAddress& address, Millis requested_at);
   void report();  // reports even if nothing has changed
 
   std::uint64_t expirations() const { return expirations_; }  // how often a valid list has expired
--- a/tests/crossings/listed_node.h
+++ b/tests/crossings/listed_node.h
@@ -17,12 +17,18 @@
   static constexpr double kGrace = 250 + 50;  // of the settings below, plus delays of the sockets
   static constexpr double kKeepAlive = 2000;  // interval of discovery's empty lines
 
-  explicit ListedNode(bool pushed) : pushed_(pushed) {
+  // `on_reload` changes the configuration at reload().
+  explicit ListedNode(
+      bool pushed, const NodeProcess::ConfigChange& on_reload = [](Config&) {})
+      : pushed_(pushed) {
     discovery_.start_listening();
-    node_.emplace(256, [text = configuration()](Config& config) {
-      config = parse_config(text, {});
-      config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
-    });
+    node_.emplace(
+        256,
+        [text = configuration()](Config& config) {
+          config = parse_config(text, {});
+          config.listen = Poco::Net::SocketAddress("127.0.0.1", 0);
+        },
+        on_reload);
     client_.emplace(node_->client());
     accept_call();
     watch_->write(first_line(list(8)));
@@ -46,6 +52,7 @@
     client_->write(kReady);
     EXPECT_FALSE(client_->answer().empty());
   }
+  void reload() const { node_->reload(); }
   void hold() const { node_->hold(); }
   void resume() const { node_->resume(); }
   void discovery_goes_away() { discovery_.stop_listening(); }
--- a/tests/membership/lease_reading.h
+++ b/tests/membership/lease_reading.h
@@ -72,7 +72,7 @@
   }
   void moved(double now) {
     if (watching_) watch_ended_in_order(now);
-    moved_ = now;
+    moved_ = std::min(moved_, now);
     outage_over_ = true;
   }
   void connection_refused(double now) {
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -159,6 +159,17 @@
   EXPECT_LE(lease.validity().until, kStart + 100 + ListLease::kDiscoveryChangeDelay + kAllowance);
 }
 
+TEST(ListLease, TheFirstOfSeveralDiscoveryChangesLimitsTheLeaseUntilACallIsAnswered) {
+  ListLease lease = watching();
+  lease.discovery_changed(kStart + 100, kStart);
+  lease.discovery_changed(kStart + 3000);
+  EXPECT_LE(lease.validity().until, kStart + ListLease::kDiscoveryChangeDelay + kAllowance);
+  lease.call_begun(kStart + 3100);
+  lease.call_answered(kStart + 3200);
+  lease.discovery_changed(kStart + 3300);
+  EXPECT_EQ(lease.validity().until, kStart + 3300 + ListLease::kDiscoveryChangeDelay + kAllowance);
+}
+
 TEST(ListLease, GraceShorterThanTheMaxPauseAddsNothing) {
   ListLease lease;
   lease.adopt({.grace = 100, .pushed = false, .ask_every = kAskEvery});
