A list whose watch ended in order is not used for longer than 2 s without an answer

Cause: a watch may end in order instead of bringing a change; the lease then held the list for the interval of the settings, up to 6 s, and longer after failed calls (a missing sign taken for a sign that nothing happened). What such a poll missed binds 2 s after its wait is over. Fix: the end binds after 2 s until a call is answered; it stands still while discovery refuses connections. Three expectations of ListLease held the old assumption and have the new moment, as exact as before; the factor for failed calls is tested with a shorter interval.

--- a/src/membership/list_lease.cpp
+++ b/src/membership/list_lease.cpp
@@ -17,7 +17,7 @@
   if (!late) last_message_at_ = now;
   last_proof_at_ = -kNever;
   current_until_ = std::max(current_until_, last_call_at_);
-  no_call_ended_since_ = watch_reset_at_ = discovery_changed_at_ = lapsed_at_ = kNever;
+  no_call_ended_since_ = watch_reset_at_ = untold_since_ = discovery_changed_at_ = lapsed_at_ = kNever;
   unfinished_at_ = late && terms_.pushed ? std::min(unfinished_at_, last_call_at_) : kNever;
   unfinished_before_ = unfinished_at_;
 }
@@ -46,7 +46,7 @@
     no_call_ended_since_ = kNever;
   }
   if (how == CallEnd::kWatchEnded) {
-    no_call_ended_since_ = watch_ended_at_ = occurred_at;
+    no_call_ended_since_ = watch_ended_at_ = untold_since_ = occurred_at;
     watch_end_seen_at_ = now;
   }
 }
@@ -76,6 +76,7 @@
   if (current_before_outage_) current_until_ += out_of_reach;
   watch_ended_at_ += out_of_reach;
   if (no_call_ended_since_ < kNever) no_call_ended_since_ += out_of_reach;
+  if (untold_since_ < kNever) untold_since_ += out_of_reach;
 }
 
 void ListLease::discovery_changed(Millis now, Millis requested_at) {
@@ -116,6 +117,7 @@
     return earliest;
   }
   consider(held_since() + hold_time(), Limit::kNoCall);
+  consider(untold_since_ + kEndedWatchDelay, Limit::kWatchEndedUntold);
   return earliest;
 }
 
@@ -145,6 +147,8 @@
       return "the end of the watch";
     case ListLease::Limit::kWatchReset:
       return "a reset of the watch";
+    case ListLease::Limit::kWatchEndedUntold:
+      return "the end of the watch, which may have come instead of a change";
     case ListLease::Limit::kDiscoveryChanged:
       return "the change of discovery's address";
   }
--- a/src/membership/list_lease.h
+++ b/src/membership/list_lease.h
@@ -22,6 +22,9 @@
   static constexpr double kFailedCallFactor = 4;
   // Interval of a watch's keep-alives. What the watch has not delivered yet may be this old.
   static constexpr Millis kSignInterval = 2000;
+  // A watch may end in order instead of bringing a change. What discovery has then binds this much later, as
+  // after a long poll whose wait is over, until a call is answered.
+  static constexpr Millis kEndedWatchDelay = 2000;
   // After a new configuration names another discovery, that one's earlier changes bind after this time at the
   // latest.
   static constexpr Millis kDiscoveryChangeDelay = 4000;
@@ -50,6 +53,7 @@
     kNoCall,            // no watch is open, and no call has ended within the hold time
     kWatchEnded,        // lists are pushed and no watch is open
     kWatchReset,        // the watch was reset, and what was written into it may be lost
+    kWatchEndedUntold,  // lists are requested, and the watch may have ended instead of bringing a change
     kDiscoveryChanged,  // a new configuration names another discovery
   };
   enum class CallEnd {
@@ -120,6 +124,8 @@
   Millis last_message_at_ = -kNever;    // last whole list or keep-alive of a watch
   Millis watch_ended_at_ = -kNever;     // end of the last watch, without the time out of reach since
   Millis watch_end_seen_at_ = -kNever;  // when the process saw that end
+  // End of a watch that has ended by itself, without the time out of reach since; and no call was answered.
+  Millis untold_since_ = kNever;
   Millis last_proof_at_ = -kNever;      // that discovery cannot be reached, in the present series
   bool current_before_outage_ = false;  // the list was, when the present series began
   // No call has ended since then; kNever: one has, or a watch is open.
--- a/tests/membership/lease_reading.h
+++ b/tests/membership/lease_reading.h
@@ -1,5 +1,5 @@
 // An independent reading of when a change of the list binds a process, for tests of the lease. It keeps what
-// the process observed and answers by the operators' sentences, one function a sentence: T1 to T7 of
+// the process observed and answers by the operators' sentences, one function a sentence: T1 to T8 of
 // docs/questions.md, question 25. It shares no code with the lease.
 #pragma once
 
@@ -15,6 +15,7 @@
   static constexpr double kAgeLimit = 6000;   // T3, T4: after discovery had it, whether or not it arrived
   static constexpr double kKeepAlive = 2000;  // what a keep-alive vouches for may be this much older
   static constexpr double kMoveLimit = 4000;  // T7: after a new configuration
+  static constexpr double kPollLimit = 2000;  // T8: after the wait of a long poll, which ends in order
   static constexpr double kLastMoment = 100;  // discovery had no change so shortly before it went away
   static constexpr double kShortestReturn = 1000;  // discovery does not return for less
 
@@ -30,7 +31,7 @@
   }
   void answer(double now) {
     known_until_ = std::max(known_until_, last_call_);
-    told_ = told_before_call_ = moved_ = lapsed_ = kNever;
+    told_ = told_before_call_ = moved_ = lapsed_ = poll_over_ = kNever;
     outage_.reset();
     whole_message(now);
     watching_ = true;
@@ -54,24 +55,22 @@
     last_call_failed_ = true;
   }
   void watch_ended_in_order(double now) {
-    watching_ = false;
-    watch_ended_ = last_call_ = now;
-    last_call_failed_ = false;
-    reset_watch_ = false;
+    watch_over(now);
+    poll_over_ = now;
   }
   void watch_reset(double now) {
-    watch_ended_in_order(now);
+    watch_over(now);
     reset_watch_ = true;
   }
   void left(double now) {
     if (watching_)
-      watch_ended_in_order(now);
+      watch_over(now);
     else
       call_failed(now);
     partial_list(now);
   }
   void moved(double now) {
-    if (watching_) watch_ended_in_order(now);
+    if (watching_) watch_over(now);
     moved_ = std::min(moved_, now);
     outage_over_ = true;
   }
@@ -91,7 +90,7 @@
   // The earliest moment in which a change that the process does not know may bind it.
   double bound() const {
     return std::min({written_but_unread(), lost_with_a_reset(), six_seconds_old(), another_discovery(),
-                     pushed_ ? no_watch_on_pushed_lists() : time_for_asking()});
+                     pushed_ ? no_watch_on_pushed_lists() : std::min(time_for_asking(), long_poll_over())});
   }
 
  private:
@@ -105,6 +104,12 @@
     bool list_was_current;
   };
 
+  void watch_over(double now) {
+    watching_ = false;
+    watch_ended_ = last_call_ = now;
+    last_call_failed_ = false;
+    reset_watch_ = false;
+  }
   void whole_message(double now) {
     last_message_ = now;
     lapsed_ = kNever;
@@ -133,6 +138,8 @@
     const double hold = last_call_failed_ ? std::min(ask_failed_, 4 * hold_) : hold_;
     return std::min(lapsed_, last_call_ + hold + out_of_reach());
   }
+  // T8: a watch may end in order instead of telling. Nobody can be told while discovery is away.
+  double long_poll_over() const { return poll_over_ + kPollLimit + out_of_reach(); }
   // T6: without a watch what discovery has of a pushed list is told at once, also what a silent watch missed;
   // but there is nothing new while it is away.
   double no_watch_on_pushed_lists() const {
@@ -155,6 +162,7 @@
   double told_ = kNever;
   double told_before_call_ = kNever;
   double moved_ = kNever;
+  double poll_over_ = kNever;
   double lapsed_ = kNever;
   std::optional<Outage> outage_;
   bool outage_over_ = false;  // what is refused from now on proves nothing
--- a/tests/membership/list_lease_test.cpp
+++ b/tests/membership/list_lease_test.cpp
@@ -61,12 +61,12 @@
   EXPECT_EQ(lease.validity().until, held_until) << "nobody was asked";
   lease.call_begun(kStart + 1020);
   lease.call_ended(CallEnd::kFailed, kStart + 1100);
-  EXPECT_EQ(lease.validity().until, kStart - ListLease::kSignInterval + ListLease::kMaxAge + kAllowance);
+  EXPECT_EQ(lease.validity().until, kStart + 100 + ListLease::kEndedWatchDelay + kAllowance);
 }
 
-// With an interval longer than the maximum age only that age bounds the lease, whatever the calls do.
-TEST(ListLease, AfterTheWatchALongIntervalLeavesTheMaximumAge) {
-  const Millis held_until = kStart - ListLease::kSignInterval + ListLease::kMaxAge + kAllowance;
+// With a long interval the end of the watch bounds the lease, whatever the calls do.
+TEST(ListLease, AfterTheWatchALongIntervalLeavesTheDelayOfItsEnd) {
+  const Millis held_until = kStart + 100 + ListLease::kEndedWatchDelay + kAllowance;
   ListLease lease = watching();
   lease.call_ended(CallEnd::kWatchEnded, kStart + 100);
   EXPECT_EQ(lease.validity().until, held_until);
@@ -113,14 +113,14 @@
 }
 
 TEST(ListLease, ShorterConfiguredIntervalShortensTheHold) {
-  ListLease lease = lease_on_request(800);
+  ListLease lease = lease_on_request(400);
   lease.call_begun(kStart);
   lease.call_answered(kStart);
   lease.call_ended(CallEnd::kWatchEnded, kStart + 500);
-  EXPECT_EQ(lease.validity().until, kStart + 500 + 800 + kAllowance);
+  EXPECT_EQ(lease.validity().until, kStart + 500 + 400 + kAllowance);
   lease.call_begun(kStart + 600);
   lease.call_ended(CallEnd::kFailed, kStart + 700);
-  EXPECT_EQ(lease.validity().until, kStart + 3200 + kAllowance);
+  EXPECT_EQ(lease.validity().until, kStart + 1600 + kAllowance);
 }
 
 // A rejected call tells nothing, even if its response came in parts.
