--- a/src/lab/list_notice.cpp
+++ b/src/lab/list_notice.cpp
@@ -80,6 +80,19 @@
   return first;
 }
 
+// Discovery had the change when it ended the watch instead of writing it.
+std::optional<Millis> ListNotices::by_end(int node, Millis had, Millis start) const {
+  const auto it = calls_.find(node);
+  if (it == calls_.end()) return std::nullopt;
+  std::optional<Millis> first;
+  for (const ListCall* const call : it->second) {
+    if (call->begun < start || call->ended_untold <= 0 || call->ended_untold < had) continue;
+    const Millis at = call->ended_untold + kAfterEnd;
+    if (!first || at < *first) first = at;
+  }
+  return first;
+}
+
 // What the agent has counts as told at once, with a watch or without: but not on one that has fallen silent
 // and not been ended, nor right after a new configuration.
 std::optional<Millis> ListNotices::by_push(int node, Millis had) const {
@@ -132,6 +145,7 @@
     consider(by_push(node, withdrawal.from), By::kPushed);
   } else {
     consider(by_unasked(node, withdrawal.from, start), By::kUnasked);
+    consider(by_end(node, withdrawal.from, start), By::kEnd);
   }
   return earliest;
 }
@@ -177,6 +191,8 @@
       return "the settings' interval without a call that ended";
     case ListNotices::By::kSilence:
       return "6 s after its watch fell silent";
+    case ListNotices::By::kEnd:
+      return "2 s after its watch ended in place of it";
     case ListNotices::By::kPushed:
       return "pushed";
   }
--- a/src/lab/list_notice.h
+++ b/src/lab/list_notice.h
@@ -17,10 +17,12 @@
   static constexpr Millis kAfterChange = 6000;
   // After a watch has fallen silent.
   static constexpr Millis kAfterSilence = 6000;
+  // After a watch has ended in order in place of a change, where lists are requested.
+  static constexpr Millis kAfterEnd = 2000;
   // After a new configuration, where lists are pushed.
   static constexpr Millis kAfterReload = 4000;
 
-  enum class By { kWritten, kAge, kUnasked, kSilence, kPushed };
+  enum class By { kWritten, kAge, kUnasked, kSilence, kEnd, kPushed };
   struct Notice {
     Millis at = 0;
     By by = By::kWritten;
@@ -52,6 +54,7 @@
   Millis started(int node, Millis now) const;
   void index_unasked(int node);
   std::optional<Millis> by_silence(int node, Millis had) const;
+  std::optional<Millis> by_end(int node, Millis had, Millis start) const;
   std::optional<Millis> by_push(int node, Millis had) const;
   std::optional<Millis> by_unasked(int node, Millis had, Millis start) const;
 
--- a/src/lab/records.h
+++ b/src/lab/records.h
@@ -114,6 +114,7 @@
   Millis answered = 0;      // its first list was written whole
   Millis silent_since = 0;  // nothing more comes on it, though it stands
   Millis ended = 0;         // by either side
+  Millis ended_untold = 0;  // by discovery, in order, in place of a change
 };
 
 // Idle clients filled a node's descriptors.
--- a/src/lab/records_io.cpp
+++ b/src/lab/records_io.cpp
@@ -57,7 +57,8 @@
 }
 void fields(auto& io, auto& v, Changed*) { io("box", v.box), io("state", v.state), io("at", v.at); }
 void fields(auto& io, auto& v, ListCall*) {
-  io("node", v.node), io("begun", v.begun), io("answered", v.answered), io("silent_since", v.silent_since);
+  io("node", v.node), io("begun", v.begun), io("answered", v.answered), io("silent_since", v.silent_since),
+      io("ended_untold", v.ended_untold);
   io("ended", v.ended);
 }
 void fields(auto& io, auto& v, CrowdSpan*) { io("node", v.node), io("from", v.from), io("to", v.to); }
--- a/src/lab/registry_session.cpp
+++ b/src/lab/registry_session.cpp
@@ -109,7 +109,10 @@
   if (!watching_ || silent_) return;
   const ListTrouble& trouble = owner_.trouble();
   if (!line.says.empty() && trouble.cuts && queue_.empty()) return cut(line);
-  if (!line.says.empty() && trouble.ends) return close();
+  if (!line.says.empty() && trouble.ends) {
+    call().ended_untold = clock_now();
+    return close();
+  }
   if (!line.says.empty() && trouble.loses) return note(line, true), reset();
   queue_.push_back(readable(std::move(line)));
   if (queue_.size() == 1) write();
--- a/tests/lab/list_notice_test.cpp
+++ b/tests/lab/list_notice_test.cpp
@@ -57,6 +57,32 @@
   expect_bound(run, kHad + 6000, By::kAge);
 }
 
+TEST(ListNotices, AChangeInPlaceOfWhichTheWatchEndedBindsTwoSecondsLater) {
+  lab::Run run = history(false);
+  run.ask_every = 10000;
+  ListCall ended = watch();
+  ended.ended = ended.ended_untold = kHad + 30;
+  run.list_calls = {ended};
+  expect_bound(run, kHad + 2030, By::kEnd);
+  run.list_calls.push_back({.node = kNode, .begun = kHad + 40, .ended = kHad + 60});
+  expect_bound(run, kHad + 2030, By::kEnd);
+  run.told.push_back({kNode, kBox, BoxState::kDraining, kHad + 500});
+  expect_bound(run, kHad + 500, By::kWritten);
+}
+
+TEST(ListNotices, AWatchThatEndedBeforeTheChangeOrBeforeTheProcessDoesNotBindByItsEnd) {
+  lab::Run run = history(false);
+  run.ask_every = 10000;
+  ListCall ended = watch();
+  ended.ended = ended.ended_untold = kHad - 10;
+  run.list_calls = {ended};
+  expect_bound(run, kHad + 6000, By::kAge);
+  run.list_calls.front().ended = run.list_calls.front().ended_untold = kHad + 30;
+  run.nodes.push_back({kNode, NodeDid::kStarted, kHad + 100, 0});
+  run.list_calls.push_back({.node = kNode, .begun = kHad + 110, .answered = kHad + 120});
+  expect_bound(run, kHad + 6000, By::kAge);
+}
+
 TEST(ListNotices, AChangeBindsSixSecondsAfterDiscoveryHadItAndCouldBeReached) {
   lab::Run run = history(false);
   run.list_calls = {watch()};
