--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -11,7 +11,7 @@
 its port can be reached, and waits 60 to 400 ms. Clients go on using open connections until SIGKILL, which comes at the operators' earliest: the
 longest deadline, 3 s at most, and 0.7 s more after SIGTERM. Backends that drain fail their health checks, and go on
 serving what they are sent. Others are left out of the list at once without draining (removed backends that serve on):
-they pass their checks, and are back after 1 to 14 s. In some spells of 1 to 14 s no list arrives whole:
+they pass their checks, and are back after 1 to 14 s. Processes are held up for up to 150 ms, once or again and again. In some spells of 1 to 14 s no list arrives whole:
 half of it comes, or part of the response's head and framing alone. In others each list has an entry that cannot be read. Watches fall silent, boxes leave, and nobody listens at discovery before the silence can be noticed; or a
 change is written into watches that are reset before it arrives.
 """
@@ -24,6 +24,7 @@
 
 QUIET_MS = 1500  # at the start and at the end nothing is done
 MORE_TO_KILL_MS = 700  # after SIGTERM and the longest deadline
+PAUSES = 8  # of the same processes in a row
 SIGNALS = [["hup", "term", "hup"], ["term", "term"], ["term", "hup"], ["hup", "hup", "term", "hup", "term"]]
 
 
@@ -83,6 +84,13 @@
     def pause(self, at):
         return ['do = "pause"', f"nodes = {self.some(self.nodes, self.nodes // 3)}", f"for = {self.length(50, 150)}", "unnoticed = true"]
 
+    def pauses(self, at):
+        """The same processes are held up again and again, so that other troubles meet them held."""
+        nodes = self.some(self.nodes, self.nodes // 3)
+        pause = lambda _: ['do = "pause"', f"nodes = {nodes}", f"for = {self.length(70, 150)}", "unnoticed = true"]
+        delays = [self.random.randint(220, 500) for _ in range(PAUSES)]
+        return pause(at) + self.then(at, *[(sum(delays[: n + 1]), pause) for n in range(PAUSES)])
+
     def discovery(self, at):
         fault = self.random.choice(["down", "down", "unavailable", "slow", "trickle", "cut", "ends", "silent", "reset", "restart", "unreadable"])
         lines = ['do = "discovery"', f'fault = "{fault}"']
@@ -166,7 +174,7 @@
     # ---- groups ----
 
     def groups(self):
-        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.discovery, self.refusals, self.partial_lists, self.silent_outage, self.lost_change, self.drain, self.unlist, self.kill, self.stall, self.link]
+        kinds = [self.node_term, self.node_kill, self.node_reload, self.signals, self.pause, self.pauses, self.discovery, self.refusals, self.partial_lists, self.silent_outage, self.lost_change, self.drain, self.unlist, self.kill, self.stall, self.link]
         if self.crowds:
             kinds.append(self.crowd)
         at = QUIET_MS
