Tests give each request an id of its own from any thread

Traced beside seven busy processes (2 of 40 runs red; the answer printed): 409, "a request with this X-Request-ID is open". Cause: id_field() counted in a plain int, and that test's two clients are two threads, so that both may send one id. The node was right. The counter is atomic now; no check changed.

--- a/tests/node_case.h
+++ b/tests/node_case.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <functional>
 #include <string>
@@ -101,9 +102,9 @@
   return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size.data() + line + "\r\n";
 }
 
-// A new request id with every call.
+// A new request id with every call, from any thread.
 inline std::string id_field() {
-  static int last = 0;
+  static std::atomic<int> last{0};
   return "X-Request-ID: r" + std::to_string(++last) + "\r\n";
 }
 
